--- /dev/null
+++ b/crates/nutmegctl/src/change.rs
@@ -0,0 +1,143 @@
+//! Making a change: write version n+1, then see it in force everywhere.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context;
+use http::Method;
+use nutmeggrade_core::config::{CONFIG_PREFIX, Change};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::admin;
+use crate::settings::Settings;
+
+const PATIENCE: Duration = Duration::from_secs(2);
+const POLL: Duration = Duration::from_millis(100);
+const READ_BACKS: u32 = 5;
+
+/// Opens the platform.
+pub fn platform(settings: &Settings) -> HttpPlatform {
+    HttpPlatform::new(settings.platform, PATIENCE)
+}
+
+/// Reads the newest configuration; `None` before the first.
+pub async fn current(platform: &HttpPlatform) -> anyhow::Result<Option<Configuration>> {
+    let history = history(platform).await?;
+    Ok(history.into_iter().next_back())
+}
+
+/// Reads every version of the configuration, oldest first.
+pub async fn history(platform: &HttpPlatform) -> anyhow::Result<Vec<Configuration>> {
+    let listed = platform.list(CONFIG_PREFIX).await.map_err(|e| down(&e))?;
+    let decode = |value: Value| serde_json::from_value(value).context("decode configuration");
+    listed.objects.into_iter().filter_map(|o| o.value).map(decode).collect()
+}
+
+/// Makes one change: checked as a whole, written, then seen in force.
+pub async fn make(settings: &Settings, change: &Change) -> anyhow::Result<()> {
+    let platform = platform(settings);
+    let id = ChangeId::new(&GenerationId::new(rand::random()).to_string())?;
+    let next = match (current(&platform).await?, change) {
+        (Some(now), _) => now.next(id, &settings.who, &settings.why, change)?,
+        (None, Change::PutPreset { preset, content }) => {
+            if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
+                return Err(Failure::new(Code::WhoWhyMissing, "a change needs who and why").into());
+            }
+            Configuration::new(id, &settings.who, &settings.why, preset, content)
+        }
+        (None, _) => {
+            let detail = "no configuration yet; put a preset first";
+            return Err(Failure::new(Code::BadChange, detail).into());
+        }
+    };
+    let next = next.with_time(wall_ms());
+    write(&platform, &next).await?;
+    println!("accepted version={} change={}", next.version, next.id);
+    in_force(settings, &platform, &next).await
+}
+
+/// Writes a version if no other change came first.
+///
+/// The answer of the write can be lost after it took effect. The version is then read back: the id
+/// of the change in it tells whose it is.
+async fn write(platform: &HttpPlatform, next: &Configuration) -> anyhow::Result<()> {
+    let key = Configuration::key(next.version);
+    let value = serde_json::to_value(next).context("encode configuration")?;
+    match platform.create(&key, &value).await {
+        Ok(_) => return Ok(()),
+        Err(error @ PlatformError::Refused(_)) => return Err(down(&error)),
+        Err(PlatformError::Conflict | PlatformError::Unknown(_)) => {}
+    }
+    for _ in 0..READ_BACKS {
+        if let Ok(found) = platform.read(&key).await {
+            return settle(next, found.and_then(|o| o.value));
+        }
+        sleep(POLL).await;
+    }
+    let detail = format!("ask `nutmegctl audit` later for change {}", next.id);
+    Err(Failure::new(Code::ChangeUnknown, &detail).with_run(Run::Unknown).into())
+}
+
+fn settle(next: &Configuration, found: Option<Value>) -> anyhow::Result<()> {
+    let Some(value) = found else {
+        let detail = format!("version {} was not written; try again", next.version);
+        return Err(Failure::new(Code::ChangeUnknown, &detail).into());
+    };
+    let winner: Configuration = serde_json::from_value(value).context("decode configuration")?;
+    if winner.id == next.id {
+        return Ok(());
+    }
+    let change = serde_json::to_string(&winner.change).unwrap_or_default();
+    let detail = format!(
+        "version {} was taken by {} ({}): {change}",
+        winner.version, winner.who, winner.why
+    );
+    Err(Failure::new(Code::Conflict, &detail).into())
+}
+
+/// Pushes an accepted version to every instance and waits until each has it in force.
+async fn in_force(
+    settings: &Settings,
+    platform: &HttpPlatform,
+    config: &Configuration,
+) -> anyhow::Result<()> {
+    let instances = admin::instances(platform).await?;
+    let body = serde_json::to_value(config).context("encode configuration")?;
+    let start = Instant::now();
+    let mut missing = instances;
+    loop {
+        let mut still = Vec::new();
+        for entry in missing {
+            let pushed =
+                admin::ask(entry.admin_address, &settings.token, Method::POST, "/config", &body);
+            let version = pushed.await.ok().and_then(|v| v.get("config").and_then(Value::as_u64));
+            if version.unwrap_or(0) >= config.version {
+                println!("in_force instance={} version={}", entry.instance, config.version);
+            } else {
+                still.push(entry);
+            }
+        }
+        if still.is_empty() {
+            return Ok(());
+        }
+        missing = still;
+        if start.elapsed() >= settings.wait {
+            let names: Vec<_> = missing.iter().map(|e| json!(e.instance)).collect();
+            let detail = format!("accepted, but not yet in force at {}", Value::from(names));
+            return Err(Failure::new(Code::NotInForce, &detail).into());
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// Says that the platform could not be asked.
+pub fn down(error: &PlatformError) -> anyhow::Error {
+    Failure::new(Code::PlatformDown, &error.to_string()).into()
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/nutmegctl/src/cmd/endpoint.rs
@@ -0,0 +1,17 @@
+//! `nutmegctl endpoint out|in NAME`.
+
+use nutmeggrade_core::config::Change;
+use nutmeggrade_core::prelude::*;
+
+use crate::change::make;
+use crate::settings::Settings;
+
+/// Takes an endpoint out of service.
+pub async fn take_out(settings: &Settings, name: &str) -> anyhow::Result<()> {
+    make(settings, &Change::EndpointOut { endpoint: EndpointId::new(name)? }).await
+}
+
+/// Brings an endpoint back.
+pub async fn bring_in(settings: &Settings, name: &str) -> anyhow::Result<()> {
+    make(settings, &Change::EndpointIn { endpoint: EndpointId::new(name)? }).await
+}
--- /dev/null
+++ b/crates/nutmegctl/src/cmd/preset.rs
@@ -0,0 +1,48 @@
+//! `nutmegctl preset list|show|put|use`.
+
+use anyhow::Context;
+use nutmeggrade_core::config::Change;
+use nutmeggrade_core::prelude::*;
+
+use crate::change::{current, make, platform};
+use crate::settings::Settings;
+
+/// Lists the presets; the one in force has a star.
+pub async fn list(settings: &Settings) -> anyhow::Result<()> {
+    let config = newest(settings).await?;
+    for name in config.presets.keys() {
+        let star = if *name == config.active { "*" } else { " " };
+        println!("{star} {name}");
+    }
+    Ok(())
+}
+
+/// Prints a preset.
+pub async fn show(settings: &Settings, name: &str) -> anyhow::Result<()> {
+    let config = newest(settings).await?;
+    let name = PresetId::new(name)?;
+    let Some(preset) = config.presets.get(&name) else {
+        return Err(Failure::new(Code::BadChange, &format!("no preset {name}")).into());
+    };
+    println!("{}", serde_json::to_string_pretty(preset)?);
+    Ok(())
+}
+
+/// Adds or replaces a preset.
+pub async fn put(settings: &Settings, name: &str, file: &str) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("read {file}"))?;
+    let content: Preset = serde_json::from_str(&text)
+        .map_err(|e| Failure::new(Code::BadChange, &format!("{file}: {e}")))?;
+    let preset = PresetId::new(name)?;
+    make(settings, &Change::PutPreset { preset, content: Box::new(content) }).await
+}
+
+/// Puts a preset in force.
+pub async fn choose(settings: &Settings, name: &str) -> anyhow::Result<()> {
+    make(settings, &Change::UsePreset { preset: PresetId::new(name)? }).await
+}
+
+async fn newest(settings: &Settings) -> anyhow::Result<Configuration> {
+    let found = current(&platform(settings)).await?;
+    found.ok_or_else(|| Failure::new(Code::NotReady, "no configuration yet").into())
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -0,0 +1,146 @@
+//! Numbered result codes.
+//!
+//! The table in `docs/RESULT-CODES.md` lists the same codes; a test compares the two.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal, $status:literal;)*) => {
+        /// A numbered result. 1xxx: the caller's request, 2xxx: load, 3xxx: endpoints,
+        /// 4xxx: the platform and the system itself, 5xxx: operators, 6xxx: settings.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Code {
+            /// Every code, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the name used in JSON and logs.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            /// Returns the HTTP status that goes with the code.
+            pub const fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The body is not the JSON that the path asks for.
+    BadJson = 1001, "bad_json", 400;
+    /// The workspace header is missing or not an id.
+    BadWorkspace = 1002, "bad_workspace", 400;
+    /// No configured model has this name.
+    UnknownModel = 1003, "unknown_model", 404;
+    /// No configured service has this name.
+    UnknownService = 1004, "unknown_service", 404;
+    /// The service has no such operation.
+    UnknownOperation = 1005, "unknown_operation", 404;
+    /// The body is larger than the limit.
+    BodyTooLarge = 1006, "body_too_large", 413;
+    /// A non-idempotent operation came without an idempotency key.
+    KeyMissing = 1007, "key_missing", 400;
+    /// The deadline is malformed or already past.
+    BadDeadline = 1008, "bad_deadline", 400;
+    /// The task header is not a configured task class.
+    UnknownTask = 1009, "unknown_task", 400;
+    /// The last event id is forged, damaged, or of another workspace.
+    BadEventId = 1010, "bad_event_id", 400;
+    /// The idempotency key was used before with a different request.
+    KeyReused = 1011, "key_reused", 422;
+    /// A number in the request is outside its range.
+    OutOfRange = 1012, "out_of_range", 400;
+    /// No such path.
+    NotFound = 1013, "not_found", 404;
+    /// The idempotency key or the request id is not an id.
+    BadHeader = 1014, "bad_header", 400;
+    /// The queue is full for this workspace or in all.
+    QueueFull = 2001, "queue_full", 429;
+    /// The request can't be served before its deadline.
+    TooLate = 2002, "too_late", 503;
+    /// The deadline passed while the request was served.
+    DeadlinePassed = 2003, "deadline_passed", 504;
+    /// The caller closed its connection.
+    CallerGone = 2004, "caller_gone", 499;
+    /// No endpoint in service offers what was asked for.
+    NoEndpoint = 3001, "no_endpoint", 503;
+    /// The endpoint failed before the work was started.
+    EndpointFailed = 3002, "endpoint_failed", 502;
+    /// The stream broke and its generation can't be resumed.
+    StreamLost = 3003, "stream_lost", 502;
+    /// The request crashed endpoints and is refused on all instances.
+    CrashSuspect = 3004, "crash_suspect", 422;
+    /// The call was sent, but its answer was lost.
+    OutcomeUnknown = 3005, "outcome_unknown", 502;
+    /// The endpoint refused the call.
+    EndpointRefused = 3006, "endpoint_refused", 502;
+    /// The generation named by the event id is gone.
+    GenerationGone = 3007, "generation_gone", 410;
+    /// The platform could not be asked, so the call was not started.
+    PlatformDown = 4001, "platform_down", 503;
+    /// This instance is leaving; use another entry.
+    Leaving = 4002, "leaving", 503;
+    /// This instance has no configuration yet.
+    NotReady = 4003, "not_ready", 503;
+    /// This instance is cut off from the platform and every peer.
+    Fenced = 4004, "fenced", 503;
+    /// Another attempt with the same key is running.
+    InProgress = 4005, "in_progress", 409;
+    /// The operators' token is missing or wrong.
+    BadToken = 5001, "bad_token", 401;
+    /// Another change came first.
+    Conflict = 5002, "conflict", 409;
+    /// The change is not valid as a whole.
+    BadChange = 5003, "bad_change", 400;
+    /// The change was accepted but is not yet in force everywhere.
+    NotInForce = 5004, "not_in_force", 504;
+    /// A change needs who and why.
+    WhoWhyMissing = 5005, "who_why_missing", 400;
+    /// Whether the change was accepted could not be learned.
+    ChangeUnknown = 5006, "change_unknown", 503;
+    /// A flag or variable is not known.
+    UnknownSetting = 6001, "unknown_setting", 400;
+    /// A setting that has no default is missing.
+    SettingMissing = 6002, "setting_missing", 400;
+    /// A setting can't be read as its kind.
+    BadSetting = 6003, "bad_setting", 400;
+    /// A setting is outside its range.
+    SettingRange = 6004, "setting_range", 400;
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = String;
+
+    fn try_from(number: u16) -> Result<Self, String> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|c| c.number() == number)
+            .ok_or_else(|| format!("no result code {number}"))
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/config/configuration.rs
@@ -0,0 +1,126 @@
+//! The whole configuration at one version.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Preset};
+use crate::code::Code;
+use crate::failure::Failure;
+use crate::id::{ChangeId, DomainId, EndpointId, PresetId};
+
+/// Prefix of the platform keys that hold the configuration's versions.
+pub const CONFIG_PREFIX: &str = "config/";
+
+/// The whole configuration at one version, with who changed it and why.
+///
+/// Version n+1 is an object that is created only if absent, so the platform decides every race and
+/// the versions themselves are the audit trail of changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Counts accepted changes, from 1.
+    pub version: u64,
+    /// The change that led here; tells after a lost answer whose write it was.
+    pub id: ChangeId,
+    /// Who made the change.
+    pub who: String,
+    /// Why.
+    pub why: String,
+    /// Wall time of the change, milliseconds since 1970, for people only.
+    pub at_ms: u64,
+    /// What was changed.
+    pub change: Change,
+    /// The one preset in force.
+    pub active: PresetId,
+    /// All presets.
+    pub presets: BTreeMap<PresetId, Preset>,
+    /// Failure domains out of service.
+    pub out_domains: BTreeSet<DomainId>,
+    /// Endpoints out of service.
+    pub out_endpoints: BTreeSet<EndpointId>,
+}
+
+impl Configuration {
+    /// Makes version 1 with one preset, which is in force.
+    pub fn new(id: ChangeId, who: &str, why: &str, name: &PresetId, preset: &Preset) -> Self {
+        let change = Change::PutPreset { preset: name.clone(), content: Box::new(preset.clone()) };
+        Self {
+            version: 1,
+            id,
+            who: who.to_owned(),
+            why: why.to_owned(),
+            at_ms: 0,
+            change,
+            active: name.clone(),
+            presets: BTreeMap::from([(name.clone(), preset.clone())]),
+            out_domains: BTreeSet::new(),
+            out_endpoints: BTreeSet::new(),
+        }
+    }
+
+    /// Sets the wall time of the change.
+    #[must_use]
+    pub fn with_time(mut self, at_ms: u64) -> Self {
+        self.at_ms = at_ms;
+        self
+    }
+
+    /// Returns the platform key of a version; keys sort in the order of the versions.
+    pub fn key(version: u64) -> String {
+        format!("{CONFIG_PREFIX}{version:012}")
+    }
+
+    /// Returns the preset in force.
+    pub fn preset(&self) -> Option<&Preset> {
+        self.presets.get(&self.active)
+    }
+
+    /// Makes the next version, checked as a whole.
+    pub fn next(
+        &self,
+        id: ChangeId,
+        who: &str,
+        why: &str,
+        change: &Change,
+    ) -> Result<Self, Failure> {
+        if who.trim().is_empty() || why.trim().is_empty() {
+            return Err(Failure::new(Code::WhoWhyMissing, "a change needs who and why"));
+        }
+        let mut next = self.clone();
+        next.version = self.version + 1;
+        next.id = id;
+        who.clone_into(&mut next.who);
+        why.clone_into(&mut next.why);
+        next.change = change.clone();
+        next.apply(change)?;
+        Ok(next)
+    }
+
+    fn apply(&mut self, change: &Change) -> Result<(), Failure> {
+        match change {
+            Change::PutPreset { preset, content } => {
+                self.presets.insert(preset.clone(), (**content).clone());
+            }
+            Change::UsePreset { preset } => {
+                if !self.presets.contains_key(preset) {
+                    let detail = format!("no preset {preset}");
+                    return Err(Failure::new(Code::BadChange, &detail));
+                }
+                self.active = preset.clone();
+            }
+            Change::DomainOut { domain } => {
+                self.out_domains.insert(domain.clone());
+            }
+            Change::DomainIn { domain } => {
+                self.out_domains.remove(domain);
+            }
+            Change::EndpointOut { endpoint } => {
+                self.out_endpoints.insert(endpoint.clone());
+            }
+            Change::EndpointIn { endpoint } => {
+                self.out_endpoints.remove(endpoint);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/config/operation_class.rs
@@ -0,0 +1,13 @@
+//! Classes of operations of plain services.
+
+use serde::{Deserialize, Serialize};
+
+/// What the configuration says about one operation of a plain service.
+///
+/// Whether a call may be repeated comes from here and never from the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperationClass {
+    /// Whether the operation may run more than once.
+    pub idempotent: bool,
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/config/preset.rs
@@ -0,0 +1,47 @@
+//! Presets: what operators choose between.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::{OperationClass, TaskClass, Weights};
+use crate::id::{ModelId, ServiceId, TaskId};
+
+/// Limits that a preset sets on waiting.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Most requests that wait on one instance.
+    pub queue: u32,
+    /// Deadline of a service call that names none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "call_deadline_ms")]
+    pub call_deadline: Duration,
+}
+
+/// One model that callers may ask for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelClass {
+    /// Longest prompt and answer together, in tokens.
+    pub context: u64,
+}
+
+/// One preset: the limits, classes and weights in force together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Preset {
+    /// Models on offer.
+    pub models: BTreeMap<ModelId, ModelClass>,
+    /// Task classes that callers may name.
+    pub tasks: BTreeMap<TaskId, TaskClass>,
+    /// Operations of plain services.
+    pub services: BTreeMap<ServiceId, BTreeMap<String, OperationClass>>,
+    /// Limits on waiting.
+    pub limits: Limits,
+    /// What this deployment weighs most.
+    pub weights: Weights,
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/engine.rs
@@ -0,0 +1,14 @@
+//! Messages between a node and a model engine.
+
+mod generate;
+mod load_report;
+mod token;
+
+pub use generate::Generate;
+pub use load_report::LoadReport;
+pub use token::{Finish, Token};
+
+/// Path under which an engine starts, resumes and cancels generations.
+pub const GENERATIONS_PATH: &str = "/v1/generations";
+/// Path of an engine's lagging load report.
+pub const LOAD_PATH: &str = "/v1/load";
--- /dev/null
+++ b/crates/nutmeggrade-core/src/id.rs
@@ -0,0 +1,10 @@
+//! Names and numbers that identify things across processes.
+
+mod generation_id;
+mod name;
+
+pub use generation_id::GenerationId;
+pub use name::{
+    BadName, ChangeId, DomainId, EndpointId, InstanceId, ModelId, PresetId, RequestId, ServiceId,
+    TaskId, WorkspaceId,
+};
--- /dev/null
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Types that every package of nutmeggrade shares.
+//!
+//! Ids, units, result codes, the configuration, and the messages that cross a process boundary.
+//! Nothing here does I/O or reads a clock; `use nutmeggrade_core::prelude::*` brings the common
+//! types into scope.
+
+pub mod code;
+pub mod config;
+pub mod endpoint;
+pub mod engine;
+pub mod event_id;
+pub mod failure;
+pub mod id;
+pub mod moment;
+pub mod object;
+pub mod peer;
+pub mod prelude;
+pub mod run;
+pub mod secret;
+pub mod settings;
--- /dev/null
+++ b/crates/nutmeggrade-core/src/peer/beacon.rs
@@ -0,0 +1,40 @@
+//! What an instance tells its peers several times a second.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{DomainId, EndpointId, InstanceId};
+
+/// One instance of the system as others may use it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Distinguishes two lives of an instance with the same name; higher is newer.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where peers subscribe.
+    pub peer_address: SocketAddr,
+    /// Where operators and probes connect.
+    pub admin_address: SocketAddr,
+}
+
+/// Heartbeat of an instance: that it lives, what it has in force and what it has in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beacon {
+    /// The sender.
+    pub entry: Entry,
+    /// Counts the sender's beacons; an older or repeated one is dropped.
+    pub sequence: u64,
+    /// Version of the configuration that the sender has in force.
+    pub config: u64,
+    /// Whether the sender takes no new callers.
+    pub leaving: bool,
+    /// Requests that the sender has in flight, by endpoint.
+    pub in_flight: BTreeMap<EndpointId, u32>,
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The types that nearly every module uses.
+
+pub use crate::code::Code;
+pub use crate::config::{Configuration, Preset};
+pub use crate::endpoint::{Endpoint, EndpointKind, EndpointState};
+pub use crate::failure::Failure;
+pub use crate::id::{
+    ChangeId, DomainId, EndpointId, GenerationId, InstanceId, ModelId, PresetId, RequestId,
+    ServiceId, TaskId, WorkspaceId,
+};
+pub use crate::moment::Moment;
+pub use crate::run::Run;
+pub use crate::secret::Secret;
--- /dev/null
+++ b/crates/nutmeggrade-core/src/settings.rs
@@ -0,0 +1,9 @@
+//! Settings from flags and environment variables, checked as a whole.
+
+mod source;
+mod spec;
+mod values;
+
+pub use source::Origin;
+pub use spec::{Kind, Spec};
+pub use values::{Mistake, Values};
--- /dev/null
+++ b/crates/nutmeggrade-core/src/settings/values.rs
@@ -0,0 +1,188 @@
+//! Checked values of settings.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{Kind, Origin, Spec};
+use crate::code::Code;
+use crate::id::InstanceId;
+use crate::secret::{MIN_SECRET_LEN, Secret};
+
+/// One mistake in the settings, with its numbered code.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// The numbered code.
+    pub code: Code,
+    /// What is wrong, with flag and variable.
+    pub detail: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.detail)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Value {
+    spec: Spec,
+    text: String,
+    origin: Origin,
+}
+
+/// All settings of a process, each read and found in range.
+#[derive(Debug, Clone)]
+pub struct Values {
+    values: BTreeMap<&'static str, Value>,
+}
+
+impl Values {
+    /// Reads flags and variables and checks them all; lists every mistake at once.
+    ///
+    /// `variable` looks a name up in the environment and `file` reads a secret's file.
+    pub fn load(
+        specs: &[Spec],
+        args: &[String],
+        variable: impl Fn(&str) -> Option<String>,
+        file: impl Fn(&str) -> Result<String, String>,
+    ) -> Result<Self, Vec<Mistake>> {
+        let mut mistakes = Vec::new();
+        let matches = match Self::options(specs).parse(args) {
+            Ok(m) => m,
+            Err(e) => {
+                let detail = e.to_string();
+                return Err(vec![Mistake { code: Code::UnknownSetting, detail }]);
+            }
+        };
+        for extra in &matches.free {
+            let detail = format!("unexpected argument {extra:?}");
+            mistakes.push(Mistake { code: Code::UnknownSetting, detail });
+        }
+        let mut values = BTreeMap::new();
+        for spec in specs {
+            let flag = match spec.kind {
+                Kind::Secret => None,
+                _ => matches.opt_str(spec.flag),
+            };
+            match find(spec, flag, &variable, &file)
+                .and_then(|v| check(v.as_ref(), spec).map(|()| v))
+            {
+                Ok(Some(v)) => {
+                    values.insert(spec.flag, v);
+                }
+                Ok(None) => {}
+                Err(m) => mistakes.push(m),
+            }
+        }
+        if mistakes.is_empty() { Ok(Self { values }) } else { Err(mistakes) }
+    }
+
+    /// Makes the parser of the command line; its usage text lists every setting.
+    pub fn options(specs: &[Spec]) -> getopts::Options {
+        let mut options = getopts::Options::new();
+        for spec in specs.iter().filter(|s| s.kind != Kind::Secret) {
+            options.optopt("", spec.flag, &spec.describe(), "VALUE");
+        }
+        options
+    }
+
+    /// Returns the text of a setting, empty if it has neither value nor default.
+    pub fn text(&self, flag: &str) -> &str {
+        self.values.get(flag).map_or("", |v| v.text.as_str())
+    }
+
+    /// Returns a number setting.
+    pub fn number(&self, flag: &str) -> u64 {
+        self.text(flag).parse().unwrap_or(0)
+    }
+
+    /// Returns a number setting whose unit is milliseconds.
+    pub fn millis(&self, flag: &str) -> Duration {
+        Duration::from_millis(self.number(flag))
+    }
+
+    /// Returns an address setting.
+    pub fn address(&self, flag: &str) -> Option<SocketAddr> {
+        self.text(flag).parse().ok()
+    }
+
+    /// Returns a secret setting.
+    pub fn secret(&self, flag: &str) -> Secret {
+        Secret::new(self.text(flag))
+    }
+
+    /// Lists the settings in force with their origin, secrets hidden, one line each.
+    pub fn lines(&self) -> Vec<String> {
+        let line = |v: &Value| {
+            let shown = if v.spec.kind == Kind::Secret { "(hidden)" } else { v.text.as_str() };
+            format!("{}={shown} origin={}", v.spec.flag, v.origin)
+        };
+        self.values.values().map(line).collect()
+    }
+}
+
+fn find(
+    spec: &Spec,
+    flag: Option<String>,
+    variable: &impl Fn(&str) -> Option<String>,
+    file: &impl Fn(&str) -> Result<String, String>,
+) -> Result<Option<Value>, Mistake> {
+    let name = spec.variable();
+    if let Some(text) = flag {
+        return Ok(Some(Value { spec: *spec, text, origin: Origin::Flag }));
+    }
+    if let Some(text) = variable(&name) {
+        return Ok(Some(Value { spec: *spec, text, origin: Origin::Variable }));
+    }
+    if spec.kind == Kind::Secret
+        && let Some(path) = variable(&format!("{name}_FILE"))
+    {
+        return match file(&path) {
+            Ok(text) => {
+                let text = text.trim().to_owned();
+                Ok(Some(Value { spec: *spec, text, origin: Origin::File }))
+            }
+            Err(e) => Err(Mistake { code: Code::BadSetting, detail: format!("{name}_FILE: {e}") }),
+        };
+    }
+    if let Some(text) = spec.default {
+        return Ok(Some(Value { spec: *spec, text: text.to_owned(), origin: Origin::Default }));
+    }
+    let detail = match spec.kind {
+        Kind::Secret => format!("{name} or {name}_FILE must be set"),
+        _ => format!("--{} or {name} must be set", spec.flag),
+    };
+    Err(Mistake { code: Code::SettingMissing, detail })
+}
+
+fn check(value: Option<&Value>, spec: &Spec) -> Result<(), Mistake> {
+    let Some(value) = value else { return Ok(()) };
+    let text = value.text.as_str();
+    let place = format!("--{} ({})", spec.flag, spec.variable());
+    let bad = |detail: String| Err(Mistake { code: Code::BadSetting, detail });
+    match spec.kind {
+        Kind::Name => match InstanceId::new(text) {
+            Ok(_) => Ok(()),
+            Err(e) => bad(format!("{place}: {e}")),
+        },
+        Kind::Address => match text.parse::<SocketAddr>() {
+            Ok(_) => Ok(()),
+            Err(_) => bad(format!("{place}: {text:?} is not ip:port")),
+        },
+        Kind::Number { unit, min, max } => match text.parse::<u64>() {
+            Ok(n) if (min..=max).contains(&n) => Ok(()),
+            Ok(n) => {
+                let detail = format!("{place}: {n} {unit} is not in {min} to {max}");
+                Err(Mistake { code: Code::SettingRange, detail })
+            }
+            Err(_) => bad(format!("{place}: {text:?} is not a whole number of {unit}")),
+        },
+        Kind::Secret if text.len() < MIN_SECRET_LEN => {
+            let detail = format!("{} is shorter than {MIN_SECRET_LEN} bytes", spec.variable());
+            Err(Mistake { code: Code::SettingRange, detail })
+        }
+        Kind::Text | Kind::Secret => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-fakes/examples/demo.rs
@@ -0,0 +1,133 @@
+//! Shows the whole system at work: `demo [--keep]`.
+//!
+//! Starts everything as separate processes, serves streams and calls while a failure domain leaves
+//! and returns, and fails if anything was duplicated, lost or run twice.
+
+use anyhow::Context;
+use futures::future::join_all;
+use nutmeggrade_fakes::fleet::{Fleet, Heard, MODEL, Plan, SERVICE};
+
+const STREAMS: usize = 24;
+const DOMAIN: &str = "veluwe";
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let keep = std::env::args().any(|a| a == "--keep");
+    let fleet = Fleet::start(&Plan::default()).await.context("start the fleet")?;
+    println!("started: platform, 3 engines, 1 service, {} instances", fleet.nodes.len());
+    let entries = fleet.caller("staatsbos").ask_entries(0).await?;
+    println!("entries: {} addresses, first {}", entries.len(), entries[0]);
+    let outcome = show(&fleet).await?;
+    println!(
+        "demo: served {} of {}, duplicated {}, lost {}, ran-twice {}",
+        outcome.served, outcome.asked, outcome.duplicated, outcome.lost, outcome.twice
+    );
+    if keep {
+        keep_running(&fleet).await?;
+    }
+    anyhow::ensure!(outcome.is_good(), "the demo did not end as it must");
+    Ok(())
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    asked: usize,
+    served: usize,
+    duplicated: usize,
+    lost: usize,
+    twice: u64,
+}
+
+impl Outcome {
+    fn is_good(&self) -> bool {
+        self.served == self.asked && self.duplicated == 0 && self.lost == 0 && self.twice == 0
+    }
+
+    fn count(&mut self, heard: &Heard) {
+        self.asked += 1;
+        if heard.is_whole() {
+            self.served += 1;
+        } else {
+            self.lost += 1;
+        }
+        if !heard.in_order() {
+            self.duplicated += 1;
+        }
+    }
+}
+
+async fn show(fleet: &Fleet) -> anyhow::Result<Outcome> {
+    let mut outcome = Outcome::default();
+    let streams = async {
+        let one = |n: usize| async move {
+            let caller = fleet.caller(["staatsbos", "gemeente-ede"][n % 2]);
+            let (task, length) = [("permit-draft", 250), ("district-sort", 12)][n % 2];
+            caller.stream(n, task, &format!("application {n} len={length}")).await
+        };
+        join_all((0..STREAMS).map(one)).await
+    };
+    let (heard, operated) = futures::join!(streams, operate(fleet));
+    operated?;
+    for result in heard {
+        match result {
+            Ok(heard) => outcome.count(&heard),
+            Err(error) => {
+                println!("stream failed: {error:#}");
+                outcome.count(&Heard::default());
+            }
+        }
+    }
+    println!("streams: {} of {STREAMS} whole while {DOMAIN} left and returned", outcome.served);
+    issue(fleet, &mut outcome).await?;
+    Ok(outcome)
+}
+
+async fn operate(fleet: &Fleet) -> anyhow::Result<()> {
+    for direction in ["out", "in"] {
+        let words = ["domain", direction, DOMAIN, "--who", "demo", "--why", "show a change"];
+        let (code, text) = fleet.operate(&words).await?;
+        anyhow::ensure!(code == 0, "nutmegctl ended with {code}: {text}");
+        let instances = text.lines().filter(|l| l.starts_with("in_force")).count();
+        println!("nutmegctl domain {direction} {DOMAIN}: in force on {instances} instances");
+    }
+    Ok(())
+}
+
+async fn issue(fleet: &Fleet, outcome: &mut Outcome) -> anyhow::Result<()> {
+    let caller = fleet.caller("staatsbos");
+    let key = Some("plot-17-2026");
+    let first = caller.operation(0, "issue-permit", key, "plot-17").await?;
+    let second = caller.operation(1, "issue-permit", key, "plot-17").await?;
+    let looked = caller.operation(2, "lookup-permit", None, "plot-17").await?;
+    for (status, _) in [&first, &second, &looked] {
+        outcome.asked += 1;
+        outcome.served += usize::from(status.is_success());
+    }
+    let log = fleet.log("service-0").await?;
+    let ran = log.get("issue-permit/plot-17").and_then(serde_json::Value::as_u64).unwrap_or(0);
+    outcome.twice = ran.saturating_sub(1);
+    let same = first.1 == second.1;
+    println!("issue-permit: asked twice with one key, ran {ran} time(s), same answer: {same}");
+    anyhow::ensure!(same, "the retry got another answer");
+    Ok(())
+}
+
+async fn keep_running(fleet: &Fleet) -> anyhow::Result<()> {
+    let node = fleet.nodes.values().next().context("no instance")?;
+    println!("\nrunning until Ctrl-C; try:");
+    println!("  curl http://{}/v1/entries", node.callers);
+    println!(
+        "  curl -N http://{}/v1/completions -H 'nutmeggrade-workspace: me' \\\n    -d '{{\"model\":\"{MODEL}\",\"prompt\":\"hello len=40\",\"stream\":true}}'",
+        node.callers
+    );
+    println!(
+        "  curl http://{}/v1/services/{SERVICE}/issue-permit -H 'nutmeggrade-workspace: me' \\\n    -H 'idempotency-key: k1' -d '{{\"subject\":\"plot-1\"}}'",
+        node.callers
+    );
+    println!("  curl http://{}/metrics", node.admin);
+    println!(
+        "  NUTMEGGRADE_OPERATOR_TOKEN=operator-token-on-loopback \\\n    target/release/nutmegctl status --platform {}",
+        fleet.platform
+    );
+    tokio::signal::ctrl_c().await.context("wait for Ctrl-C")
+}
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/engine.rs
@@ -0,0 +1,15 @@
+//! The model engine's stand-in.
+
+mod event;
+mod faults;
+mod job;
+mod model;
+mod server;
+mod spec;
+
+pub use event::Event;
+pub use faults::Faults;
+pub use job::Job;
+pub use model::Model;
+pub use server::{Engine, serve};
+pub use spec::Spec;
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/engine/faults.rs
@@ -0,0 +1,23 @@
+//! Failures that a test can turn on.
+
+use serde::{Deserialize, Serialize};
+
+/// Failures of an engine, set by `POST /fault`; absent fields keep their value.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Turns the engine cold now.
+    pub cold: Option<bool>,
+    /// Multiplies the time of every step.
+    pub slow: Option<u32>,
+    /// Cuts every stream after this many more tokens; the generations go on.
+    pub cut_after: Option<u64>,
+    /// Sends every token twice.
+    pub duplicate: Option<bool>,
+    /// Crashes now.
+    pub crash: Option<bool>,
+    /// Refuses new generations.
+    pub refuse: Option<bool>,
+    /// Accepts new generations and never answers them.
+    pub hang: Option<bool>,
+}
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -0,0 +1,13 @@
+//! Starts and stops the whole system as separate processes, for the demo and the tests.
+
+mod caller;
+mod deployment;
+mod plan;
+mod process;
+mod running;
+
+pub use caller::{Caller, Heard};
+pub use deployment::{MODEL, SERVICE, preset};
+pub use plan::Plan;
+pub use process::Process;
+pub use running::{Fleet, NodeAddresses};
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/service/server.rs
@@ -0,0 +1,83 @@
+//! The plain service's HTTP side.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+use viz::{IntoResponse, Request, RequestExt, Response, ResponseExt, Result, Router, types};
+
+use super::Faults;
+use crate::http::{cut, serve as serve_http, status};
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    ran: BTreeMap<String, u64>,
+    total: u64,
+}
+
+type App = Arc<Mutex<Inner>>;
+
+/// Runs the service until the process ends.
+///
+/// `POST /call/{operation}` runs a call and logs it under the body's `subject`, `GET /log` tells how
+/// often each `operation/subject` ran.
+pub async fn serve(address: SocketAddr) -> anyhow::Result<()> {
+    let router = Router::new()
+        .post("/call/:operation", run)
+        .get("/log", log)
+        .post("/fault", fault)
+        .with(types::State::new(App::default()));
+    serve_http(address, router).await
+}
+
+fn app(req: &Request) -> App {
+    req.state::<App>().unwrap_or_default()
+}
+
+fn lock(app: &App) -> MutexGuard<'_, Inner> {
+    app.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn run(mut req: Request) -> Result<Response> {
+    let app = app(&req);
+    let operation: String = req.param("operation")?;
+    let body: Value = req.json().await?;
+    let faults = lock(&app).faults.clone();
+    sleep(Duration::from_millis(faults.before_ms)).await;
+    if faults.refuse {
+        return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let subject = body.get("subject").and_then(Value::as_str).unwrap_or("none");
+    let (number, lost) = {
+        let mut inner = lock(&app);
+        inner.total += 1;
+        *inner.ran.entry(format!("{operation}/{subject}")).or_default() += 1;
+        let lost = inner.faults.lose > 0;
+        inner.faults.lose = inner.faults.lose.saturating_sub(1);
+        (inner.total, lost)
+    };
+    sleep(Duration::from_millis(faults.after_ms)).await;
+    if lost {
+        return Ok(cut());
+    }
+    let answer = json!({ "operation": operation, "subject": subject, "number": number });
+    Ok(Response::json(answer)?)
+}
+
+async fn log(req: Request) -> Result<Response> {
+    let app = app(&req);
+    let ran = lock(&app).ran.clone();
+    Ok(Response::json(ran)?)
+}
+
+async fn fault(mut req: Request) -> Result<Response> {
+    let app = app(&req);
+    let faults: Faults = req.json().await?;
+    lock(&app).faults = faults;
+    Ok(StatusCode::OK.into_response())
+}
--- /dev/null
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -0,0 +1,171 @@
+//! The platform over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use nutmeggrade_core::endpoint::Endpoint;
+use nutmeggrade_core::object::{Changes, Object};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::time::timeout;
+
+use crate::call::{body_bytes, call};
+use crate::{Budget, Platform, PlatformError};
+
+/// Largest answer that is read: a listing of values of up to a megabyte each.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// The platform's object API over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+    patience: Duration,
+    budget: Arc<Budget>,
+}
+
+impl HttpPlatform {
+    /// Makes a client that waits at most `patience` for each answer.
+    pub fn new(address: SocketAddr, patience: Duration) -> Self {
+        Self { address, patience, budget: Arc::new(Budget::new()) }
+    }
+
+    async fn send(
+        &self,
+        kind: &'static str,
+        request: Request<Full<Bytes>>,
+        patience: Duration,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        self.budget.count(kind);
+        let exchange = async {
+            let response = match call(self.address, request, self.patience).await {
+                Ok(r) => r,
+                Err(e) if e.not_sent() => return Err(PlatformError::Refused(e.into())),
+                Err(e) => return Err(PlatformError::Unknown(e.into())),
+            };
+            let status = response.status();
+            let body = body_bytes(response.into_body(), MAX_ANSWER)
+                .await
+                .map_err(PlatformError::Unknown)?;
+            Ok((status, body))
+        };
+        match timeout(patience, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::Unknown(anyhow::anyhow!("{kind}: timeout"))),
+        }
+    }
+
+    async fn write(
+        &self,
+        kind: &'static str,
+        method: Method,
+        key: &str,
+        condition: (header::HeaderName, String),
+        value: Option<&Value>,
+    ) -> Result<u64, PlatformError> {
+        let body = value.map(|v| Bytes::from(v.to_string())).unwrap_or_default();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("/objects/{key}"))
+            .header(header::HOST, self.address.to_string())
+            .header(condition.0, condition.1)
+            .body(Full::new(body))
+            .map_err(|e| PlatformError::Refused(e.into()))?;
+        let (status, body) = self.send(kind, request, self.patience).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => {
+                let object: Object = parse(&body)?;
+                Ok(object.version)
+            }
+            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict),
+            s if refused(s) => Err(PlatformError::Refused(anyhow::anyhow!("{kind}: {s}"))),
+            s => Err(PlatformError::Unknown(anyhow::anyhow!("{kind}: {s}"))),
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        kind: &'static str,
+        path: &str,
+        patience: Duration,
+    ) -> Result<Option<T>, PlatformError> {
+        let request = Request::builder()
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Full::default())
+            .map_err(|e| PlatformError::Refused(e.into()))?;
+        let (status, body) = self.send(kind, request, patience).await?;
+        match status {
+            StatusCode::OK => Ok(Some(parse(&body)?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            s => Err(PlatformError::Refused(anyhow::anyhow!("{kind}: {s}"))),
+        }
+    }
+
+    async fn get_some<T: DeserializeOwned>(
+        &self,
+        kind: &'static str,
+        path: &str,
+        patience: Duration,
+    ) -> Result<T, PlatformError> {
+        let found = self.get(kind, path, patience).await?;
+        found.ok_or_else(|| PlatformError::Refused(anyhow::anyhow!("{kind}: not found")))
+    }
+}
+
+/// Says whether a status proves that a write took no effect. A plain 500 or 502 does not: a server
+/// or gateway may send it after the write.
+fn refused(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|e| PlatformError::Unknown(e.into()))
+}
+
+impl Platform for HttpPlatform {
+    async fn read(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.get("read", &format!("/objects/{key}"), self.patience).await
+    }
+
+    async fn create(&self, key: &str, value: &Value) -> Result<u64, PlatformError> {
+        let absent = (header::IF_NONE_MATCH, "*".to_owned());
+        self.write("create", Method::PUT, key, absent, Some(value)).await
+    }
+
+    async fn replace(&self, key: &str, value: &Value, version: u64) -> Result<u64, PlatformError> {
+        let same = (header::IF_MATCH, version.to_string());
+        self.write("replace", Method::PUT, key, same, Some(value)).await
+    }
+
+    async fn remove(&self, key: &str, version: u64) -> Result<(), PlatformError> {
+        let same = (header::IF_MATCH, version.to_string());
+        self.write("remove", Method::DELETE, key, same, None).await.map(|_| ())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
+        self.get_some("list", &format!("/list?prefix={prefix}"), self.patience).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        let path = format!("/watch?prefix={prefix}&since={revision}&wait_ms={}", wait.as_millis());
+        self.get_some("watch", &path, wait + self.patience).await
+    }
+
+    async fn endpoints(&self) -> Result<Vec<Endpoint>, PlatformError> {
+        self.get_some("endpoints", "/endpoints", self.patience).await
+    }
+
+    fn calls(&self) -> BTreeMap<&'static str, u64> {
+        self.budget.calls()
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -0,0 +1,17 @@
+//! Client side of the platform's object API, and the one-connection HTTP call it rests on.
+//!
+//! [`Platform`] is the seam: the node and the operators' command work against the trait, and
+//! [`HttpPlatform`] speaks to the real service. [`call`] opens one connection for one request, so
+//! that a failure says exactly whether a byte of the request was handed to the transport.
+
+mod budget;
+mod call;
+mod http_platform;
+mod platform;
+mod platform_error;
+
+pub use budget::Budget;
+pub use call::{CallError, body_bytes, call, json_body};
+pub use http_platform::HttpPlatform;
+pub use platform::Platform;
+pub use platform_error::PlatformError;
--- /dev/null
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -0,0 +1,68 @@
+//! The endpoints as this instance sees them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use nutmeggrade_core::prelude::*;
+
+/// Endpoints from the platform's lagging list, less what operators took out.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    listed: BTreeMap<EndpointId, Endpoint>,
+    out_domains: BTreeSet<DomainId>,
+    out_endpoints: BTreeSet<EndpointId>,
+}
+
+impl EndpointTable {
+    /// Makes an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the list.
+    ///
+    /// The list lags, so an endpoint already seen as leaving stays so until the list drops it; else
+    /// an older answer would bring it back and it would get new work while it goes.
+    pub fn set_list(&mut self, list: &[Endpoint]) {
+        let mut listed = BTreeMap::new();
+        for endpoint in list {
+            let mut endpoint = endpoint.clone();
+            let old = self.listed.get(&endpoint.id);
+            let was_leaving = old.is_some_and(|o| {
+                o.state == EndpointState::Leaving && o.address == endpoint.address
+            });
+            if was_leaving {
+                endpoint.state = EndpointState::Leaving;
+            }
+            listed.insert(endpoint.id.clone(), endpoint);
+        }
+        self.listed = listed;
+    }
+
+    /// Takes over what operators have out.
+    pub fn set_config(&mut self, config: &Configuration) {
+        self.out_domains.clone_from(&config.out_domains);
+        self.out_endpoints.clone_from(&config.out_endpoints);
+    }
+
+    /// Returns an endpoint that is listed, in service or not.
+    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.listed.get(id)
+    }
+
+    /// Lists all endpoints, in service or not.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.listed.values()
+    }
+
+    /// Says whether a listed endpoint may get new work.
+    pub fn in_service(&self, endpoint: &Endpoint) -> bool {
+        endpoint.state == EndpointState::Live
+            && !self.out_domains.contains(&endpoint.domain)
+            && !self.out_endpoints.contains(&endpoint.id)
+    }
+
+    /// Lists the endpoints that may get new work.
+    pub fn usable(&self) -> impl Iterator<Item = &Endpoint> {
+        self.listed.values().filter(|e| self.in_service(e))
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/admin.rs
@@ -0,0 +1,51 @@
+//! The operators' and probes' side of an instance.
+
+mod config;
+mod health;
+mod metrics;
+mod status;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::Platform;
+use tokio::net::TcpListener;
+use viz::{Request, RequestExt, Router, types};
+
+use crate::front::{Limits, listen};
+use crate::node::Node;
+
+/// Most connections of operators and probes.
+const CONNECTIONS: usize = 64;
+const HEADER_WAIT: Duration = Duration::from_secs(5);
+
+/// Serves operators and probes until the planned stop.
+pub async fn serve<P: Platform>(node: Arc<Node<P>>, socket: TcpListener) {
+    let router = Router::new()
+        .get("/live", health::live)
+        .get("/ready", health::ready::<P>)
+        .get("/metrics", metrics::get::<P>)
+        .get("/status", status::get::<P>)
+        .post("/config", config::post::<P>)
+        .with(types::State::new(Arc::clone(&node)));
+    let limits = Limits { connections: CONNECTIONS, header_wait: HEADER_WAIT };
+    listen(socket, router, &limits, node.watch_phase()).await;
+}
+
+fn node<P: Platform>(req: &Request) -> Result<Arc<Node<P>>, viz::Error> {
+    use viz::IntoResponse;
+    let missing = || http::StatusCode::INTERNAL_SERVER_ERROR.into_error();
+    req.state::<Arc<Node<P>>>().ok_or_else(missing)
+}
+
+/// Refuses a request without the operators' token.
+fn authorize<P>(node: &Node<P>, req: &Request) -> Result<(), Failure> {
+    let given = req.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let token = given.and_then(|t| t.strip_prefix("Bearer ")).unwrap_or("");
+    if node.settings.operator_token.matches(token) {
+        return Ok(());
+    }
+    Err(Failure::new(Code::BadToken, "the operators' token is missing or wrong"))
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/admin/config.rs
@@ -0,0 +1,32 @@
+//! `POST /config`: an accepted configuration, pushed by the operators' command.
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::Platform;
+use serde_json::json;
+use viz::{Request, RequestLimitsExt};
+
+use crate::front::{Reply, failure, json as json_reply};
+use crate::tables::lock;
+
+/// Largest configuration: the platform's limit on a value.
+const MAX_CONFIG: u64 = 1 << 20;
+
+/// Puts a configuration in force that the platform has accepted; answers with the version in force.
+pub async fn post<P: Platform>(mut req: Request) -> Reply {
+    let node = super::node::<P>(&req)?;
+    if let Err(refusal) = super::authorize(&node, &req) {
+        return Ok(failure(&refusal));
+    }
+    let body = match req.bytes_with(None, MAX_CONFIG).await {
+        Ok(body) => body,
+        Err(e) => return Ok(failure(&Failure::new(Code::BodyTooLarge, &e.to_string()))),
+    };
+    match serde_json::from_slice::<Configuration>(&body) {
+        Ok(config) => {
+            node.offer_config(&config, "operator");
+            let version = lock(&node.tables.config).version();
+            Ok(json_reply(&json!({ "config": version })))
+        }
+        Err(e) => Ok(failure(&Failure::new(Code::BadJson, &e.to_string()))),
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/admin/metrics.rs
@@ -0,0 +1,16 @@
+//! `GET /metrics`.
+
+use nutmeggrade_platform::Platform;
+use viz::{Request, Response, ResponseExt};
+
+use crate::front::Reply;
+
+/// Answers in the Prometheus text format.
+pub async fn get<P: Platform>(req: Request) -> Reply {
+    let node = super::node::<P>(&req)?;
+    for (kind, count) in node.platform.calls() {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        node.metrics.platform.with_label_values(&[kind]).set(count);
+    }
+    Ok(Response::text(node.metrics.text().unwrap_or_default()))
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/cmd/help.rs
@@ -0,0 +1,23 @@
+//! `nutmeggrade --help`.
+
+use std::process::ExitCode;
+
+use nutmeggrade::Settings;
+
+const BRIEF: &str = "Usage: nutmeggrade [run|check] [--FLAG VALUE]...
+
+  run     serves until SIGTERM (the default)
+  check   validates the settings and prints them with their origin
+
+A flag goes before its variable, a variable before the default. Secrets come from
+a variable or from a file that VARIABLE_FILE names, never from a flag.
+
+Example:
+  NUTMEGGRADE_PEER_KEY_FILE=peer.key NUTMEGGRADE_OPERATOR_TOKEN_FILE=operator.token \\
+    nutmeggrade --instance loket-1 --domain veluwe --platform 10.0.0.9:8080";
+
+/// Runs the subcommand.
+pub fn run() -> ExitCode {
+    println!("{}", Settings::usage(BRIEF));
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -0,0 +1,143 @@
+//! Client of the model engines.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use anyhow::Context;
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyDataStream, Full};
+use hyper::body::Incoming;
+use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::{body_bytes, call, json_body};
+use tokio::time::timeout;
+
+/// Largest load report, in bytes.
+const MAX_REPORT: usize = 64 << 10;
+
+/// Why an engine did not start or resume a stream.
+#[derive(Debug)]
+pub enum EngineError {
+    /// It does not know the generation.
+    Gone,
+    /// Anything else.
+    Failed(anyhow::Error),
+}
+
+/// Tokens as an engine sends them; an error or an early end means the connection broke.
+pub struct Tokens {
+    events: Pin<Box<eventsource_stream::EventStream<BodyDataStream<Incoming>>>>,
+}
+
+impl std::fmt::Debug for Tokens {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Tokens")
+    }
+}
+
+impl Tokens {
+    fn new(body: Incoming) -> Self {
+        Self { events: Box::pin(BodyDataStream::new(body).eventsource()) }
+    }
+
+    /// Waits for the next token.
+    pub async fn next(&mut self) -> anyhow::Result<Option<Token>> {
+        let Some(event) = self.events.as_mut().next().await else { return Ok(None) };
+        let event = event.map_err(|e| anyhow::anyhow!("read stream: {e}"))?;
+        let token = serde_json::from_str(&event.data).context("decode token")?;
+        Ok(Some(token))
+    }
+
+    /// Returns bounds on the events that are left.
+    pub fn size_hint(&self) -> (usize, Option<usize>) {
+        self.events.size_hint()
+    }
+}
+
+/// Client of the model engines; each call has a connection of its own.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    connect: Duration,
+}
+
+impl EngineClient {
+    /// Makes a client that waits at most `connect` for a connection.
+    pub const fn new(connect: Duration) -> Self {
+        Self { connect }
+    }
+
+    /// Starts a generation.
+    pub async fn start(&self, address: SocketAddr, order: &Generate) -> anyhow::Result<Tokens> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(GENERATIONS_PATH)
+            .header(header::HOST, address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(json_body(order)?)
+            .context("build request")?;
+        let response = call(address, request, self.connect).await?;
+        anyhow::ensure!(response.status().is_success(), "engine answered {}", response.status());
+        Ok(Tokens::new(response.into_body()))
+    }
+
+    /// Takes up a generation again from an offset.
+    pub async fn resume(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        from: u64,
+    ) -> Result<Tokens, EngineError> {
+        let path = format!("{GENERATIONS_PATH}/{generation}?from={from}");
+        let request = bodiless(Method::GET, &path, address).map_err(EngineError::Failed)?;
+        let response = call(address, request, self.connect)
+            .await
+            .map_err(|e| EngineError::Failed(e.into()))?;
+        match response.status() {
+            s if s.is_success() => Ok(Tokens::new(response.into_body())),
+            StatusCode::NOT_FOUND | StatusCode::GONE => Err(EngineError::Gone),
+            s => Err(EngineError::Failed(anyhow::anyhow!("engine answered {s}"))),
+        }
+    }
+
+    /// Cancels a generation.
+    pub async fn cancel(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+    ) -> anyhow::Result<()> {
+        let path = format!("{GENERATIONS_PATH}/{generation}");
+        let request = bodiless(Method::DELETE, &path, address)?;
+        let response = call(address, request, self.connect).await?;
+        anyhow::ensure!(response.status().is_success(), "engine answered {}", response.status());
+        Ok(())
+    }
+
+    /// Asks for the load report; `wait` bounds the whole exchange.
+    pub async fn load(&self, address: SocketAddr, wait: Duration) -> anyhow::Result<LoadReport> {
+        let request = bodiless(Method::GET, LOAD_PATH, address)?;
+        let exchange = async {
+            let response = call(address, request, self.connect).await?;
+            let status = response.status();
+            anyhow::ensure!(status.is_success(), "engine answered {status}");
+            let body = body_bytes(response.into_body(), MAX_REPORT).await?;
+            serde_json::from_slice(&body).context("decode load report")
+        };
+        timeout(wait, exchange).await.context("load report: timeout")?
+    }
+}
+
+fn bodiless(
+    method: Method,
+    path: &str,
+    address: SocketAddr,
+) -> anyhow::Result<Request<Full<bytes::Bytes>>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+        .context("build request")
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/front.rs
@@ -0,0 +1,40 @@
+//! The callers' side: HTTP listener, paths and answers.
+
+mod caller;
+mod completions;
+mod entries;
+mod listener;
+mod reply;
+mod services;
+
+use std::sync::Arc;
+
+use nutmeggrade_platform::Platform;
+use tokio::net::TcpListener;
+use viz::{Request, RequestExt, Router, types};
+
+use crate::node::Node;
+
+pub use caller::Caller;
+pub use listener::{Limits, listen};
+pub use reply::{Reply, failure, json, success};
+
+/// Serves callers until the planned stop is over and every connection has ended.
+pub async fn serve<P: Platform>(node: Arc<Node<P>>, socket: TcpListener) {
+    let router = Router::new()
+        .get("/v1/entries", entries::get::<P>)
+        .post("/v1/completions", completions::post::<P>)
+        .post("/v1/services/:service/:operation", services::post::<P>)
+        .any("/*", reply::not_found)
+        .with(types::State::new(Arc::clone(&node)));
+    let limits =
+        Limits { connections: node.settings.connections, header_wait: node.settings.header_wait };
+    listen(socket, router, &limits, node.watch_phase()).await;
+}
+
+/// Returns the instance that a handler belongs to.
+fn node<P: Platform>(req: &Request) -> Result<Arc<Node<P>>, viz::Error> {
+    use viz::IntoResponse;
+    let missing = || http::StatusCode::INTERNAL_SERVER_ERROR.into_error();
+    req.state::<Arc<Node<P>>>().ok_or_else(missing)
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -0,0 +1,164 @@
+//! `POST /v1/completions`: generations, streamed or whole.
+
+use std::sync::Arc;
+
+use futures::stream;
+use nutmeggrade_core::event_id::EventId;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::Platform;
+use serde_json::json;
+use viz::types::{Event, Sse};
+use viz::{IntoResponse, Request, RequestLimitsExt, Response};
+
+use super::caller::{self, Caller};
+use super::{entries, reply};
+use crate::generation::{Chunk, Completion, Item, Session, resume, start, whole};
+use crate::node::Node;
+use crate::tables::lock;
+
+const PATH: &str = "completions";
+const LAST_EVENT: &str = "last-event-id";
+const END_OF_STREAM: &str = "[DONE]";
+
+/// Answers one request for a completion.
+pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
+    let node = super::node::<P>(&req)?;
+    let body = req.bytes_with(None, node.settings.body).await;
+    let result = match body {
+        Ok(body) => complete(&node, &req, &body).await,
+        Err(error) => Err(Failure::new(Code::BodyTooLarge, &error.to_string())),
+    };
+    let code = reply::success(&result);
+    node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
+    let headers = req.headers();
+    let workspace = caller::text(headers, caller::WORKSPACE).unwrap_or("");
+    match &result {
+        Ok(_) => tracing::debug!(event = "completion", workspace, code),
+        Err(f) => {
+            let run = f.run.as_str();
+            tracing::info!(event = "completion", workspace, code, run, detail = f.detail);
+        }
+    }
+    Ok(result.unwrap_or_else(|f| super::failure(&f)))
+}
+
+async fn complete<P: Platform>(
+    node: &Arc<Node<P>>,
+    req: &Request,
+    body: &[u8],
+) -> Result<Response, Failure> {
+    let headers = req.headers();
+    caller::workspace(headers)?;
+    let mut completion = Completion::parse(body)?;
+    let config = lock(&node.tables.config).current();
+    let preset = config.as_ref().and_then(|c| c.preset());
+    let Some(preset) = preset else {
+        return Err(node
+            .may_work()
+            .err()
+            .unwrap_or_else(|| Failure::new(Code::NotReady, "no preset in force")));
+    };
+    let Some(model) = preset.models.get(&completion.model) else {
+        let detail = format!("no model {}", completion.model);
+        return Err(Failure::new(Code::UnknownModel, &detail));
+    };
+    let (task, class) = task(preset, headers)?;
+    completion.max_tokens = completion.max_tokens.min(class.max_tokens);
+    if completion.prompt_tokens() >= model.context {
+        return Err(Failure::new(
+            Code::OutOfRange,
+            "the prompt is longer than the model's context",
+        ));
+    }
+    let caller = Caller::read(headers, &task, class.deadline, node.now())?;
+    let session = if let Some(text) = caller::text(headers, LAST_EVENT) {
+        let Some(last) = EventId::open(text, &caller.workspace, &node.event_key) else {
+            return Err(Failure::new(Code::BadEventId, "the last event id is not valid here"));
+        };
+        resume(node, &caller, &completion.model, &last).await?
+    } else {
+        node.may_work()?;
+        start(node, &caller, &completion, class.long).await?
+    };
+    if completion.stream { Ok(streamed(session)) } else { collected(session).await }
+}
+
+fn task<'a>(
+    preset: &'a Preset,
+    headers: &http::HeaderMap,
+) -> Result<(TaskId, &'a nutmeggrade_core::config::TaskClass), Failure> {
+    let found = match caller::text(headers, caller::TASK) {
+        Some(name) => preset.tasks.iter().find(|(id, _)| id.as_str() == name),
+        None => preset.tasks.iter().next(),
+    };
+    let (id, class) = found.ok_or_else(|| {
+        let known: Vec<_> = preset.tasks.keys().map(TaskId::as_str).collect();
+        let detail = format!("{} must be one of: {}", caller::TASK, known.join(", "));
+        Failure::new(Code::UnknownTask, &detail)
+    })?;
+    Ok((id.clone(), class))
+}
+
+fn streamed<P: Platform>(session: Session<P>) -> Response {
+    let events = stream::unfold(Some(session), |session| async {
+        let mut session = session?;
+        let Some(item) = session.next().await else {
+            return Some((Event::default().data(END_OF_STREAM), None));
+        };
+        let (event, more) = match item {
+            Item::Token(token) => (token_event(&session, &token), true),
+            Item::Failed(failure) => (failure_event(&session, &failure), false),
+            Item::Moved => (moved_event(&session), false),
+        };
+        Some((event, more.then_some(session)))
+    });
+    Sse::new(events).into_response()
+}
+
+fn token_event<P: Platform>(
+    session: &Session<P>,
+    token: &nutmeggrade_core::engine::Token,
+) -> Event {
+    let chunk = Chunk::new(&session.model, token);
+    let data = serde_json::to_string(&chunk).unwrap_or_default();
+    Event::default().id(session.event_id(token)).data(data)
+}
+
+fn failure_event<P: Platform>(session: &Session<P>, failure: &Failure) -> Event {
+    tracing::warn!(
+        event = "stream_failed",
+        request = %session.request,
+        code = failure.code.number(),
+        detail = failure.detail
+    );
+    Event::default().event("error").data(serde_json::to_string(failure).unwrap_or_default())
+}
+
+/// Tells a caller whose instance stops where to go on with the id of its last event.
+fn moved_event<P: Platform>(session: &Session<P>) -> Event {
+    let node = session.node();
+    let entries = entries::list(node);
+    let others = entries.iter().filter(|e| e.instance != node.entry.instance);
+    let addresses: Vec<_> = others.map(|e| e.caller_address).collect();
+    Event::default().event("moved").data(json!({ "entries": addresses }).to_string())
+}
+
+async fn collected<P: Platform>(mut session: Session<P>) -> Result<Response, Failure> {
+    let mut text = String::new();
+    let mut finish = None;
+    while let Some(item) = session.next().await {
+        match item {
+            Item::Token(token) => {
+                text.push_str(&token.text);
+                finish = token.finish;
+            }
+            Item::Failed(failure) => return Err(failure),
+            Item::Moved => {
+                let failure = Failure::new(Code::Leaving, "this instance stopped; ask another");
+                let wait = session.node().settings.beacon;
+                return Err(failure.with_run(Run::Ran).with_retry_after(wait));
+            }
+        }
+    }
+    Ok(super::json(&whole(&session.model, session.generation(), &text, finish)))
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/generation/chunk.rs
@@ -0,0 +1,53 @@
+//! The usual completion API's answer objects.
+
+use nutmeggrade_core::engine::{Finish, Token};
+use nutmeggrade_core::prelude::*;
+use serde::Serialize;
+
+#[derive(Debug, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<Finish>,
+}
+
+/// One `text_completion` object, as a stream's chunk or as the whole answer.
+#[derive(Debug, Serialize)]
+pub struct Chunk<'a> {
+    id: String,
+    object: &'static str,
+    model: &'a ModelId,
+    choices: [Choice<'a>; 1],
+}
+
+impl<'a> Chunk<'a> {
+    /// Makes the chunk of one token.
+    pub fn new(model: &'a ModelId, token: &'a Token) -> Self {
+        Self::with_text(model, token.generation, &token.text, token.finish)
+    }
+
+    fn with_text(
+        model: &'a ModelId,
+        generation: GenerationId,
+        text: &'a str,
+        finish: Option<Finish>,
+    ) -> Self {
+        let choice = Choice { index: 0, text, finish_reason: finish };
+        Self {
+            id: format!("cmpl-{generation}"),
+            object: "text_completion",
+            model,
+            choices: [choice],
+        }
+    }
+}
+
+/// Makes the object of a whole answer.
+pub fn whole<'a>(
+    model: &'a ModelId,
+    generation: GenerationId,
+    text: &'a str,
+    finish: Option<Finish>,
+) -> Chunk<'a> {
+    Chunk::with_text(model, generation, text, finish)
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -0,0 +1,105 @@
+//! Sending a call to one replica.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::{Platform, body_bytes, call as send};
+use tokio::time::timeout;
+
+use super::{Answer, Call};
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Largest answer that is passed on, in bytes; it fits a platform object with room to spare.
+const MAX_ANSWER: usize = 512 << 10;
+
+/// How one attempt at one replica ended.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The service answered.
+    Answered(Answer),
+    /// Proved not to have run: no connection was made, or the service refused before running it.
+    NotRun(String),
+    /// The call was handed over and its fate is unknown.
+    Lost(String),
+}
+
+/// A replica picked for one attempt; given back when dropped.
+struct Picked<'a, P: Platform> {
+    node: &'a Node<P>,
+    id: EndpointId,
+    address: SocketAddr,
+}
+
+impl<P: Platform> Drop for Picked<'_, P> {
+    fn drop(&mut self) {
+        lock(&self.node.tables.picker).end(&self.id);
+    }
+}
+
+/// Sends a call to a replica in service that is not in `avoid`, and adds it there.
+pub async fn attempt<P: Platform>(
+    node: &Arc<Node<P>>,
+    call: &Call,
+    avoid: &mut BTreeSet<EndpointId>,
+) -> Result<Attempt, Failure> {
+    let Some(picked) = pick(node, call, avoid) else {
+        let detail = format!("no replica of {} is in service", call.service);
+        let failure = Failure::new(Code::NoEndpoint, &detail);
+        return Err(failure.with_retry_after(node.settings.silence));
+    };
+    avoid.insert(picked.id.clone());
+    let left = call.caller.deadline.since(node.now());
+    let ended = timeout(left, exchange(node, call, picked.address)).await;
+    Ok(ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned())))
+}
+
+fn pick<'a, P: Platform>(
+    node: &'a Node<P>,
+    call: &Call,
+    avoid: &BTreeSet<EndpointId>,
+) -> Option<Picked<'a, P>> {
+    let table = lock(&node.tables.endpoints);
+    let serves = |e: &&Endpoint| match &e.kind {
+        EndpointKind::Service { service } => *service == call.service && !avoid.contains(&e.id),
+        EndpointKind::Engine { .. } => false,
+    };
+    let usable: Vec<&EndpointId> = table.usable().filter(serves).map(|e| &e.id).collect();
+    let id = lock(&node.tables.picker).pick(&usable)?.clone();
+    let address = table.get(&id)?.address;
+    Some(Picked { node, id, address })
+}
+
+async fn exchange<P: Platform>(node: &Node<P>, call: &Call, address: SocketAddr) -> Attempt {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("/call/{}", call.operation))
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("nutmeggrade-request", call.caller.request.as_str())
+        .body(Full::new(call.body.clone()));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return Attempt::NotRun(error.to_string()),
+    };
+    let response = match send(address, request, node.settings.connect).await {
+        Ok(response) => response,
+        Err(error) if error.not_sent() => return Attempt::NotRun(error.to_string()),
+        Err(error) => return Attempt::Lost(error.to_string()),
+    };
+    let status = response.status();
+    if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        return Attempt::NotRun(format!("the service answered {status}"));
+    }
+    match body_bytes(response.into_body(), MAX_ANSWER).await {
+        Ok(body) => {
+            let body = String::from_utf8_lossy(&body).into_owned();
+            Attempt::Answered(Answer { status: status.as_u16(), body, replayed: false })
+        }
+        Err(error) => Attempt::Lost(format!("{error:#}")),
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -0,0 +1,30 @@
+//! Background tasks of an instance.
+
+mod beacon;
+mod config_watch;
+mod endpoint_refresh;
+mod load_poll;
+mod registration;
+mod release;
+
+use std::sync::Arc;
+
+use nutmeggrade_platform::Platform;
+
+use crate::node::Node;
+use crate::peers::Peers;
+
+pub use registration::unregister;
+
+/// Starts every background task.
+pub fn start<P: Platform>(node: &Arc<Node<P>>, peers: &Arc<Peers>) {
+    tokio::spawn(config_watch::run(Arc::clone(node)));
+    tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
+    tokio::spawn(endpoint_refresh::run(Arc::clone(node)));
+    tokio::spawn(load_poll::run(Arc::clone(node)));
+    tokio::spawn(release::run(Arc::clone(node)));
+    tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
+    let node = Arc::clone(node);
+    let peers = Arc::clone(peers);
+    std::thread::spawn(move || peers.receive(&node));
+}
--- /dev/null
+++ b/crates/nutmeggrade/src/tasks/registration.rs
@@ -0,0 +1,91 @@
+//! Announces this instance in the platform and learns of the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use nutmeggrade_core::object::Object;
+use nutmeggrade_core::peer::Entry;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::{Platform, PlatformError};
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::peers::Peers;
+use crate::tables::lock;
+
+const PREFIX: &str = "instances/";
+const WATCH: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_millis(250);
+
+pub(super) async fn run<P: Platform>(node: Arc<Node<P>>, peers: Arc<Peers>) {
+    while let Err(error) = register(&node).await {
+        tracing::warn!(event = "register_failed", error = format!("{error:#}"));
+        sleep(PAUSE).await;
+    }
+    let mut revision = 0;
+    loop {
+        match node.platform.watch(PREFIX, revision, WATCH).await {
+            Ok(changes) => {
+                lock(&node.tables.fence).hear(node.now());
+                revision = changes.revision;
+                for object in &changes.objects {
+                    take(&node, &peers, object);
+                }
+            }
+            Err(error) => {
+                tracing::debug!(event = "instance_watch_failed", %error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Removes this instance's object, so that peers forget it at once.
+pub async fn unregister<P: Platform>(node: &Node<P>) {
+    let key = key(&node.entry.instance);
+    let found = node.platform.read(&key).await;
+    let Ok(Some(object)) = found else { return };
+    if entry(&object).is_some_and(|e| e.incarnation == node.entry.incarnation)
+        && let Err(error) = node.platform.remove(&key, object.version).await
+    {
+        tracing::warn!(event = "unregister_failed", %error);
+    }
+}
+
+async fn register<P: Platform>(node: &Node<P>) -> anyhow::Result<()> {
+    let key = key(&node.entry.instance);
+    let value = serde_json::to_value(&node.entry).context("encode entry")?;
+    match node.platform.create(&key, &value).await {
+        Ok(_) => return Ok(()),
+        Err(PlatformError::Conflict) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let Some(old) = node.platform.read(&key).await? else { anyhow::bail!("own object vanished") };
+    node.platform.replace(&key, &value, old.version).await?;
+    Ok(())
+}
+
+fn take<P: Platform>(node: &Node<P>, peers: &Peers, object: &Object) {
+    let Some(entry) = entry(object) else {
+        let name = object.key.trim_start_matches(PREFIX);
+        if let Ok(instance) = InstanceId::new(name) {
+            lock(&node.tables.members).forget(&instance);
+            peers.unsubscribe(&instance);
+        }
+        return;
+    };
+    if lock(&node.tables.members).learn(&entry)
+        && let Err(error) = peers.subscribe(&entry)
+    {
+        tracing::warn!(event = "subscribe_failed", peer = %entry.instance, %error);
+    }
+}
+
+fn entry(object: &Object) -> Option<Entry> {
+    serde_json::from_value(object.value.clone()?).ok()
+}
+
+fn key(instance: &InstanceId) -> String {
+    format!("{PREFIX}{instance}")
+}
--- /dev/null
+++ b/tests/suite/core.rs
@@ -0,0 +1,5 @@
+//! Ids, event ids, envelopes and settings.
+
+mod envelope;
+mod event_id;
+mod settings;
--- /dev/null
+++ b/tests/suite/core/event_id.rs
@@ -0,0 +1,45 @@
+//! Event ids can't be forged or used across workspaces.
+
+use nutmeggrade_core::event_id::EventId;
+use nutmeggrade_core::prelude::*;
+use rstest::rstest;
+
+const KEY: [u8; 32] = [7; 32];
+
+fn id() -> EventId {
+    EventId {
+        endpoint: EndpointId::new("engine-1").expect("id"),
+        generation: GenerationId::new([3; 16]),
+        offset: 41,
+    }
+}
+
+fn workspace(name: &str) -> WorkspaceId {
+    WorkspaceId::new(name).expect("id")
+}
+
+#[rstest]
+fn comes_back_as_it_was() {
+    let text = id().seal(&workspace("staatsbos"), &KEY);
+    assert_eq!(EventId::open(&text, &workspace("staatsbos"), &KEY), Some(id()));
+}
+
+// A workspace copies the event id of another one, to read its answer. It gets nothing.
+#[rstest]
+fn of_another_workspace_is_refused() {
+    let text = id().seal(&workspace("staatsbos"), &KEY);
+    assert_eq!(EventId::open(&text, &workspace("rival"), &KEY), None);
+}
+
+fn refuses(text: &str) {
+    assert_eq!(EventId::open(text, &workspace("staatsbos"), &KEY), None);
+}
+
+cases!(refuses {
+    empty: "";
+    no_tag: "41~03030303030303030303030303030303~engine-1";
+    wrong_tag: "41~03030303030303030303030303030303~engine-1~00000000000000000000000000000000";
+    other_offset: &id().seal(&workspace("staatsbos"), &KEY).replacen("41", "42", 1);
+    other_key: &id().seal(&workspace("staatsbos"), &[8; 32]);
+    not_text: "\u{0}\u{ffff}~~~";
+});
--- /dev/null
+++ b/tests/suite/process.rs
@@ -0,0 +1,4 @@
+//! Real processes: the whole path, and failures brought about on it.
+
+mod bad_input;
+mod whole_path;
