Check presets as a whole before they are written

Cause: a preset with a mistyped key, a deadline of 0 or weights that are all 0 could be put in force, and a mistyped failure domain was accepted while the real one stayed in service.

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -111,6 +111,20 @@
     WhoWhyMissing = 5005, "who_why_missing", 400;
     /// Whether the change was accepted could not be learned.
     ChangeUnknown = 5006, "change_unknown", 503;
+    /// A preset's text is not JSON, has an unknown key, or a value of the wrong kind.
+    PresetUnreadable = 5007, "preset_unreadable", 400;
+    /// A number in a preset is outside its range.
+    PresetRange = 5008, "preset_range", 400;
+    /// A preset lacks a part that it needs.
+    PresetPartMissing = 5009, "preset_part_missing", 400;
+    /// A preset's weights are negative, not finite, or all 0.
+    PresetWeights = 5010, "preset_weights", 400;
+    /// A change names a preset, failure domain or endpoint that is not known.
+    UnknownName = 5011, "unknown_name", 404;
+    /// A change would leave no failure domain in service.
+    LastDomain = 5012, "last_domain", 409;
+    /// No instance asked knows the request.
+    RequestUnknown = 5013, "request_unknown", 404;
     /// A flag or variable is not known.
     UnknownSetting = 6001, "unknown_setting", 400;
     /// A setting that has no default is missing.
@@ -119,6 +133,8 @@
     BadSetting = 6003, "bad_setting", 400;
     /// A setting is outside its range.
     SettingRange = 6004, "setting_range", 400;
+    /// Two settings contradict each other.
+    SettingsClash = 6005, "settings_clash", 400;
 }
 
 impl fmt::Display for Code {
--- a/crates/nutmeggrade-core/src/config/configuration.rs
+++ b/crates/nutmeggrade-core/src/config/configuration.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Preset};
+use super::{Change, Preset, Problems};
 use crate::code::Code;
 use crate::failure::Failure;
 use crate::id::{ChangeId, DomainId, EndpointId, PresetId};
@@ -75,6 +75,21 @@
         self.presets.get(&self.active)
     }
 
+    /// Says whether a change would alter nothing.
+    ///
+    /// Operators repeat a command whose answer they lost; a second version that says the same would
+    /// hide in the audit trail who made the change and why.
+    pub fn has(&self, change: &Change) -> bool {
+        match change {
+            Change::PutPreset { preset, content } => self.presets.get(preset) == Some(&**content),
+            Change::UsePreset { preset } => self.active == *preset,
+            Change::DomainOut { domain } => self.out_domains.contains(domain),
+            Change::DomainIn { domain } => !self.out_domains.contains(domain),
+            Change::EndpointOut { endpoint } => self.out_endpoints.contains(endpoint),
+            Change::EndpointIn { endpoint } => !self.out_endpoints.contains(endpoint),
+        }
+    }
+
     /// Makes the next version, checked as a whole.
     pub fn next(
         &self,
@@ -99,12 +114,17 @@
     fn apply(&mut self, change: &Change) -> Result<(), Failure> {
         match change {
             Change::PutPreset { preset, content } => {
+                let problems = Problems(content.problems());
+                if !problems.0.is_empty() {
+                    return Err(Failure::new(Code::BadChange, &problems.to_string()));
+                }
                 self.presets.insert(preset.clone(), (**content).clone());
             }
             Change::UsePreset { preset } => {
                 if !self.presets.contains_key(preset) {
-                    let detail = format!("no preset {preset}");
-                    return Err(Failure::new(Code::BadChange, &detail));
+                    let known: Vec<_> = self.presets.keys().map(PresetId::as_str).collect();
+                    let detail = format!("no preset {preset}; known: {}", known.join(", "));
+                    return Err(Failure::new(Code::UnknownName, &detail));
                 }
                 self.active = preset.clone();
             }
--- a/crates/nutmeggrade-core/src/config/preset.rs
+++ b/crates/nutmeggrade-core/src/config/preset.rs
@@ -1,13 +1,13 @@
 //! Presets: what operators choose between.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{OperationClass, TaskClass, Weights};
-use crate::id::{ModelId, ServiceId, TaskId};
+use crate::id::{EndpointId, ModelId, ServiceId, TaskId};
 
 /// Limits that a preset sets on waiting.
 #[serde_as]
@@ -28,6 +28,9 @@
 pub struct ModelClass {
     /// Longest prompt and answer together, in tokens.
     pub context: u64,
+    /// Engines that may serve it; empty for every engine that has it loaded.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub endpoints: BTreeSet<EndpointId>,
 }
 
 /// One preset: the limits, classes and weights in force together.
@@ -45,3 +48,11 @@
     /// What this deployment weighs most.
     pub weights: Weights,
 }
+
+impl Preset {
+    /// Says whether an engine may serve a model.
+    pub fn lets_serve(&self, model: &ModelId, engine: &EndpointId) -> bool {
+        let Some(class) = self.models.get(model) else { return false };
+        class.endpoints.is_empty() || class.endpoints.contains(engine)
+    }
+}
--- a/crates/nutmeggrade-core/src/settings/spec.rs
+++ b/crates/nutmeggrade-core/src/settings/spec.rs
@@ -12,6 +12,10 @@
     Name,
     /// An IP address and a port; port 0 lets the operating system choose.
     Address,
+    /// IP addresses with ports, separated by commas; may be empty.
+    Addresses,
+    /// `true` or `false`; the flag alone means `true`.
+    Switch,
     /// A whole number with its unit and range, both ends included.
     Number {
         /// Unit, such as `ms`, `bytes` or `1`.
@@ -63,6 +67,8 @@
             Kind::Text => "text".to_owned(),
             Kind::Name => "id".to_owned(),
             Kind::Address => "ip:port".to_owned(),
+            Kind::Addresses => "ip:port,...".to_owned(),
+            Kind::Switch => "true or false".to_owned(),
             Kind::Number { unit, min, max } => format!("{unit}, {min} to {max}"),
             Kind::Secret => "secret, variable or file only".to_owned(),
         };
--- a/crates/nutmeggrade-core/src/settings/values.rs
+++ b/crates/nutmeggrade-core/src/settings/values.rs
@@ -64,6 +64,7 @@
         for spec in specs {
             let flag = match spec.kind {
                 Kind::Secret => None,
+                Kind::Switch => matches.opt_present(spec.flag).then(|| "true".to_owned()),
                 _ => matches.opt_str(spec.flag),
             };
             match find(spec, flag, &variable, &file)
@@ -83,7 +84,11 @@
     pub fn options(specs: &[Spec]) -> getopts::Options {
         let mut options = getopts::Options::new();
         for spec in specs.iter().filter(|s| s.kind != Kind::Secret) {
-            options.optopt("", spec.flag, &spec.describe(), "VALUE");
+            if spec.kind == Kind::Switch {
+                options.optflag("", spec.flag, &spec.describe());
+            } else {
+                options.optopt("", spec.flag, &spec.describe(), "VALUE");
+            }
         }
         options
     }
@@ -108,6 +113,16 @@
         self.text(flag).parse().ok()
     }
 
+    /// Returns a list of addresses.
+    pub fn addresses(&self, flag: &str) -> Vec<SocketAddr> {
+        self.text(flag).split(',').filter_map(|a| a.trim().parse().ok()).collect()
+    }
+
+    /// Returns a switch.
+    pub fn switch(&self, flag: &str) -> bool {
+        self.text(flag) == "true"
+    }
+
     /// Returns a secret setting.
     pub fn secret(&self, flag: &str) -> Secret {
         Secret::new(self.text(flag))
@@ -171,6 +186,15 @@
             Ok(_) => Ok(()),
             Err(_) => bad(format!("{place}: {text:?} is not ip:port")),
         },
+        Kind::Addresses => {
+            let listed = text.split(',').map(str::trim).filter(|a| !a.is_empty());
+            match listed.into_iter().find(|a| a.parse::<SocketAddr>().is_err()) {
+                Some(a) => bad(format!("{place}: {a:?} is not ip:port")),
+                None => Ok(()),
+            }
+        }
+        Kind::Switch if text == "true" || text == "false" => Ok(()),
+        Kind::Switch => bad(format!("{place}: {text:?} is neither true nor false")),
         Kind::Number { unit, min, max } => match text.parse::<u64>() {
             Ok(n) if (min..=max).contains(&n) => Ok(()),
             Ok(n) => {
--- a/tests/suite/core.rs
+++ b/tests/suite/core.rs
@@ -1,5 +1,6 @@
-//! Ids, event ids, envelopes and settings.
+//! Ids, event ids, envelopes, presets and settings.
 
 mod envelope;
 mod event_id;
+mod preset;
 mod settings;
