Give operators dry runs, JSON, watch, explain and an audit trail in outages

Cause: nutmegctl could not say beforehand what a change would do, a refused platform call ended with exit code 1, nothing told why a request went where it went, and with the platform down nobody could read who changed what. Settings that contradict each other (a fence shorter than the silence) started an instance that refused all work.

Every answer carries nutmeggrade-request, and each request ends with one line request_end with request id, instance and code.

Ruled out: keeping decisions in the platform (a write a request is far above its rate); refusing a repeated change (operators repeat what they got no answer to).

--- a/crates/nutmegctl/src/admin.rs
+++ b/crates/nutmegctl/src/admin.rs
@@ -11,16 +11,34 @@
 use serde_json::Value;
 use tokio::time::timeout;
 
+use crate::change::{down, platform};
+use crate::settings::Settings;
+
 const PATIENCE: Duration = Duration::from_secs(2);
 const MAX_ANSWER: usize = 4 << 20;
 
 /// Lists the instances that the platform knows.
 pub async fn instances(platform: &HttpPlatform) -> anyhow::Result<Vec<Entry>> {
-    let listed = platform.list("instances/").await.context("list instances")?;
+    let listed = platform.list("instances/").await.map_err(|e| down(&e))?;
     let decode = |value: Value| serde_json::from_value(value).context("decode instance");
     listed.objects.into_iter().filter_map(|o| o.value).map(decode).collect()
 }
 
+/// Lists the names and admin addresses of the instances.
+///
+/// While the platform is down the addresses come from the settings, so that operators can still see
+/// what the instances have in force.
+pub async fn reachable(settings: &Settings) -> anyhow::Result<Vec<(String, SocketAddr)>> {
+    match instances(&platform(settings)).await {
+        Ok(list) => Ok(list.iter().map(|e| (e.instance.to_string(), e.admin_address)).collect()),
+        Err(error) if settings.admin.is_empty() => Err(error),
+        Err(error) => {
+            eprintln!("nutmegctl: {error:#}; asking the instances of --admin");
+            Ok(settings.admin.iter().map(|a| (a.to_string(), *a)).collect())
+        }
+    }
+}
+
 /// Sends one request with the operators' token; a failure's code comes back as the error.
 pub async fn ask(
     address: SocketAddr,
--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -4,13 +4,14 @@
 
 use anyhow::Context;
 use http::Method;
-use nutmeggrade_core::config::{CONFIG_PREFIX, Change};
+use nutmeggrade_core::config::{CONFIG_PREFIX, Change, Known};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::admin;
+use crate::line::Line;
 use crate::settings::Settings;
 
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -37,14 +38,21 @@
 
 /// Makes one change: checked as a whole, written, then seen in force.
 pub async fn make(settings: &Settings, change: &Change) -> anyhow::Result<()> {
+    if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
+        return Err(Failure::new(Code::WhoWhyMissing, "a change needs --who and --why").into());
+    }
     let platform = platform(settings);
     let id = ChangeId::new(&GenerationId::new(rand::random()).to_string())?;
-    let next = match (current(&platform).await?, change) {
+    let now = current(&platform).await?;
+    if let Some(now) = now.as_ref().filter(|c| c.has(change)) {
+        let line = Line::new("unchanged").with("version", now.version);
+        line.with("detail", "already so; nothing was written").print(settings);
+        return if settings.dry_run { Ok(()) } else { in_force(settings, &platform, now).await };
+    }
+    check_names(settings, &platform, now.as_ref(), change).await?;
+    let next = match (now, change) {
         (Some(now), _) => now.next(id, &settings.who, &settings.why, change)?,
         (None, Change::PutPreset { preset, content }) => {
-            if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
-                return Err(Failure::new(Code::WhoWhyMissing, "a change needs who and why").into());
-            }
             Configuration::new(id, &settings.who, &settings.why, preset, content)
         }
         (None, _) => {
@@ -53,11 +61,30 @@
         }
     };
     let next = next.with_time(wall_ms());
+    if settings.dry_run {
+        let line = Line::new("would_accept").with("version", next.version);
+        line.with("change", serde_json::to_value(change)?).print(settings);
+        return Ok(());
+    }
     write(&platform, &next).await?;
-    println!("accepted version={} change={}", next.version, next.id);
+    let line = Line::new("accepted").with("version", next.version);
+    line.with("change", next.id.as_str()).print(settings);
     in_force(settings, &platform, &next).await
 }
 
+/// Refuses a change that uses a name which the platform does not list.
+async fn check_names(
+    settings: &Settings,
+    platform: &HttpPlatform,
+    now: Option<&Configuration>,
+    change: &Change,
+) -> anyhow::Result<()> {
+    let endpoints = platform.endpoints().await.map_err(|e| down(&e))?;
+    let instances = admin::instances(platform).await?;
+    let known = Known::new(&endpoints, &instances);
+    Ok(known.judge(now, change, settings.confirm)?)
+}
+
 /// Writes a version if no other change came first.
 ///
 /// The answer of the write can be lost after it took effect. The version is then read back: the id
@@ -114,7 +141,8 @@
                 admin::ask(entry.admin_address, &settings.token, Method::POST, "/config", &body);
             let version = pushed.await.ok().and_then(|v| v.get("config").and_then(Value::as_u64));
             if version.unwrap_or(0) >= config.version {
-                println!("in_force instance={} version={}", entry.instance, config.version);
+                let line = Line::new("in_force").with("instance", entry.instance.as_str());
+                line.with("version", config.version).print(settings);
             } else {
                 still.push(entry);
             }
@@ -124,6 +152,10 @@
         }
         missing = still;
         if start.elapsed() >= settings.wait {
+            for entry in &missing {
+                let line = Line::new("not_in_force").with("instance", entry.instance.as_str());
+                line.with("version", config.version).print(settings);
+            }
             let names: Vec<_> = missing.iter().map(|e| json!(e.instance)).collect();
             let detail = format!("accepted, but not yet in force at {}", Value::from(names));
             return Err(Failure::new(Code::NotInForce, &detail).into());
--- a/crates/nutmegctl/src/cmd/preset.rs
+++ b/crates/nutmegctl/src/cmd/preset.rs
@@ -5,14 +5,20 @@
 use nutmeggrade_core::prelude::*;
 
 use crate::change::{current, make, platform};
+use crate::line::Line;
 use crate::settings::Settings;
 
 /// Lists the presets; the one in force has a star.
 pub async fn list(settings: &Settings) -> anyhow::Result<()> {
     let config = newest(settings).await?;
     for name in config.presets.keys() {
-        let star = if *name == config.active { "*" } else { " " };
-        println!("{star} {name}");
+        if settings.json {
+            let line = Line::new("preset").with("name", name.as_str());
+            line.with("in_force", *name == config.active).print(settings);
+        } else {
+            let star = if *name == config.active { "*" } else { " " };
+            println!("{star} {name}");
+        }
     }
     Ok(())
 }
@@ -22,7 +28,7 @@
     let config = newest(settings).await?;
     let name = PresetId::new(name)?;
     let Some(preset) = config.presets.get(&name) else {
-        return Err(Failure::new(Code::BadChange, &format!("no preset {name}")).into());
+        return Err(Failure::new(Code::UnknownName, &format!("no preset {name}")).into());
     };
     println!("{}", serde_json::to_string_pretty(preset)?);
     Ok(())
@@ -31,8 +37,7 @@
 /// Adds or replaces a preset.
 pub async fn put(settings: &Settings, name: &str, file: &str) -> anyhow::Result<()> {
     let text = std::fs::read_to_string(file).with_context(|| format!("read {file}"))?;
-    let content: Preset = serde_json::from_str(&text)
-        .map_err(|e| Failure::new(Code::BadChange, &format!("{file}: {e}")))?;
+    let content = Preset::parse(file, &text)?;
     let preset = PresetId::new(name)?;
     make(settings, &Change::PutPreset { preset, content: Box::new(content) }).await
 }
--- a/crates/nutmegctl/src/cmd/status.rs
+++ b/crates/nutmegctl/src/cmd/status.rs
@@ -4,28 +4,27 @@
 use serde_json::Value;
 
 use crate::admin;
-use crate::change::platform;
+use crate::line::Line;
 use crate::settings::Settings;
 
+const FIELDS: [&str; 7] =
+    ["instance", "domain", "config", "preset", "out_domains", "out_endpoints", "waiting"];
+
 /// Shows what each instance has in force.
 pub async fn show(settings: &Settings) -> anyhow::Result<()> {
-    for entry in admin::instances(&platform(settings)).await? {
-        let asked =
-            admin::ask(entry.admin_address, &settings.token, Method::GET, "/status", &Value::Null);
+    for (name, address) in admin::reachable(settings).await? {
+        let asked = admin::ask(address, &settings.token, Method::GET, "/status", &Value::Null);
         match asked.await {
             Ok(status) => {
-                let field = |name: &str| status.get(name).cloned().unwrap_or_default();
-                println!(
-                    "instance={} domain={} config={} preset={} out_domains={} waiting={}",
-                    entry.instance,
-                    entry.domain,
-                    field("config"),
-                    field("preset"),
-                    field("out_domains"),
-                    field("waiting")
-                );
+                let with = |line: Line, name: &'static str| {
+                    line.with(name, status.get(name).cloned().unwrap_or_default())
+                };
+                FIELDS.into_iter().fold(Line::new("status"), with).print(settings);
+            }
+            Err(error) => {
+                let line = Line::new("unreachable").with("instance", name);
+                line.with("error", format!("{error:#}")).print(settings);
             }
-            Err(error) => println!("instance={} error={error:#}", entry.instance),
         }
     }
     Ok(())
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -5,10 +5,12 @@
 mod admin;
 mod change;
 mod cmd;
+mod line;
 mod settings;
 
 use std::process::ExitCode;
 
+use nutmeggrade_core::config::Problems;
 use nutmeggrade_core::prelude::*;
 
 use crate::settings::Settings;
@@ -24,8 +26,13 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let split = args.iter().position(|a| a.starts_with("--")).unwrap_or(args.len());
     let (words, flags) = args.split_at(split);
-    if words.is_empty() {
-        return cmd::help(flags);
+    let asked = |flag: &str| flags.iter().any(|f| f == flag);
+    if words.is_empty() || words[0] == "help" || asked("--help") || asked("--version") {
+        return cmd::help(words, flags);
+    }
+    if !cmd::exists(words) {
+        eprintln!("nutmegctl: unknown command {:?}; see nutmegctl --help", words.join(" "));
+        return ExitCode::from(USAGE_EXIT);
     }
     let settings = match Settings::load(flags) {
         Ok(settings) => settings,
@@ -38,7 +45,7 @@
     };
     match run(&settings, words) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => report(&error),
+        Err(error) => report(&settings, &error),
     }
 }
 
@@ -48,12 +55,23 @@
     runtime.block_on(cmd::run(settings, &words))
 }
 
-fn report(error: &anyhow::Error) -> ExitCode {
+fn report(settings: &Settings, error: &anyhow::Error) -> ExitCode {
+    if let Some(Problems(problems)) = error.downcast_ref::<Problems>() {
+        for problem in problems {
+            let json = || serde_json::to_string(problem).unwrap_or_default();
+            eprintln!("{}", if settings.json { json() } else { format!("nutmegctl: {problem}") });
+        }
+        return ExitCode::from(REFUSED_EXIT);
+    }
     let Some(failure) = error.downcast_ref::<Failure>() else {
         eprintln!("nutmegctl: {error:#}");
         return ExitCode::FAILURE;
     };
-    eprintln!("nutmegctl: {}: {}", failure.code, failure.detail);
+    if settings.json {
+        eprintln!("{}", serde_json::to_string(failure).unwrap_or_default());
+    } else {
+        eprintln!("nutmegctl: {}: {}", failure.code, failure.detail);
+    }
     ExitCode::from(match failure.code {
         Code::UnknownSetting => USAGE_EXIT,
         Code::Conflict => CONFLICT_EXIT,
--- a/crates/nutmegctl/src/settings.rs
+++ b/crates/nutmegctl/src/settings.rs
@@ -17,6 +17,22 @@
         "most time until a change must be in force everywhere",
     )
     .with_default("10000"),
+    Spec::new("admin", Kind::Addresses, "instances to ask while the platform is down")
+        .with_default(""),
+    Spec::new(
+        "confirm",
+        Kind::Number { unit: "code", min: 0, max: 9_999 },
+        "does what was refused with this code (5011 or 5012)",
+    )
+    .with_default("0"),
+    Spec::new("dry-run", Kind::Switch, "checks a change and writes nothing").with_default("false"),
+    Spec::new("json", Kind::Switch, "prints one JSON object a line").with_default("false"),
+    Spec::new(
+        "rounds",
+        Kind::Number { unit: "1", min: 0, max: 1_000_000 },
+        "looks of watch, 0: no end",
+    )
+    .with_default("0"),
 ];
 
 /// The settings of the operators' command.
@@ -32,6 +48,16 @@
     pub why: String,
     /// Most time until a change must be in force everywhere.
     pub wait: Duration,
+    /// Instances to ask while the platform is down.
+    pub admin: Vec<SocketAddr>,
+    /// Number of the refusal that the operator overrides.
+    pub confirm: u64,
+    /// Whether nothing is written.
+    pub dry_run: bool,
+    /// Whether output is JSON.
+    pub json: bool,
+    /// How often `watch` looks; 0 for without end.
+    pub rounds: u64,
 }
 
 impl Settings {
@@ -50,11 +76,19 @@
             who: values.text("who").to_owned(),
             why: values.text("why").to_owned(),
             wait: values.millis("wait"),
+            admin: values.addresses("admin"),
+            confirm: values.number("confirm"),
+            dry_run: values.switch("dry-run"),
+            json: values.switch("json"),
+            rounds: values.number("rounds"),
         })
     }
 
     /// Returns the help text with every setting.
     pub fn usage(brief: &str) -> String {
-        Values::options(SPECS).usage(brief)
+        let secrets = SPECS.iter().filter(|s| s.kind == Kind::Secret);
+        let secrets: Vec<String> = secrets.map(|s| format!("    {}", s.describe())).collect();
+        let flags = Values::options(SPECS).usage(brief);
+        format!("{flags}\nSecrets:\n{}", secrets.join("\n"))
     }
 }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
+pub mod explain_log;
 pub mod fence;
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod recent_changes;
--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -1,6 +1,8 @@
 //! The operators' and probes' side of an instance.
 
+mod audit;
 mod config;
+mod explain;
 mod health;
 mod metrics;
 mod status;
@@ -28,6 +30,8 @@
         .get("/ready", health::ready::<P>)
         .get("/metrics", metrics::get::<P>)
         .get("/status", status::get::<P>)
+        .get("/audit", audit::get::<P>)
+        .get("/explain/:request", explain::get::<P>)
         .post("/config", config::post::<P>)
         .with(types::State::new(Arc::clone(&node)));
     let limits = Limits { connections: CONNECTIONS, header_wait: HEADER_WAIT };
--- /dev/null
+++ b/crates/nutmeggrade/src/admin/audit.rs
@@ -0,0 +1,18 @@
+//! `GET /audit`: the accepted changes that this instance has seen lately.
+
+use nutmeggrade_platform::Platform;
+use serde_json::json;
+use viz::Request;
+
+use crate::front::{Reply, failure, json as json_reply};
+use crate::tables::lock;
+
+/// Answers with the changes, oldest first; the platform may be down.
+pub async fn get<P: Platform>(req: Request) -> Reply {
+    let node = super::node::<P>(&req)?;
+    if let Err(refusal) = super::authorize(&node, &req) {
+        return Ok(failure(&refusal));
+    }
+    let changes = lock(&node.tables.changes).list();
+    Ok(json_reply(&json!({ "instance": node.entry.instance, "changes": changes })))
+}
--- a/crates/nutmeggrade/src/front/caller.rs
+++ b/crates/nutmeggrade/src/front/caller.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 use nutmeggrade_core::prelude::*;
 
 /// Header that names the workspace.
@@ -61,10 +61,21 @@
     headers.get(name).map(|v| v.to_str().unwrap_or(""))
 }
 
-fn request(headers: &HeaderMap) -> Result<RequestId, Failure> {
-    let drawn = || GenerationId::new(rand::random()).to_string();
-    let given = text(headers, REQUEST).map_or_else(drawn, ToOwned::to_owned);
-    RequestId::new(&given).map_err(|e| Failure::new(Code::BadHeader, &e.to_string()))
+/// Reads the request's id; [`name`] has put one where the caller gave none.
+pub fn request(headers: &HeaderMap) -> Result<RequestId, Failure> {
+    let given = text(headers, REQUEST).unwrap_or("");
+    RequestId::new(given).map_err(|e| Failure::new(Code::BadHeader, &format!("{REQUEST}: {e}")))
+}
+
+/// Draws an id for a request that has none, so that logs and the answer name the same one.
+pub fn name(headers: &mut HeaderMap) {
+    if headers.contains_key(REQUEST) {
+        return;
+    }
+    let drawn = GenerationId::new(rand::random()).to_string();
+    if let Ok(value) = HeaderValue::from_str(&drawn) {
+        headers.insert(REQUEST, value);
+    }
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Failure> {
--- a/crates/nutmeggrade/src/front/completions.rs
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -23,6 +23,7 @@
 /// Answers one request for a completion.
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
+    caller::name(req.headers_mut());
     let body = req.bytes_with(None, node.settings.body).await;
     let result = match body {
         Ok(body) => complete(&node, &req, &body).await,
@@ -30,16 +31,16 @@
     };
     let code = reply::success(&result);
     node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
-    let headers = req.headers();
-    let workspace = caller::text(headers, caller::WORKSPACE).unwrap_or("");
-    match &result {
-        Ok(_) => tracing::debug!(event = "completion", workspace, code),
-        Err(f) => {
-            let run = f.run.as_str();
-            tracing::info!(event = "completion", workspace, code, run, detail = f.detail);
+    let request = caller::request(req.headers()).ok();
+    if let Err(f) = &result {
+        let workspace = caller::text(req.headers(), caller::WORKSPACE).unwrap_or("");
+        let detail = format!("path={PATH} run={} {}", f.run.as_str(), f.detail);
+        if let Some(request) = &request {
+            node.note_end(request, workspace, code, &detail);
         }
     }
-    Ok(result.unwrap_or_else(|f| super::failure(&f)))
+    let response = result.unwrap_or_else(|f| super::failure(&f));
+    Ok(reply::with_request(response, request.as_ref()))
 }
 
 async fn complete<P: Platform>(
--- a/crates/nutmeggrade/src/front/reply.rs
+++ b/crates/nutmeggrade/src/front/reply.rs
@@ -33,6 +33,15 @@
     Response::json(value).unwrap_or_default()
 }
 
+/// Names the request in the answer, so that a caller can ask operators about it.
+pub fn with_request(mut response: Response, request: Option<&RequestId>) -> Response {
+    let value = request.and_then(|r| HeaderValue::from_str(r.as_str()).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(super::caller::REQUEST, value);
+    }
+    response
+}
+
 /// Returns the code of a result for metrics and logs.
 pub fn success<T>(result: &Result<T, Failure>) -> u16 {
     result.as_ref().map_or_else(|f| f.code.number(), |_| SUCCESS)
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -21,6 +21,7 @@
 /// Answers one call of a plain service.
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
+    caller::name(req.headers_mut());
     let body = req.bytes_with(None, node.settings.body).await;
     let result = match body {
         Ok(body) => serve(&node, &req, body).await,
@@ -28,11 +29,16 @@
     };
     let code = reply::success(&result);
     node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
-    if let Err(f) = &result {
-        let path = req.path();
-        tracing::info!(event = "call", path, code, run = f.run.as_str(), detail = f.detail);
+    let request = caller::request(req.headers()).ok();
+    if let Some(request) = &request {
+        let workspace = caller::text(req.headers(), caller::WORKSPACE).unwrap_or("");
+        let run = result.as_ref().map_or_else(|f| f.run, |_| Run::Ran);
+        let why = result.as_ref().map_or_else(|f| f.detail.as_str(), |_| "");
+        let detail = format!("path={} run={} {why}", req.path(), run.as_str());
+        node.note_end(request, workspace, code, &detail);
     }
-    Ok(result.map_or_else(|f| super::failure(&f), |a| response(&a)))
+    let response = result.map_or_else(|f| super::failure(&f), |a| response(&a));
+    Ok(reply::with_request(response, request.as_ref()))
 }
 
 async fn serve<P: Platform>(
--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -53,6 +53,7 @@
     deadline: Moment,
     phase: watch::Receiver<Phase>,
     over: bool,
+    code: Option<Code>,
 }
 
 enum Pulled {
@@ -86,6 +87,7 @@
             deadline: caller.deadline,
             phase: node.watch_phase(),
             over: false,
+            code: None,
         }
     }
 
@@ -164,6 +166,7 @@
                 }
                 Pulled::Closing => {
                     self.over = true;
+                    self.code = Some(Code::Leaving);
                     return Some(Item::Moved);
                 }
             }
@@ -212,6 +215,8 @@
             next = self.delivery.next(),
             reason
         );
+        let why = format!("endpoint={} next={} {reason}", self.endpoint, self.delivery.next());
+        self.node.note(&self.request, "resume", &why);
         let mut pause = RESUME_PAUSE;
         for _ in 0..RESUMES {
             self.node.metrics.resumes.inc();
@@ -237,6 +242,7 @@
 
     fn fail(&mut self, failure: Failure) -> Item {
         self.over = true;
+        self.code = Some(failure.code);
         if let Some(placement) = &mut self.placement {
             placement.set_end(End::Failed);
         }
@@ -247,5 +253,9 @@
 impl<P: Platform> Drop for Session<P> {
     fn drop(&mut self) {
         self.node.metrics.streams.dec();
+        let gone = (!self.delivery.ended()).then_some(Code::CallerGone);
+        let code = self.code.or(gone).map_or(0, Code::number);
+        let detail = format!("endpoint={} tokens={}", self.endpoint, self.delivery.next());
+        self.node.note_end(&self.request, self.workspace.as_str(), code, &detail);
     }
 }
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -45,10 +45,16 @@
     };
     for _ in 0..ATTEMPTS {
         ask.ticket = node.ticket();
-        let mut placement = admit(node, &ask).await?;
+        let asked = node.now();
+        let admitted = admit(node, &ask).await;
+        node.note_admission(&caller.request, &ask, asked, &admitted);
+        let mut placement = admitted?;
         let endpoint = placement.endpoint.clone();
         match attempt(node, caller, completion, &placement).await {
             Ok((address, tokens, first)) => {
+                let generation = first.generation;
+                let place = format!("endpoint={endpoint} generation={generation}");
+                node.note(&caller.request, "first_token", &place);
                 return Ok(Session::new(node, caller, &completion.model, &endpoint, address)
                     .with_generation(first.generation, 0)
                     .with_tokens(tokens)
@@ -62,6 +68,8 @@
                     endpoint = %endpoint,
                     error = format!("{error:#}")
                 );
+                let why = format!("endpoint={endpoint} error={error:#}");
+                node.note(&caller.request, "attempt_failed", &why);
                 placement.set_end(End::Failed);
                 node.metrics.retries.inc();
                 ask.avoid.insert(endpoint);
@@ -130,6 +138,8 @@
     match node.engines.resume(address, last.generation, from).await {
         Ok(tokens) => {
             node.metrics.resumes.inc();
+            let place = format!("endpoint={} next={from}", last.endpoint);
+            node.note(&caller.request, "taken_up", &place);
             Ok(Session::new(node, caller, model, &last.endpoint, address)
                 .with_generation(last.generation, from)
                 .with_tokens(tokens))
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -8,11 +8,13 @@
 //!
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
-//! `scheduler`, `picker`, `fence`, `waiters`. No lock is held over an await.
+//! `scheduler`, `picker`, `fence`, `waiters`,
+//! `explain`, `changes`. No lock is held over an await.
 
 pub mod admin;
 pub mod clock;
 pub mod engine_client;
+pub mod explain;
 pub mod front;
 pub mod generation;
 pub mod metrics;
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -119,6 +119,7 @@
             }
             taken
         };
+        lock(&self.tables.changes).note(config);
         if !taken {
             return false;
         }
@@ -140,22 +141,27 @@
 
     /// Tells the scheduler which engines may get new work.
     pub fn sync_engines(&self) {
+        let config = lock(&self.tables.config).current();
         let sharers = lock(&self.tables.members).live(self.now()).len() + 1;
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
         let engines: Vec<Engine> = {
             let table = lock(&self.tables.endpoints);
-            table.usable().filter_map(|e| engine(e, sharers)).collect()
+            table.usable().filter_map(|e| engine(e, sharers, config.as_deref())).collect()
         };
         lock(&self.tables.scheduler).set_engines(&engines, self.now());
     }
 }
 
-fn engine(endpoint: &Endpoint, sharers: u32) -> Option<Engine> {
+fn engine(endpoint: &Endpoint, sharers: u32, config: Option<&Configuration>) -> Option<Engine> {
     let EndpointKind::Engine { models, memory } = &endpoint.kind else { return None };
+    let mut models = models.clone();
+    if let Some(preset) = config.and_then(Configuration::preset) {
+        models.retain(|m| preset.lets_serve(m, &endpoint.id));
+    }
     Some(Engine {
         id: endpoint.id.clone(),
         domain: endpoint.domain.clone(),
-        models: models.clone(),
+        models,
         memory: *memory,
         cold_right: 0,
         sharers,
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -28,6 +28,17 @@
     Lost(String),
 }
 
+impl Attempt {
+    /// Returns how it ended in one word.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not_run",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 /// A replica picked for one attempt; given back when dropped.
 struct Picked<'a, P: Platform> {
     node: &'a Node<P>,
@@ -55,7 +66,14 @@
     avoid.insert(picked.id.clone());
     let left = call.caller.deadline.since(node.now());
     let ended = timeout(left, exchange(node, call, picked.address)).await;
-    Ok(ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned())))
+    let ended = ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned()));
+    let (request, endpoint, left) = (&call.caller.request, &picked.id, left.as_millis());
+    node.note(
+        request,
+        "attempt",
+        &format!("endpoint={endpoint} left_ms={left} ended={}", ended.as_str()),
+    );
+    Ok(ended)
 }
 
 fn pick<'a, P: Platform>(
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings of an instance.
 
+mod clashes;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -116,8 +118,10 @@
         let variable = |name: &str| std::env::var(name).ok();
         let file = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
         let values = Values::load(SPECS, args, variable, file)?;
-        Self::new(values)
-            .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])
+        let settings = Self::new(values)
+            .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])?;
+        let mistakes = settings.clashes();
+        if mistakes.is_empty() { Ok(settings) } else { Err(mistakes) }
     }
 
     /// Returns the help text with every setting.
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -7,8 +7,10 @@
 use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
 use nutmeggrade_state::config_table::ConfigTable;
 use nutmeggrade_state::endpoint_table::EndpointTable;
+use nutmeggrade_state::explain_log::ExplainLog;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::recent_changes::RecentChanges;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -33,6 +35,10 @@
     pub fence: Mutex<Fence>,
     /// Requests that wait.
     pub waiters: Mutex<Waiters>,
+    /// What was decided about recent requests.
+    pub explain: Mutex<ExplainLog>,
+    /// Accepted changes that were in force lately.
+    pub changes: Mutex<RecentChanges>,
 }
 
 impl Tables {
@@ -46,6 +52,8 @@
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
+            explain: Mutex::new(ExplainLog::default()),
+            changes: Mutex::new(RecentChanges::default()),
         }
     }
 }
--- a/crates/nutmeggrade/src/tasks/config_watch.rs
+++ b/crates/nutmeggrade/src/tasks/config_watch.rs
@@ -35,6 +35,9 @@
 }
 
 fn take<P: Platform>(node: &Node<P>, changes: &Changes) {
+    for config in changes.objects.iter().filter_map(|o| decode(o).ok()) {
+        lock(&node.tables.changes).note(&config);
+    }
     // Keys sort by version, and only the newest matters.
     let newest = changes.objects.iter().max_by(|a, b| a.key.cmp(&b.key));
     let Some(object) = newest else { return };
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,4 +8,5 @@
 
 mod core;
 mod docs;
+mod operators;
 mod process;
--- /dev/null
+++ b/tests/suite/operators/changes.rs
@@ -0,0 +1,108 @@
+//! Changes that race, lose their answers, or meet a frozen instance or an outage.
+
+use nix::sys::signal::Signal;
+use nutmeggrade_core::config::CONFIG_PREFIX;
+use nutmeggrade_fakes::fleet::{Fleet, Plan};
+use nutmeggrade_platform::Platform;
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{fleet, run};
+
+const WHY: [&str; 4] = ["--who", "anna", "--why", "switch work"];
+
+fn plan() -> Plan {
+    Plan::default().with_nodes(2).with_engines(2)
+}
+
+async fn change(fleet: &Fleet, words: &[&str]) -> anyhow::Result<(i32, String)> {
+    fleet.operate(&[words, &WHY].concat()).await
+}
+
+async fn versions(fleet: &Fleet) -> anyhow::Result<usize> {
+    Ok(fleet.client().list(CONFIG_PREFIX).await?.objects.len())
+}
+
+// Two operators take different things out in the same moment. One of them is told that another
+// change came first, which one and whose; nothing of the two is mixed.
+#[rstest]
+fn racing_operators_learn_who_won() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        held.fleet.fault("platform", &json!({ "slow_ms": 100 })).await?;
+        let domain = |d| [["domain", d, "veluwe"], ["endpoint", d, "engine-1"]];
+        for round in 0..10 {
+            let [one, two] = domain(["out", "in"][round % 2]);
+            let before = versions(&held.fleet).await?;
+            let (one, two) = tokio::join!(change(&held.fleet, &one), change(&held.fleet, &two));
+            let (one, two) = (one?, two?);
+            let accepted = [&one, &two].iter().filter(|(code, _)| *code == 0).count();
+            assert_eq!(versions(&held.fleet).await?, before + accepted, "{one:?} {two:?}");
+            if let Some((_, text)) = [&one, &two].into_iter().find(|(code, _)| *code == 4) {
+                assert!(text.contains("5002") && text.contains("anna"), "{text}");
+                return Ok(());
+            }
+        }
+        anyhow::bail!("no race in ten rounds")
+    });
+}
+
+// The platform writes a change and its answer is lost. The command reads the version back and finds
+// its own change, so the operator is told that it was accepted and does not make it twice.
+#[rstest]
+fn lost_answer_is_settled() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        held.fleet.fault("platform", &json!({ "lose": 1 })).await?;
+        let (code, text) = change(&held.fleet, &["domain", "out", "veluwe"]).await?;
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("accepted version=2"), "{text}");
+        assert_eq!(versions(&held.fleet).await?, 2);
+        Ok(())
+    });
+}
+
+// The platform is down. A change is not accepted and says so by its exit code; the audit trail and
+// the status can still be read from the instances.
+#[rstest]
+fn outage_leaves_the_trail_readable() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let (code, text) = change(&held.fleet, &["domain", "out", "veluwe"]).await?;
+        assert_eq!(code, 0, "{text}");
+        held.fleet.fault("platform", &json!({ "down": true })).await?;
+        let (code, text) = change(&held.fleet, &["domain", "in", "veluwe"]).await?;
+        assert_eq!(code, 7, "{text}");
+        let admin = held.fleet.nodes["node-1"].admin.to_string();
+        let (code, text) = held.fleet.operate(&["audit", "--admin", &admin]).await?;
+        assert_eq!(code, 0, "{text}");
+        let line = text.lines().find(|l| l.starts_with("change version=2")).unwrap_or("");
+        assert!(line.contains("anna") && line.contains("domain_out veluwe"), "{text}");
+        let (code, text) = held.fleet.operate(&["status", "--admin", &admin]).await?;
+        assert!(code == 0 && text.contains("config=2"), "{text}");
+        Ok(())
+    });
+}
+
+// One instance is frozen when operators take a failure domain out. They are told that the change is
+// accepted, and which instance does not have it in force; asked again after it woke, all have it.
+#[rstest]
+fn frozen_instance_is_named() {
+    run(async {
+        let mut held = fleet(&plan()).await?;
+        held.fleet.process("node-1")?.signal(Signal::SIGSTOP)?;
+        let words = ["domain", "out", "veluwe", "--wait", "500"];
+        let (code, text) = change(&held.fleet, &words).await?;
+        assert_eq!(code, 5, "{text}");
+        assert!(text.contains("accepted version=2"), "{text}");
+        assert!(text.contains("in_force instance=node-0 version=2"), "{text}");
+        assert!(text.contains("not_in_force instance=node-1 version=2"), "{text}");
+        held.fleet.process("node-1")?.signal(Signal::SIGCONT)?;
+        let words = ["domain", "out", "veluwe", "--wait", "30000"];
+        let (code, text) = change(&held.fleet, &words).await?;
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("unchanged version=2"), "{text}");
+        assert_eq!(versions(&held.fleet).await?, 2);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/operators/explain.rs
@@ -0,0 +1,70 @@
+//! What was decided about a request can be asked for later.
+
+use http::{Method, Request, header};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::fleet::{MODEL, Plan};
+use nutmeggrade_platform::{body_bytes, call, json_body};
+use nutmeggrade_state::explain_log::{ExplainLog, MAX_BYTES, MAX_STEPS};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{fleet, run};
+
+fn request(name: &str) -> RequestId {
+    RequestId::new(name).expect("id")
+}
+
+// A flood of requests, some with one id over and over and long errors, would fill the memory of an
+// instance that remembers them all. The log stays within its bytes and keeps the latest.
+#[rstest]
+fn memory_is_bounded() {
+    let mut log = ExplainLog::default();
+    let long = "ē".repeat(10_000);
+    for n in 0..40_000_u64 {
+        log.note(&request(&format!("r{n}")), "let_in", &long, Moment::from_millis(n));
+        log.note(&request("same"), "let_in", &long, Moment::from_millis(n));
+        assert!(log.bytes() <= MAX_BYTES);
+    }
+    assert!(log.get(&request("r39999")).is_some());
+    assert!(log.get(&request("r0")).is_none());
+    assert!(log.get(&request("same")).is_some_and(|r| r.steps.len() <= MAX_STEPS));
+}
+
+#[rstest]
+fn first_and_last_steps_stay() {
+    let mut log = ExplainLog::default();
+    for n in 0..1_000_u64 {
+        log.note(&request("r"), "step", &n.to_string(), Moment::from_millis(n));
+    }
+    let record = log.get(&request("r")).expect("record");
+    assert_eq!(record.steps.first().map(|s| s.detail.as_str()), Some("0"));
+    assert_eq!(record.steps.last().map(|s| s.detail.as_str()), Some("999"));
+    assert_eq!(record.dropped + MAX_STEPS as u64, 1_000);
+}
+
+// A family's permit came late, and the desk gives its request id to the operators. They see which
+// instance let it in after which wait, on which engine it ran and how it ended.
+#[rstest]
+fn a_request_is_explained() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(2).with_engines(1)).await?;
+        let entry = held.fleet.nodes["node-1"].callers;
+        let body = json!({ "model": MODEL, "prompt": "a len=5" });
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/v1/completions")
+            .header(header::HOST, entry.to_string())
+            .header("nutmeggrade-workspace", "staatsbos")
+            .body(json_body(&body)?)?;
+        let response = call(entry, request, std::time::Duration::from_secs(2)).await?;
+        let name = response.headers().get("nutmeggrade-request").expect("request id");
+        let name = name.to_str()?.to_owned();
+        body_bytes(response.into_body(), 1 << 20).await?;
+        let (code, text) = held.fleet.operate(&["explain", &name]).await?;
+        assert_eq!(code, 0, "{text}");
+        for part in ["instance=node-1", "step=let_in", "waited_ms=", "engine-0", "code=0 "] {
+            assert!(text.contains(part), "{part}: {text}");
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/operators/refusals.rs
@@ -0,0 +1,103 @@
+//! What is refused before anything is written, and what only looks.
+
+use nutmeggrade_core::config::CONFIG_PREFIX;
+use nutmeggrade_fakes::fleet::Plan;
+use nutmeggrade_platform::Platform;
+use rstest::rstest;
+
+use super::program;
+use crate::support::{fleet, run};
+
+const PERMIT_DESK: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../presets/permit-desk");
+const OTHER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../presets/cooperative/ordinary.json");
+
+/// Exit code, part of the output, and the words that bring it about.
+const CASES: &[(i32, &str, &[&str])] = &[
+    (2, "unknown command", &["domain", "sideways", "veluwe"]),
+    (2, "6001", &["domain", "out", "veluwe", "--colour", "red"]),
+    (2, "6004", &["status", "--wait", "9999999"]),
+    (2, "6003", &["status", "--admin", "here"]),
+    (3, "5005", &["domain", "out", "veluwe"]),
+    (3, "5005", &["domain", "out", "veluwe", "--who", "anna"]),
+    (3, "5011", &["domain", "out", "velwe", "--who", "anna", "--why", "x"]),
+    (3, "5012", &["domain", "out", "veluwe", "--who", "anna", "--why", "x"]),
+    (3, "5011", &["endpoint", "out", "engine-9", "--who", "anna", "--why", "x"]),
+    (3, "5011", &["preset", "use", "festive", "--who", "anna", "--why", "x"]),
+    (3, "5011", &["preset", "show", "festive"]),
+    (3, "5007", &["preset", "put", "x", "Cargo.toml", "--who", "anna", "--why", "x"]),
+    (3, "5013", &["explain", "nobody-asked-this"]),
+    (
+        0,
+        "would_accept version=2",
+        &["preset", "put", "x", OTHER, "--who", "a", "--why", "b", "--dry-run"],
+    ),
+    (
+        0,
+        "\"event\":\"would_accept\"",
+        &[
+            "domain",
+            "out",
+            "veluwe",
+            "--who",
+            "a",
+            "--why",
+            "b",
+            "--dry-run",
+            "--json",
+            "--confirm",
+            "5012",
+        ],
+    ),
+    (0, "unchanged version=1", &["domain", "in", "veluwe", "--who", "a", "--why", "b"]),
+    (0, "* ordinary", &["preset", "list"]),
+    (0, "status instance=node-0", &["watch", "--rounds", "1"]),
+    (0, "nutmegctl domain out NAME", &["domain", "out", "--help"]),
+];
+
+// Operators mistype names, forget who and why, and try things out. Each gets its exit code and its
+// number, and none of it writes anything.
+#[rstest]
+fn refusals_and_looks_write_nothing() {
+    run(async {
+        let plan = Plan::default().with_nodes(1).with_engines(1).with_services(1);
+        let held = fleet(&plan).await?;
+        for (expected, part, words) in CASES {
+            let (code, text) = held.fleet.operate(words).await?;
+            assert_eq!(code, *expected, "{words:?}: {text}");
+            assert!(text.contains(part), "{words:?}: {text}");
+        }
+        assert_eq!(held.fleet.client().list(CONFIG_PREFIX).await?.objects.len(), 1);
+        Ok(())
+    });
+}
+
+// The very first preset makes version 1; before it nothing else can be changed.
+#[rstest]
+fn first_preset_makes_version_1() {
+    run(async {
+        let plan = Plan::default().with_nodes(0).with_engines(1).with_services(0);
+        let held = fleet(&plan).await?;
+        held.fleet.client().remove("config/000000000001", 1).await?;
+        let why = ["--who", "anna", "--why", "start"];
+        let (code, text) =
+            held.fleet.operate(&[&["preset", "use", "peak"], &why[..]].concat()).await?;
+        assert!(code == 3 && text.contains("5003"), "{text}");
+        let file = format!("{PERMIT_DESK}/peak.json");
+        let words = [&["preset", "put", "peak", &file], &why[..]].concat();
+        let (code, text) = held.fleet.operate(&words).await?;
+        assert!(code == 0 && text.contains("accepted version=1"), "{text}");
+        Ok(())
+    });
+}
+
+#[rstest]
+fn token_is_never_printed() {
+    let token = "a-token-that-nobody-may-see";
+    for words in [["status", "--help"], ["status", "--wait"], ["status", "--json"]] {
+        let mut command = program("nutmegctl");
+        command.args(words).env("NUTMEGGRADE_OPERATOR_TOKEN", token);
+        let output = command.output().expect("run nutmegctl");
+        let text = [output.stdout, output.stderr].concat();
+        assert!(!String::from_utf8_lossy(&text).contains(token));
+    }
+}
