Keep what instances refuse in the audit trail, and document every metric

Cause: the trail held accepted changes only; who called with a wrong token, or that an instance was pushed an old configuration, was nowhere to be read. Metrics had no page.

Change: instances note refusals, write them under audit/{instance}/ with create-only keys (the last 64 of a name stay), and keep 256 for GET /audit. Repeats within a minute are counted, not written. nutmegctl audit puts changes and entries in order by the version in force. docs/operators/metrics.md lists the metrics and log events; a test compares it with an instance.

Ruled out: one numbered sequence for all instances (writers race for each number), and ordering by wall time alone (clocks of instances differ).

--- a/crates/nutmegctl/src/cmd/audit.rs
+++ b/crates/nutmegctl/src/cmd/audit.rs
@@ -1,64 +1,97 @@
 //! `nutmegctl audit`.
 
-use std::collections::BTreeMap;
-
 use http::Method;
+use nutmeggrade_core::audit::{AUDIT_PREFIX, AuditEntry};
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::Platform;
+use nutmeggrade_state::recent_changes::Accepted;
 use serde_json::Value;
 
 use crate::admin;
-use crate::change::{history, platform};
+use crate::change::{down, history, platform};
 use crate::line::Line;
 use crate::settings::Settings;
+use crate::trail::{Row, Trail};
 
-/// Lists every accepted change, oldest first.
+/// Lists every accepted change and what instances did and refused.
 ///
 /// While the platform is down the instances of `--admin` are asked for what they keep.
 pub async fn show(settings: &Settings) -> anyhow::Result<()> {
-    match history(&platform(settings)).await {
-        Ok(history) => {
-            for config in history {
-                print(settings, &serde_json::to_value(&config)?, "platform");
-            }
-            Ok(())
-        }
-        Err(error) if settings.admin.is_empty() => Err(error),
+    let (trail, source) = match from_platform(settings).await {
+        Ok(trail) => (trail, "platform"),
+        Err(error) if settings.admin.is_empty() => return Err(error),
         Err(error) => {
             eprintln!("nutmegctl: {error:#}; asking the instances of --admin");
-            from_instances(settings).await
+            (from_instances(settings).await?, "instances")
         }
+    };
+    for row in trail.rows() {
+        print(settings, row, source);
     }
+    Ok(())
 }
 
-async fn from_instances(settings: &Settings) -> anyhow::Result<()> {
-    let mut kept = BTreeMap::new();
+async fn from_platform(settings: &Settings) -> anyhow::Result<Trail> {
+    let platform = platform(settings);
+    let mut trail = Trail::new();
+    for config in history(&platform).await? {
+        trail.add_change(Accepted::new(&config));
+    }
+    let listed = platform.list(AUDIT_PREFIX).await.map_err(|e| down(&e))?;
+    for value in listed.objects.into_iter().filter_map(|o| o.value) {
+        trail.add_entry(serde_json::from_value(value)?);
+    }
+    Ok(trail)
+}
+
+async fn from_instances(settings: &Settings) -> anyhow::Result<Trail> {
+    let mut trail = Trail::new();
     let mut answered = false;
     for address in &settings.admin {
         let asked = admin::ask(*address, &settings.token, Method::GET, "/audit", &Value::Null);
         match asked.await {
             Ok(list) => {
                 answered = true;
-                let rows = list.get("changes").and_then(Value::as_array).cloned();
-                for row in rows.unwrap_or_default() {
-                    let version = row.get("version").and_then(Value::as_u64).unwrap_or(0);
-                    kept.insert(version, row);
-                }
+                take(&mut trail, &list)?;
             }
             Err(error) => eprintln!("nutmegctl: {address}: {error:#}"),
         }
     }
-    if !answered {
-        let detail = "neither the platform nor an instance of --admin answers";
-        return Err(Failure::new(Code::PlatformDown, detail).into());
+    if answered {
+        return Ok(trail);
+    }
+    let detail = "neither the platform nor an instance of --admin answers";
+    Err(Failure::new(Code::PlatformDown, detail).into())
+}
+
+fn take(trail: &mut Trail, list: &Value) -> anyhow::Result<()> {
+    let rows = |name: &str| list.get(name).cloned().unwrap_or_default();
+    let changes: Vec<Accepted> = serde_json::from_value(rows("changes"))?;
+    let entries: Vec<AuditEntry> = serde_json::from_value(rows("entries"))?;
+    for change in changes {
+        trail.add_change(change);
     }
-    for row in kept.values() {
-        print(settings, row, "instances");
+    for entry in entries {
+        trail.add_entry(entry);
     }
     Ok(())
 }
 
-fn print(settings: &Settings, row: &Value, source: &str) {
-    let names = ["version", "id", "at_ms", "who", "why", "change"];
-    let with = |line: Line, name| line.with(name, row.get(name).cloned().unwrap_or_default());
-    names.into_iter().fold(Line::new("change"), with).with("source", source).print(settings);
+fn print(settings: &Settings, row: &Row, source: &str) {
+    let line = match row {
+        Row::Change(change) => Line::new("change")
+            .with("version", change.version)
+            .with("at_ms", change.at_ms)
+            .with("who", change.who.as_str())
+            .with("why", change.why.as_str())
+            .with("change", change.change.as_str())
+            .with("id", change.id.as_str()),
+        Row::Entry(entry) => Line::new(entry.event.as_str())
+            .with("instance", entry.instance.as_str())
+            .with("at_ms", entry.at_ms)
+            .with("config", entry.config)
+            .with("detail", entry.detail.as_str())
+            .with("repeats", entry.repeats),
+    };
+    line.with("source", source).print(settings);
 }
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -7,6 +7,7 @@
 mod cmd;
 mod line;
 mod settings;
+mod trail;
 
 use std::process::ExitCode;
 
--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock; `use nutmeggrade_core::prelude::*` brings the common
 //! types into scope.
 
+pub mod audit;
 pub mod code;
 pub mod config;
 pub mod endpoint;
--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use http::header;
+use nutmeggrade_core::audit::AuditEvent;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::net::TcpListener;
@@ -45,11 +46,17 @@
 }
 
 /// Refuses a request without the operators' token.
-fn authorize<P>(node: &Node<P>, req: &Request) -> Result<(), Failure> {
+fn authorize<P: Platform>(node: &Node<P>, req: &Request) -> Result<(), Failure> {
     let given = req.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
     let token = given.and_then(|t| t.strip_prefix("Bearer ")).unwrap_or("");
     if node.settings.operator_token.matches(token) {
         return Ok(());
     }
+    node.audit(AuditEvent::TokenRefused, &format!("path={}", route(req)));
     Err(Failure::new(Code::BadToken, "the operators' token is missing or wrong"))
 }
+
+/// Returns the first part of the path, so that refused guesses are counted together.
+fn route(req: &Request) -> &str {
+    req.uri().path().split('/').nth(1).unwrap_or("")
+}
--- a/crates/nutmeggrade/src/admin/audit.rs
+++ b/crates/nutmeggrade/src/admin/audit.rs
@@ -1,4 +1,4 @@
-//! `GET /audit`: the accepted changes that this instance has seen lately.
+//! `GET /audit`: the accepted changes and the deeds of this instance lately.
 
 use nutmeggrade_platform::Platform;
 use serde_json::json;
@@ -7,12 +7,17 @@
 use crate::front::{Reply, failure, json as json_reply};
 use crate::tables::lock;
 
-/// Answers with the changes, oldest first; the platform may be down.
+/// Answers with both lists, oldest first; the platform may be down.
 pub async fn get<P: Platform>(req: Request) -> Reply {
     let node = super::node::<P>(&req)?;
     if let Err(refusal) = super::authorize(&node, &req) {
         return Ok(failure(&refusal));
     }
     let changes = lock(&node.tables.changes).list();
-    Ok(json_reply(&json!({ "instance": node.entry.instance, "changes": changes })))
+    let entries: Vec<_> = lock(&node.tables.audit).recent().cloned().collect();
+    Ok(json_reply(&json!({
+        "instance": node.entry.instance,
+        "changes": changes,
+        "entries": entries,
+    })))
 }
--- a/crates/nutmeggrade/src/admin/config.rs
+++ b/crates/nutmeggrade/src/admin/config.rs
@@ -1,5 +1,6 @@
 //! `POST /config`: an accepted configuration, pushed by the operators' command.
 
+use nutmeggrade_core::audit::AuditEvent;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use serde_json::json;
@@ -25,6 +26,10 @@
         Ok(config) => {
             node.offer_config(&config, "operator");
             let version = lock(&node.tables.config).version();
+            if config.version < version {
+                let detail = format!("pushed={} in_force={version}", config.version);
+                node.audit(AuditEvent::OldConfigRefused, &detail);
+            }
             Ok(json_reply(&json!({ "config": version })))
         }
         Err(e) => Ok(failure(&Failure::new(Code::BadJson, &e.to_string()))),
--- a/crates/nutmeggrade/src/admin/metrics.rs
+++ b/crates/nutmeggrade/src/admin/metrics.rs
@@ -4,6 +4,8 @@
 use viz::{Request, Response, ResponseExt};
 
 use crate::front::Reply;
+use crate::node::Node;
+use crate::tables::lock;
 
 /// Answers in the Prometheus text format.
 pub async fn get<P: Platform>(req: Request) -> Reply {
@@ -12,5 +14,18 @@
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         node.metrics.platform.with_label_values(&[kind]).set(count);
     }
+    show_records(&node);
     Ok(Response::text(node.metrics.text().unwrap_or_default()))
 }
+
+fn show_records<P: Platform>(node: &Node<P>) {
+    let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    let (records, bytes) = {
+        let explain = lock(&node.tables.explain);
+        (explain.len(), explain.bytes())
+    };
+    node.metrics.remembered.set(gauge(records));
+    node.metrics.remembered_bytes.set(gauge(bytes));
+    let lost = lock(&node.tables.audit).lost();
+    node.metrics.audit_lost.set(i64::try_from(lost).unwrap_or(i64::MAX));
+}
--- a/crates/nutmeggrade/src/explain.rs
+++ b/crates/nutmeggrade/src/explain.rs
@@ -1,5 +1,6 @@
 //! Notes of what was decided about a request, and the one log line at its end.
 
+use nutmeggrade_core::audit::AuditEvent;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::Ask;
@@ -46,6 +47,9 @@
     /// Notes and logs how a request ended: one line a request.
     pub fn note_end(&self, request: &RequestId, workspace: &str, code: u16, detail: &str) {
         self.note(request, "end", &format!("code={code} {detail}"));
+        if code == Code::Fenced.number() {
+            self.audit(AuditEvent::WorkRefused, "cut off from the platform and the peers");
+        }
         let instance = &self.entry.instance;
         tracing::info!(event = "request_end", %request, %instance, workspace, code, detail);
     }
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -9,9 +9,10 @@
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
 //! `scheduler`, `picker`, `fence`, `waiters`,
-//! `explain`, `changes`. No lock is held over an await.
+//! `explain`, `changes`, `audit`. No lock is held over an await.
 
 pub mod admin;
+pub mod audit;
 pub mod clock;
 pub mod engine_client;
 pub mod explain;
--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -30,6 +30,12 @@
     pub platform: IntGaugeVec,
     /// Messages of peers that were dropped, by reason.
     pub dropped: IntCounterVec,
+    /// Requests whose decisions are remembered.
+    pub remembered: IntGauge,
+    /// Bytes that they take.
+    pub remembered_bytes: IntGauge,
+    /// Audit entries given up while the platform was away.
+    pub audit_lost: IntGauge,
     broken: IntGaugeVec,
 }
 
@@ -69,6 +75,9 @@
             peers: gauge("peers", "peers heard lately")?,
             platform: gauges("platform_calls", "calls to the platform", "kind")?,
             dropped: counters("peer_messages_dropped_total", "dropped peer messages", &["reason"])?,
+            remembered: gauge("requests_remembered", "requests that can be explained")?,
+            remembered_bytes: gauge("requests_remembered_bytes", "bytes of their records")?,
+            audit_lost: gauge("audit_lost", "audit entries given up in an outage")?,
             broken: gauges("invariants_broken", "must stay absent", "name")?,
             registry,
         })
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -5,6 +5,7 @@
 
 use nutmeggrade_core::peer::Entry;
 use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_state::audit_log::AuditLog;
 use nutmeggrade_state::config_table::ConfigTable;
 use nutmeggrade_state::endpoint_table::EndpointTable;
 use nutmeggrade_state::explain_log::ExplainLog;
@@ -39,6 +40,8 @@
     pub explain: Mutex<ExplainLog>,
     /// Accepted changes that were in force lately.
     pub changes: Mutex<RecentChanges>,
+    /// What this instance did and refused.
+    pub audit: Mutex<AuditLog>,
 }
 
 impl Tables {
@@ -54,6 +57,7 @@
             waiters: Mutex::new(Waiters::new()),
             explain: Mutex::new(ExplainLog::default()),
             changes: Mutex::new(RecentChanges::default()),
+            audit: Mutex::new(AuditLog::new(&own.instance, own.incarnation)),
         }
     }
 }
--- a/tests/suite/operators.rs
+++ b/tests/suite/operators.rs
@@ -1,7 +1,9 @@
 //! What operators do and see.
 
+mod audit;
 mod changes;
 mod explain;
+mod metrics;
 mod refusals;
 mod settings;
 
--- /dev/null
+++ b/tests/suite/operators/audit.rs
@@ -0,0 +1,77 @@
+//! What instances refuse is in the audit trail, and the trail has bounds.
+
+use std::time::Duration;
+
+use http::Method;
+use nutmeggrade_core::audit::{AUDIT_PREFIX, AuditEvent};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::fleet::Plan;
+use nutmeggrade_fakes::http::send;
+use nutmeggrade_platform::Platform;
+use nutmeggrade_state::audit_log::{AuditLog, MAX_PENDING, MAX_RECENT, QUIET};
+use rstest::rstest;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::support::{fleet, run};
+
+fn log() -> AuditLog {
+    AuditLog::new(&InstanceId::new("loket-1").expect("id"), 1)
+}
+
+// A script calls with an old token thousands of times a second. One entry a minute says so, with
+// how often it was refused.
+#[rstest]
+fn repeats_are_counted() {
+    let mut log = log();
+    for n in 0..10_000 {
+        log.note(AuditEvent::TokenRefused, "path=status", 1, n, Moment::from_millis(n));
+    }
+    assert_eq!(log.recent().count(), 1);
+    let later = Moment::from_millis(10_000).after(QUIET);
+    let entry = log.note(AuditEvent::TokenRefused, "path=status", 1, 0, later);
+    assert_eq!(entry.map(|e| e.repeats), Some(9_999));
+}
+
+// The platform is away for hours while an instance refuses all kinds of things. Its memory holds
+// the latest and says how many it had to give up.
+#[rstest]
+fn outage_does_not_fill_the_memory() {
+    let mut log = log();
+    for n in 0..10_000_u64 {
+        let detail = format!("path={n}");
+        log.note(AuditEvent::TokenRefused, &detail, 1, n, Moment::from_millis(n));
+    }
+    assert_eq!(log.recent().count(), MAX_RECENT);
+    assert_eq!(log.lost(), 10_000 - MAX_PENDING as u64);
+    let first = log.first_pending().map(|e| e.number);
+    assert_eq!(first, Some(10_001 - MAX_PENDING as u64));
+}
+
+// Somebody calls an instance with a wrong token while answers of the platform get lost. The trail
+// has the refusal once, after the change that was in force, and it can be read from the instance too.
+#[rstest]
+fn refusals_are_in_the_trail() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(1).with_engines(1)).await?;
+        held.fleet.fault("platform", &json!({ "lose": 1 })).await?;
+        let admin = held.fleet.nodes["node-0"].admin;
+        let headers = [("authorization", "Bearer wrong")];
+        let (status, _) = send(admin, Method::GET, "/status", &headers, Vec::new()).await?;
+        assert_eq!(status.as_u16(), Code::BadToken.status());
+        while held.fleet.client().list(AUDIT_PREFIX).await?.objects.is_empty() {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let (code, text) = held.fleet.operate(&["audit"]).await?;
+        assert_eq!(code, 0, "{text}");
+        let lines: Vec<_> = text.lines().collect();
+        assert!(lines[0].starts_with("change version=1 "), "{text}");
+        let refusals = lines.iter().filter(|l| l.starts_with("token_refused instance=node-0 "));
+        assert_eq!(refusals.count(), 1, "{text}");
+        held.fleet.fault("platform", &json!({ "down": true })).await?;
+        let admin = admin.to_string();
+        let (code, text) = held.fleet.operate(&["audit", "--admin", &admin]).await?;
+        assert!(code == 0 && text.contains("token_refused instance=node-0 "), "{text}");
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/operators/metrics.rs
@@ -0,0 +1,63 @@
+//! The metrics page lists exactly what an instance shows.
+
+use std::collections::BTreeSet;
+use std::fs;
+
+use nutmeggrade_fakes::fleet::Plan;
+use rstest::rstest;
+
+use crate::support::{fleet, run};
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/operators/metrics.md");
+const CODE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../crates/nutmeggrade/src/metrics.rs");
+
+/// Returns the names in the first column of the page's tables.
+fn documented() -> BTreeSet<String> {
+    let text = fs::read_to_string(PAGE).expect("read page");
+    let rows = text.lines().filter_map(|l| l.strip_prefix("| `"));
+    let names = rows.filter_map(|l| l.split('`').next());
+    names.filter(|n| n.starts_with("nutmeggrade_")).map(ToOwned::to_owned).collect()
+}
+
+#[rstest]
+fn page_and_instance_agree() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(1).with_engines(1)).await?;
+        let text = held.fleet.metrics("node-0").await?;
+        let shown = text.lines().filter_map(|l| l.strip_prefix("# HELP "));
+        let shown: BTreeSet<_> = shown.filter_map(|l| l.split(' ').next()).collect();
+        let listed = documented();
+        let registered = registered();
+        let missing: Vec<_> = shown
+            .into_iter()
+            .chain(registered.iter().map(String::as_str))
+            .filter(|n| !listed.contains(*n))
+            .collect();
+        assert!(missing.is_empty(), "not in docs/operators/metrics.md: {missing:?}");
+        Ok(())
+    });
+}
+
+#[rstest]
+fn page_names_nothing_else() {
+    let code = fs::read_to_string(CODE).expect("read code");
+    for listed in documented() {
+        let bare = listed.trim_start_matches("nutmeggrade_");
+        assert!(code.contains(&format!("\"{bare}\"")), "{listed} is no metric");
+    }
+}
+
+/// Returns the names that the code registers; a metric by label is shown only once it has a value.
+fn registered() -> BTreeSet<String> {
+    let text = fs::read_to_string(CODE).expect("read code");
+    let after = |kind: &str| -> Vec<String> {
+        let starts = text.split(kind).skip(1);
+        starts.filter_map(|t| t.trim_start().strip_prefix('"')).filter_map(name).collect()
+    };
+    let kinds = ["counter(", "counters(", "gauge(", "gauges("];
+    kinds.into_iter().flat_map(after).collect()
+}
+
+fn name(start: &str) -> Option<String> {
+    start.split('"').next().map(|n| format!("nutmeggrade_{n}"))
+}
