--- a/crates/nutmegctl/src/admin.rs
+++ b/crates/nutmegctl/src/admin.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::change::{down, platform};
+use crate::line::Line;
 use crate::settings::Settings;
 
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -67,3 +68,19 @@
     }
     serde_json::from_slice(&bytes).context("decode answer")
 }
+
+/// Says whether an instance answered with this code.
+pub fn is(error: &anyhow::Error, code: Code) -> bool {
+    error.downcast_ref::<Failure>().is_some_and(|f| f.code == code)
+}
+
+/// Prints that an instance did not answer; a wrong token ends the command, since no other instance
+/// would take it either.
+pub fn unreachable(settings: &Settings, name: &str, error: anyhow::Error) -> anyhow::Result<()> {
+    if is(&error, Code::BadToken) {
+        return Err(error);
+    }
+    let line = Line::new("unreachable").with("instance", name);
+    line.with("error", format!("{error:#}")).print(settings);
+    Ok(())
+}
--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -133,18 +133,20 @@
     let instances = admin::instances(platform).await?;
     let body = serde_json::to_value(config).context("encode configuration")?;
     let start = Instant::now();
-    let mut missing = instances;
+    let mut missing: Vec<_> = instances.into_iter().map(|e| (e, String::new())).collect();
     loop {
         let mut still = Vec::new();
-        for entry in missing {
+        for (entry, _) in missing {
             let pushed =
                 admin::ask(entry.admin_address, &settings.token, Method::POST, "/config", &body);
-            let version = pushed.await.ok().and_then(|v| v.get("config").and_then(Value::as_u64));
+            let answer = pushed.await;
+            let version = answer.as_ref().ok().and_then(|v| v.get("config")?.as_u64());
             if version.unwrap_or(0) >= config.version {
                 let line = Line::new("in_force").with("instance", entry.instance.as_str());
                 line.with("version", config.version).print(settings);
             } else {
-                still.push(entry);
+                let why = answer.err().map_or("an older version".to_owned(), |e| format!("{e:#}"));
+                still.push((entry, why));
             }
         }
         if still.is_empty() {
@@ -152,11 +154,11 @@
         }
         missing = still;
         if start.elapsed() >= settings.wait {
-            for entry in &missing {
+            for (entry, why) in &missing {
                 let line = Line::new("not_in_force").with("instance", entry.instance.as_str());
-                line.with("version", config.version).print(settings);
+                line.with("version", config.version).with("why", why.as_str()).print(settings);
             }
-            let names: Vec<_> = missing.iter().map(|e| json!(e.instance)).collect();
+            let names: Vec<_> = missing.iter().map(|(e, _)| json!(e.instance)).collect();
             let detail = format!("accepted, but not yet in force at {}", Value::from(names));
             return Err(Failure::new(Code::NotInForce, &detail).into());
         }
--- a/crates/nutmegctl/src/cmd/explain.rs
+++ b/crates/nutmegctl/src/cmd/explain.rs
@@ -20,11 +20,8 @@
                 seen = true;
                 print(settings, &record);
             }
-            Err(error) if is_unknown(&error) => {}
-            Err(error) => {
-                let line = Line::new("unreachable").with("instance", name);
-                line.with("error", format!("{error:#}")).print(settings);
-            }
+            Err(error) if admin::is(&error, Code::RequestUnknown) => {}
+            Err(error) => admin::unreachable(settings, &name, error)?,
         }
     }
     if seen {
@@ -43,7 +40,3 @@
         line.with("detail", field("detail")).print(settings);
     }
 }
-
-fn is_unknown(error: &anyhow::Error) -> bool {
-    error.downcast_ref::<Failure>().is_some_and(|f| f.code == Code::RequestUnknown)
-}
--- a/crates/nutmegctl/src/cmd/help.rs
+++ b/crates/nutmegctl/src/cmd/help.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use crate::line::say;
 use crate::settings::Settings;
 
 /// One subcommand as the help shows it.
@@ -52,7 +53,7 @@
 /// Prints the help of a subcommand or of all, or the version if asked.
 pub fn help(words: &[String], flags: &[String]) -> ExitCode {
     if flags.iter().any(|f| f == "--version") {
-        println!("nutmegctl {}", env!("CARGO_PKG_VERSION"));
+        say(&format!("nutmegctl {}", env!("CARGO_PKG_VERSION")));
         return ExitCode::SUCCESS;
     }
     let start: Vec<&str> = words.iter().map(String::as_str).filter(|w| *w != "help").collect();
@@ -65,7 +66,7 @@
     let (lines, examples) = (lines.join("\n"), examples.join("\n"));
     let text =
         format!("Usage: nutmegctl COMMAND [--FLAG VALUE]...\n\n{lines}\n\nExamples:\n{examples}\n");
-    println!("{}", Settings::usage(&format!("{text}{REST}")));
+    say(&Settings::usage(&format!("{text}{REST}")));
     ExitCode::SUCCESS
 }
 
--- a/crates/nutmegctl/src/cmd/preset.rs
+++ b/crates/nutmegctl/src/cmd/preset.rs
@@ -5,7 +5,7 @@
 use nutmeggrade_core::prelude::*;
 
 use crate::change::{current, make, platform};
-use crate::line::Line;
+use crate::line::{Line, say};
 use crate::settings::Settings;
 
 /// Lists the presets; the one in force has a star.
@@ -17,7 +17,7 @@
             line.with("in_force", *name == config.active).print(settings);
         } else {
             let star = if *name == config.active { "*" } else { " " };
-            println!("{star} {name}");
+            say(&format!("{star} {name}"));
         }
     }
     Ok(())
@@ -30,7 +30,7 @@
     let Some(preset) = config.presets.get(&name) else {
         return Err(Failure::new(Code::UnknownName, &format!("no preset {name}")).into());
     };
-    println!("{}", serde_json::to_string_pretty(preset)?);
+    say(&serde_json::to_string_pretty(preset)?);
     Ok(())
 }
 
--- a/crates/nutmegctl/src/cmd/status.rs
+++ b/crates/nutmegctl/src/cmd/status.rs
@@ -21,10 +21,7 @@
                 };
                 FIELDS.into_iter().fold(Line::new("status"), with).print(settings);
             }
-            Err(error) => {
-                let line = Line::new("unreachable").with("instance", name);
-                line.with("error", format!("{error:#}")).print(settings);
-            }
+            Err(error) => admin::unreachable(settings, &name, error)?,
         }
     }
     Ok(())
--- a/crates/nutmegctl/src/cmd/watch.rs
+++ b/crates/nutmegctl/src/cmd/watch.rs
@@ -5,6 +5,7 @@
 use tokio::time::sleep;
 
 use super::status;
+use crate::line::say;
 use crate::settings::Settings;
 
 const PAUSE: Duration = Duration::from_secs(1);
@@ -18,7 +19,7 @@
         if round == settings.rounds {
             return Ok(());
         }
-        println!();
+        say("");
         sleep(PAUSE).await;
     }
 }
--- a/crates/nutmegctl/src/line.rs
+++ b/crates/nutmegctl/src/line.rs
@@ -1,5 +1,7 @@
 //! One line of output, as text or JSON.
 
+use std::io::{Write, stdout};
+
 use serde_json::{Map, Value};
 
 use crate::settings::Settings;
@@ -11,6 +13,14 @@
     fields: Vec<(&'static str, Value)>,
 }
 
+/// Prints one line on the standard output.
+///
+/// A reader such as `head` may close the pipe early. The command must still go on to its end: one
+/// that stopped there would leave a change accepted and unseen, with a wrong exit code.
+pub fn say(text: &str) {
+    drop(writeln!(stdout(), "{text}"));
+}
+
 impl Line {
     /// Starts a line.
     pub const fn new(event: &'static str) -> Self {
@@ -26,7 +36,7 @@
 
     /// Prints the line in the form that the settings ask for.
     pub fn print(self, settings: &Settings) {
-        println!("{}", if settings.json { self.json() } else { self.text() });
+        say(&if settings.json { self.json() } else { self.text() });
     }
 
     fn json(self) -> String {
--- a/tests/suite/operators/refusals.rs
+++ b/tests/suite/operators/refusals.rs
@@ -101,3 +101,34 @@
         assert!(!String::from_utf8_lossy(&text).contains(token));
     }
 }
+
+// An operator pipes the output into `head`, which closes the pipe early. The command still comes to
+// its end with its own exit code; a crash there would hide whether a change is in force.
+#[rstest]
+fn closed_pipe_is_no_failure() {
+    for words in [["status", "--help"], ["help", "--version"]] {
+        let (reader, writer) = std::io::pipe().expect("pipe");
+        drop(reader);
+        let status = program("nutmegctl").args(words).stdout(writer).status();
+        assert_eq!(status.expect("run nutmegctl").code(), Some(0), "{words:?}");
+    }
+}
+
+// An operator's token is old. The command says so with its code and ends, and does not call every
+// instance unreachable.
+#[rstest]
+fn old_token_is_named() {
+    run(async {
+        let plan = Plan::default().with_nodes(1).with_engines(1).with_services(0);
+        let held = fleet(&plan).await?;
+        let platform = held.fleet.platform.to_string();
+        let mut command = program("nutmegctl");
+        command.args(["status", "--platform", &platform]);
+        command.env("NUTMEGGRADE_OPERATOR_TOKEN", "a-token-of-last-year");
+        let output = tokio::task::spawn_blocking(move || command.output()).await??;
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(3), "{errors}");
+        assert!(errors.contains("5001 bad_token"), "{errors}");
+        Ok(())
+    });
+}
