Refuse mistyped variables of an instance

Cause: an unknown flag was a mistake, an unknown variable was ignored, so a mistyped one left its setting at the default without a word.

Change: a variable with the program's prefix that it does not know is a mistake 6001, listed with the others; those of the operators' command are known to both programs, which may share an environment.

--- a/crates/nutmeggrade-core/src/settings.rs
+++ b/crates/nutmeggrade-core/src/settings.rs
@@ -5,5 +5,5 @@
 mod values;
 
 pub use source::Origin;
-pub use spec::{Kind, Spec};
+pub use spec::{Kind, Spec, VARIABLE_PREFIX};
 pub use values::{Mistake, Values};
--- a/crates/nutmeggrade-state/src/explain_log.rs
+++ b/crates/nutmeggrade-state/src/explain_log.rs
@@ -12,7 +12,7 @@
 pub const MAX_DETAIL: usize = 240;
 
 /// Bytes that a step takes beside its detail, and a record beside its steps; counted generously.
-const STEP_BYTES: usize = 96;
+const STEP_BYTES: usize = 128;
 const RECORD_BYTES: usize = 512;
 
 /// One decision about a request with the numbers it was made on.
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::settings::{Kind, Mistake, Spec, Values};
+use nutmeggrade_core::settings::{Kind, Mistake, Spec, VARIABLE_PREFIX, Values};
 
 const MS: &str = "ms";
 
@@ -56,6 +56,32 @@
         .with_default("info"),
 ];
 
+/// Variables of the operators' command, which may run in the same environment.
+const OPERATOR_VARIABLES: &[&str] =
+    &["WHO", "WHY", "WAIT", "ADMIN", "CONFIRM", "DRY_RUN", "JSON", "ROUNDS"];
+
+/// Lists variables with the program's prefix that it does not know.
+///
+/// A mistyped variable would leave its setting at the default without a word; one would notice it
+/// when the fence that was meant to be short turns out to be long.
+fn unknown_variables() -> Vec<Mistake> {
+    let known = |name: &str| {
+        let of_spec = |s: &Spec| {
+            let variable = s.variable();
+            name == variable || (s.kind == Kind::Secret && name == format!("{variable}_FILE"))
+        };
+        let bare = name.trim_start_matches(VARIABLE_PREFIX);
+        OPERATOR_VARIABLES.contains(&bare) || SPECS.iter().any(of_spec)
+    };
+    let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    let ours = names.filter(|n| n.starts_with(VARIABLE_PREFIX) && !known(n));
+    let mistake = |n| Mistake {
+        code: Code::UnknownSetting,
+        detail: format!("{n} is not a variable of this program"),
+    };
+    ours.map(mistake).collect()
+}
+
 const fn range(unit: &'static str, min: u64, max: u64) -> Kind {
     Kind::Number { unit, min, max }
 }
@@ -117,7 +143,12 @@
     pub fn load(args: &[String]) -> Result<Self, Vec<Mistake>> {
         let variable = |name: &str| std::env::var(name).ok();
         let file = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
-        let values = Values::load(SPECS, args, variable, file)?;
+        let unknown = unknown_variables();
+        let values = match Values::load(SPECS, args, variable, file) {
+            Ok(values) if unknown.is_empty() => values,
+            Ok(_) => return Err(unknown),
+            Err(mistakes) => return Err([mistakes, unknown].concat()),
+        };
         let settings = Self::new(values)
             .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])?;
         let mistakes = settings.clashes();
--- a/tests/suite/operators/explain.rs
+++ b/tests/suite/operators/explain.rs
@@ -30,6 +30,20 @@
     assert!(log.get(&request("same")).is_some_and(|r| r.steps.len() <= MAX_STEPS));
 }
 
+// A request is asked about minutes after it ended. Requests of four steps with details of usual
+// length are remembered for as long as it takes to ask.
+#[rstest]
+fn thousands_of_usual_requests_fit() {
+    let mut log = ExplainLog::default();
+    let detail = "x".repeat(100);
+    for n in 0..20_000_u64 {
+        for step in ["let_in", "first_token", "resume", "end"] {
+            log.note(&request(&format!("r{n}")), step, &detail, Moment::from_millis(n));
+        }
+    }
+    assert!(log.len() >= 5_000, "{}", log.len());
+}
+
 #[rstest]
 fn first_and_last_steps_stay() {
     let mut log = ExplainLog::default();
--- a/tests/suite/operators/settings.rs
+++ b/tests/suite/operators/settings.rs
@@ -41,6 +41,20 @@
         &["6003", "6005", "6005"];
 });
 
+// Somebody mistypes a variable. The setting would stay at its default without a word.
+#[rstest]
+fn mistyped_variable_is_a_mistake() {
+    let mut command = program("nutmeggrade");
+    command.args(["check"]).args(GOOD).env("NUTMEGGRADE_PEER_KEY", SECRET);
+    command.env("NUTMEGGRADE_OPERATOR_TOKEN", SECRET).env("NUTMEGGRADE_WHO", "anna");
+    command.env("NUTMEGGRADE_BEACN", "100");
+    let output = command.output().expect("run nutmeggrade");
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    assert_eq!(errors.lines().count(), 1, "{errors}");
+    assert!(errors.contains("6001") && errors.contains("NUTMEGGRADE_BEACN"), "{errors}");
+}
+
 #[rstest]
 fn check_prints_origins_and_hides_secrets() {
     let output = start(&[&["check"], &GOOD[..]].concat());
