--- /dev/null
+++ b/tests/suite/operators/presets.rs
@@ -0,0 +1,45 @@
+//! A preset says which engines serve a model.
+
+use nutmeggrade_fakes::fleet::{MODEL, Plan, preset};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{fleet, run};
+
+const WHY: [&str; 4] = ["--who", "anna", "--why", "artwork only"];
+
+/// Writes a preset in which one engine alone serves the model, and returns its path.
+fn with_engine(engine: &str) -> anyhow::Result<String> {
+    let mut value = serde_json::to_value(preset()?)?;
+    value["models"][MODEL]["endpoints"] = json!([engine]);
+    let name = format!("nutmeggrade-preset-{engine}-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, value.to_string())?;
+    Ok(path.display().to_string())
+}
+
+// Operators keep an engine for other work. The preset that names the other one is put in force, and
+// no new generation reaches the first.
+#[rstest]
+fn only_the_named_engine_serves() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(1).with_engines(2)).await?;
+        let file = with_engine("engine-1")?;
+        for words in [vec!["preset", "put", "one", &file], vec!["preset", "use", "one"]] {
+            let (code, text) = held.fleet.operate(&[&*words, &WHY].concat()).await?;
+            assert_eq!(code, 0, "{text}");
+        }
+        let caller = held.fleet.caller("staatsbos");
+        for n in 0..4 {
+            let heard = caller.stream(0, "district-sort", &format!("a {n} len=5")).await?;
+            assert!(heard.is_whole(), "{heard:?}");
+        }
+        let runs = held.fleet.log("engine-0").await?["runs"].as_object().map(serde_json::Map::len);
+        assert_eq!(runs, Some(0));
+        let file = with_engine("engine-9")?;
+        let words = ["preset", "put", "other", &file];
+        let (code, text) = held.fleet.operate(&[&*words, &WHY].concat()).await?;
+        assert!(code == 3 && text.contains("5011"), "{text}");
+        Ok(())
+    });
+}
