--- a/tests/suite/operators/presets.rs
+++ b/tests/suite/operators/presets.rs
@@ -38,7 +38,7 @@
         assert_eq!(runs, Some(0));
         let file = with_engine("engine-9")?;
         let words = ["preset", "put", "other", &file];
-        let (code, text) = held.fleet.operate(&[&*words, &WHY].concat()).await?;
+        let (code, text) = held.fleet.operate(&[&words[..], &WHY].concat()).await?;
         assert!(code == 3 && text.contains("5011"), "{text}");
         Ok(())
     });
