--- a/crates/nutmeggrade-fakes/examples/demo.rs
+++ b/crates/nutmeggrade-fakes/examples/demo.rs
@@ -6,27 +6,53 @@
 use anyhow::Context;
 use futures::future::join_all;
 use nutmeggrade_fakes::fleet::{Fleet, Heard, MODEL, Plan, SERVICE};
+use tokio::signal::unix::{SignalKind, signal};
 
 const STREAMS: usize = 24;
 const DOMAIN: &str = "veluwe";
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
-    let keep = std::env::args().any(|a| a == "--keep");
+    let keep = match std::env::args().nth(1).as_deref() {
+        None => false,
+        Some("--keep") => true,
+        Some(other) => anyhow::bail!("usage: demo [--keep], not {other}"),
+    };
+    // Whichever way this ends, the fleet is dropped, and a dropped fleet stops its processes.
+    let fleet = tokio::select! {
+        shown = demo() => shown?,
+        stopped = stopped() => {
+            stopped?;
+            anyhow::bail!("stopped by a signal");
+        }
+    };
+    if keep {
+        print_hints(&fleet)?;
+        stopped().await?;
+    }
+    Ok(())
+}
+
+async fn demo() -> anyhow::Result<Fleet> {
     let fleet = Fleet::start(&Plan::default()).await.context("start the fleet")?;
-    println!("started: platform, 3 engines, 1 service, {} instances", fleet.nodes.len());
-    let entries = fleet.caller("staatsbos").ask_entries(0).await?;
-    println!("entries: {} addresses, first {}", entries.len(), entries[0]);
+    println!("started: platform, 3 engines, 1 service, {} instances\n", fleet.nodes.len());
+    println!("{:<44}seen", "step");
     let outcome = show(&fleet).await?;
     println!(
-        "demo: served {} of {}, duplicated {}, lost {}, ran-twice {}",
+        "\ndemo: served {} of {}, duplicated {}, lost {}, ran-twice {}",
         outcome.served, outcome.asked, outcome.duplicated, outcome.lost, outcome.twice
     );
-    if keep {
-        keep_running(&fleet).await?;
-    }
     anyhow::ensure!(outcome.is_good(), "the demo did not end as it must");
-    Ok(())
+    Ok(fleet)
+}
+
+/// Waits for Ctrl-C or SIGTERM, which end the demo and everything that it started.
+async fn stopped() -> anyhow::Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("handle SIGTERM")?;
+    tokio::select! {
+        _ = term.recv() => Ok(()),
+        pressed = tokio::signal::ctrl_c() => pressed.context("handle Ctrl-C"),
+    }
 }
 
 #[derive(Debug, Default)]
@@ -56,8 +82,15 @@
     }
 }
 
+fn row(step: &str, seen: &str) {
+    println!("{step:<44}{seen}");
+}
+
 async fn show(fleet: &Fleet) -> anyhow::Result<Outcome> {
     let mut outcome = Outcome::default();
+    let entries = fleet.caller("staatsbos").ask_entries(0).await?;
+    row("GET /v1/entries", &format!("{} addresses", entries.len()));
+    anyhow::ensure!(entries.len() == fleet.nodes.len(), "an instance is not among the entries");
     let streams = async {
         let one = |n: usize| async move {
             let caller = fleet.caller(["staatsbos", "gemeente-ede"][n % 2]);
@@ -77,7 +110,7 @@
             }
         }
     }
-    println!("streams: {} of {STREAMS} whole while {DOMAIN} left and returned", outcome.served);
+    row("streams while it left and returned", &format!("{} of {STREAMS} whole", outcome.served));
     issue(fleet, &mut outcome).await?;
     Ok(outcome)
 }
@@ -87,8 +120,8 @@
         let words = ["domain", direction, DOMAIN, "--who", "demo", "--why", "show a change"];
         let (code, text) = fleet.operate(&words).await?;
         anyhow::ensure!(code == 0, "nutmegctl ended with {code}: {text}");
-        let instances = text.lines().filter(|l| l.starts_with("in_force")).count();
-        println!("nutmegctl domain {direction} {DOMAIN}: in force on {instances} instances");
+        let step = format!("nutmegctl domain {direction} {DOMAIN}");
+        row(&step, "accepted and in force everywhere");
     }
     Ok(())
 }
@@ -106,13 +139,14 @@
     let log = fleet.log("service-0").await?;
     let ran = log.get("issue-permit/plot-17").and_then(serde_json::Value::as_u64).unwrap_or(0);
     outcome.twice = ran.saturating_sub(1);
-    let same = first.1 == second.1;
-    println!("issue-permit: asked twice with one key, ran {ran} time(s), same answer: {same}");
-    anyhow::ensure!(same, "the retry got another answer");
+    row("issue-permit twice with one key", &format!("ran {ran} time(s)"));
+    row("lookup-permit", looked.0.as_str());
+    anyhow::ensure!(ran > 0, "the permit was not issued");
+    anyhow::ensure!(first.1 == second.1, "the retry got another answer");
     Ok(())
 }
 
-async fn keep_running(fleet: &Fleet) -> anyhow::Result<()> {
+fn print_hints(fleet: &Fleet) -> anyhow::Result<()> {
     let node = fleet.nodes.values().next().context("no instance")?;
     println!("\nrunning until Ctrl-C; try:");
     println!("  curl http://{}/v1/entries", node.callers);
@@ -129,5 +163,5 @@
         "  NUTMEGGRADE_OPERATOR_TOKEN=operator-token-on-loopback \\\n    target/release/nutmegctl status --platform {}",
         fleet.platform
     );
-    tokio::signal::ctrl_c().await.context("wait for Ctrl-C")
+    Ok(())
 }
