Stop without cutting anybody off

Cause: an instance closed its callers' port after entry-keep, though a peer that had not heard of the leaving could still hand its address out; connections were kept alive to the end; probes and operators lost it as soon as it drained; a caller that reads nothing held its answer for ever, and so a stop; requests that waited were cut off when the process ended. Ruled out: a second SIGTERM as a hurry (supervisors send it twice); trust in retries (below). Change: leaving is told at once and lasts silence + entry-keep; answers then carry connection: close; connections in the listen queue are taken before the port closes; closing tells waiting requests 4002 and waits for calls; the admin port ends last; a second Ctrl-C skips to closing. A caller that takes no byte for write-wait is cut; a body has header-wait to arrive and only 64 large ones are read at a time; connections beyond the limit get 2005 at once.

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -67,6 +67,8 @@
     NotFound = 1013, "not_found", 404;
     /// The idempotency key or the request id is not an id.
     BadHeader = 1014, "bad_header", 400;
+    /// The body did not arrive in time.
+    BodyTimeout = 1015, "body_timeout", 408;
     /// The queue is full for this workspace or in all.
     QueueFull = 2001, "queue_full", 429;
     /// The request can't be served before its deadline.
@@ -75,6 +77,8 @@
     DeadlinePassed = 2003, "deadline_passed", 504;
     /// The caller closed its connection.
     CallerGone = 2004, "caller_gone", 499;
+    /// The instance has as many connections as it takes.
+    TooManyConnections = 2005, "too_many_connections", 503;
     /// No endpoint in service offers what was asked for.
     NoEndpoint = 3001, "no_endpoint", 503;
     /// The endpoint failed before the work was started.
--- a/crates/nutmeggrade-fakes/src/fleet.rs
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -1,12 +1,14 @@
 //! Starts and stops the whole system as separate processes, for the demo and the tests.
 
 mod caller;
+mod client;
 mod deployment;
 mod plan;
 mod process;
 mod running;
 
 pub use caller::{Caller, Heard};
+pub use client::Client;
 pub use deployment::{MODEL, SERVICE, preset};
 pub use plan::Plan;
 pub use process::Process;
--- a/crates/nutmeggrade-fakes/src/fleet/plan.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/plan.rs
@@ -15,6 +15,8 @@
     pub memory: u64,
     /// Further flags for every instance.
     pub flags: Vec<String>,
+    /// Whether the instances reach the platform and the endpoints through relays.
+    pub relayed: bool,
 }
 
 impl Default for Plan {
@@ -28,6 +30,7 @@
             services: 1,
             memory: 40_000,
             flags: Vec::new(),
+            relayed: false,
         }
     }
 }
@@ -62,6 +65,20 @@
         self
     }
 
+    /// Puts a relay before the platform and each endpoint, on which links can fail.
+    #[must_use]
+    pub fn with_relays(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
+
+    /// Sets the failure domains.
+    #[must_use]
+    pub fn with_domains(mut self, domains: &[&str]) -> Self {
+        self.domains = domains.iter().map(ToString::to_string).collect();
+        self
+    }
+
     /// Returns the failure domain of the n-th process of a kind.
     pub fn domain(&self, n: usize) -> &str {
         &self.domains[n % self.domains.len()]
--- a/crates/nutmeggrade-fakes/src/fleet/process.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/process.rs
@@ -39,6 +39,11 @@
         Ok((process, listening.to_owned()))
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to this process alone.
     pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         let pid = i32::try_from(self.child.id()).context("pid")?;
--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::process::ExitStatus;
 use std::time::Duration;
 
 use anyhow::Context;
 use http::Method;
+use nix::sys::signal::Signal;
 use nutmeggrade_core::config::Configuration;
 use nutmeggrade_core::id::{ChangeId, PresetId};
 use nutmeggrade_platform::{HttpPlatform, Platform};
@@ -16,6 +18,7 @@
 use super::process::{Process, programs};
 use super::{Caller, Plan};
 use crate::http::{ask, send};
+use crate::relay::Relay;
 
 /// Secret of the fleet's instances.
 const PEER_KEY: &str = "peer-key-of-a-fleet-on-loopback";
@@ -23,6 +26,7 @@
 const OPERATOR_TOKEN: &str = "operator-token-on-loopback";
 const PATIENCE: Duration = Duration::from_secs(2);
 const READY: Duration = Duration::from_secs(30);
+const STOPPED: Duration = Duration::from_mins(1);
 const POLL: Duration = Duration::from_millis(50);
 
 /// Where one instance listens.
@@ -46,6 +50,7 @@
     pub endpoints: BTreeMap<String, SocketAddr>,
     /// Where each instance listens.
     pub nodes: BTreeMap<String, NodeAddresses>,
+    relays: BTreeMap<String, Relay>,
     processes: BTreeMap<String, Process>,
 }
 
@@ -59,8 +64,10 @@
             platform,
             endpoints: BTreeMap::new(),
             nodes: BTreeMap::new(),
+            relays: BTreeMap::new(),
             processes: BTreeMap::from([("platform".to_owned(), process)]),
         };
+        fleet.relay("platform", platform).await?;
         for n in 0..plan.engines {
             fleet.start_engine(n).await?;
         }
@@ -86,6 +93,11 @@
         HttpPlatform::new(self.platform, PATIENCE)
     }
 
+    /// Returns the relay before the platform or an endpoint.
+    pub fn link(&self, name: &str) -> anyhow::Result<&Relay> {
+        self.relays.get(name).with_context(|| format!("no relay before {name}"))
+    }
+
     /// Returns a process by name, to send it a signal.
     pub fn process(&mut self, name: &str) -> anyhow::Result<&mut Process> {
         self.processes.get_mut(name).with_context(|| format!("no process {name}"))
@@ -138,16 +150,40 @@
         self.start_endpoint(&name, "service", &[], n, &kind).await
     }
 
+    /// Stops an instance as planned and waits until its process ended; returns how it ended.
+    pub async fn stop_node(&mut self, name: &str) -> anyhow::Result<ExitStatus> {
+        self.process(name)?.signal(Signal::SIGTERM)?;
+        self.ended(name).await
+    }
+
+    /// Waits until a process ended; returns how.
+    pub async fn ended(&mut self, name: &str) -> anyhow::Result<ExitStatus> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.process(name)?.ended()? {
+                return Ok(status);
+            }
+            anyhow::ensure!(start.elapsed() < STOPPED, "{name} does not end");
+            sleep(POLL).await;
+        }
+    }
+
     /// Starts the n-th instance; its addresses are new.
     pub fn start_node(&mut self, n: usize) -> anyhow::Result<()> {
+        self.start_node_with_key(n, PEER_KEY)
+    }
+
+    /// Starts the n-th instance with a peer key of its own.
+    pub fn start_node_with_key(&mut self, n: usize, key: &str) -> anyhow::Result<()> {
         let name = format!("node-{n}");
-        let platform = self.platform.to_string();
+        let relay = self.relays.get("platform");
+        let platform = relay.map_or(self.platform, |r| r.address).to_string();
         let mut args = vec!["--instance".to_owned(), name.clone()];
         args.extend(["--domain".to_owned(), self.plan.domain(n).to_owned()]);
         args.extend(["--platform".to_owned(), platform]);
         args.extend(self.plan.flags.iter().cloned());
         let secrets =
-            [("NUTMEGGRADE_PEER_KEY", PEER_KEY), ("NUTMEGGRADE_OPERATOR_TOKEN", OPERATOR_TOKEN)];
+            [("NUTMEGGRADE_PEER_KEY", key), ("NUTMEGGRADE_OPERATOR_TOKEN", OPERATOR_TOKEN)];
         let program = programs()?.join("nutmeggrade");
         let (process, line) = Process::start(&name, &program, &args, &secrets)?;
         let address = |key: &str| {
@@ -212,9 +248,11 @@
     ) -> anyhow::Result<()> {
         let (process, listening) = example(name, program, args)?;
         let address: SocketAddr = listening.parse().context("endpoint address")?;
+        self.relay(name, address).await?;
+        let shown = self.relays.get(name).map_or(address, |r| r.address);
         let mut row = json!({
             "id": name,
-            "address": address,
+            "address": shown,
             "domain": self.plan.domain(n),
             "state": "live",
             "checks_fencing": true,
@@ -230,6 +268,13 @@
         Ok(())
     }
 
+    async fn relay(&mut self, name: &str, target: SocketAddr) -> anyhow::Result<()> {
+        if self.plan.relayed {
+            self.relays.insert(name.to_owned(), Relay::start(target).await?);
+        }
+        Ok(())
+    }
+
     async fn put_preset(&self) -> anyhow::Result<()> {
         let name = PresetId::new("ordinary")?;
         let id = ChangeId::new("first")?;
--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod service;
--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -15,7 +15,7 @@
 use viz::{Request, RequestExt, Router, types};
 
 use crate::front::{Limits, listen};
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 /// Most connections of operators and probes.
 const CONNECTIONS: usize = 64;
@@ -30,7 +30,13 @@
         .get("/status", status::get::<P>)
         .post("/config", config::post::<P>)
         .with(types::State::new(Arc::clone(&node)));
-    let limits = Limits { connections: CONNECTIONS, header_wait: HEADER_WAIT };
+    // Operators and probes follow a planned stop to its end.
+    let limits = Limits {
+        connections: CONNECTIONS,
+        header_wait: HEADER_WAIT,
+        write_wait: node.settings.write_wait,
+        until: Phase::Stopped,
+    };
     listen(socket, router, &limits, node.watch_phase()).await;
 }
 
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -1,11 +1,13 @@
 //! The callers' side: HTTP listener, paths and answers.
 
+mod body;
 mod caller;
 mod completions;
 mod entries;
 mod listener;
 mod reply;
 mod services;
+mod write_limit;
 
 use std::sync::Arc;
 
@@ -13,10 +15,10 @@
 use tokio::net::TcpListener;
 use viz::{Request, RequestExt, Router, types};
 
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 pub use caller::Caller;
-pub use listener::{Limits, listen};
+pub use listener::{Limits, bind, listen};
 pub use reply::{Reply, failure, json, success};
 
 /// Serves callers until the planned stop is over and every connection has ended.
@@ -27,8 +29,12 @@
         .post("/v1/services/:service/:operation", services::post::<P>)
         .any("/*", reply::not_found)
         .with(types::State::new(Arc::clone(&node)));
-    let limits =
-        Limits { connections: node.settings.connections, header_wait: node.settings.header_wait };
+    let limits = Limits {
+        connections: node.settings.connections,
+        header_wait: node.settings.header_wait,
+        write_wait: node.settings.write_wait,
+        until: Phase::Draining,
+    };
     listen(socket, router, &limits, node.watch_phase()).await;
 }
 
--- a/crates/nutmeggrade/src/front/completions.rs
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -8,12 +8,12 @@
 use nutmeggrade_platform::Platform;
 use serde_json::json;
 use viz::types::{Event, Sse};
-use viz::{IntoResponse, Request, RequestLimitsExt, Response};
+use viz::{IntoResponse, Request, Response};
 
 use super::caller::{self, Caller};
-use super::{entries, reply};
+use super::{body, entries, reply};
 use crate::generation::{Chunk, Completion, Item, Session, resume, start, whole};
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::tables::lock;
 
 const PATH: &str = "completions";
@@ -23,10 +23,9 @@
 /// Answers one request for a completion.
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
-    let body = req.bytes_with(None, node.settings.body).await;
-    let result = match body {
+    let result = match body::read(&node, &mut req).await {
         Ok(body) => complete(&node, &req, &body).await,
-        Err(error) => Err(Failure::new(Code::BodyTooLarge, &error.to_string())),
+        Err(failure) => Err(failure),
     };
     let code = reply::success(&result);
     node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
@@ -78,11 +77,22 @@
         resume(node, &caller, &completion.model, &last).await?
     } else {
         node.may_work()?;
-        start(node, &caller, &completion, class.long).await?
+        tokio::select! {
+            started = start(node, &caller, &completion, class.long) => started?,
+            failure = closing(node) => return Err(failure),
+        }
     };
     if completion.stream { Ok(streamed(session)) } else { collected(session).await }
 }
 
+/// Waits until a planned stop lets nothing wait any longer.
+async fn closing<P: Platform>(node: &Node<P>) -> Failure {
+    // The sender lives as long as the node, so the wait can't fail.
+    drop(node.watch_phase().wait_for(|p| *p >= Phase::Closing).await);
+    let failure = Failure::new(Code::Leaving, "this instance stopped; ask another");
+    failure.with_run(Run::Unknown).with_retry_after(node.settings.beacon)
+}
+
 fn task<'a>(
     preset: &'a Preset,
     headers: &http::HeaderMap,
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -6,10 +6,10 @@
 use http_body_util::Full;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
-use viz::{Body, Request, RequestExt, RequestLimitsExt, Response};
+use viz::{Body, Request, RequestExt, Response};
 
 use super::caller::{self, Caller};
-use super::reply;
+use super::{body, reply};
 use crate::node::Node;
 use crate::service::{Answer, Call, run_idempotent, run_once};
 use crate::tables::lock;
@@ -21,10 +21,9 @@
 /// Answers one call of a plain service.
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
-    let body = req.bytes_with(None, node.settings.body).await;
-    let result = match body {
+    let result = match body::read(&node, &mut req).await {
         Ok(body) => serve(&node, &req, body).await,
-        Err(error) => Err(Failure::new(Code::BodyTooLarge, &error.to_string())),
+        Err(failure) => Err(failure),
     };
     let code = reply::success(&result);
     node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -185,7 +185,7 @@
                 Err(_) => Pulled::Broken("stalled".to_owned()),
             },
             () = sleep(left) => Pulled::Late,
-            _ = self.phase.wait_for(|p| *p == Phase::Closing) => Pulled::Closing,
+            _ = self.phase.wait_for(|p| *p >= Phase::Closing) => Pulled::Closing,
         }
     }
 
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -25,6 +25,8 @@
     Draining,
     /// Streams that could not finish are told where to resume.
     Closing,
+    /// Callers are gone; operators and probes are the last.
+    Stopped,
 }
 
 /// One instance, shared by all its workers.
--- a/crates/nutmeggrade/src/server.rs
+++ b/crates/nutmeggrade/src/server.rs
@@ -1,16 +1,17 @@
 //! Starting and stopping an instance.
 
+mod stop;
+
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use nutmeggrade_core::peer::Entry;
-use nutmeggrade_platform::{HttpPlatform, Platform};
-use tokio::net::TcpListener;
+use nutmeggrade_platform::HttpPlatform;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::node::{Node, Phase};
+use crate::node::Node;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::{admin, front, tasks};
@@ -19,8 +20,8 @@
 pub async fn run(settings: &Settings) -> anyhow::Result<()> {
     let mut term = signal(SignalKind::terminate()).context("handle SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).context("handle SIGINT")?;
-    let callers = TcpListener::bind(settings.caller_address).await.context("bind callers")?;
-    let admins = TcpListener::bind(settings.admin_address).await.context("bind admin")?;
+    let callers = front::bind(settings.caller_address).context("callers")?;
+    let admins = front::bind(settings.admin_address).context("admin")?;
     let peers = Arc::new(Peers::new(settings.peer_address, &settings.peer_key)?);
     let entry = Entry {
         instance: settings.instance.clone(),
@@ -35,34 +36,18 @@
     announce(&entry);
     tasks::start(&node, &peers);
     let front = tokio::spawn(front::serve(Arc::clone(&node), callers));
-    tokio::spawn(admin::serve(Arc::clone(&node), admins));
+    let admin = tokio::spawn(admin::serve(Arc::clone(&node), admins));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    stop(&node, front).await;
+    stop::stop(&node, front, &mut int).await;
+    // Operators and probes that are asking now get their answer.
+    drop(timeout(settings.stall, admin).await);
     peers.close();
     Ok(())
 }
 
-/// Stops in the order that cuts nobody off: out of the entries first, then no new work after the
-/// time that callers keep an entry, then streams finish, then the rest is told where to resume.
-async fn stop<P: Platform>(node: &Arc<Node<P>>, front: tokio::task::JoinHandle<()>) {
-    tracing::info!(event = "leaving", instance = %node.entry.instance);
-    node.set_phase(Phase::Leaving);
-    sleep(node.settings.entry_keep).await;
-    node.set_phase(Phase::Draining);
-    let mut front = front;
-    let drained = timeout(node.settings.drain, &mut front).await.is_ok();
-    if !drained {
-        node.set_phase(Phase::Closing);
-        let ended = timeout(node.settings.stall, &mut front).await;
-        tracing::warn!(event = "drain_cut", ended = ended.is_ok());
-    }
-    tasks::unregister(node).await;
-    tracing::info!(event = "stopped", instance = %node.entry.instance, drained);
-}
-
 /// Returns a number that is higher in every later life of an instance.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -47,7 +47,9 @@
         .with_default("4096"),
     Spec::new("body", range("bytes", 1_024, 64 << 20), "largest body of a caller")
         .with_default("1048576"),
-    Spec::new("header-wait", range(MS, 100, 600_000), "most time for a request's head, and idle")
+    Spec::new("header-wait", range(MS, 100, 600_000), "most time for a head, a body, and idle")
+        .with_default("15000"),
+    Spec::new("write-wait", range(MS, 100, 600_000), "most time in which a caller reads nothing")
         .with_default("15000"),
     Spec::new("workers", range("1", 1, 256), "worker threads").with_default("2"),
     Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade=debug")
@@ -103,6 +105,8 @@
     pub body: u64,
     /// Most time for a request's head.
     pub header_wait: Duration,
+    /// Most time in which a caller takes no byte of its answer.
+    pub write_wait: Duration,
     /// Worker threads.
     pub workers: usize,
     /// Log filter.
@@ -158,6 +162,7 @@
             connections: size("connections")?,
             body: values.number("body"),
             header_wait: values.millis("header-wait"),
+            write_wait: values.millis("write-wait"),
             workers: size("workers")?,
             log: values.text("log").to_owned(),
             values,
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_core::peer::Beacon;
 use nutmeggrade_platform::Platform;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
@@ -12,6 +12,7 @@
 
 pub(super) async fn run<P: Platform>(node: Arc<Node<P>>, peers: Arc<Peers>) {
     let mut sequence = 0;
+    let mut phase = node.watch_phase();
     loop {
         sequence += 1;
         let config = lock(&node.tables.config).version();
@@ -23,7 +24,8 @@
             tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
         }
         hear(&node);
-        sleep(node.settings.beacon).await;
+        // A planned stop is told at once, so that peers stop handing out this address.
+        drop(timeout(node.settings.beacon, phase.changed()).await);
     }
 }
 
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,4 +1,6 @@
 //! Real processes: the whole path, and failures brought about on it.
 
 mod bad_input;
+mod planned_stop;
+mod raw;
 mod whole_path;
--- a/tests/suite/support.rs
+++ b/tests/suite/support.rs
@@ -3,9 +3,12 @@
 use nutmeggrade_fakes::fleet::{Fleet, Plan};
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::time::{Duration, Instant, sleep};
 
 /// Fleets of processes that run at a time; more would starve each other of processor time.
 const FLEETS: usize = 3;
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
 
 static SLOTS: Semaphore = Semaphore::const_new(FLEETS);
 
@@ -33,6 +36,19 @@
     }
 }
 
+/// Waits until a condition holds, for far longer than it takes on a busy machine.
+pub async fn until<C>(what: &str, mut holds: C) -> anyhow::Result<()>
+where
+    C: AsyncFnMut() -> anyhow::Result<bool>,
+{
+    let start = Instant::now();
+    while !holds().await? {
+        anyhow::ensure!(start.elapsed() < PATIENCE, "never: {what}");
+        sleep(POLL).await;
+    }
+    Ok(())
+}
+
 /// A fleet with its place among those that may run at a time.
 #[derive(Debug)]
 pub struct Held {
