Bound what strangers can make an instance hold

Cause: the peers' port took memory for a message of any size that a stranger announced: 208,284 kB after 192 MB on one connection (noise_on_every_port_does_no_harm). Anyone could subscribe without limit. Ruled out: the callers' and admin ports, which held up under the same noise. Change: the publishing socket has the message limit too, and takes at most 256 subscribers.

--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -3,7 +3,7 @@
 //! Each instance publishes on one socket and subscribes to every peer on another. Publishing never
 //! waits for a slow or dead peer, and nng connects again by itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use nng::options::{
     LocalAddr, Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendTimeout,
 };
-use nng::{Dialer, Listener, Protocol, Socket, SocketAddr as NngAddr};
+use nng::{Dialer, Listener, Pipe, PipeEvent, Protocol, Socket, SocketAddr as NngAddr};
 use nutmeggrade_core::peer::{Beacon, Entry, MAX_MESSAGE, open, seal};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
@@ -21,6 +21,8 @@
 use crate::node::Node;
 use crate::tables::lock;
 
+/// Most subscribers: a few times the instances that a full mesh is made for.
+const MAX_SUBSCRIBERS: usize = 256;
 const SEND_WAIT: Duration = Duration::from_millis(100);
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 const RECONNECT_MAX: Duration = Duration::from_secs(1);
@@ -40,6 +42,12 @@
     pub fn new(address: SocketAddr, key: &Secret) -> anyhow::Result<Self> {
         let out = Socket::new(Protocol::Pub0).context("open publisher")?;
         out.set_opt::<SendTimeout>(Some(SEND_WAIT)).context("send timeout")?;
+        // Subscribers send nothing, but nng reads what comes, and without a limit takes memory for a
+        // message of any size that a stranger announces: one connection could take it all.
+        out.set_opt::<RecvMaxSize>(MAX_MESSAGE).context("message limit")?;
+        let subscribers = Mutex::new(BTreeSet::new());
+        out.pipe_notify(move |pipe, event| bound(&subscribers, pipe, event))
+            .context("follow subscribers")?;
         let listener = Listener::new(&out, &format!("tcp://{address}"))
             .with_context(|| format!("listen for peers on {address}"))?;
         let inward = Socket::new(Protocol::Sub0).context("open subscriber")?;
@@ -106,6 +114,30 @@
     }
 }
 
+/// Closes connections beyond the limit. Anyone who reaches the port may subscribe, and each
+/// subscriber costs a descriptor and buffers that callers' connections then lack.
+fn bound(subscribers: &Mutex<BTreeSet<Pipe>>, pipe: Pipe, event: PipeEvent) {
+    match event {
+        PipeEvent::AddPre => {
+            let full = {
+                let mut subscribers = lock(subscribers);
+                let full = subscribers.len() >= MAX_SUBSCRIBERS;
+                if !full {
+                    subscribers.insert(pipe);
+                }
+                full
+            };
+            if full {
+                pipe.close();
+            }
+        }
+        PipeEvent::RemovePost => {
+            lock(subscribers).remove(&pipe);
+        }
+        _ => {}
+    }
+}
+
 fn take<P: Platform>(node: &Node<P>, beacon: &Beacon) {
     let now = node.now();
     let fresh = lock(&node.tables.members).hear(beacon, now);
