--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,6 +1,7 @@
 //! Real processes: the whole path, and failures brought about on it.
 
 mod bad_input;
+mod cuts;
 mod limits;
 mod planned_stop;
 mod raw;
