Replay traces from files on real processes

Two traces, one for each deployment, say what callers asked and when, what failed meanwhile and how it ends: whole streams, each call's code, how often each call ran. The fleet takes either deployment's names. The traces were written down by hand from short runs; none is captured from production. Ruled out: a trace that takes out the domain of the only service replica; its calls are rightly refused with 3001, so the permit desk's trace takes out another domain.

--- a/crates/nutmeggrade-fakes/src/fleet.rs
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -9,7 +9,7 @@
 
 pub use caller::{Caller, Heard};
 pub use client::Client;
-pub use deployment::{MODEL, SERVICE, preset};
+pub use deployment::{Deployment, MODEL, SERVICE, preset};
 pub use plan::Plan;
 pub use process::Process;
 pub use running::{Fleet, NodeAddresses};
--- a/crates/nutmeggrade-fakes/src/fleet/caller.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/caller.rs
@@ -12,7 +12,7 @@
 use nutmeggrade_platform::{body_bytes, call};
 use serde_json::{Value, json};
 
-use super::deployment::{MODEL, SERVICE};
+use super::Deployment;
 use crate::http::{ask, send};
 
 const CONNECT: Duration = Duration::from_secs(2);
@@ -50,12 +50,28 @@
 pub struct Caller {
     workspace: String,
     entries: Vec<SocketAddr>,
+    deployment: Deployment,
 }
 
 impl Caller {
-    /// Makes a caller that knows some entries.
+    /// Makes a caller of the permit desk that knows some entries.
     pub fn new(workspace: &str, entries: Vec<SocketAddr>) -> Self {
-        Self { workspace: workspace.to_owned(), entries }
+        let deployment = Deployment::PERMIT_DESK;
+        Self { workspace: workspace.to_owned(), entries, deployment }
+    }
+
+    /// Asks in another workspace.
+    #[must_use]
+    pub fn with_workspace(mut self, workspace: &str) -> Self {
+        workspace.clone_into(&mut self.workspace);
+        self
+    }
+
+    /// Uses another deployment's model and service.
+    #[must_use]
+    pub fn with_deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
+        self
     }
 
     /// Asks the n-th entry which addresses to use.
@@ -94,7 +110,7 @@
         heard: &mut Heard,
         most: Option<usize>,
     ) -> anyhow::Result<()> {
-        let body = json!({ "model": MODEL, "prompt": prompt, "stream": true });
+        let body = json!({ "model": self.deployment.model, "prompt": prompt, "stream": true });
         let mut request = Request::builder()
             .method(Method::POST)
             .uri("/v1/completions")
@@ -144,7 +160,7 @@
         if let Some(key) = key {
             headers.push(("idempotency-key", key));
         }
-        let path = format!("/v1/services/{SERVICE}/{operation}");
+        let path = format!("/v1/services/{}/{operation}", self.deployment.service);
         let body = json!({ "subject": subject }).to_string().into_bytes();
         let (status, bytes) = send(self.entry(n), Method::POST, &path, &headers, body).await?;
         Ok((status, serde_json::from_slice(&bytes).unwrap_or(Value::Null)))
--- a/crates/nutmeggrade-fakes/src/fleet/plan.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/plan.rs
@@ -1,8 +1,12 @@
 //! How many of what to start.
 
+use super::Deployment;
+
 /// How many processes to start and with which settings.
 #[derive(Debug, Clone)]
 pub struct Plan {
+    /// Names of the model, the service and what they do.
+    pub deployment: Deployment,
     /// Failure domains; processes are spread over them in turn.
     pub domains: Vec<String>,
     /// Instances of nutmeggrade.
@@ -22,9 +26,10 @@
 impl Default for Plan {
     /// The Permit Desk's failure domains, seven instances, three engines, one service.
     fn default() -> Self {
-        let domains = ["veluwe", "utrechtse-heuvelrug", "gooi"];
+        let deployment = Deployment::PERMIT_DESK;
         Self {
-            domains: domains.map(ToOwned::to_owned).to_vec(),
+            deployment,
+            domains: deployment.domains.map(ToOwned::to_owned).to_vec(),
             nodes: 7,
             engines: 3,
             services: 1,
@@ -36,6 +41,14 @@
 }
 
 impl Plan {
+    /// Takes another deployment's names and failure domains.
+    #[must_use]
+    pub fn with_deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
+        self.domains = deployment.domains.map(ToOwned::to_owned).to_vec();
+        self
+    }
+
     /// Sets the number of instances.
     #[must_use]
     pub fn with_nodes(mut self, nodes: usize) -> Self {
@@ -72,13 +85,6 @@
         self
     }
 
-    /// Sets the failure domains.
-    #[must_use]
-    pub fn with_domains(mut self, domains: &[&str]) -> Self {
-        self.domains = domains.iter().map(ToString::to_string).collect();
-        self
-    }
-
     /// Returns the failure domain of the n-th process of a kind.
     pub fn domain(&self, n: usize) -> &str {
         &self.domains[n % self.domains.len()]
--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -14,7 +14,6 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use super::deployment::{MODEL, SERVICE, preset};
 use super::process::{Process, programs};
 use super::{Caller, Plan};
 use crate::http::{ask, send};
@@ -85,7 +84,7 @@
     /// Returns a caller that knows every instance's address.
     pub fn caller(&self, workspace: &str) -> Caller {
         let entries = self.nodes.values().map(|n| n.callers).collect();
-        Caller::new(workspace, entries)
+        Caller::new(workspace, entries).with_deployment(self.plan.deployment)
     }
 
     /// Returns a client of the platform.
@@ -139,14 +138,14 @@
         let name = format!("engine-{n}");
         let lag_ms = "300".to_owned();
         let args = ["127.0.0.1:0".to_owned(), lag_ms, self.plan.memory.to_string()];
-        let kind = json!({ "kind": "engine", "models": [MODEL], "memory": self.plan.memory });
+        let kind = json!({ "kind": "engine", "models": [self.plan.deployment.model], "memory": self.plan.memory });
         self.start_endpoint(&name, "engine", &args, n, &kind).await
     }
 
     /// Starts the n-th plain service and lists it in the platform.
     pub async fn start_service(&mut self, n: usize) -> anyhow::Result<()> {
         let name = format!("service-{n}");
-        let kind = json!({ "kind": "service", "service": SERVICE });
+        let kind = json!({ "kind": "service", "service": self.plan.deployment.service });
         self.start_endpoint(&name, "service", &[], n, &kind).await
     }
 
@@ -278,7 +277,8 @@
     async fn put_preset(&self) -> anyhow::Result<()> {
         let name = PresetId::new("ordinary")?;
         let id = ChangeId::new("first")?;
-        let config = Configuration::new(id, "fleet", "first preset", &name, &preset()?);
+        let config =
+            Configuration::new(id, "fleet", "first preset", &name, &self.plan.deployment.preset()?);
         let value = serde_json::to_value(&config).context("encode configuration")?;
         self.client().create(&Configuration::key(1), &value).await?;
         Ok(())
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -5,4 +5,5 @@
 mod limits;
 mod planned_stop;
 mod raw;
+mod traces;
 mod whole_path;
