--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -3,10 +3,13 @@
 //! Nothing here does I/O or reads a clock: events and `now` go in, actions come out. The instance
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
+pub mod audit_log;
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
+pub mod explain_log;
 pub mod fence;
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod recent_changes;
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -5,10 +5,13 @@
 
 use nutmeggrade_core::peer::Entry;
 use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_state::audit_log::AuditLog;
 use nutmeggrade_state::config_table::ConfigTable;
 use nutmeggrade_state::endpoint_table::EndpointTable;
+use nutmeggrade_state::explain_log::ExplainLog;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::recent_changes::RecentChanges;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -33,6 +36,12 @@
     pub fence: Mutex<Fence>,
     /// Requests that wait.
     pub waiters: Mutex<Waiters>,
+    /// What was decided about recent requests.
+    pub explain: Mutex<ExplainLog>,
+    /// Accepted changes that were in force lately.
+    pub changes: Mutex<RecentChanges>,
+    /// What this instance did and refused.
+    pub audit: Mutex<AuditLog>,
 }
 
 impl Tables {
@@ -46,6 +55,9 @@
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
+            explain: Mutex::new(ExplainLog::default()),
+            changes: Mutex::new(RecentChanges::default()),
+            audit: Mutex::new(AuditLog::new(&own.instance, own.incarnation)),
         }
     }
 }
