--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use nutmeggrade_core::config::{CONFIG_PREFIX, Change};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError};
+use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError, newest_config, raise_head};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -16,6 +16,8 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 const POLL: Duration = Duration::from_millis(100);
 const READ_BACKS: u32 = 5;
+/// Versions that one call of a listing returns; each may be as large as a value can be.
+const PAGE: usize = 32;
 
 /// Opens the platform.
 pub fn platform(settings: &Settings) -> HttpPlatform {
@@ -24,15 +26,27 @@
 
 /// Reads the newest configuration; `None` before the first.
 pub async fn current(platform: &HttpPlatform) -> anyhow::Result<Option<Configuration>> {
-    let history = history(platform).await?;
-    Ok(history.into_iter().next_back())
+    let newest = newest_config(platform).await.map_err(|e| down(&e))?;
+    Ok(newest.config)
 }
 
-/// Reads every version of the configuration, oldest first.
+/// Reads every version of the configuration, oldest first, a few a call.
 pub async fn history(platform: &HttpPlatform) -> anyhow::Result<Vec<Configuration>> {
-    let listed = platform.list(CONFIG_PREFIX).await.map_err(|e| down(&e))?;
-    let decode = |value: Value| serde_json::from_value(value).context("decode configuration");
-    listed.objects.into_iter().filter_map(|o| o.value).map(decode).collect()
+    let mut after = CONFIG_PREFIX.to_owned();
+    let mut all = Vec::new();
+    loop {
+        let page = platform.list_after(CONFIG_PREFIX, &after, PAGE).await.map_err(|e| down(&e))?;
+        let count = page.objects.len();
+        if let Some(last) = page.objects.last() {
+            after.clone_from(&last.key);
+        }
+        for value in page.objects.into_iter().filter_map(|o| o.value) {
+            all.push(serde_json::from_value(value).context("decode configuration")?);
+        }
+        if count < PAGE {
+            return Ok(all);
+        }
+    }
 }
 
 /// Makes one change: checked as a whole, written, then seen in force.
@@ -55,6 +69,10 @@
     let next = next.with_time(wall_ms());
     write(&platform, &next).await?;
     println!("accepted version={} change={}", next.version, next.id);
+    if let Err(error) = raise_head(&platform, next.version).await {
+        // The hint only saves reads.
+        eprintln!("hint not raised: {error}");
+    }
     in_force(settings, &platform, &next).await
 }
 
--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -1,7 +1,11 @@
 //! Messages between instances, authenticated with a shared key.
 
+mod assignment;
 mod beacon;
 mod envelope;
+mod sync;
 
-pub use beacon::{Beacon, Entry};
+pub use assignment::{ASSIGNMENT_KEY, Assignment};
+pub use beacon::{Beacon, Echo, Entry};
 pub use envelope::{BadEnvelope, MAX_MESSAGE, WIRE_VERSION, open, seal};
+pub use sync::{SYNC_PATH, SyncReply, SyncRequest, Topic};
--- a/crates/nutmeggrade-core/src/peer/beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/beacon.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::id::{DomainId, EndpointId, InstanceId};
 
@@ -24,7 +26,17 @@
     pub admin_address: SocketAddr,
 }
 
+/// The last heartbeat that an instance heard of a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The peer's incarnation.
+    pub incarnation: u64,
+    /// The heartbeat's number.
+    pub sequence: u64,
+}
+
 /// Heartbeat of an instance: that it lives, what it has in force and what it has in flight.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
     /// The sender.
@@ -37,4 +49,12 @@
     pub leaving: bool,
     /// Requests that the sender has in flight, by endpoint.
     pub in_flight: BTreeMap<EndpointId, u32>,
+    /// How long ago the sender last heard the platform.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "platform_ms", default)]
+    pub platform: Option<Duration>,
+    /// What the sender last heard of each peer. A peer that finds its own heartbeat here knows that
+    /// this one was sent later, however long it lay in a buffer.
+    #[serde(default)]
+    pub echoes: BTreeMap<InstanceId, Echo>,
 }
--- a/crates/nutmeggrade-fakes/src/platform/server.rs
+++ b/crates/nutmeggrade-fakes/src/platform/server.rs
@@ -41,11 +41,19 @@
 struct Under {
     prefix: String,
     #[serde(default)]
+    after: String,
+    #[serde(default = "no_limit")]
+    limit: usize,
+    #[serde(default)]
     since: u64,
     #[serde(default)]
     wait_ms: u64,
 }
 
+const fn no_limit() -> usize {
+    usize::MAX
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -135,7 +143,7 @@
         return Ok(refusal);
     }
     let under: Under = req.query()?;
-    let changes = app.lock().store.list(&under.prefix);
+    let changes = app.lock().store.list(&under.prefix, &under.after, under.limit);
     Ok(Response::json(changes)?)
 }
 
@@ -148,7 +156,7 @@
     let deadline = Instant::now() + Duration::from_millis(under.wait_ms);
     let changes = loop {
         let woken = app.changed.notified();
-        let found = app.lock().store.since(&under.prefix, under.since);
+        let found = app.lock().store.since(&under.prefix, under.since, under.limit);
         if !found.objects.is_empty() || timeout_at(deadline, woken).await.is_err() {
             break found;
         }
--- a/crates/nutmeggrade-fakes/src/platform/store.rs
+++ b/crates/nutmeggrade-fakes/src/platform/store.rs
@@ -41,20 +41,24 @@
         Some(made)
     }
 
-    /// Lists what exists under a prefix.
-    pub fn list(&self, prefix: &str) -> Changes {
-        let objects = self.under(prefix).filter(|(_, s)| s.value.is_some());
-        let objects = objects.map(|(k, s)| object(k, s)).collect();
+    /// Lists at most `limit` of what exists under a prefix, with keys after `after`.
+    pub fn list(&self, prefix: &str, after: &str, limit: usize) -> Changes {
+        let objects = self.under(prefix).filter(|(k, s)| k.as_str() > after && s.value.is_some());
+        let objects = objects.take(limit).map(|(k, s)| object(k, s)).collect();
         Changes { revision: self.revision, objects }
     }
 
-    /// Lists what changed under a prefix after a revision, removed objects included.
-    pub fn since(&self, prefix: &str, revision: u64) -> Changes {
+    /// Lists the first `limit` changes under a prefix after a revision, removed objects included.
+    pub fn since(&self, prefix: &str, revision: u64, limit: usize) -> Changes {
         let mut changed: Vec<_> =
             self.under(prefix).filter(|(_, s)| s.revision > revision).collect();
         changed.sort_by_key(|(_, s)| s.revision);
+        let cut = changed.len() > limit;
+        changed.truncate(limit);
+        let last = changed.last().map(|(_, s)| s.revision);
+        let revision = last.filter(|_| cut).unwrap_or(self.revision);
         let objects = changed.into_iter().map(|(k, s)| object(k, s)).collect();
-        Changes { revision: self.revision, objects }
+        Changes { revision, objects }
     }
 
     fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a String, &'a Stored)> {
--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -50,6 +50,20 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     connect: Duration,
+) -> Result<Response<Incoming>, CallError> {
+    call_if(address, request, connect, || Ok(())).await
+}
+
+/// Sends one request like [`call`], but asks `may_send` once the connection stands, immediately
+/// before the request is handed over; its error proves that nothing was sent.
+///
+/// Connecting takes time, and the process may be frozen meanwhile; a right checked before it may be
+/// gone, and one would notice work on an endpoint that this process may not use any more.
+pub async fn call_if(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    connect: Duration,
+    may_send: impl FnOnce() -> anyhow::Result<()>,
 ) -> Result<Response<Incoming>, CallError> {
     let stream = match timeout(connect, TcpStream::connect(address)).await {
         Ok(Ok(s)) => s,
@@ -68,6 +82,7 @@
         .map_err(|e| CallError::NotSent(e.into()))?;
     // Ends by itself when the sender and the response body are dropped.
     tokio::spawn(connection);
+    may_send().map_err(CallError::NotSent)?;
     sender
         .send_request(request)
         .await
--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -20,6 +20,9 @@
 /// Largest answer that is read: a listing of values of up to a megabyte each.
 const MAX_ANSWER: usize = 64 << 20;
 
+/// Most changes that one watch returns, the earliest first.
+pub const WATCH_LIMIT: usize = 32;
+
 /// The platform's object API over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpPlatform {
@@ -151,13 +154,26 @@
         self.get_some("list", &format!("/list?prefix={prefix}"), self.patience).await
     }
 
+    async fn list_after(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Changes, PlatformError> {
+        let path = format!("/list?prefix={prefix}&after={after}&limit={limit}");
+        self.get_some("list", &path, self.patience).await
+    }
+
     async fn watch(
         &self,
         prefix: &str,
         revision: u64,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let path = format!("/watch?prefix={prefix}&since={revision}&wait_ms={}", wait.as_millis());
+        let wait_ms = wait.as_millis();
+        let path = format!(
+            "/watch?prefix={prefix}&since={revision}&wait_ms={wait_ms}&limit={WATCH_LIMIT}"
+        );
         self.get_some("watch", &path, wait + self.patience).await
     }
 
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -7,11 +7,13 @@
 mod budget;
 mod call;
 mod http_platform;
+mod newest_config;
 mod platform;
 mod platform_error;
 
 pub use budget::Budget;
-pub use call::{CallError, body_bytes, call, json_body};
-pub use http_platform::HttpPlatform;
+pub use call::{CallError, body_bytes, call, call_if, json_body};
+pub use http_platform::{HttpPlatform, WATCH_LIMIT};
+pub use newest_config::{CONFIG_HEAD, ConfigHead, NewestConfig, newest_config, raise_head};
 pub use platform::Platform;
 pub use platform_error::PlatformError;
--- a/crates/nutmeggrade-platform/src/platform.rs
+++ b/crates/nutmeggrade-platform/src/platform.rs
@@ -42,6 +42,14 @@
     /// Lists the objects under a prefix in the order of their keys.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Changes, PlatformError>> + Send;
 
+    /// Lists at most `limit` objects under a prefix whose keys come after `after`.
+    fn list_after(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Changes, PlatformError>> + Send;
+
     /// Waits at most `wait` for changes under a prefix after `revision`.
     fn watch(
         &self,
--- /dev/null
+++ b/crates/nutmeggrade-state/src/cold_load.rs
@@ -0,0 +1,121 @@
+//! What one endpoint holds, from its own reports and from this instance's own generations.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmeggrade_core::prelude::*;
+
+/// Age from which a report no longer shows that an endpoint is warm.
+const STALE: Duration = Duration::from_secs(5);
+
+/// One generation's place on an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Seat(pub u64);
+
+/// What an endpoint said of itself, as of a moment on this instance's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sight {
+    /// Earliest moment at which the numbers can have been taken.
+    pub taken: Moment,
+    /// Generations that it held, running or waiting.
+    pub held: u32,
+    /// Whether it was in cold start.
+    pub cold: bool,
+    /// Most generations that it bears while cold.
+    pub limit: u32,
+}
+
+#[derive(Debug, Default)]
+struct Stay {
+    started: Option<Moment>,
+    left: Option<Moment>,
+}
+
+/// What one endpoint holds.
+///
+/// Its reports lag. A generation that this instance gave it after the report was taken is not in the
+/// report, one that ended since still is, and what an earlier owner gave it may run on for long.
+/// Counted from one side alone the endpoint would get too much; so everything that the report can't
+/// prove to be this instance's own counts as somebody else's, and a place that was given back counts
+/// until a later report.
+#[derive(Debug, Default)]
+pub struct ColdLoad {
+    sight: Option<Sight>,
+    stays: BTreeMap<Seat, Stay>,
+}
+
+impl ColdLoad {
+    /// Takes a report unless a later one is known.
+    pub fn see(&mut self, sight: Sight) {
+        if self.sight.is_some_and(|s| s.taken > sight.taken) {
+            return;
+        }
+        self.sight = Some(sight);
+        self.stays.retain(|_, stay| stay.left.is_none_or(|at| at >= sight.taken));
+    }
+
+    /// Forgets the last report.
+    pub const fn lose_sight(&mut self) {
+        self.sight = None;
+    }
+
+    /// Says whether the endpoint must be taken for cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.sight.is_none_or(|s| s.cold || now.since(s.taken) > STALE)
+    }
+
+    /// Returns how many generations of this instance it holds.
+    pub fn own(&self) -> u32 {
+        count(self.stays.values().filter(|s| s.left.is_none()))
+    }
+
+    /// Says whether it holds nothing of this instance.
+    pub fn is_empty(&self) -> bool {
+        self.stays.is_empty()
+    }
+
+    /// Returns how many more it bears while cold; none before a report taken after `since`, because
+    /// only that shows what earlier owners left on it.
+    pub fn room(&self, since: Moment) -> u32 {
+        let Some(sight) = self.sight.filter(|s| s.taken >= since) else { return 0 };
+        sight.limit.saturating_sub(self.taken_by(sight))
+    }
+
+    /// Says whether what it holds at most is within its limit.
+    pub fn fits(&self, since: Moment) -> bool {
+        self.sight.is_some_and(|s| s.taken >= since && self.taken_by(s) <= s.limit)
+    }
+
+    /// Counts a generation.
+    pub fn sit(&mut self, seat: Seat) {
+        self.stays.insert(seat, Stay::default());
+    }
+
+    /// Notes that the endpoint surely holds the generation from `now` on.
+    pub fn note_started(&mut self, seat: Seat, now: Moment) {
+        if let Some(stay) = self.stays.get_mut(&seat) {
+            stay.started.get_or_insert(now);
+        }
+    }
+
+    /// Notes that the generation was ended or given up.
+    pub fn leave(&mut self, seat: Seat, now: Moment) {
+        if let Some(stay) = self.stays.get_mut(&seat) {
+            stay.left.get_or_insert(now);
+        }
+    }
+
+    fn taken_by(&self, sight: Sight) -> u32 {
+        let surely = |s: &&Stay| {
+            let inside = s.started.is_some_and(|at| at < sight.taken);
+            inside && s.left.is_none_or(|at| at > sight.taken)
+        };
+        let in_report = count(self.stays.values().filter(surely));
+        let others = sight.held.saturating_sub(in_report);
+        others.saturating_add(count(self.stays.values()))
+    }
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u32 {
+    u32::try_from(items.count()).unwrap_or(u32::MAX)
+}
--- a/crates/nutmeggrade-state/src/config_table.rs
+++ b/crates/nutmeggrade-state/src/config_table.rs
@@ -1,6 +1,7 @@
 //! The configuration in force on this instance.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
 
@@ -15,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct ConfigTable {
     current: Option<Arc<Configuration>>,
+    highest: u64,
+    behind: Option<Moment>,
 }
 
 impl ConfigTable {
@@ -30,10 +33,36 @@
             return false;
         }
         self.current = Some(Arc::new(offered.clone()));
+        if offered.version >= self.highest {
+            self.behind = None;
+        }
         invariant::check(self.version() > before, "config_never_reverts");
         true
     }
 
+    /// Notes that a peer has a version in force; says whether it is higher than the one here.
+    pub fn note(&mut self, version: u64, now: Moment) -> bool {
+        self.highest = self.highest.max(version);
+        let behind = self.highest > self.version();
+        if behind {
+            self.behind.get_or_insert(now);
+        }
+        behind
+    }
+
+    /// Returns the highest version known to be in force somewhere, if it is not in force here.
+    pub fn wanted(&self) -> Option<u64> {
+        (self.highest > self.version()).then_some(self.highest)
+    }
+
+    /// Says whether this instance has known for longer than `limit` that its version is old.
+    ///
+    /// It hears peers and so is not cut off, yet can't get what they have; it would go on sending
+    /// work into what operators took out, so it must stop.
+    pub fn is_behind(&self, limit: Duration, now: Moment) -> bool {
+        self.behind.is_some_and(|at| now.since(at) > limit)
+    }
+
     /// Returns the version in force, 0 for none.
     pub fn version(&self) -> u64 {
         self.current.as_ref().map_or(0, |c| c.version)
--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -38,6 +38,13 @@
         self.listed = listed;
     }
 
+    /// Takes a peer's list if there is none yet.
+    pub fn start_with(&mut self, list: &[Endpoint]) {
+        if self.listed.is_empty() {
+            self.set_list(list);
+        }
+    }
+
     /// Takes over what operators have out.
     pub fn set_config(&mut self, config: &Configuration) {
         self.out_domains.clone_from(&config.out_domains);
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here does I/O or reads a clock: events and `now` go in, actions come out. The instance
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
+pub mod cold_load;
+pub mod cold_rights;
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
--- a/crates/nutmeggrade-state/src/membership.rs
+++ b/crates/nutmeggrade-state/src/membership.rs
@@ -1,11 +1,14 @@
 //! The instances of the system as this one sees them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{Beacon, Entry};
+use nutmeggrade_core::peer::{Beacon, Echo, Entry};
 use nutmeggrade_core::prelude::*;
 
+/// Own heartbeats whose time of sending is remembered; an older echo counts for nothing.
+const SENT: usize = 128;
+
 #[derive(Debug, Clone)]
 struct Peer {
     entry: Entry,
@@ -14,6 +17,17 @@
     config: u64,
     leaving: bool,
     in_flight: BTreeMap<EndpointId, u32>,
+    platform: Option<Duration>,
+    as_of: Option<Moment>,
+}
+
+/// An instance that may be a member of the next epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Whether it can write the epoch.
+    pub hears_platform: bool,
 }
 
 /// Peers, when each was last heard, and what it said.
@@ -22,12 +36,13 @@
     own: Entry,
     silence: Duration,
     peers: BTreeMap<InstanceId, Peer>,
+    sent: VecDeque<(u64, Moment)>,
 }
 
 impl Membership {
     /// Makes a table with no peers; one silent for longer than `silence` counts as gone.
     pub fn new(own: &Entry, silence: Duration) -> Self {
-        Self { own: own.clone(), silence, peers: BTreeMap::new() }
+        Self { own: own.clone(), silence, peers: BTreeMap::new(), sent: VecDeque::new() }
     }
 
     /// Returns this instance's own entry.
@@ -51,6 +66,8 @@
             config: 0,
             leaving: false,
             in_flight: BTreeMap::new(),
+            platform: None,
+            as_of: None,
         };
         self.peers.insert(entry.instance.clone(), peer);
         true
@@ -77,9 +94,58 @@
         peer.config = beacon.config;
         peer.leaving = beacon.leaving;
         peer.in_flight.clone_from(&beacon.in_flight);
+        peer.platform = beacon.platform;
+        let echo = beacon.echoes.get(&self.own.instance);
+        let echo = echo.filter(|e| e.incarnation == self.own.incarnation);
+        let sent = echo.and_then(|e| self.sent.iter().find(|(n, _)| *n == e.sequence));
+        peer.as_of = peer.as_of.max(sent.map(|(_, at)| *at));
         true
     }
 
+    /// Notes when an own heartbeat is about to be sent.
+    pub fn note_sent(&mut self, sequence: u64, now: Moment) {
+        self.sent.push_back((sequence, now));
+        if self.sent.len() > SENT {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Lists the last heartbeat heard of each peer, for the next own one.
+    pub fn echoes(&self) -> BTreeMap<InstanceId, Echo> {
+        let echo = |p: &Peer| Echo { incarnation: p.entry.incarnation, sequence: p.sequence };
+        let heard = self.peers.iter().filter(|(_, p)| p.heard.is_some());
+        heard.map(|(instance, p)| (instance.clone(), echo(p))).collect()
+    }
+
+    /// Returns the moment as of which this instance was together with more than half of `size`
+    /// instances, itself included; `None` if it never was.
+    ///
+    /// A peer counts as of the own heartbeat that it answered, not as of the arrival of its word: a
+    /// process that was frozen finds minutes of old heartbeats in its buffers, and by their arrival
+    /// all peers would seem to be there.
+    pub fn together_since(&self, size: usize) -> Option<Moment> {
+        let mut answered: Vec<Moment> = self.peers.values().filter_map(|p| p.as_of).collect();
+        answered.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = (size / 2).max(1);
+        answered.get(needed - 1).copied()
+    }
+
+    /// Counts the instances that are known, this one included.
+    pub fn known(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Lists the peers that may be members of the next epoch, and which of them heard the platform
+    /// within `patience`.
+    pub fn candidates(&self, patience: Duration, now: Moment) -> BTreeMap<InstanceId, Candidate> {
+        let candidate = |p: &Peer| Candidate {
+            incarnation: p.entry.incarnation,
+            hears_platform: p.platform.is_some_and(|age| age <= patience),
+        };
+        let open = self.heard_lately(now).filter(|p| !p.leaving);
+        open.map(|p| (p.entry.instance.clone(), candidate(p))).collect()
+    }
+
     /// Lists the peers heard lately.
     pub fn live(&self, now: Moment) -> Vec<&Entry> {
         self.heard_lately(now).map(|p| &p.entry).collect()
@@ -96,9 +162,10 @@
             || self.heard_lately(now).any(|p| p.entry.instance == *instance)
     }
 
-    /// Returns the highest configuration version that a peer has in force.
-    pub fn highest_config(&self) -> u64 {
-        self.peers.values().map(|p| p.config).max().unwrap_or(0)
+    /// Lists the peers that have at least this version of the configuration in force.
+    pub fn holders(&self, version: u64) -> Vec<Entry> {
+        let holders = self.peers.values().filter(|p| p.config >= version);
+        holders.map(|p| p.entry.clone()).collect()
     }
 
     /// Lists what version each live instance has in force.
--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -4,11 +4,13 @@
 mod health;
 mod metrics;
 mod status;
+mod sync;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::header;
+use nutmeggrade_core::peer::SYNC_PATH;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::net::TcpListener;
@@ -29,6 +31,7 @@
         .get("/metrics", metrics::get::<P>)
         .get("/status", status::get::<P>)
         .post("/config", config::post::<P>)
+        .post(SYNC_PATH, sync::post::<P>)
         .with(types::State::new(Arc::clone(&node)));
     let limits = Limits { connections: CONNECTIONS, header_wait: HEADER_WAIT };
     listen(socket, router, &limits, node.watch_phase()).await;
--- a/crates/nutmeggrade/src/admin/status.rs
+++ b/crates/nutmeggrade/src/admin/status.rs
@@ -1,5 +1,6 @@
 //! `GET /status`: what this instance sees.
 
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use serde_json::json;
 use viz::Request;
@@ -16,10 +17,19 @@
     let now = node.now();
     let config = lock(&node.tables.config).current();
     let peers = lock(&node.tables.members).configs(now);
-    let endpoints: Vec<_> = {
+    let (epoch, endpoints) = {
         let table = lock(&node.tables.endpoints);
-        let row = |e| json!({ "endpoint": e, "in_service": table.in_service(e) });
-        table.all().map(row).collect()
+        let rights = lock(&node.tables.rights);
+        let row = |e: &Endpoint| {
+            json!({
+                "endpoint": e,
+                "in_service": table.in_service(e),
+                "owner_epoch": rights.owner_epoch(&e.id, now),
+                "cold_right": rights.cold_right(&e.id, now),
+            })
+        };
+        let rows: Vec<_> = table.all().map(row).collect();
+        (rights.epoch(), rows)
     };
     let (in_flight, waiting) = {
         let scheduler = lock(&node.tables.scheduler);
@@ -32,6 +42,7 @@
         "preset": config.as_ref().map(|c| c.active.clone()),
         "out_domains": config.as_ref().map(|c| c.out_domains.clone()),
         "out_endpoints": config.as_ref().map(|c| c.out_endpoints.clone()),
+        "epoch": epoch,
         "peers": peers,
         "endpoints": endpoints,
         "in_flight": in_flight,
--- /dev/null
+++ b/crates/nutmeggrade/src/admin/sync.rs
@@ -0,0 +1,52 @@
+//! `POST /peer/sync`: what a peer asks for when it can't ask the platform.
+
+use nutmeggrade_core::peer::{MAX_MESSAGE, SyncReply, SyncRequest, Topic, open, seal};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::Platform;
+use viz::{Request, RequestLimitsExt, Response};
+
+use crate::front::{Reply, failure};
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Answers a question that carries the peers' key; the asker becomes known here by it.
+pub async fn post<P: Platform>(mut req: Request) -> Reply {
+    let node = super::node::<P>(&req)?;
+    let body = match req.bytes_with(None, MAX_MESSAGE as u64).await {
+        Ok(body) => body,
+        Err(e) => return Ok(failure(&Failure::new(Code::BodyTooLarge, &e.to_string()))),
+    };
+    let key = node.peer_key();
+    let request = match open::<SyncRequest>(&body, &key) {
+        Ok(request) => request,
+        Err(reason) => {
+            let reason = reason.to_string();
+            node.metrics.dropped.with_label_values(&[reason.as_str()]).inc();
+            return Ok(failure(&Failure::new(Code::BadToken, "not a message of a peer")));
+        }
+    };
+    node.meet(&request.entry);
+    match seal(&answer(&node, request.topic), &key) {
+        Ok(frame) => Ok(Response::new(http_body_util::Full::from(frame).into())),
+        Err(e) => Ok(failure(&Failure::new(Code::NotReady, &e.to_string()))),
+    }
+}
+
+fn answer<P: Platform>(node: &Node<P>, topic: Topic) -> SyncReply {
+    match topic {
+        Topic::Config => {
+            let config = lock(&node.tables.config).current();
+            SyncReply { config: config.map(|c| (*c).clone()), ..SyncReply::default() }
+        }
+        Topic::Fleet => {
+            let entries = {
+                let members = lock(&node.tables.members);
+                let live = members.live(node.now()).into_iter().cloned();
+                live.chain([node.entry.clone()]).collect()
+            };
+            let endpoints = lock(&node.tables.endpoints).all().cloned().collect();
+            let assignment = lock(&node.tables.rights).assignment().cloned();
+            SyncReply { config: None, assignment, entries, endpoints }
+        }
+    }
+}
--- a/crates/nutmeggrade/src/engine_client.rs
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{body_bytes, call, json_body};
+use nutmeggrade_platform::{body_bytes, call, call_if, json_body};
 use tokio::time::timeout;
 
 /// Largest load report, in bytes.
@@ -69,8 +69,13 @@
         Self { connect }
     }
 
-    /// Starts a generation.
-    pub async fn start(&self, address: SocketAddr, order: &Generate) -> anyhow::Result<Tokens> {
+    /// Starts a generation if `may_send` agrees immediately before the order goes out.
+    pub async fn start(
+        &self,
+        address: SocketAddr,
+        order: &Generate,
+        may_send: impl FnOnce() -> anyhow::Result<()>,
+    ) -> anyhow::Result<Tokens> {
         let request = Request::builder()
             .method(Method::POST)
             .uri(GENERATIONS_PATH)
@@ -78,7 +83,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(json_body(order)?)
             .context("build request")?;
-        let response = call(address, request, self.connect).await?;
+        let response = call_if(address, request, self.connect, may_send).await?;
         anyhow::ensure!(response.status().is_success(), "engine answered {}", response.status());
         Ok(Tokens::new(response.into_body()))
     }
--- a/crates/nutmeggrade/src/generation/admission.rs
+++ b/crates/nutmeggrade/src/generation/admission.rs
@@ -5,8 +5,10 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End, Ticket, Verdict};
+use nutmeggrade_state::cold_load::Seat;
 use tokio::sync::oneshot;
 
+use super::SeatHold;
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -19,6 +21,8 @@
     pub endpoint: EndpointId,
     /// Higher is preempted later.
     pub priority: i32,
+    /// Its place on that engine.
+    pub seat: SeatHold<P>,
     end: End,
 }
 
@@ -85,7 +89,8 @@
     match verdict {
         Verdict::Go { endpoint, priority } => {
             let node = Arc::clone(node);
-            Ok(Placement { node, ticket, endpoint, priority, end: End::Cancelled })
+            let seat = SeatHold::new(&node, &endpoint, Seat(ticket.0));
+            Ok(Placement { node, ticket, endpoint, priority, seat, end: End::Cancelled })
         }
         Verdict::Refuse { code, retry_after } => {
             Err(Failure::new(code, "not let in").with_retry_after(retry_after))
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -10,9 +10,9 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use super::{Completion, Placement, Session, admit};
+use super::{Completion, Placement, SEAT_PAUSE, Session, admit};
 use crate::engine_client::{EngineError, Tokens};
 use crate::front::Caller;
 use crate::node::Node;
@@ -43,7 +43,8 @@
         deadline: caller.deadline,
         avoid: BTreeSet::new(),
     };
-    for _ in 0..ATTEMPTS {
+    let mut attempts = 0;
+    while attempts < ATTEMPTS {
         ask.ticket = node.ticket();
         let mut placement = admit(node, &ask).await?;
         let endpoint = placement.endpoint.clone();
@@ -55,7 +56,13 @@
                     .with_first(first)
                     .with_placement(placement));
             }
+            // Nothing was sent; what the load or the rights were at admission changed since.
+            Err(_) if placement.seat.was_refused() => {
+                drop(placement);
+                sleep(SEAT_PAUSE).await;
+            }
             Err(error) => {
+                attempts += 1;
                 tracing::warn!(
                     event = "attempt_failed",
                     request = %caller.request,
@@ -92,10 +99,12 @@
         priority: placement.priority,
     };
     let left = caller.deadline.since(node.now());
+    let may_send = || Ok(placement.seat.take()?);
     let exchange = async {
-        let mut tokens = node.engines.start(address, &order).await?;
+        let mut tokens = node.engines.start(address, &order, may_send).await?;
         let first = tokens.next().await?.context("stream ended before its first token")?;
         anyhow::ensure!(first.generation == order.generation, "crossed answer");
+        placement.seat.note_started();
         anyhow::Ok((address, tokens, first))
     };
     let result = timeout(left, exchange).await.context("no first token before the deadline");
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -1,5 +1,6 @@
 //! One instance: its settings, tables, clients and counters.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use nutmeggrade_core::peer::Entry;
@@ -11,6 +12,7 @@
 use crate::clock::Clock;
 use crate::engine_client::EngineClient;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
 
@@ -40,6 +42,8 @@
     pub tables: Tables,
     /// The platform's object API.
     pub platform: P,
+    /// Sockets towards the peers.
+    pub peers: Arc<Peers>,
     /// Client of the model engines.
     pub engines: EngineClient,
     /// Counters.
@@ -52,13 +56,19 @@
 
 impl<P: Platform> Node<P> {
     /// Makes an instance that serves nothing yet.
-    pub fn new(settings: &Settings, entry: &Entry, platform: P) -> anyhow::Result<Self> {
+    pub fn new(
+        settings: &Settings,
+        entry: &Entry,
+        platform: P,
+        peers: &Arc<Peers>,
+    ) -> anyhow::Result<Self> {
         Ok(Self {
             settings: settings.clone(),
             entry: entry.clone(),
             clock: Clock::new(),
             tables: Tables::new(settings, entry, entry.incarnation),
             platform,
+            peers: Arc::clone(peers),
             engines: EngineClient::new(settings.connect),
             metrics: Metrics::new()?,
             event_key: settings.peer_key.key("event ids"),
@@ -98,17 +108,61 @@
             let failure = Failure::new(Code::Leaving, "this instance is leaving");
             return Err(failure.with_retry_after(self.settings.beacon));
         }
-        if lock(&self.tables.config).version() == 0 {
+        self.is_current()
+    }
+
+    /// Says whether the configuration in force here can be trusted, and why not.
+    fn is_current(&self) -> Result<(), Failure> {
+        let (version, is_behind) = {
+            let config = lock(&self.tables.config);
+            (config.version(), config.is_behind(self.settings.fence, self.now()))
+        };
+        if version == 0 {
             let failure = Failure::new(Code::NotReady, "no configuration yet");
             return Err(failure.with_retry_after(self.settings.fence));
         }
+        if is_behind {
+            let failure = Failure::new(Code::Fenced, "peers have a newer configuration in force");
+            return Err(failure.with_retry_after(self.settings.fence));
+        }
         if lock(&self.tables.fence).is_closed(self.now()) {
-            let failure = Failure::new(Code::Fenced, "cut off from the platform and all peers");
+            let failure = Failure::new(Code::Fenced, "cut off from the platform and most peers");
             return Err(failure.with_retry_after(self.settings.fence));
         }
         Ok(())
     }
 
+    /// Says whether work may be sent to an endpoint now; the last check before its first byte.
+    ///
+    /// Admission decided some time ago: the request waited, connected, or the process was frozen in
+    /// between. What was taken out meanwhile would get work after all; one would notice requests in
+    /// the endpoint's log long after the change.
+    pub fn may_send(&self, endpoint: &EndpointId) -> Result<(), Failure> {
+        self.is_current()?;
+        let in_service = {
+            let table = lock(&self.tables.endpoints);
+            table.get(endpoint).is_some_and(|e| table.in_service(e))
+        };
+        if in_service {
+            return Ok(());
+        }
+        let failure = Failure::new(Code::NoEndpoint, "the endpoint was taken out of service");
+        Err(failure.with_retry_after(self.settings.beacon))
+    }
+
+    /// Returns the key that authenticates questions between peers.
+    pub fn peer_key(&self) -> [u8; 32] {
+        self.settings.peer_key.key("peer messages")
+    }
+
+    /// Learns of an instance and subscribes to its heartbeats.
+    pub fn meet(&self, entry: &Entry) {
+        let is_new = lock(&self.tables.members).learn(entry);
+        if is_new && let Err(error) = self.peers.subscribe(entry) {
+            tracing::warn!(event = "subscribe_failed", peer = %entry.instance, %error);
+        }
+    }
+
     /// Puts a configuration in force if it is newer; says whether it was.
     pub fn offer_config(&self, config: &Configuration, source: &str) -> bool {
         let taken = {
@@ -142,22 +196,25 @@
     pub fn sync_engines(&self) {
         let sharers = lock(&self.tables.members).live(self.now()).len() + 1;
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+        let now = self.now();
         let engines: Vec<Engine> = {
             let table = lock(&self.tables.endpoints);
-            table.usable().filter_map(|e| engine(e, sharers)).collect()
+            let rights = lock(&self.tables.rights);
+            let right = |e: &Endpoint| rights.cold_right(&e.id, now);
+            table.usable().filter_map(|e| engine(e, sharers, right(e))).collect()
         };
         lock(&self.tables.scheduler).set_engines(&engines, self.now());
     }
 }
 
-fn engine(endpoint: &Endpoint, sharers: u32) -> Option<Engine> {
+fn engine(endpoint: &Endpoint, sharers: u32, cold_right: u32) -> Option<Engine> {
     let EndpointKind::Engine { models, memory } = &endpoint.kind else { return None };
     Some(Engine {
         id: endpoint.id.clone(),
         domain: endpoint.domain.clone(),
         models: models.clone(),
         memory: *memory,
-        cold_right: 0,
+        cold_right,
         sharers,
     })
 }
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -108,8 +108,17 @@
 
 fn take<P: Platform>(node: &Node<P>, beacon: &Beacon) {
     let now = node.now();
-    let fresh = lock(&node.tables.members).hear(beacon, now);
+    node.meet(&beacon.entry);
+    let size = lock(&node.tables.rights).assignment().map_or(0, |a| a.members.len());
+    let (fresh, together) = {
+        let mut members = lock(&node.tables.members);
+        let fresh = members.hear(beacon, now);
+        // Without an assignment all instances that are known count.
+        let size = if size == 0 { members.known() } else { size };
+        (fresh, members.together_since(size))
+    };
     if fresh {
-        lock(&node.tables.fence).hear(now);
+        lock(&node.tables.config).note(beacon.config, now);
+        lock(&node.tables.fence).hear_peers(together);
     }
 }
--- a/crates/nutmeggrade/src/server.rs
+++ b/crates/nutmeggrade/src/server.rs
@@ -31,7 +31,7 @@
         admin_address: admins.local_addr().context("admin address")?,
     };
     let platform = HttpPlatform::new(settings.platform, settings.platform_wait);
-    let node = Arc::new(Node::new(settings, &entry, platform)?);
+    let node = Arc::new(Node::new(settings, &entry, platform, &peers)?);
     announce(&entry);
     tasks::start(&node, &peers);
     let front = tokio::spawn(front::serve(Arc::clone(&node), callers));
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -7,7 +7,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, body_bytes, call as send};
+use nutmeggrade_platform::{Platform, body_bytes, call_if};
 use tokio::time::timeout;
 
 use super::{Answer, Call};
@@ -54,7 +54,7 @@
     };
     avoid.insert(picked.id.clone());
     let left = call.caller.deadline.since(node.now());
-    let ended = timeout(left, exchange(node, call, picked.address)).await;
+    let ended = timeout(left, exchange(node, call, &picked)).await;
     Ok(ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned())))
 }
 
@@ -74,7 +74,9 @@
     Some(Picked { node, id, address })
 }
 
-async fn exchange<P: Platform>(node: &Node<P>, call: &Call, address: SocketAddr) -> Attempt {
+async fn exchange<P: Platform>(node: &Node<P>, call: &Call, picked: &Picked<'_, P>) -> Attempt {
+    let address = picked.address;
+    let may_send = || Ok(node.may_send(&picked.id)?);
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("/call/{}", call.operation))
@@ -86,7 +88,7 @@
         Ok(request) => request,
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
-    let response = match send(address, request, node.settings.connect).await {
+    let response = match call_if(address, request, node.settings.connect, may_send).await {
         Ok(response) => response,
         Err(error) if error.not_sent() => return Attempt::NotRun(error.to_string()),
         Err(error) => return Attempt::Lost(error.to_string()),
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -29,6 +29,8 @@
         .with_default("2000"),
     Spec::new("fence", range(MS, 500, 60_000), "silence of all sides after which work is refused")
         .with_default("3000"),
+    Spec::new("lease", range(MS, 200, 60_000), "how long a confirmed right to an endpoint counts")
+        .with_default("2000"),
     Spec::new("refresh", range(MS, 50, 60_000), "time between looks at the list of endpoints")
         .with_default("500"),
     Spec::new("poll", range(MS, 20, 10_000), "time between load reports of an engine")
@@ -50,6 +52,12 @@
     Spec::new("header-wait", range(MS, 100, 600_000), "most time for a request's head, and idle")
         .with_default("15000"),
     Spec::new("workers", range("1", 1, 256), "worker threads").with_default("2"),
+    Spec::new(
+        "seeds",
+        Kind::Text,
+        "admin addresses of instances to ask while the platform is down",
+    )
+    .with_default(""),
     Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade=debug")
         .with_default("info"),
 ];
@@ -87,6 +95,8 @@
     pub silence: Duration,
     /// Silence of all sides after which work is refused.
     pub fence: Duration,
+    /// How long a confirmed right to an endpoint counts.
+    pub lease: Duration,
     /// Time between looks at the list of endpoints.
     pub refresh: Duration,
     /// Time between load reports.
@@ -105,6 +115,8 @@
     pub header_wait: Duration,
     /// Worker threads.
     pub workers: usize,
+    /// Admin addresses of instances to ask while the platform is down.
+    pub seeds: Vec<SocketAddr>,
     /// Log filter.
     pub log: String,
     values: Values,
@@ -150,6 +162,7 @@
             beacon: values.millis("beacon"),
             silence: values.millis("silence"),
             fence: values.millis("fence"),
+            lease: values.millis("lease"),
             refresh: values.millis("refresh"),
             poll: values.millis("poll"),
             connect: values.millis("connect"),
@@ -159,8 +172,15 @@
             body: values.number("body"),
             header_wait: values.millis("header-wait"),
             workers: size("workers")?,
+            seeds: seeds(values.text("seeds"))?,
             log: values.text("log").to_owned(),
             values,
         })
     }
 }
+
+fn seeds(text: &str) -> anyhow::Result<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    let parse = |s: &str| s.parse().with_context(|| format!("--seeds: {s:?} is not ip:port"));
+    parts.map(parse).collect()
+}
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -5,6 +5,7 @@
 
 use nutmeggrade_core::peer::Entry;
 use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_state::cold_rights::ColdRights;
 use nutmeggrade_state::config_table::ConfigTable;
 use nutmeggrade_state::endpoint_table::EndpointTable;
 use nutmeggrade_state::fence::Fence;
@@ -25,6 +26,8 @@
     pub members: Mutex<Membership>,
     /// Endpoints.
     pub endpoints: Mutex<EndpointTable>,
+    /// Rights to cold endpoints, under a lease.
+    pub rights: Mutex<ColdRights>,
     /// Admission and routing of generations.
     pub scheduler: Mutex<Scheduler>,
     /// Routing of service calls.
@@ -42,6 +45,7 @@
             config: Mutex::new(ConfigTable::new()),
             members: Mutex::new(Membership::new(own, settings.silence)),
             endpoints: Mutex::new(EndpointTable::new()),
+            rights: Mutex::new(ColdRights::new(&own.instance, own.incarnation)),
             scheduler: Mutex::new(Scheduler::new(seed)),
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -1,11 +1,13 @@
 //! Background tasks of an instance.
 
 mod beacon;
+mod catch_up;
 mod config_watch;
 mod endpoint_refresh;
 mod load_poll;
 mod registration;
 mod release;
+mod rights;
 
 use std::sync::Arc;
 
@@ -19,6 +21,8 @@
 /// Starts every background task.
 pub fn start<P: Platform>(node: &Arc<Node<P>>, peers: &Arc<Peers>) {
     tokio::spawn(config_watch::run(Arc::clone(node)));
+    tokio::spawn(catch_up::run(Arc::clone(node)));
+    tokio::spawn(rights::run(Arc::clone(node)));
     tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
     tokio::spawn(endpoint_refresh::run(Arc::clone(node)));
     tokio::spawn(load_poll::run(Arc::clone(node)));
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -14,11 +14,7 @@
     let mut sequence = 0;
     loop {
         sequence += 1;
-        let config = lock(&node.tables.config).version();
-        let in_flight = lock(&node.tables.scheduler).in_flight();
-        let leaving = node.phase() > Phase::Serving;
-        let entry = node.entry.clone();
-        let beacon = Beacon { entry, sequence, config, leaving, in_flight };
+        let beacon = beacon(&node, sequence);
         if let Err(error) = peers.publish(&beacon) {
             tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
         }
@@ -27,6 +23,21 @@
     }
 }
 
+fn beacon<P: Platform>(node: &Node<P>, sequence: u64) -> Beacon {
+    let now = node.now();
+    let config = lock(&node.tables.config).version();
+    let echoes = {
+        let mut members = lock(&node.tables.members);
+        members.note_sent(sequence, now);
+        members.echoes()
+    };
+    let in_flight = lock(&node.tables.scheduler).in_flight();
+    let platform = lock(&node.tables.fence).platform().map(|at| now.since(at));
+    let leaving = node.phase() > Phase::Serving;
+    let entry = node.entry.clone();
+    Beacon { entry, sequence, config, leaving, in_flight, platform, echoes }
+}
+
 fn hear<P: Platform>(node: &Arc<Node<P>>) {
     let now = node.now();
     let (live, in_flight) = {
--- /dev/null
+++ b/crates/nutmeggrade/src/tasks/catch_up.rs
@@ -0,0 +1,128 @@
+//! Gets from peers what the platform can't give: a higher configuration, or all of it at a start.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use http::{Method, Request, header};
+use http_body_util::Full;
+use nutmeggrade_core::peer::{MAX_MESSAGE, SYNC_PATH, SyncReply, SyncRequest, Topic, open, seal};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_platform::{Platform, body_bytes, call};
+use tokio::time::{sleep, timeout};
+
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Pause between tries; also how often a start looks whether the platform answered.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Looks that the platform gets before a starting instance asks its seeds.
+const GRACE: u32 = 2;
+
+pub(super) async fn run<P: Platform>(node: Arc<Node<P>>) {
+    let mut looks = 0;
+    loop {
+        sleep(PAUSE).await;
+        let (wanted, version) = {
+            let config = lock(&node.tables.config);
+            (config.wanted(), config.version())
+        };
+        if let Some(wanted) = wanted {
+            catch_up(&node, wanted).await;
+        } else if version == 0 {
+            looks += 1;
+            if looks > GRACE {
+                join(&node).await;
+            }
+        }
+    }
+}
+
+/// Reads the version that a peer has in force, from the platform or else from a peer that has it.
+async fn catch_up<P: Platform>(node: &Node<P>, wanted: u64) {
+    if let Ok(Some(object)) = node.platform.read(&Configuration::key(wanted)).await {
+        let value = object.value.unwrap_or_default();
+        if let Ok(config) = serde_json::from_value::<Configuration>(value) {
+            node.offer_config(&config, "platform");
+            return;
+        }
+    }
+    let holders = lock(&node.tables.members).holders(wanted);
+    for entry in holders {
+        match ask(node, entry.admin_address, Topic::Config).await {
+            Ok(reply) => {
+                if let Some(config) = reply.config
+                    && node.offer_config(&config, "peer")
+                {
+                    return;
+                }
+            }
+            Err(error) => {
+                let error = format!("{error:#}");
+                tracing::warn!(event = "catch_up_failed", peer = %entry.instance, wanted, error);
+            }
+        }
+    }
+}
+
+/// Learns the configuration, the instances and the endpoints from the seeds and whom they know.
+async fn join<P: Platform>(node: &Node<P>) {
+    let mut next: Vec<SocketAddr> = node.settings.seeds.clone();
+    let mut asked = BTreeSet::new();
+    while let Some(address) = next.pop() {
+        if address == node.entry.admin_address || !asked.insert(address) {
+            continue;
+        }
+        match join_at(node, address).await {
+            Ok(entries) => next.extend(entries),
+            Err(error) => {
+                let error = format!("{error:#}");
+                tracing::warn!(event = "seed_failed", seed = %address, error);
+            }
+        }
+    }
+}
+
+async fn join_at<P: Platform>(
+    node: &Node<P>,
+    address: SocketAddr,
+) -> anyhow::Result<Vec<SocketAddr>> {
+    let fleet = ask(node, address, Topic::Fleet).await?;
+    for entry in &fleet.entries {
+        node.meet(entry);
+    }
+    if let Some(assignment) = &fleet.assignment {
+        lock(&node.tables.rights).hint(assignment, node.now());
+    }
+    lock(&node.tables.endpoints).start_with(&fleet.endpoints);
+    node.sync_engines();
+    if let Some(config) = ask(node, address, Topic::Config).await?.config {
+        node.offer_config(&config, "seed");
+    }
+    Ok(fleet.entries.iter().map(|e| e.admin_address).collect())
+}
+
+async fn ask<P: Platform>(
+    node: &Node<P>,
+    address: SocketAddr,
+    topic: Topic,
+) -> anyhow::Result<SyncReply> {
+    let question = SyncRequest { entry: node.entry.clone(), topic };
+    let frame = seal(&question, &node.peer_key()).context("seal")?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(SYNC_PATH)
+        .header(header::HOST, address.to_string())
+        .body(Full::from(frame))
+        .context("build request")?;
+    let exchange = async {
+        let response = call(address, request, node.settings.connect).await?;
+        let status = response.status();
+        anyhow::ensure!(status.is_success(), "peer answered {status}");
+        body_bytes(response.into_body(), MAX_MESSAGE).await
+    };
+    let frame = timeout(node.settings.platform_wait, exchange).await.context("no answer")??;
+    open(&frame, &node.peer_key()).context("open answer")
+}
--- a/crates/nutmeggrade/src/tasks/config_watch.rs
+++ b/crates/nutmeggrade/src/tasks/config_watch.rs
@@ -6,25 +6,30 @@
 use nutmeggrade_core::config::CONFIG_PREFIX;
 use nutmeggrade_core::object::{Changes, Object};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, PlatformError};
+use nutmeggrade_platform::{Platform, PlatformError, WATCH_LIMIT, newest_config};
 use tokio::time::sleep;
 
 use crate::node::Node;
 use crate::tables::lock;
 
-/// How long one watch waits; a watch that waits counts as one call.
-const WATCH: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(250);
 
 pub(super) async fn run<P: Platform>(node: Arc<Node<P>>) {
-    let mut revision = 0;
+    // A waiting watch counts as one call. It must end well before the fence closes, since its answer
+    // only counts from the moment at which it was asked for.
+    let wait = node.settings.fence / 2;
+    let mut revision = None;
     loop {
-        match node.platform.watch(CONFIG_PREFIX, revision, WATCH).await {
-            Ok(changes) => {
-                lock(&node.tables.fence).hear(node.now());
-                revision = changes.revision;
-                take(&node, &changes);
+        let asked = node.now();
+        let looked = match revision {
+            None => find(&node).await,
+            Some(since) => follow(&node, since, wait).await,
+        };
+        match looked {
+            Ok(next) => {
+                lock(&node.tables.fence).hear_platform(asked);
+                revision = next;
             }
             Err(error) => {
                 tracing::debug!(event = "config_watch_failed", %error);
@@ -34,10 +39,30 @@
     }
 }
 
+/// Finds the newest version, however many there are; returns the revision to follow from.
+async fn find<P: Platform>(node: &Node<P>) -> Result<Option<u64>, PlatformError> {
+    let newest = newest_config(&node.platform).await?;
+    if let Some(config) = &newest.config {
+        node.offer_config(config, "platform");
+    }
+    Ok(Some(newest.revision))
+}
+
+/// Waits for a version after `since`; `None` says that there are too many to follow one by one.
+async fn follow<P: Platform>(
+    node: &Node<P>,
+    since: u64,
+    wait: Duration,
+) -> Result<Option<u64>, PlatformError> {
+    let changes = node.platform.watch(CONFIG_PREFIX, since, wait).await?;
+    take(node, &changes);
+    Ok((changes.objects.len() < WATCH_LIMIT).then_some(changes.revision))
+}
+
 fn take<P: Platform>(node: &Node<P>, changes: &Changes) {
-    // Keys sort by version, and only the newest matters.
-    let newest = changes.objects.iter().max_by(|a, b| a.key.cmp(&b.key));
-    let Some(object) = newest else { return };
+    // Keys sort by version, and only the newest that still exists matters.
+    let live = changes.objects.iter().filter(|o| o.value.is_some());
+    let Some(object) = live.max_by(|a, b| a.key.cmp(&b.key)) else { return };
     match decode(object) {
         Ok(config) => {
             node.offer_config(&config, "platform");
--- a/crates/nutmeggrade/src/tasks/endpoint_refresh.rs
+++ b/crates/nutmeggrade/src/tasks/endpoint_refresh.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::time::sleep;
 
@@ -12,8 +13,7 @@
     loop {
         match node.platform.endpoints().await {
             Ok(list) => {
-                lock(&node.tables.fence).hear(node.now());
-                lock(&node.tables.endpoints).set_list(&list);
+                take(&node, &list);
                 node.sync_engines();
             }
             Err(error) => tracing::debug!(event = "endpoint_list_failed", %error),
@@ -21,3 +21,9 @@
         sleep(node.settings.refresh).await;
     }
 }
+
+fn take<P: Platform>(node: &Node<P>, list: &[Endpoint]) {
+    let mut table = lock(&node.tables.endpoints);
+    table.set_list(list);
+    lock(&node.tables.rights).retain(|e| table.get(e).is_some());
+}
--- a/crates/nutmeggrade/src/tasks/load_poll.rs
+++ b/crates/nutmeggrade/src/tasks/load_poll.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use futures::future::join_all;
+use nutmeggrade_core::engine::LoadReport;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
+use nutmeggrade_state::cold_load::Sight;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -15,6 +17,8 @@
     loop {
         let engines = engines(&node);
         join_all(engines.iter().map(|(id, address)| poll(&node, id, *address))).await;
+        // The room on cold endpoints follows from the reports.
+        node.sync_engines();
         sleep(node.settings.poll).await;
     }
 }
@@ -26,10 +30,26 @@
 }
 
 async fn poll<P: Platform>(node: &Node<P>, id: &EndpointId, address: SocketAddr) {
+    let asked = node.now();
     match node.engines.load(address, node.settings.connect).await {
-        Ok(report) => lock(&node.tables.scheduler).report(id, &report, node.now()),
+        Ok(report) => {
+            lock(&node.tables.rights).see(id, sight(&report, asked));
+            lock(&node.tables.scheduler).report(id, &report, node.now());
+        }
         Err(error) => {
+            lock(&node.tables.rights).lose_sight(id);
             tracing::debug!(event = "load_report_failed", endpoint = %id, error = format!("{error:#}"));
         }
     }
 }
+
+/// Dates a report: it can't be older than its age counted back from the question.
+fn sight(report: &LoadReport, asked: Moment) -> Sight {
+    let taken = asked.since_start().saturating_sub(report.age);
+    Sight {
+        taken: Moment::new(taken),
+        held: report.running + report.waiting,
+        cold: report.cold,
+        limit: report.cold_limit,
+    }
+}
--- a/crates/nutmeggrade/src/tasks/registration.rs
+++ b/crates/nutmeggrade/src/tasks/registration.rs
@@ -27,7 +27,6 @@
     loop {
         match node.platform.watch(PREFIX, revision, WATCH).await {
             Ok(changes) => {
-                lock(&node.tables.fence).hear(node.now());
                 revision = changes.revision;
                 for object in &changes.objects {
                     take(&node, &peers, object);
@@ -75,11 +74,7 @@
         }
         return;
     };
-    if lock(&node.tables.members).learn(&entry)
-        && let Err(error) = peers.subscribe(&entry)
-    {
-        tracing::warn!(event = "subscribe_failed", peer = %entry.instance, %error);
-    }
+    node.meet(&entry);
 }
 
 fn entry(object: &Object) -> Option<Entry> {
--- /dev/null
+++ b/tests/suite/state.rs
@@ -0,0 +1,3 @@
+//! Tables and state machines, each by itself.
+
+mod cold_rights;
--- /dev/null
+++ b/tests/suite/state/cold_rights.rs
@@ -0,0 +1,132 @@
+//! Who may use an endpoint in cold start, and for how long.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmeggrade_core::peer::Assignment;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_state::cold_load::{Seat, Sight};
+use nutmeggrade_state::cold_rights::ColdRights;
+use rstest::rstest;
+
+const LEASE: Duration = Duration::from_secs(1);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn engine() -> EndpointId {
+    EndpointId::new("engine-0").expect("name")
+}
+
+fn own() -> InstanceId {
+    InstanceId::new("node-0").expect("name")
+}
+
+fn alone(incarnation: u64) -> Assignment {
+    Assignment::new(BTreeMap::from([(own(), incarnation)]), LEASE)
+}
+
+fn sight(taken: u64, held: u32) -> Sight {
+    Sight { taken: at(taken), held, cold: true, limit: 2 }
+}
+
+/// An owner since 1250 that confirmed its lease at 1500.
+fn owner() -> ColdRights {
+    let mut rights = ColdRights::new(&own(), 7);
+    rights.learn(&alone(7), at(0), at(0));
+    rights.learn(&alone(7), at(1_500), at(1_510));
+    rights
+}
+
+#[rstest]
+fn owner_fills_the_limit_and_no_more() {
+    let mut rights = owner();
+    rights.see(&engine(), sight(1_520, 0));
+    assert_eq!(rights.cold_right(&engine(), at(1_530)), 2);
+    assert!(rights.take_seat(&engine(), Seat(1), at(1_530)));
+    assert!(rights.take_seat(&engine(), Seat(2), at(1_530)));
+    assert!(!rights.take_seat(&engine(), Seat(3), at(1_530)));
+}
+
+// The owner is stopped by its machine for some seconds and goes on in the middle of sending.
+// Another instance owns the engine by then; a user notices an engine that crashes while it starts.
+#[rstest]
+fn frozen_owner_wakes_without_its_right() {
+    let mut rights = owner();
+    rights.see(&engine(), sight(1_520, 0));
+    assert!(!rights.take_seat(&engine(), Seat(1), at(2_600)));
+    // What lay in a buffer meanwhile was asked for before the gap.
+    rights.learn(&alone(7), at(1_590), at(2_610));
+    assert_eq!(rights.owner_epoch(&engine(), at(2_610)), None);
+    rights.learn(&alone(7), at(2_620), at(2_630));
+    assert_eq!(rights.owner_epoch(&engine(), at(2_630)), Some(1));
+}
+
+#[rstest]
+fn new_epoch_waits_for_the_old_lease() {
+    let mut rights = ColdRights::new(&own(), 7);
+    rights.learn(&alone(7), at(0), at(0));
+    rights.learn(&alone(7), at(1_200), at(1_200));
+    assert_eq!(rights.owner_epoch(&engine(), at(1_249)), None);
+    assert_eq!(rights.owner_epoch(&engine(), at(1_250)), Some(1));
+}
+
+// An instance is restarted under its old name while its former life still hangs somewhere.
+#[rstest]
+fn former_life_owns_nothing() {
+    let mut rights = owner();
+    rights.learn(&alone(7).next(BTreeMap::from([(own(), 8)]), LEASE), at(1_600), at(1_600));
+    assert_eq!(rights.owner_epoch(&engine(), at(1_600)), None);
+    assert_eq!(rights.owner_epoch(&engine(), at(9_000)), None);
+}
+
+#[rstest]
+fn owner_that_stays_waits_for_nobody() {
+    let mut rights = owner();
+    let more = BTreeMap::from([(own(), 7)]);
+    rights.learn(&alone(7).next(more, LEASE), at(1_600), at(1_600));
+    assert_eq!(rights.owner_epoch(&engine(), at(1_600)), Some(2));
+}
+
+#[rstest]
+fn peers_word_gives_no_right() {
+    let mut rights = ColdRights::new(&own(), 7);
+    rights.hint(&alone(7), at(0));
+    assert_eq!(rights.owner_epoch(&engine(), at(1_300)), None);
+}
+
+// What the former owner gave the engine runs on for minutes after the lease is over.
+fn room_left(held: u32, room: u32) {
+    let mut rights = owner();
+    rights.see(&engine(), sight(1_520, held));
+    assert_eq!(rights.cold_right(&engine(), at(1_530)), room);
+}
+
+cases!(room_left {
+    nothing_runs: 0, 2;
+    one_runs: 1, 1;
+    full: 2, 0;
+    over_full: 5, 0;
+});
+
+#[rstest]
+fn report_from_before_the_epoch_proves_nothing() {
+    let mut rights = owner();
+    rights.see(&engine(), sight(1_240, 0));
+    assert_eq!(rights.cold_right(&engine(), at(1_530)), 0);
+}
+
+// A generation ends, and the report that is already on its way still counts it, or no longer does.
+#[rstest]
+fn place_is_free_only_after_a_later_report() {
+    let mut rights = owner();
+    rights.see(&engine(), sight(1_520, 1));
+    assert!(rights.take_seat(&engine(), Seat(1), at(1_530)));
+    rights.leave_seat(&engine(), Seat(1), at(1_600));
+    assert!(!rights.take_seat(&engine(), Seat(2), at(1_610)));
+    rights.see(&engine(), sight(1_590, 1));
+    assert!(!rights.take_seat(&engine(), Seat(2), at(1_610)));
+    rights.see(&engine(), sight(1_620, 1));
+    assert!(rights.take_seat(&engine(), Seat(2), at(1_630)));
+}
