--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -6,12 +6,14 @@
 mod health;
 mod metrics;
 mod status;
+mod sync;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::header;
 use nutmeggrade_core::audit::AuditEvent;
+use nutmeggrade_core::peer::SYNC_PATH;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::net::TcpListener;
@@ -34,6 +36,7 @@
         .get("/audit", audit::get::<P>)
         .get("/explain/:request", explain::get::<P>)
         .post("/config", config::post::<P>)
+        .post(SYNC_PATH, sync::post::<P>)
         .with(types::State::new(Arc::clone(&node)));
     // Operators and probes follow a planned stop to its end.
     let limits = Limits {
