Measure decisions in virtual time against four baselines

Nothing showed what the scheduler's decisions cost callers. The driver plays nine patterns of load over the engine stand-in's model with seven deciders, reports that lag 300 ms (3 s in one pattern) and peers' counts that lag 500 ms. Baselines pass over engines that report a cold start; without that they crash each returning engine and the comparison says little.

--- /dev/null
+++ b/crates/nutmeggrade-fakes/examples/decisions/main.rs
@@ -0,0 +1,78 @@
+//! Plays every pattern under the scheduler and the baselines, and prints the table of
+//! `docs/measurements/decisions.md`:
+//! `cargo run --release --example decisions [PATTERN [alone]]`;
+//! `alone` leaves the baselines out.
+
+mod baseline;
+
+use std::thread;
+
+use baseline::{Baseline, Rule};
+use nutmeggrade_fakes::driver::{Driver, Figures, Pattern, Shape};
+use nutmeggrade_fakes::fleet::preset;
+use nutmeggrade_policy::Scheduler;
+
+/// Seeds of the patterns; fixed, so that two runs can be compared.
+const SEEDS: [u64; 3] = [11, 23, 47];
+
+fn main() -> anyhow::Result<()> {
+    let wanted = std::env::args().nth(1);
+    let alone = std::env::args().nth(2).is_some_and(|a| a == "alone");
+    let preset = preset()?;
+    println!(
+        "| pattern | policy | whole % | whole long % | stall s | stall p99 s | preempt | \
+         gap p50/95/99 ms | first p50/p99 s | fair | refused % | false % | crashes |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for shape in Shape::ALL {
+        if wanted.as_ref().is_some_and(|w| !shape.name().contains(w.as_str())) {
+            continue;
+        }
+        for rule in Rule::ALL.into_iter().filter(|_| !alone) {
+            let runs = run(shape, |_| Baseline::new(rule));
+            print(shape, rule.name(), &runs);
+        }
+        let runs = run(shape, |node| {
+            let mut scheduler = Scheduler::new(node as u64 + 1);
+            scheduler.set_preset(&preset);
+            scheduler
+        });
+        print(shape, "**nutmeggrade**", &runs);
+    }
+    Ok(())
+}
+
+fn run<D: nutmeggrade_fakes::driver::Decider>(
+    shape: Shape,
+    make: impl Fn(usize) -> D + Sync,
+) -> Vec<Figures> {
+    let make = &make;
+    thread::scope(|scope| {
+        let threads = SEEDS
+            .map(|seed| scope.spawn(move || Driver::new(&Pattern::new(shape, seed), make).run()));
+        threads.into_iter().map(|t| t.join().expect("a run ends")).collect()
+    })
+}
+
+fn print(shape: Shape, policy: &str, runs: &[Figures]) {
+    let mean = |f: fn(&Figures) -> f64| runs.iter().map(f).sum::<f64>() / runs.len() as f64;
+    println!(
+        "| {} | {policy} | {:.1} | {:.1} | {:.1} | {:.2} | {:.0} | {:.1}/{:.1}/{:.1} | \
+         {:.2}/{:.2} | {:.3} | {:.1} | {:.1} | {:.0} |",
+        shape.name(),
+        mean(|f| f.whole * 100.0),
+        mean(|f| f.whole_long * 100.0),
+        mean(|f| f.stall),
+        mean(|f| f.stall_p99),
+        mean(|f| f.preemptions as f64),
+        mean(|f| f.gap[0] * 1e3),
+        mean(|f| f.gap[1] * 1e3),
+        mean(|f| f.gap[2] * 1e3),
+        mean(|f| f.first[0]),
+        mean(|f| f.first[1]),
+        mean(|f| f.fairness),
+        mean(|f| f.refused * 100.0),
+        mean(|f| f.false_refused * 100.0),
+        mean(|f| f.crashes as f64),
+    );
+}
--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! nodes for the demo and the tests. [`engine::Model`] is pure and runs in virtual time, so that
 //! decisions can be measured without a process.
 
+pub mod driver;
 pub mod engine;
 pub mod fleet;
 pub mod http;
