Decide by expected memory, gaps, fair queues and drawn engines

Cause: a fixed count of 16 an instance lets seven instances fill an engine's memory twice over. Each decision is a type of its own: length by hazard rates learned while answers run, memory as pooled mean and variance at ten distances, others' memory out of the lagging report, gap limit, prompt pace, cold watch, slow start, unseen admissions, fair lanes with an estimated wait, drawn and prefix-affine engines, rank for preemption, retry budget, knobs from the preset's weights.

--- /dev/null
+++ b/crates/nutmeggrade-policy/src/memory/forecast.rs
@@ -0,0 +1,65 @@
+//! Memory that answers will hold, as mean and variance at several distances.
+
+use std::ops::{AddAssign, SubAssign};
+
+/// Distances ahead, in steps of the engine; each about twice the last, as are the length ranges.
+pub const AHEAD: [u64; 10] = [0, 64, 192, 448, 960, 1_984, 4_032, 8_128, 16_320, 24_512];
+
+/// Mean and variance of the memory held at each distance ahead, if nothing new is let in.
+///
+/// Answers engines that fill up in the middle of answers. Neither what is held now nor what all
+/// would hold at their full lengths tells whether one more fits: most answers end before others have
+/// grown. Sums of means and variances over what runs together say how high the memory will probably
+/// rise; the more answers share an engine, the smaller the reserve for each.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Forecast {
+    /// Expected tokens held.
+    pub mean: [f64; AHEAD.len()],
+    /// Their variance.
+    pub variance: [f64; AHEAD.len()],
+}
+
+impl Forecast {
+    /// Makes the forecast of one answer that holds `held` tokens and goes on with these chances.
+    pub fn new(held: u64, survival: &[f64; AHEAD.len()]) -> Self {
+        let mut forecast = Self::default();
+        for (i, alive) in survival.iter().enumerate() {
+            let memory = (held + AHEAD[i]) as f64;
+            forecast.mean[i] = alive * memory;
+            forecast.variance[i] = alive * (1.0 - alive) * memory * memory;
+        }
+        forecast
+    }
+
+    /// Returns the highest of mean and `reserve` standard deviations over all distances.
+    pub fn peak(&self, reserve: f64) -> f64 {
+        let pairs = self.mean.iter().zip(&self.variance);
+        pairs.map(|(m, v)| m + reserve * v.max(0.0).sqrt()).fold(0.0, f64::max)
+    }
+
+    /// Returns the sum of this forecast and `factor` times another.
+    #[must_use]
+    pub fn with_scaled(mut self, other: &Self, factor: f64) -> Self {
+        for i in 0..AHEAD.len() {
+            self.mean[i] += other.mean[i] * factor;
+            self.variance[i] += other.variance[i] * factor;
+        }
+        self
+    }
+}
+
+impl AddAssign<&Self> for Forecast {
+    fn add_assign(&mut self, rhs: &Self) {
+        *self = self.with_scaled(rhs, 1.0);
+    }
+}
+
+impl SubAssign<&Self> for Forecast {
+    fn sub_assign(&mut self, rhs: &Self) {
+        *self = self.with_scaled(rhs, -1.0);
+        // Rounding must not leave an empty engine with a debt.
+        for value in self.mean.iter_mut().chain(&mut self.variance) {
+            *value = value.max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-policy/src/queue.rs
@@ -0,0 +1,7 @@
+//! Who is next.
+
+mod fair_queue;
+mod lane;
+
+pub use fair_queue::FairQueue;
+pub use lane::Lane;
--- a/crates/nutmeggrade-policy/src/scheduler.rs
+++ b/crates/nutmeggrade-policy/src/scheduler.rs
@@ -1,67 +1,45 @@
 //! Admission and routing of generations.
 
-use std::collections::{BTreeMap, VecDeque};
+mod placing;
+mod waiting;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use nutmeggrade_core::config::Weights;
 use nutmeggrade_core::engine::LoadReport;
 use nutmeggrade_core::prelude::*;
 
-use crate::{Ask, End, Spread, Ticket, Verdict};
-
-/// Wait that a refused caller is told before it is spread.
-const COME_BACK: Duration = Duration::from_secs(2);
-/// Generations that one instance runs on a warm engine until a better limit is known.
-const WARM_LIMIT: u32 = 16;
-
-/// An engine as the scheduler is told of it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Engine {
-    /// The engine.
-    pub id: EndpointId,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Models it can run.
-    pub models: std::collections::BTreeSet<ModelId>,
-    /// Its key/value memory, in tokens.
-    pub memory: u64,
-    /// Generations that this instance may have on it while it is cold.
-    pub cold_right: u32,
-    /// Instances that share it, this one included.
-    pub sharers: u32,
-}
-
-#[derive(Debug, Clone)]
-struct Known {
-    engine: Engine,
-    report: Option<LoadReport>,
-    running: BTreeMap<Ticket, u64>,
-    peers: u32,
-}
-
-impl Known {
-    fn limit(&self) -> u32 {
-        if self.report.as_ref().is_none_or(|r| r.cold) {
-            return self.engine.cold_right;
-        }
-        WARM_LIMIT
-    }
-
-    fn running(&self) -> u32 {
-        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
-    }
-
-    fn has_room(&self) -> bool {
-        self.running() < self.limit()
-    }
-}
+use crate::knobs::Knobs;
+use crate::known::Known;
+use crate::length::LengthEstimator;
+use crate::memory::{AHEAD, Forecast, Mix};
+use crate::queue::FairQueue;
+use crate::router::Router;
+use crate::stream::{LOOK, Stream};
+use crate::wait::WaitEstimate;
+use crate::{Ask, End, Engine, Spread, Ticket, Verdict};
+
+/// Gap between tokens before any was seen.
+const USUAL_GAP: Duration = Duration::from_millis(15);
+/// Weight of a gap in the usual gap of all engines.
+const NEW_GAP: f64 = 1.0 / 512.0;
 
 /// Decides about generations: let in, wait or refuse, and on which engine.
 #[derive(Debug)]
 pub struct Scheduler {
     engines: BTreeMap<EndpointId, Known>,
-    placed: BTreeMap<Ticket, EndpointId>,
-    queue: VecDeque<Ask>,
+    offered: Vec<Engine>,
+    streams: BTreeMap<Ticket, Stream>,
+    lengths: LengthEstimator,
+    mix: Mix,
+    router: Router,
+    queue: FairQueue,
     queue_limit: usize,
+    waits: [WaitEstimate; 2],
+    looked: Moment,
+    gap: Duration,
+    knobs: Knobs,
     spread: Spread,
 }
 
@@ -70,9 +48,17 @@
     pub fn new(seed: u64) -> Self {
         Self {
             engines: BTreeMap::new(),
-            placed: BTreeMap::new(),
-            queue: VecDeque::new(),
+            offered: Vec::new(),
+            streams: BTreeMap::new(),
+            lengths: LengthEstimator::new(),
+            mix: Mix::default(),
+            router: Router::new(seed.wrapping_add(1)),
+            queue: FairQueue::new(),
             queue_limit: 0,
+            waits: [WaitEstimate::new(), WaitEstimate::new()],
+            looked: Moment::ZERO,
+            gap: USUAL_GAP,
+            knobs: Knobs::new(&Weights::default()),
             spread: Spread::new(seed),
         }
     }
@@ -80,28 +66,37 @@
     /// Takes over the limits and weights of the preset in force.
     pub fn set_preset(&mut self, preset: &Preset) {
         self.queue_limit = preset.limits.queue as usize;
+        self.knobs = Knobs::new(&preset.weights);
     }
 
     /// Replaces the engines that may get new work; what runs elsewhere runs on.
-    pub fn set_engines(&mut self, engines: &[Engine], _now: Moment) {
-        let mut known = BTreeMap::new();
+    pub fn set_engines(&mut self, engines: &[Engine], now: Moment) {
+        if self.offered == engines {
+            return;
+        }
+        let usable = |id: &EndpointId| engines.iter().any(|e| e.id == *id);
+        let gone = self.offered.iter().map(|e| &e.id).filter(|id| !usable(id));
+        for id in gone {
+            if let Some(known) = self.engines.get_mut(id) {
+                known.usable = false;
+            }
+        }
         for engine in engines {
-            let old = self.engines.remove(&engine.id);
-            let old = old.unwrap_or_else(|| Known {
-                engine: engine.clone(),
-                report: None,
-                running: BTreeMap::new(),
-                peers: 0,
-            });
-            known.insert(engine.id.clone(), Known { engine: engine.clone(), ..old });
+            match self.engines.get_mut(&engine.id) {
+                Some(known) => known.set_engine(engine, now),
+                None => {
+                    self.engines.insert(engine.id.clone(), Known::new(engine));
+                }
+            }
         }
-        self.engines = known;
+        self.router.set_engines(engines);
+        self.offered = engines.to_vec();
     }
 
     /// Takes an engine's lagging report.
-    pub fn report(&mut self, endpoint: &EndpointId, report: &LoadReport, _now: Moment) {
+    pub fn report(&mut self, endpoint: &EndpointId, report: &LoadReport, now: Moment) {
         if let Some(known) = self.engines.get_mut(endpoint) {
-            known.report = Some(report.clone());
+            known.report(report, now);
         }
     }
 
@@ -112,71 +107,49 @@
         }
     }
 
-    /// Decides about a new request, or one that failed elsewhere before its first token.
-    pub fn ask(&mut self, ask: &Ask, now: Moment) -> Verdict {
-        if ask.deadline <= now {
-            return self.refuse(Code::TooLate);
-        }
-        if let Some(verdict) = self.place(ask) {
-            return verdict;
-        }
-        if !self.offered(ask) {
-            return self.refuse(Code::NoEndpoint);
-        }
-        if self.queue.len() >= self.queue_limit {
-            return self.refuse(Code::QueueFull);
-        }
-        self.queue.push_back(ask.clone());
-        Verdict::Wait
-    }
-
-    /// Decides about those that wait; returns each whose wait ended.
-    pub fn release(&mut self, now: Moment) -> Vec<(Ticket, Verdict)> {
-        let mut ended = Vec::new();
-        let mut still = VecDeque::new();
-        while let Some(ask) = self.queue.pop_front() {
-            if ask.deadline <= now {
-                let verdict = self.refuse(Code::TooLate);
-                ended.push((ask.ticket, verdict));
-            } else if let Some(verdict) = self.place(&ask) {
-                ended.push((ask.ticket, verdict));
-            } else if !self.offered(&ask) {
-                let verdict = self.refuse(Code::NoEndpoint);
-                ended.push((ask.ticket, verdict));
+    /// Notes a token of a running generation.
+    pub fn token(&mut self, ticket: Ticket, now: Moment) {
+        let Some(stream) = self.streams.get_mut(&ticket) else { return };
+        stream.done += 1;
+        let last = stream.last.replace(now);
+        if let Some(known) = self.engines.get_mut(&stream.endpoint) {
+            if let Some(last) = last {
+                let gap = now.since(last);
+                known.gap(gap, &self.knobs, now);
+                // One stream that stands still says nothing of the pace of the others.
+                let gap = gap.min(self.gap * 4);
+                self.gap = self.gap.mul_f64(1.0 - NEW_GAP) + gap.mul_f64(NEW_GAP);
             } else {
-                still.push_back(ask);
+                known.first(ticket);
             }
         }
-        self.queue = still;
-        ended
-    }
-
-    /// Notes a token of a running generation.
-    pub fn token(&mut self, ticket: Ticket, _now: Moment) {
-        let place = self.placed.get(&ticket);
-        let known = place.and_then(|id| self.engines.get_mut(id));
-        if let Some(count) = known.and_then(|k| k.running.get_mut(&ticket)) {
-            *count += 1;
+        if stream.done - stream.learned >= LOOK {
+            self.look(ticket);
         }
     }
 
     /// Notes the end of a request, running or waiting.
-    pub fn end(&mut self, ticket: Ticket, _end: End, _now: Moment) {
-        self.queue.retain(|a| a.ticket != ticket);
-        if let Some(id) = self.placed.remove(&ticket)
-            && let Some(known) = self.engines.get_mut(&id)
-        {
-            known.running.remove(&ticket);
+    pub fn end(&mut self, ticket: Ticket, end: End, now: Moment) {
+        self.queue.remove(ticket);
+        let Some(stream) = self.streams.remove(&ticket) else { return };
+        self.mix.remove(&stream.forecast);
+        if let Some(known) = self.engines.get_mut(&stream.endpoint) {
+            known.end(ticket, &stream.forecast);
+            if end == End::Failed {
+                known.fail(now);
+            }
+        }
+        let Stream { workspace, task, learned, done, .. } = &stream;
+        self.lengths.grow(workspace, task, *learned, *done);
+        if end == End::Finished && *done < stream.max {
+            self.lengths.end(workspace, task, *done);
         }
     }
 
     /// Returns what this instance has in flight at each engine.
     pub fn in_flight(&self) -> BTreeMap<EndpointId, u32> {
-        let mut counts = BTreeMap::new();
-        for id in self.placed.values() {
-            *counts.entry(id.clone()).or_default() += 1;
-        }
-        counts
+        let busy = self.engines.iter().filter(|(_, k)| k.own > 0);
+        busy.map(|(id, k)| (id.clone(), k.own)).collect()
     }
 
     /// Returns how many requests wait.
@@ -184,26 +157,29 @@
         self.queue.len()
     }
 
-    fn offered(&self, ask: &Ask) -> bool {
-        self.engines.values().any(|k| k.engine.models.contains(&ask.model))
+    /// Learns from a running answer and forecasts its memory anew.
+    fn look(&mut self, ticket: Ticket) {
+        let Some(stream) = self.streams.get_mut(&ticket) else { return };
+        let Stream { workspace, task, done, max, .. } = &*stream;
+        self.lengths.grow(workspace, task, stream.learned, *done);
+        let chances = self.lengths.survival(workspace, task, *done, *max, &AHEAD);
+        let fresh = Forecast::new(stream.prompt + *done, &chances);
+        let old = std::mem::replace(&mut stream.forecast, fresh);
+        stream.learned = stream.done;
+        self.mix.remove(&old);
+        self.mix.add(&fresh);
+        if let Some(known) = self.engines.get_mut(&stream.endpoint) {
+            known.grow(&old, &fresh);
+        }
     }
 
-    fn place(&mut self, ask: &Ask) -> Option<Verdict> {
-        let fits = |k: &&Known| {
-            k.engine.models.contains(&ask.model)
-                && !ask.avoid.contains(&k.engine.id)
-                && k.has_room()
-        };
-        let best = self.engines.values().filter(fits).min_by_key(|k| k.running() + k.peers)?;
-        let endpoint = best.engine.id.clone();
-        if let Some(known) = self.engines.get_mut(&endpoint) {
-            known.running.insert(ask.ticket, 0);
-        }
-        self.placed.insert(ask.ticket, endpoint.clone());
-        Some(Verdict::Go { endpoint, priority: 0 })
+    fn forecast(&self, ask: &Ask) -> Forecast {
+        let Ask { workspace, task, max_tokens, .. } = ask;
+        let chances = self.lengths.survival(workspace, task, 0, *max_tokens, &AHEAD);
+        Forecast::new(ask.prompt, &chances)
     }
 
-    fn refuse(&mut self, code: Code) -> Verdict {
-        Verdict::Refuse { code, retry_after: self.spread.draw(COME_BACK) }
+    fn refuse(&mut self, code: Code, wait: Duration) -> Verdict {
+        Verdict::Refuse { code, retry_after: self.spread.draw(wait) }
     }
 }
