--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -4,6 +4,8 @@
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
 pub mod audit_log;
+pub mod cold_load;
+pub mod cold_rights;
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -6,19 +6,21 @@
 mod health;
 mod metrics;
 mod status;
+mod sync;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::header;
 use nutmeggrade_core::audit::AuditEvent;
+use nutmeggrade_core::peer::SYNC_PATH;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::net::TcpListener;
 use viz::{Request, RequestExt, Router, types};
 
 use crate::front::{Limits, listen};
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 /// Most connections of operators and probes.
 const CONNECTIONS: usize = 64;
@@ -34,8 +36,15 @@
         .get("/audit", audit::get::<P>)
         .get("/explain/:request", explain::get::<P>)
         .post("/config", config::post::<P>)
+        .post(SYNC_PATH, sync::post::<P>)
         .with(types::State::new(Arc::clone(&node)));
-    let limits = Limits { connections: CONNECTIONS, header_wait: HEADER_WAIT };
+    // Operators and probes follow a planned stop to its end.
+    let limits = Limits {
+        connections: CONNECTIONS,
+        header_wait: HEADER_WAIT,
+        write_wait: node.settings.write_wait,
+        until: Phase::Stopped,
+    };
     listen(socket, router, &limits, node.watch_phase()).await;
 }
 
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -31,6 +31,8 @@
         .with_default("2000"),
     Spec::new("fence", range(MS, 500, 60_000), "silence of all sides after which work is refused")
         .with_default("3000"),
+    Spec::new("lease", range(MS, 200, 60_000), "how long a confirmed right to an endpoint counts")
+        .with_default("2000"),
     Spec::new("refresh", range(MS, 50, 60_000), "time between looks at the list of endpoints")
         .with_default("500"),
     Spec::new("poll", range(MS, 20, 10_000), "time between load reports of an engine")
@@ -49,9 +51,17 @@
         .with_default("4096"),
     Spec::new("body", range("bytes", 1_024, 64 << 20), "largest body of a caller")
         .with_default("1048576"),
-    Spec::new("header-wait", range(MS, 100, 600_000), "most time for a request's head, and idle")
+    Spec::new("header-wait", range(MS, 100, 600_000), "most time for a head, a body, and idle")
+        .with_default("15000"),
+    Spec::new("write-wait", range(MS, 100, 600_000), "most time in which a caller reads nothing")
         .with_default("15000"),
     Spec::new("workers", range("1", 1, 256), "worker threads").with_default("2"),
+    Spec::new(
+        "seeds",
+        Kind::Text,
+        "admin addresses of instances to ask while the platform is down",
+    )
+    .with_default(""),
     Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade=debug")
         .with_default("info"),
 ];
@@ -115,6 +125,8 @@
     pub silence: Duration,
     /// Silence of all sides after which work is refused.
     pub fence: Duration,
+    /// How long a confirmed right to an endpoint counts.
+    pub lease: Duration,
     /// Time between looks at the list of endpoints.
     pub refresh: Duration,
     /// Time between load reports.
@@ -131,8 +143,12 @@
     pub body: u64,
     /// Most time for a request's head.
     pub header_wait: Duration,
+    /// Most time in which a caller takes no byte of its answer.
+    pub write_wait: Duration,
     /// Worker threads.
     pub workers: usize,
+    /// Admin addresses of instances to ask while the platform is down.
+    pub seeds: Vec<SocketAddr>,
     /// Log filter.
     pub log: String,
     values: Values,
@@ -185,6 +201,7 @@
             beacon: values.millis("beacon"),
             silence: values.millis("silence"),
             fence: values.millis("fence"),
+            lease: values.millis("lease"),
             refresh: values.millis("refresh"),
             poll: values.millis("poll"),
             connect: values.millis("connect"),
@@ -193,9 +210,17 @@
             connections: size("connections")?,
             body: values.number("body"),
             header_wait: values.millis("header-wait"),
+            write_wait: values.millis("write-wait"),
             workers: size("workers")?,
+            seeds: seeds(values.text("seeds"))?,
             log: values.text("log").to_owned(),
             values,
         })
     }
 }
+
+fn seeds(text: &str) -> anyhow::Result<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    let parse = |s: &str| s.parse().with_context(|| format!("--seeds: {s:?} is not ip:port"));
+    parts.map(parse).collect()
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -10,3 +10,5 @@
 mod docs;
 mod operators;
 mod process;
+mod random;
+mod state;
