Bring engines where operators want them, one order at a time

Cause: nothing could make an engine load a model, version or adapter, or change its role.

Change: what operators want of an engine is a sequence of versions created only if absent; its owner compares it with what the engine says and gives one order at a time under its epoch as fencing number, checks its right last before it sends, and reads each effect back. Loads hold a slot object, as many as the preset lets load at a time over the fleet. nutmegctl order load, unload, role, show. Take-overs and orders are in the audit trail.

Ruled out: a queue of commands (after a lost answer or a change of owner nobody can tell which took effect); a share of the weight store for each instance (they own uneven numbers of engines).

--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -15,8 +15,10 @@
 use crate::settings::Settings;
 
 const PATIENCE: Duration = Duration::from_secs(2);
-const POLL: Duration = Duration::from_millis(100);
-const READ_BACKS: u32 = 5;
+/// Pause between looks.
+pub const POLL: Duration = Duration::from_millis(100);
+/// Attempts to read back a write whose answer was lost.
+pub const READ_BACKS: u32 = 5;
 /// Versions that one call of a listing returns; each may be as large as a value can be.
 const PAGE: usize = 32;
 
@@ -189,7 +191,8 @@
     Failure::new(Code::PlatformDown, &error.to_string()).into()
 }
 
-fn wall_ms() -> u64 {
+/// Returns the wall time, milliseconds since 1970, for people only.
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/nutmegctl/src/cmd.rs
+++ b/crates/nutmegctl/src/cmd.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod explain;
 mod help;
+mod order;
 mod preset;
 mod status;
 mod watch;
@@ -26,6 +27,10 @@
         ["domain", "in", name] => domain::bring_in(settings, name).await,
         ["endpoint", "out", name] => endpoint::take_out(settings, name).await,
         ["endpoint", "in", name] => endpoint::bring_in(settings, name).await,
+        ["order", "show", endpoint] => order::show(settings, endpoint).await,
+        ["order", "load", endpoint, load] => order::load(settings, endpoint, load).await,
+        ["order", "unload", endpoint, load] => order::unload(settings, endpoint, load).await,
+        ["order", "role", endpoint, role] => order::role(settings, endpoint, role).await,
         ["status"] => status::show(settings).await,
         ["watch"] => watch::run(settings).await,
         ["explain", request] => explain::show(settings, request).await,
--- a/crates/nutmegctl/src/cmd/help.rs
+++ b/crates/nutmegctl/src/cmd/help.rs
@@ -31,6 +31,10 @@
     command("domain in NAME", "brings a failure domain back", CHANGE),
     command("endpoint out NAME", "takes an endpoint out of service", CHANGE),
     command("endpoint in NAME", "brings an endpoint back", CHANGE),
+    command("order show NAME", "lists the orders to an engine and their effect", LOOK),
+    command("order load NAME LOAD", "orders to load MODEL[@VERSION][+ADAPTER]", CHANGE),
+    command("order unload NAME LOAD", "orders to unload it", CHANGE),
+    command("order role NAME ROLE", "orders the role prefill, decode or both", CHANGE),
     command("status", "shows what each instance has in force", LOOK),
     command("watch", "repeats status each second", "--platform 10.0.0.9:8080 --rounds 10"),
     command(
--- /dev/null
+++ b/crates/nutmegctl/src/cmd/order.rs
@@ -0,0 +1,49 @@
+//! `nutmegctl order show|load|unload|role`.
+
+use nutmeggrade_core::order::{Load, Order, Role};
+use nutmeggrade_core::prelude::*;
+use serde_json::Value;
+
+use crate::change::platform;
+use crate::line::Line;
+use crate::order_change::{effect, give, history, print};
+use crate::settings::Settings;
+
+/// Lists the orders to an engine and what came of them.
+pub async fn show(settings: &Settings, endpoint: &str) -> anyhow::Result<()> {
+    let endpoint = EndpointId::new(endpoint)?;
+    let platform = platform(settings);
+    for order in history(&platform, &endpoint).await? {
+        let line = Line::new("order").with("version", order.version).with("at_ms", order.at_ms);
+        let line = line.with("who", order.who.as_str()).with("why", order.why.as_str());
+        line.with("order", order.change.to_string()).print(settings);
+    }
+    match effect(&platform, &endpoint).await? {
+        Some(effect) => print(settings, "effect", &effect),
+        None => Ok(()),
+    }
+}
+
+/// Orders an engine to load a model, version or adapter.
+pub async fn load(settings: &Settings, endpoint: &str, load: &str) -> anyhow::Result<()> {
+    give(settings, &EndpointId::new(endpoint)?, &Order::Load { load: parse(load)? }).await
+}
+
+/// Orders an engine to unload one.
+pub async fn unload(settings: &Settings, endpoint: &str, load: &str) -> anyhow::Result<()> {
+    give(settings, &EndpointId::new(endpoint)?, &Order::Unload { load: parse(load)? }).await
+}
+
+/// Orders an engine to change its role.
+pub async fn role(settings: &Settings, endpoint: &str, role: &str) -> anyhow::Result<()> {
+    let parsed: Result<Role, _> = serde_json::from_value(Value::from(role));
+    let role = parsed.map_err(|e| {
+        let detail = format!("role {role:?}: {e}");
+        Failure::new(Code::BadChange, &detail)
+    })?;
+    give(settings, &EndpointId::new(endpoint)?, &Order::Role { role }).await
+}
+
+fn parse(text: &str) -> Result<Load, Failure> {
+    Load::parse(text).map_err(|e| Failure::new(Code::BadChange, &e.to_string()))
+}
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -6,6 +6,7 @@
 mod change;
 mod cmd;
 mod line;
+mod order_change;
 mod settings;
 mod trail;
 
--- a/crates/nutmeggrade-core/src/audit.rs
+++ b/crates/nutmeggrade-core/src/audit.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AuditEvent {
-    /// It learned of a new epoch, in which endpoints may have new owners.
+    /// It wrote a new epoch, in which endpoints may have new owners.
     TookOver,
     /// It refused an operators' call without the token.
     TokenRefused,
--- a/crates/nutmeggrade-core/src/config/preset.rs
+++ b/crates/nutmeggrade-core/src/config/preset.rs
@@ -20,6 +20,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "call_deadline_ms")]
     pub call_deadline: Duration,
+    /// Loads from the weight store at a time, over the whole fleet.
+    #[serde(default = "default_loads")]
+    pub loads: u32,
+}
+
+/// Loads at a time where a preset names none: one engine after another is slow but never too much.
+const fn default_loads() -> u32 {
+    1
 }
 
 /// One model that callers may ask for.
--- a/crates/nutmeggrade-core/src/config/preset_check.rs
+++ b/crates/nutmeggrade-core/src/config/preset_check.rs
@@ -9,6 +9,8 @@
 pub const MAX_DEADLINE: Duration = Duration::from_hours(6);
 /// Longest queue of one instance; a longer one only holds requests that come too late.
 pub const MAX_QUEUE: u32 = 100_000;
+/// Most loads from the weight store at a time.
+pub const MAX_LOADS: u32 = 1_000;
 /// Longest context, in tokens.
 pub const MAX_CONTEXT: u64 = 100_000_000;
 
@@ -74,6 +76,7 @@
 
     fn check_limits(&self, found: &mut Vec<Problem>) {
         range("limits.queue", self.limits.queue.into(), MAX_QUEUE.into(), found);
+        range("limits.loads", self.limits.loads.into(), MAX_LOADS.into(), found);
         deadline("limits.call_deadline_ms", self.limits.call_deadline, found);
     }
 }
--- a/crates/nutmeggrade-core/src/id.rs
+++ b/crates/nutmeggrade-core/src/id.rs
@@ -5,6 +5,6 @@
 
 pub use generation_id::GenerationId;
 pub use name::{
-    BadName, ChangeId, DomainId, EndpointId, InstanceId, ModelId, PresetId, RequestId, ServiceId,
-    TaskId, WorkspaceId,
+    AdapterId, BadName, ChangeId, DomainId, EndpointId, InstanceId, ModelId, PresetId, RequestId,
+    ServiceId, TaskId, VersionId, WorkspaceId,
 };
--- a/crates/nutmeggrade-core/src/id/name.rs
+++ b/crates/nutmeggrade-core/src/id/name.rs
@@ -77,6 +77,8 @@
 }
 
 name_id!(
+    /// Names an adapter of a model.
+    AdapterId,
     /// Names one accepted change of the configuration; made by the operator's command.
     ChangeId,
     /// Names a failure domain.
@@ -95,6 +97,8 @@
     ServiceId,
     /// Names a task class, such as drafting or sorting.
     TaskId,
+    /// Names a version of a model.
+    VersionId,
     /// Names a workspace.
     WorkspaceId,
 );
--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod id;
 pub mod moment;
 pub mod object;
+pub mod order;
 pub mod peer;
 pub mod prelude;
 pub mod run;
--- /dev/null
+++ b/crates/nutmeggrade-core/src/order.rs
@@ -0,0 +1,13 @@
+//! Orders to engines: what operators want of each, and what came of it.
+
+mod desired;
+mod effect;
+mod engine_order;
+mod load;
+mod weight_slot;
+
+pub use desired::{Desired, ORDER_PREFIX};
+pub use effect::{EFFECT_PREFIX, Effect, Progress};
+pub use engine_order::{EngineState, FencedOrder, ORDERS_PATH, Order, Role};
+pub use load::{BadLoad, Load};
+pub use weight_slot::{WEIGHT_PREFIX, WeightSlot};
--- /dev/null
+++ b/crates/nutmeggrade-core/src/order/load.rs
@@ -0,0 +1,78 @@
+//! What an engine can load.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{AdapterId, BadName, ModelId, VersionId};
+
+/// Says that a text names nothing that can be loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadLoad {
+    text: String,
+    cause: BadName,
+}
+
+impl fmt::Display for BadLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not MODEL[@VERSION][+ADAPTER]: {}", self.text, self.cause)
+    }
+}
+
+impl std::error::Error for BadLoad {}
+
+/// A model, one version of it, or an adapter for it; `MODEL[@VERSION][+ADAPTER]` as text.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Load {
+    /// The model.
+    pub model: ModelId,
+    /// The version; the engine's usual one if absent.
+    pub version: Option<VersionId>,
+    /// The adapter; the bare model if absent.
+    pub adapter: Option<AdapterId>,
+}
+
+impl Load {
+    /// Reads `MODEL[@VERSION][+ADAPTER]`.
+    pub fn parse(text: &str) -> Result<Self, BadLoad> {
+        let bad = |cause| BadLoad { text: text.to_owned(), cause };
+        let (rest, adapter) = match text.split_once('+') {
+            Some((rest, name)) => (rest, Some(AdapterId::new(name).map_err(bad)?)),
+            None => (text, None),
+        };
+        let (model, version) = match rest.split_once('@') {
+            Some((model, name)) => (model, Some(VersionId::new(name).map_err(bad)?)),
+            None => (rest, None),
+        };
+        let model = ModelId::new(model).map_err(bad)?;
+        Ok(Self { model, version, adapter })
+    }
+}
+
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.model)?;
+        if let Some(version) = &self.version {
+            write!(f, "@{version}")?;
+        }
+        if let Some(adapter) = &self.adapter {
+            write!(f, "+{adapter}")?;
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<String> for Load {
+    type Error = BadLoad;
+
+    fn try_from(text: String) -> Result<Self, BadLoad> {
+        Self::parse(&text)
+    }
+}
+
+impl From<Load> for String {
+    fn from(load: Load) -> Self {
+        load.to_string()
+    }
+}
--- a/crates/nutmeggrade-fakes/src/engine/faults.rs
+++ b/crates/nutmeggrade-fakes/src/engine/faults.rs
@@ -20,4 +20,8 @@
     pub refuse: Option<bool>,
     /// Accepts new generations and never answers them.
     pub hang: Option<bool>,
+    /// Obeys orders with old fencing numbers.
+    pub ignore_fence: Option<bool>,
+    /// Time that a load of weights takes, in milliseconds.
+    pub load_ms: Option<u64>,
 }
--- a/crates/nutmeggrade-fakes/src/engine/server.rs
+++ b/crates/nutmeggrade-fakes/src/engine/server.rs
@@ -11,6 +11,7 @@
 use nutmeggrade_core::engine::{Finish, GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
 use nutmeggrade_core::id::GenerationId;
 use nutmeggrade_core::moment::Moment;
+use nutmeggrade_core::order::{FencedOrder, ORDERS_PATH};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::Notify;
@@ -20,7 +21,7 @@
     IntoResponse, Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Result, Router,
 };
 
-use super::{Event, Faults, Job, Model, Spec};
+use super::{Event, Faults, Job, Model, Orders, Spec};
 use crate::http::{serve as serve_http, status};
 
 /// Largest request body, in bytes.
@@ -43,6 +44,7 @@
     runs: BTreeMap<GenerationId, String>,
     reports: VecDeque<(Instant, LoadReport)>,
     faults: Faults,
+    orders: Orders,
     cuts: u64,
     down_until: Option<Instant>,
 }
@@ -73,6 +75,7 @@
             runs: BTreeMap::new(),
             reports: VecDeque::new(),
             faults: Faults::default(),
+            orders: Orders::default(),
             cuts: 0,
             down_until: None,
         };
@@ -148,6 +151,8 @@
         .delete(&one, cancel)
         .get(LOAD_PATH, load)
         .get("/log", log)
+        .get(ORDERS_PATH, order_state)
+        .post(ORDERS_PATH, order)
         .post("/fault", fault)
         .with(State::new(app));
     serve_http(address, router).await
@@ -232,10 +237,24 @@
         "crashes": inner.model.crashes(),
         "preemptions": load.preemptions,
         "running": load.running,
+        "orders": inner.orders.seen,
     });
     Ok(Response::json(report)?)
 }
 
+async fn order_state(req: Request) -> Result<Response> {
+    let app = app(&req)?;
+    let state = app.lock().orders.state();
+    Ok(Response::json(state)?)
+}
+
+async fn order(mut req: Request) -> Result<Response> {
+    let app = app(&req)?;
+    let order: FencedOrder = req.json().await?;
+    let taken = app.lock().orders.take(&order);
+    Ok(status(if taken { StatusCode::OK } else { StatusCode::CONFLICT }))
+}
+
 async fn fault(mut req: Request) -> Result<Response> {
     let app = app(&req)?;
     let new: Faults = req.json().await?;
@@ -254,6 +273,12 @@
             inner.take(event);
         }
     }
+    if let Some(ignores) = new.ignore_fence {
+        inner.orders.ignores_fence = ignores;
+    }
+    if let Some(ms) = new.load_ms {
+        inner.orders.load_time = Duration::from_millis(ms);
+    }
     if new.cut_after.is_some() {
         inner.cuts += 1;
     }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -14,4 +14,6 @@
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod order_plan;
+pub mod order_table;
 pub mod recent_changes;
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
-//! `rights`, `scheduler`, `picker`, `fence`, `waiters`, `explain`, `changes`, `audit`. No lock is
-//! held over an await.
+//! `rights`, `orders`, `scheduler`, `picker`, `fence`, `waiters`, `explain`, `changes`, `audit`. No
+//! lock is held over an await.
 
 pub mod admin;
 pub mod audit;
@@ -20,6 +20,7 @@
 pub mod generation;
 pub mod metrics;
 pub mod node;
+pub mod orders;
 pub mod peers;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/crates/nutmeggrade/src/orders/follow.rs
@@ -0,0 +1,45 @@
+//! Follows what operators want of the engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmeggrade_core::object::Object;
+use nutmeggrade_core::order::{Desired, ORDER_PREFIX};
+use nutmeggrade_platform::Platform;
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::tables::lock;
+
+/// How long one watch waits; a watch that waits counts as one call.
+const WATCH: Duration = Duration::from_secs(5);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Keeps the table of what is wanted up to date.
+pub async fn run<P: Platform>(node: Arc<Node<P>>) {
+    let mut revision = 0;
+    loop {
+        match node.platform.watch(ORDER_PREFIX, revision, WATCH).await {
+            Ok(changes) => {
+                revision = changes.revision;
+                for object in &changes.objects {
+                    take(&node, object);
+                }
+            }
+            Err(error) => {
+                tracing::debug!(event = "order_watch_failed", %error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take<P: Platform>(node: &Node<P>, object: &Object) {
+    let Some(value) = object.value.clone() else { return };
+    let Some(endpoint) = Desired::endpoint(&object.key) else { return };
+    match serde_json::from_value::<Desired>(value) {
+        Ok(desired) => lock(&node.tables.orders).offer(&endpoint, &desired),
+        Err(error) => tracing::error!(event = "order_unreadable", key = object.key, %error),
+    }
+}
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -12,6 +12,7 @@
 use nutmeggrade_state::explain_log::ExplainLog;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::order_table::OrderTable;
 use nutmeggrade_state::recent_changes::RecentChanges;
 use tokio::sync::oneshot;
 
@@ -31,6 +32,8 @@
     pub endpoints: Mutex<EndpointTable>,
     /// Rights to cold endpoints, under a lease.
     pub rights: Mutex<ColdRights>,
+    /// What operators want of engines.
+    pub orders: Mutex<OrderTable>,
     /// Admission and routing of generations.
     pub scheduler: Mutex<Scheduler>,
     /// Routing of service calls.
@@ -55,6 +58,7 @@
             members: Mutex::new(Membership::new(own, settings.silence)),
             endpoints: Mutex::new(EndpointTable::new()),
             rights: Mutex::new(ColdRights::new(&own.instance, own.incarnation)),
+            orders: Mutex::new(OrderTable::new()),
             scheduler: Mutex::new(Scheduler::new(seed)),
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -26,6 +26,8 @@
     tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
     tokio::spawn(endpoint_refresh::run(Arc::clone(node)));
     tokio::spawn(load_poll::run(Arc::clone(node)));
+    tokio::spawn(crate::orders::follow(Arc::clone(node)));
+    tokio::spawn(crate::orders::give(Arc::clone(node)));
     tokio::spawn(crate::audit::run(Arc::clone(node)));
     tokio::spawn(release::run(Arc::clone(node)));
     tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
--- a/crates/nutmeggrade/src/tasks/rights.rs
+++ b/crates/nutmeggrade/src/tasks/rights.rs
@@ -1,8 +1,10 @@
 //! Keeps the right to cold endpoints: confirms the epoch, and writes the next one.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use anyhow::Context;
+use nutmeggrade_core::audit::AuditEvent;
 use nutmeggrade_core::peer::{ASSIGNMENT_KEY, Assignment};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::{Platform, PlatformError};
@@ -60,14 +62,39 @@
         _ => node.platform.replace(ASSIGNMENT_KEY, &value, version).await,
     };
     match written {
-        Ok(_) => learn(node, next, asked),
+        Ok(_) => {
+            note(node, next, "");
+            learn(node, next, asked);
+        }
         // Another instance was first; the next look shows its epoch.
         Err(PlatformError::Conflict) => {}
-        Err(error) => return Err(error.into()),
+        Err(error) => {
+            // It may have taken effect; the trail says so rather than leave out a take-over.
+            if matches!(error, PlatformError::Unknown(_)) {
+                note(node, next, " answer=lost");
+            }
+            return Err(error.into());
+        }
     }
     Ok(())
 }
 
+/// Notes the epoch in the audit trail; only its writer does, so that there is one entry for each.
+fn note<P: Platform>(node: &Node<P>, next: &Assignment, outcome: &str) {
+    let names = |a: &Assignment| a.members.keys().cloned().collect::<BTreeSet<_>>();
+    let before = lock(&node.tables.rights).assignment().map(names).unwrap_or_default();
+    let after = names(next);
+    let list = |set: Vec<&InstanceId>| {
+        let names: Vec<_> = set.into_iter().map(InstanceId::as_str).collect();
+        names.join(",")
+    };
+    let joined = list(after.difference(&before).collect());
+    let left = list(before.difference(&after).collect());
+    let (epoch, members) = (next.epoch, after.len());
+    let detail = format!("epoch={epoch} members={members} joined={joined} left={left}{outcome}");
+    node.audit(AuditEvent::TookOver, &detail);
+}
+
 fn learn<P: Platform>(node: &Node<P>, assignment: &Assignment, asked: Moment) {
     let now = node.now();
     let changed = {
--- a/tests/suite/core.rs
+++ b/tests/suite/core.rs
@@ -2,5 +2,6 @@
 
 mod envelope;
 mod event_id;
+mod order;
 mod preset;
 mod settings;
--- a/tests/suite/operators.rs
+++ b/tests/suite/operators.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod explain;
 mod metrics;
+mod orders;
 mod presets;
 mod refusals;
 mod settings;
