Let a newcomer break the demo by a page

Cause: the pages named failures, but nothing said how to bring them about on the running demo.

Roles are shown by the names that orders take.

--- a/crates/nutmeggrade-core/src/order/engine_order.rs
+++ b/crates/nutmeggrade-core/src/order/engine_order.rs
@@ -23,6 +23,17 @@
     Both,
 }
 
+impl Role {
+    /// Returns the name used on the wire.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+            Self::Both => "both",
+        }
+    }
+}
+
 /// One order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "order", rename_all = "snake_case")]
@@ -49,7 +60,7 @@
         match self {
             Self::Load { load } => write!(f, "load {load}"),
             Self::Unload { load } => write!(f, "unload {load}"),
-            Self::Role { role } => write!(f, "role {role:?}"),
+            Self::Role { role } => write!(f, "role {}", role.as_str()),
         }
     }
 }
--- a/crates/nutmeggrade-fakes/examples/demo.rs
+++ b/crates/nutmeggrade-fakes/examples/demo.rs
@@ -146,22 +146,30 @@
     Ok(())
 }
 
+/// Prints what a newcomer pastes into another shell; docs/operators/try-it.md goes on from there.
 fn print_hints(fleet: &Fleet) -> anyhow::Result<()> {
     let node = fleet.nodes.values().next().context("no instance")?;
-    println!("\nrunning until Ctrl-C; try:");
-    println!("  curl http://{}/v1/entries", node.callers);
+    let admin: Vec<_> = fleet.nodes.values().map(|n| n.admin.to_string()).collect();
+    println!("\nrunning until Ctrl-C; in another shell, in this folder:");
     println!(
-        "  curl -N http://{}/v1/completions -H 'nutmeggrade-workspace: me' \\\n    -d '{{\"model\":\"{MODEL}\",\"prompt\":\"hello len=40\",\"stream\":true}}'",
-        node.callers
+        "  export NUTMEGGRADE_PLATFORM={} NUTMEGGRADE_ADMIN={}",
+        fleet.platform,
+        admin.join(",")
     );
+    println!("  export NUTMEGGRADE_OPERATOR_TOKEN=operator-token-on-loopback");
+    println!("  export PATH=$PWD/target/release:$PATH NODE={} ADMIN={}", node.callers, node.admin);
+    let engine = fleet.endpoints.get("engine-0").context("no engine")?;
+    let service = fleet.endpoints.get("service-0").context("no service")?;
+    println!("  export PLATFORM={} ENGINE={engine} SERVICE={service}", fleet.platform);
+    println!("then try these, and what docs/operators/try-it.md says:");
+    println!("  curl http://$NODE/v1/entries");
     println!(
-        "  curl http://{}/v1/services/{SERVICE}/issue-permit -H 'nutmeggrade-workspace: me' \\\n    -H 'idempotency-key: k1' -d '{{\"subject\":\"plot-1\"}}'",
-        node.callers
+        "  curl -N http://$NODE/v1/completions -H 'nutmeggrade-workspace: me' \\\n    -d '{{\"model\":\"{MODEL}\",\"prompt\":\"hello len=40\",\"stream\":true}}'"
     );
-    println!("  curl http://{}/metrics", node.admin);
     println!(
-        "  NUTMEGGRADE_OPERATOR_TOKEN=operator-token-on-loopback \\\n    target/release/nutmegctl status --platform {}",
-        fleet.platform
+        "  curl http://$NODE/v1/services/{SERVICE}/issue-permit -H 'nutmeggrade-workspace: me' \\\n    -H 'idempotency-key: k1' -d '{{\"subject\":\"plot-1\"}}'"
     );
+    println!("  curl http://$ADMIN/metrics");
+    println!("  nutmegctl status");
     Ok(())
 }
