--- a/crates/nutmeggrade-state/src/config_table.rs
+++ b/crates/nutmeggrade-state/src/config_table.rs
@@ -1,7 +1,6 @@
 //! The configuration in force on this instance.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
 
@@ -17,7 +16,6 @@
 pub struct ConfigTable {
     current: Option<Arc<Configuration>>,
     highest: u64,
-    behind: Option<Moment>,
 }
 
 impl ConfigTable {
@@ -33,21 +31,18 @@
             return false;
         }
         self.current = Some(Arc::new(offered.clone()));
-        if offered.version >= self.highest {
-            self.behind = None;
-        }
         invariant::check(self.version() > before, "config_never_reverts");
         true
     }
 
     /// Notes that a peer has a version in force; says whether it is higher than the one here.
-    pub fn note(&mut self, version: u64, now: Moment) -> bool {
+    ///
+    /// An instance that hears peers but can't get what they have is not cut off, and would go on
+    /// sending work into what operators took out. Until it has caught up, what it hears proves
+    /// nothing: the fence must not count it.
+    pub fn note(&mut self, version: u64) -> bool {
         self.highest = self.highest.max(version);
-        let behind = self.highest > self.version();
-        if behind {
-            self.behind.get_or_insert(now);
-        }
-        behind
+        self.wanted().is_some()
     }
 
     /// Returns the highest version known to be in force somewhere, if it is not in force here.
@@ -55,14 +50,6 @@
         (self.highest > self.version()).then_some(self.highest)
     }
 
-    /// Says whether this instance has known for longer than `limit` that its version is old.
-    ///
-    /// It hears peers and so is not cut off, yet can't get what they have; it would go on sending
-    /// work into what operators took out, so it must stop.
-    pub fn is_behind(&self, limit: Duration, now: Moment) -> bool {
-        self.behind.is_some_and(|at| now.since(at) > limit)
-    }
-
     /// Returns the version in force, 0 for none.
     pub fn version(&self) -> u64 {
         self.current.as_ref().map_or(0, |c| c.version)
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -113,23 +113,22 @@
 
     /// Says whether the configuration in force here can be trusted, and why not.
     fn is_current(&self) -> Result<(), Failure> {
-        let (version, is_behind) = {
+        let (version, wanted) = {
             let config = lock(&self.tables.config);
-            (config.version(), config.is_behind(self.settings.fence, self.now()))
+            (config.version(), config.wanted())
         };
         if version == 0 {
             let failure = Failure::new(Code::NotReady, "no configuration yet");
             return Err(failure.with_retry_after(self.settings.fence));
         }
-        if is_behind {
-            let failure = Failure::new(Code::Fenced, "peers have a newer configuration in force");
-            return Err(failure.with_retry_after(self.settings.fence));
-        }
-        if lock(&self.tables.fence).is_closed(self.now()) {
-            let failure = Failure::new(Code::Fenced, "cut off from the platform and most peers");
-            return Err(failure.with_retry_after(self.settings.fence));
+        if !lock(&self.tables.fence).is_closed(self.now()) {
+            return Ok(());
         }
-        Ok(())
+        let detail = match wanted {
+            Some(_) => "peers have a newer configuration that can't be had",
+            None => "cut off from the platform and most peers",
+        };
+        Err(Failure::new(Code::Fenced, detail).with_retry_after(self.settings.fence))
     }
 
     /// Says whether work may be sent to an endpoint now; the last check before its first byte.
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -118,7 +118,9 @@
         (fresh, members.together_since(size))
     };
     if fresh {
-        lock(&node.tables.config).note(beacon.config, now);
-        lock(&node.tables.fence).hear_peers(together);
+        let is_behind = lock(&node.tables.config).note(beacon.config);
+        if !is_behind {
+            lock(&node.tables.fence).hear_peers(together);
+        }
     }
 }
--- a/crates/nutmeggrade/src/tasks/config_watch.rs
+++ b/crates/nutmeggrade/src/tasks/config_watch.rs
@@ -55,19 +55,25 @@
     wait: Duration,
 ) -> Result<Option<u64>, PlatformError> {
     let changes = node.platform.watch(CONFIG_PREFIX, since, wait).await?;
-    take(node, &changes);
+    take(node, &changes)?;
     Ok((changes.objects.len() < WATCH_LIMIT).then_some(changes.revision))
 }
 
-fn take<P: Platform>(node: &Node<P>, changes: &Changes) {
+/// Puts the newest version in force. One that can't be read is a failure: what it takes out is not
+/// known, so the answer must not count for the fence.
+fn take<P: Platform>(node: &Node<P>, changes: &Changes) -> Result<(), PlatformError> {
     // Keys sort by version, and only the newest that still exists matters.
     let live = changes.objects.iter().filter(|o| o.value.is_some());
-    let Some(object) = live.max_by(|a, b| a.key.cmp(&b.key)) else { return };
+    let Some(object) = live.max_by(|a, b| a.key.cmp(&b.key)) else { return Ok(()) };
     match decode(object) {
         Ok(config) => {
             node.offer_config(&config, "platform");
+            Ok(())
+        }
+        Err(error) => {
+            tracing::error!(event = "config_unreadable", key = object.key, %error);
+            Err(error)
         }
-        Err(error) => tracing::error!(event = "config_unreadable", key = object.key, %error),
     }
 }
 
