--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -5,8 +5,10 @@
 //! nodes for the demo and the tests. [`engine::Model`] is pure and runs in virtual time, so that
 //! decisions can be measured without a process.
 
+pub mod driver;
 pub mod engine;
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod service;
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -27,6 +27,8 @@
     Draining,
     /// Streams that could not finish are told where to resume.
     Closing,
+    /// Callers are gone; operators and probes are the last.
+    Stopped,
 }
 
 /// One instance, shared by all its workers.
@@ -172,6 +174,7 @@
             }
             taken
         };
+        lock(&self.tables.changes).note(config);
         if !taken {
             return false;
         }
@@ -193,6 +196,7 @@
 
     /// Tells the scheduler which engines may get new work.
     pub fn sync_engines(&self) {
+        let config = lock(&self.tables.config).current();
         let sharers = lock(&self.tables.members).live(self.now()).len() + 1;
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
         let now = self.now();
@@ -200,18 +204,28 @@
             let table = lock(&self.tables.endpoints);
             let rights = lock(&self.tables.rights);
             let right = |e: &Endpoint| rights.cold_right(&e.id, now);
-            table.usable().filter_map(|e| engine(e, sharers, right(e))).collect()
+            let known = |e| engine(e, sharers, right(e), config.as_deref());
+            table.usable().filter_map(known).collect()
         };
         lock(&self.tables.scheduler).set_engines(&engines, self.now());
     }
 }
 
-fn engine(endpoint: &Endpoint, sharers: u32, cold_right: u32) -> Option<Engine> {
+fn engine(
+    endpoint: &Endpoint,
+    sharers: u32,
+    cold_right: u32,
+    config: Option<&Configuration>,
+) -> Option<Engine> {
     let EndpointKind::Engine { models, memory } = &endpoint.kind else { return None };
+    let mut models = models.clone();
+    if let Some(preset) = config.and_then(Configuration::preset) {
+        models.retain(|m| preset.lets_serve(m, &endpoint.id));
+    }
     Some(Engine {
         id: endpoint.id.clone(),
         domain: endpoint.domain.clone(),
-        models: models.clone(),
+        models,
         memory: *memory,
         cold_right,
         sharers,
--- a/crates/nutmeggrade/src/tasks/config_watch.rs
+++ b/crates/nutmeggrade/src/tasks/config_watch.rs
@@ -62,6 +62,9 @@
 /// Puts the newest version in force. One that can't be read is a failure: what it takes out is not
 /// known, so the answer must not count for the fence.
 fn take<P: Platform>(node: &Node<P>, changes: &Changes) -> Result<(), PlatformError> {
+    for config in changes.objects.iter().filter_map(|o| decode(o).ok()) {
+        lock(&node.tables.changes).note(&config);
+    }
     // Keys sort by version, and only the newest that still exists matters.
     let live = changes.objects.iter().filter(|o| o.value.is_some());
     let Some(object) = live.max_by(|a, b| a.key.cmp(&b.key)) else { return Ok(()) };
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -2,4 +2,9 @@
 
 mod bad_input;
 mod cold;
+mod cuts;
+mod limits;
+mod planned_stop;
+mod raw;
+mod traces;
 mod whole_path;
