--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -167,6 +167,22 @@
         }
     }
 
+    /// Adds a flag with its value for the instances that are started from now on.
+    pub fn add_flag(&mut self, flag: &str, value: &str) {
+        self.plan = self.plan.clone().with_flag(flag, value);
+    }
+
+    /// Hands an instance a configuration, as the operators' command does with an accepted one.
+    pub async fn push(&self, name: &str, config: &Configuration) -> anyhow::Result<()> {
+        let node = self.nodes.get(name).with_context(|| format!("no instance {name}"))?;
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let body = serde_json::to_vec(config).context("encode configuration")?;
+        let (status, _) = send(node.admin, Method::POST, "/config", &headers, body).await?;
+        anyhow::ensure!(status.is_success(), "push to {name}: {status}");
+        Ok(())
+    }
+
     /// Starts the n-th instance; its addresses are new.
     pub fn start_node(&mut self, n: usize) -> anyhow::Result<()> {
         self.start_node_with_key(n, PEER_KEY)
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod cold;
+mod config;
 mod cuts;
 mod limits;
 mod planned_stop;
