Take an engine's own word on leaving, and forget dead instances

Cause: the instance list lags, so an engine about to go got work until the list said so; it can say so itself in its load report. An engine once listed as leaving stayed so for ever at the same address. The entry of a killed instance stayed in the platform for ever, and each later change ended with exit code 5 because of it. A start watched all entries that ever existed.

Change: `leaving` beside the load report, taken at the next poll; a leaving endpoint counts as live again after 60 live listings in a row. The first live instance removes an entry after ten looks in a row that found it silent; one that was only cut off registers again. The start lists first. Ruled out: time in place of looks (an instance that wakes from a freeze would take all others for gone); a field in the load report itself (engines' stand-ins and decisions build it literally).

Proof that failed first, `cargo test -p nutmeggrade-tests -- process::membership`: own word not taken: "node-0 still uses engine-0" after 40 s; no cleanup: "registered(node-1) is not false" after 15 s. Both pass with the change; the four tests take 5.9 s.

--- a/crates/nutmeggrade-core/src/engine.rs
+++ b/crates/nutmeggrade-core/src/engine.rs
@@ -2,10 +2,12 @@
 
 mod generate;
 mod load_report;
+mod standing;
 mod token;
 
 pub use generate::Generate;
 pub use load_report::LoadReport;
+pub use standing::Standing;
 pub use token::{Finish, Token};
 
 /// Path under which an engine starts, resumes and cancels generations.
--- a/crates/nutmeggrade-fakes/src/engine/faults.rs
+++ b/crates/nutmeggrade-fakes/src/engine/faults.rs
@@ -18,6 +18,8 @@
     pub crash: Option<bool>,
     /// Refuses new generations.
     pub refuse: Option<bool>,
+    /// Says that it is about to go.
+    pub leaving: Option<bool>,
     /// Accepts new generations and never answers them.
     pub hang: Option<bool>,
 }
--- a/crates/nutmeggrade-fakes/src/engine/server.rs
+++ b/crates/nutmeggrade-fakes/src/engine/server.rs
@@ -8,7 +8,9 @@
 use futures::Stream;
 use futures::stream;
 use http::StatusCode;
-use nutmeggrade_core::engine::{Finish, GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
+use nutmeggrade_core::engine::{
+    Finish, GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Standing, Token,
+};
 use nutmeggrade_core::id::GenerationId;
 use nutmeggrade_core::moment::Moment;
 use serde::Deserialize;
@@ -219,7 +221,9 @@
     let Some((at, report)) = inner.reports.front() else {
         return Ok(Response::json(inner.model.load(app.now()))?);
     };
-    Ok(Response::json(LoadReport { age: at.elapsed(), ..report.clone() })?)
+    let load = LoadReport { age: at.elapsed(), ..report.clone() };
+    let leaving = inner.faults.leaving == Some(true);
+    Ok(Response::json(Standing { load, leaving })?)
 }
 
 async fn log(req: Request) -> Result<Response> {
--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -4,12 +4,18 @@
 
 use nutmeggrade_core::prelude::*;
 
+/// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
+/// half a minute by default, longer than the list lags.
+const RETURN_LOOKS: u32 = 60;
+
 /// Endpoints from the platform's lagging list, less what operators took out.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
+    said_leaving: BTreeSet<EndpointId>,
+    listed_live: BTreeMap<EndpointId, u32>,
 }
 
 impl EndpointTable {
@@ -20,8 +26,9 @@
 
     /// Replaces the list.
     ///
-    /// The list lags, so an endpoint already seen as leaving stays so until the list drops it; else
-    /// an older answer would bring it back and it would get new work while it goes.
+    /// The list lags, so an endpoint already seen as leaving stays so until the list drops it or has
+    /// shown it as live for long; else an older answer would bring it back and it would get new work
+    /// while it goes.
     pub fn set_list(&mut self, list: &[Endpoint]) {
         let mut listed = BTreeMap::new();
         for endpoint in list {
@@ -30,12 +37,30 @@
             let was_leaving = old.is_some_and(|o| {
                 o.state == EndpointState::Leaving && o.address == endpoint.address
             });
-            if was_leaving {
+            if was_leaving && !self.stays(&endpoint) {
                 endpoint.state = EndpointState::Leaving;
             }
             listed.insert(endpoint.id.clone(), endpoint);
         }
         self.listed = listed;
+        self.said_leaving.retain(|e| self.listed.contains_key(e));
+        self.listed_live.retain(|e, _| self.listed.contains_key(e));
+    }
+
+    /// Says whether an endpoint seen as leaving was listed as live often enough to stay after all.
+    fn stays(&mut self, endpoint: &Endpoint) -> bool {
+        let looks = self.listed_live.entry(endpoint.id.clone()).or_default();
+        *looks = if endpoint.state == EndpointState::Live { *looks + 1 } else { 0 };
+        *looks >= RETURN_LOOKS
+    }
+
+    /// Takes an endpoint's own word on whether it is about to go, which comes before the list's.
+    pub fn note_leaving(&mut self, id: &EndpointId, leaving: bool) {
+        if leaving {
+            self.said_leaving.insert(id.clone());
+        } else {
+            self.said_leaving.remove(id);
+        }
     }
 
     /// Takes a peer's list if there is none yet.
@@ -64,6 +89,7 @@
     /// Says whether a listed endpoint may get new work.
     pub fn in_service(&self, endpoint: &Endpoint) -> bool {
         endpoint.state == EndpointState::Live
+            && !self.said_leaving.contains(&endpoint.id)
             && !self.out_domains.contains(&endpoint.domain)
             && !self.out_endpoints.contains(&endpoint.id)
     }
--- a/crates/nutmeggrade-state/src/membership.rs
+++ b/crates/nutmeggrade-state/src/membership.rs
@@ -130,6 +130,12 @@
         answered.get(needed - 1).copied()
     }
 
+    /// Lists the peers that are known and not heard lately.
+    pub fn silent(&self, now: Moment) -> Vec<Entry> {
+        let silent = self.peers.values().filter(|p| !self.is_live(&p.entry.instance, now));
+        silent.map(|p| p.entry.clone()).collect()
+    }
+
     /// Counts the instances that are known, this one included.
     pub fn known(&self) -> usize {
         self.peers.len() + 1
--- a/crates/nutmeggrade/src/engine_client.rs
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -10,7 +10,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyDataStream, Full};
 use hyper::body::Incoming;
-use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
+use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, Standing, Token};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::{body_bytes, call, call_if, json_body};
 use tokio::time::timeout;
@@ -120,8 +120,8 @@
         Ok(())
     }
 
-    /// Asks for the load report; `wait` bounds the whole exchange.
-    pub async fn load(&self, address: SocketAddr, wait: Duration) -> anyhow::Result<LoadReport> {
+    /// Asks for the load and whether the engine stays; `wait` bounds the whole exchange.
+    pub async fn standing(&self, address: SocketAddr, wait: Duration) -> anyhow::Result<Standing> {
         let request = bodiless(Method::GET, LOAD_PATH, address)?;
         let exchange = async {
             let response = call(address, request, self.connect).await?;
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -2,6 +2,7 @@
 
 mod beacon;
 mod catch_up;
+mod cleanup;
 mod config_watch;
 mod endpoint_refresh;
 mod load_poll;
@@ -21,6 +22,7 @@
 /// Starts every background task.
 pub fn start<P: Platform>(node: &Arc<Node<P>>, peers: &Arc<Peers>) {
     tokio::spawn(config_watch::run(Arc::clone(node)));
+    tokio::spawn(cleanup::run(Arc::clone(node)));
     tokio::spawn(catch_up::run(Arc::clone(node)));
     tokio::spawn(rights::run(Arc::clone(node)));
     tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
--- a/crates/nutmeggrade/src/tasks/load_poll.rs
+++ b/crates/nutmeggrade/src/tasks/load_poll.rs
@@ -31,10 +31,11 @@
 
 async fn poll<P: Platform>(node: &Node<P>, id: &EndpointId, address: SocketAddr) {
     let asked = node.now();
-    match node.engines.load(address, node.settings.connect).await {
-        Ok(report) => {
-            lock(&node.tables.rights).see(id, sight(&report, asked));
-            lock(&node.tables.scheduler).report(id, &report, node.now());
+    match node.engines.standing(address, node.settings.connect).await {
+        Ok(standing) => {
+            lock(&node.tables.endpoints).note_leaving(id, standing.leaving);
+            lock(&node.tables.rights).see(id, sight(&standing.load, asked));
+            lock(&node.tables.scheduler).report(id, &standing.load, node.now());
         }
         Err(error) => {
             lock(&node.tables.rights).lose_sight(id);
--- a/crates/nutmeggrade/src/tasks/registration.rs
+++ b/crates/nutmeggrade/src/tasks/registration.rs
@@ -10,27 +10,32 @@
 use nutmeggrade_platform::{Platform, PlatformError};
 use tokio::time::sleep;
 
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::tables::lock;
 
-const PREFIX: &str = "instances/";
+pub(super) const PREFIX: &str = "instances/";
 const WATCH: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(250);
 
 pub(super) async fn run<P: Platform>(node: Arc<Node<P>>, peers: Arc<Peers>) {
-    while let Err(error) = register(&node).await {
-        tracing::warn!(event = "register_failed", error = format!("{error:#}"));
-        sleep(PAUSE).await;
-    }
-    let mut revision = 0;
+    announce(&node).await;
+    let mut revision = None;
     loop {
-        match node.platform.watch(PREFIX, revision, WATCH).await {
+        // Watched from the start, the removed entries of all former instances would come too.
+        let looked = match revision {
+            None => node.platform.list(PREFIX).await,
+            Some(since) => node.platform.watch(PREFIX, since, WATCH).await,
+        };
+        match looked {
             Ok(changes) => {
-                revision = changes.revision;
+                revision = Some(changes.revision);
                 for object in &changes.objects {
                     take(&node, &peers, object);
                 }
+                if lost_own(&node, &changes.objects) {
+                    announce(&node).await;
+                }
             }
             Err(error) => {
                 tracing::debug!(event = "instance_watch_failed", %error);
@@ -40,6 +45,21 @@
     }
 }
 
+async fn announce<P: Platform>(node: &Node<P>) {
+    while let Err(error) = register(node).await {
+        tracing::warn!(event = "register_failed", error = format!("{error:#}"));
+        sleep(PAUSE).await;
+    }
+}
+
+/// Says whether this instance's own entry was removed while it serves: it was cut off from the
+/// others for so long that they took it for gone.
+fn lost_own<P: Platform>(node: &Node<P>, changed: &[Object]) -> bool {
+    let own = key(&node.entry.instance);
+    let gone = changed.iter().any(|o| o.key == own && o.value.is_none());
+    gone && node.phase() == Phase::Serving
+}
+
 /// Removes this instance's object, so that peers forget it at once.
 pub async fn unregister<P: Platform>(node: &Node<P>) {
     let key = key(&node.entry.instance);
@@ -77,10 +97,10 @@
     node.meet(&entry);
 }
 
-fn entry(object: &Object) -> Option<Entry> {
+pub(super) fn entry(object: &Object) -> Option<Entry> {
     serde_json::from_value(object.value.clone()?).ok()
 }
 
-fn key(instance: &InstanceId) -> String {
+pub(super) fn key(instance: &InstanceId) -> String {
     format!("{PREFIX}{instance}")
 }
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -5,6 +5,7 @@
 mod config;
 mod cuts;
 mod limits;
+mod membership;
 mod planned_stop;
 mod raw;
 mod traces;
