Draw lots for scarce room, doubt engines that failed, budget retries

Cause: room for one answer is seen by seven instances in the same report, and each fills it; an engine that turned cold is met again before a report shows it; retries had no budget. Change: where room is less than what all sharers would take, as many instances as fit draw a lot for a quarter second; an engine that lost a stream or shows four slow steps in a row counts as cold until a report made later says otherwise; attempts of generations and idempotent calls take retries from a budget of a tenth of fresh requests, with jitter and within the deadline.

--- a/crates/nutmeggrade-policy/src/cold_watch.rs
+++ b/crates/nutmeggrade-policy/src/cold_watch.rs
@@ -5,7 +5,7 @@
 use nutmeggrade_core::prelude::*;
 
 /// Steps in a row that must all be slow. A prompt being read slows one to three steps in a row.
-const STEPS: u32 = 5;
+const STEPS: u32 = 4;
 /// How much slower than usual; engines in cold start are about three times slower, and a batch twice
 /// as large not even one and a half times.
 const FACTOR: f64 = 2.2;
@@ -13,14 +13,15 @@
 const NEW: f64 = 1.0 / 64.0;
 /// Steps until the usual gap is known.
 const LEARN: u32 = 32;
-/// How long the suspicion outlasts the last slow step; streams that end must not lift it at once.
-const HOLD: Duration = Duration::from_secs(2);
+/// How long the suspicion outlasts the last slow step, if a report contradicts it; a stream that ends
+/// must not lift it at once.
+const HOLD: Duration = Duration::from_millis(500);
 
 /// Notices from own streams that an engine turned cold, before any report says so.
 ///
 /// Answers a warm engine that restarts or loses its caches without a word. Reports lag by up to
 /// seconds, a cold engine falls over under the first request too many, and all its streams are lost.
-/// Five slow steps in a row take a fifth of a second.
+/// Four slow steps in a row take a sixth of a second.
 #[derive(Debug, Clone, Default)]
 pub struct ColdWatch {
     usual: f64,
--- a/crates/nutmeggrade-policy/src/known.rs
+++ b/crates/nutmeggrade-policy/src/known.rs
@@ -8,6 +8,7 @@
 use crate::cold_watch::ColdWatch;
 use crate::gap::GapLimit;
 use crate::knobs::Knobs;
+use crate::lots::Lots;
 use crate::memory::{Forecast, Others};
 use crate::prefill::PrefillPace;
 use crate::share::Unseen;
@@ -53,11 +54,12 @@
     watch: ColdWatch,
     doubt: Option<Moment>,
     ramp: SlowStart,
+    lots: Lots,
     pace: PrefillPace,
 }
 
 impl Known {
-    pub fn new(engine: &Engine) -> Self {
+    pub fn new(engine: &Engine, seed: u64) -> Self {
         Self {
             engine: engine.clone(),
             usable: true,
@@ -72,6 +74,7 @@
             watch: ColdWatch::new(),
             doubt: None,
             ramp: SlowStart::new(),
+            lots: Lots::new(seed, &engine.id),
             pace: PrefillPace::new(),
         }
     }
@@ -123,7 +126,13 @@
             return None;
         }
         let load = self.load(view);
-        (load <= USABLE || self.is_empty(view)).then_some(load)
+        (self.has_room(load, view) || self.is_empty(view)).then_some(load)
+    }
+
+    fn has_room(&self, load: f64, view: &View<'_>) -> bool {
+        let need = view.forecast.peak(0.0) / self.engine.memory.max(1) as f64;
+        let room = USABLE - load + need;
+        load <= USABLE && self.lots.win(room, need, self.engine.sharers, view.now)
     }
 
     /// Notes a request that goes here.
--- a/crates/nutmeggrade-policy/src/router.rs
+++ b/crates/nutmeggrade-policy/src/router.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::Engine;
+use crate::mix::{hash, mix};
 
 /// Engines drawn for each request. Two are enough against a herd; four find the one engine in ten
 /// that has room in most of the first tries.
@@ -96,15 +97,3 @@
         (0..count).map(move |i| &engines[(first + i * jump) % engines.len()])
     }
 }
-
-fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| mix(h ^ u64::from(*b)))
-}
-
-/// Spreads the bits of a number, as the finaliser of splitmix64 does.
-const fn mix(number: u64) -> u64 {
-    let number = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    number ^ (number >> 31)
-}
--- a/crates/nutmeggrade-policy/src/scheduler.rs
+++ b/crates/nutmeggrade-policy/src/scheduler.rs
@@ -41,6 +41,7 @@
     gap: Duration,
     knobs: Knobs,
     spread: Spread,
+    seed: u64,
 }
 
 impl Scheduler {
@@ -60,6 +61,7 @@
             gap: USUAL_GAP,
             knobs: Knobs::new(&Weights::default()),
             spread: Spread::new(seed),
+            seed,
         }
     }
 
@@ -85,7 +87,7 @@
             match self.engines.get_mut(&engine.id) {
                 Some(known) => known.set_engine(engine, now),
                 None => {
-                    self.engines.insert(engine.id.clone(), Known::new(engine));
+                    self.engines.insert(engine.id.clone(), Known::new(engine, self.seed));
                 }
             }
         }
--- a/crates/nutmeggrade-policy/src/wait.rs
+++ b/crates/nutmeggrade-policy/src/wait.rs
@@ -9,7 +9,7 @@
 const WINDOW: Duration = Duration::from_secs(8);
 /// Part of the time to spare that a request may be expected to wait. The rest covers the error of
 /// the expected length; with all of it, half of those at the queue's end start and don't finish.
-const PATIENCE: f64 = 0.5;
+const PATIENCE: f64 = 0.8;
 
 /// Rate at which waiting requests of one kind get their place.
 ///
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -19,7 +19,7 @@
 use crate::tables::lock;
 
 /// Engines that one request is tried on.
-const ATTEMPTS: usize = 3;
+const ATTEMPTS: u32 = 3;
 
 /// Starts a generation and waits for its first token.
 ///
@@ -43,6 +43,7 @@
         deadline: caller.deadline,
         avoid: BTreeSet::new(),
     };
+    lock(&node.tables.retries).fresh();
     let mut attempts = 0;
     while attempts < ATTEMPTS {
         ask.ticket = node.ticket();
@@ -78,8 +79,12 @@
                 let why = format!("endpoint={endpoint} error={error:#}");
                 node.note(&caller.request, "attempt_failed", &why);
                 placement.set_end(End::Failed);
-                node.metrics.retries.inc();
                 ask.avoid.insert(endpoint);
+                // A failed attempt holds no place while it waits to be repeated.
+                drop(placement);
+                if attempts < ATTEMPTS && !node.may_retry(attempts, caller.deadline).await {
+                    break;
+                }
             }
         }
         if caller.deadline <= node.now() {
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
-//! `rights`, `scheduler`, `picker`, `fence`, `waiters`, `explain`, `changes`, `audit`. No lock is
-//! held over an await.
+//! `rights`, `scheduler`, `picker`, `retries`, `fence`, `waiters`, `explain`, `changes`, `audit`. No
+//! lock is held over an await.
 
 pub mod admin;
 pub mod audit;
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -84,6 +84,16 @@
         self.clock.now()
     }
 
+    /// Waits before an attempt is repeated; says whether it may be, by budget and deadline.
+    pub async fn may_retry(&self, number: u32, deadline: Moment) -> bool {
+        let left = deadline.since(self.now());
+        let wait = lock(&self.tables.retries).retry(number, left);
+        let Some(wait) = wait else { return false };
+        self.metrics.retries.inc();
+        tokio::time::sleep(wait).await;
+        true
+    }
+
     /// Draws a ticket for a new request.
     pub fn ticket(&self) -> Ticket {
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
--- a/crates/nutmeggrade/src/service/idempotent.rs
+++ b/crates/nutmeggrade/src/service/idempotent.rs
@@ -9,9 +9,10 @@
 use super::replica::{Attempt, attempt};
 use super::{Answer, Call};
 use crate::node::Node;
+use crate::tables::lock;
 
 /// Replicas that one call is tried on.
-const ATTEMPTS: usize = 3;
+const ATTEMPTS: u32 = 3;
 
 /// Runs a call that may be repeated on up to three replicas.
 pub async fn run_idempotent<P: Platform>(
@@ -21,7 +22,8 @@
     let mut avoid = BTreeSet::new();
     let mut run = Run::NotRun;
     let mut last = String::new();
-    for _ in 0..ATTEMPTS {
+    lock(&node.tables.retries).fresh();
+    for number in 1..=ATTEMPTS {
         match attempt(node, call, &mut avoid).await {
             Ok(Attempt::Answered(answer)) => return Ok(answer),
             Ok(Attempt::NotRun(why)) => last = why,
@@ -32,10 +34,10 @@
             Err(failure) if last.is_empty() => return Err(failure),
             Err(_) => break,
         }
-        if call.caller.deadline <= node.now() {
+        let again = number < ATTEMPTS && node.may_retry(number, call.caller.deadline).await;
+        if !again {
             break;
         }
-        node.metrics.retries.inc();
     }
     let late = call.caller.deadline <= node.now();
     let code = if late { Code::DeadlinePassed } else { Code::EndpointFailed };
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use nutmeggrade_core::peer::Entry;
-use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_policy::{RetryBudget, Scheduler, ServicePicker, Ticket, Verdict};
 use nutmeggrade_state::audit_log::AuditLog;
 use nutmeggrade_state::cold_rights::ColdRights;
 use nutmeggrade_state::config_table::ConfigTable;
@@ -35,6 +35,8 @@
     pub scheduler: Mutex<Scheduler>,
     /// Routing of service calls.
     pub picker: Mutex<ServicePicker>,
+    /// Whether failed attempts may be repeated.
+    pub retries: Mutex<RetryBudget>,
     /// Whether new work may be taken.
     pub fence: Mutex<Fence>,
     /// Requests that wait.
@@ -57,6 +59,7 @@
             rights: Mutex::new(ColdRights::new(&own.instance, own.incarnation)),
             scheduler: Mutex::new(Scheduler::new(seed)),
             picker: Mutex::new(ServicePicker::new()),
+            retries: Mutex::new(RetryBudget::new(seed)),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
             explain: Mutex::new(ExplainLog::default()),
