Play each pattern and each decision in tests; split growth over length ranges

Growth is now split over the ranges. The assumption before anything is seen no longer lets half of all answers end early. Also: an engine's new settings alone no longer rebuild the router.

--- a/crates/nutmeggrade-fakes/src/driver/pattern.rs
+++ b/crates/nutmeggrade-fakes/src/driver/pattern.rs
@@ -14,7 +14,7 @@
 /// Requests a second that fill the engines' memory on average, from the pattern's mean lengths; see
 /// `docs/measurements/decisions.md`.
 pub const CAPACITY: f64 = 40.0;
-/// Time during which requests come.
+/// Time during which requests come, in seconds.
 const ARRIVING: f64 = 120.0;
 /// Time after which a long answer is worth nothing.
 const LONG_DEADLINE: Duration = Duration::from_secs(90);
@@ -212,8 +212,8 @@
         load * CAPACITY
     }
 
-    fn changes(self) -> Vec<Change> {
-        let at = Moment::from_millis;
+    fn changes(self, scale: f64) -> Vec<Change> {
+        let at = |ms: u64| Moment::new(Duration::from_millis(ms).mul_f64(scale));
         match self {
             Self::SlowEndpoint => vec![
                 Change::Slow { at: at(30_000), engine: 4, factor: 8 },
@@ -251,23 +251,28 @@
 impl Pattern {
     /// Draws a pattern; the same shape and seed give the same pattern.
     pub fn new(shape: Shape, seed: u64) -> Self {
+        Self::scaled(shape, seed, 1.0)
+    }
+
+    /// Draws a pattern that takes a part of the usual time, at the same rates.
+    pub fn scaled(shape: Shape, seed: u64, scale: f64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut arrivals = Vec::new();
         let mut at = 0.0;
         loop {
             let open: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
-            at -= open.ln() / shape.rate(at);
-            if at > ARRIVING {
+            at -= open.ln() / shape.rate(at / scale);
+            if at > ARRIVING * scale {
                 break;
             }
             arrivals.push(arrival(&mut rng, shape, at));
         }
         let late = arrivals.iter().map(|a| a.deadline).max().unwrap_or(Moment::ZERO);
-        let stale = shape == Shape::StaleReports;
+        let old_reports = shape == Shape::StaleReports;
         Self {
             arrivals,
-            changes: shape.changes(),
-            report_lag: Duration::from_millis(if stale { 3_000 } else { 300 }),
+            changes: shape.changes(scale),
+            report_lag: Duration::from_millis(if old_reports { 3_000 } else { 300 }),
             end: late,
             spec: spec(),
         }
--- a/crates/nutmeggrade-policy/src/length/hazard.rs
+++ b/crates/nutmeggrade-policy/src/length/hazard.rs
@@ -11,8 +11,9 @@
 const KEEP: f64 = 0.995;
 /// Answers that the parent's rate counts for, per range; two give way to the first real ones.
 const PRIOR: f64 = 2.0;
-/// Typical length before anything was seen; the tail behind it is heavy on purpose.
-const UNKNOWN: f64 = 200.0;
+/// Median length before anything was seen; few end early, and the tail behind it is heavy, so that
+/// a cold estimator errs towards long answers.
+const UNKNOWN: f64 = 500.0;
 
 /// Ended answers and tokens seen in each range of lengths.
 ///
@@ -33,8 +34,12 @@
 
     /// Notes that an answer grew from `from` to `to` tokens; `weight` is at most 1.
     pub fn grow(&mut self, from: u64, to: u64, weight: f64) {
-        if to > from {
-            self.tokens[range(from)] += (to - from) as f64 * weight;
+        let mut at = from;
+        while at < to {
+            let range = range(at);
+            let end = upper(range).min(to);
+            self.tokens[range] += (end - at) as f64 * weight;
+            at = end;
         }
     }
 
@@ -56,7 +61,8 @@
 
 /// Returns the rate of ending per token before anything was seen.
 pub(super) fn unknown(range: usize) -> f64 {
-    1.0 / (BOUNDS[range] as f64 + UNKNOWN)
+    let length = BOUNDS[range] as f64;
+    2.0 * length / (length * length + UNKNOWN * UNKNOWN)
 }
 
 /// Returns the range that a length is in.
--- a/crates/nutmeggrade-policy/src/queue/lane.rs
+++ b/crates/nutmeggrade-policy/src/queue/lane.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns the workspaces that wait, the next one first.
-    pub fn next(&self) -> impl Iterator<Item = &Ask> {
+    pub fn heads(&self) -> impl Iterator<Item = &Ask> {
         let heads = self.order.iter().filter_map(|(_, w)| self.lines.get(w));
         heads.filter_map(|l| l.asks.front())
     }
--- a/crates/nutmeggrade-policy/src/scheduler.rs
+++ b/crates/nutmeggrade-policy/src/scheduler.rs
@@ -3,7 +3,7 @@
 mod placing;
 mod waiting;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use nutmeggrade_core::config::Weights;
@@ -76,9 +76,8 @@
         if self.offered == engines {
             return;
         }
-        let usable = |id: &EndpointId| engines.iter().any(|e| e.id == *id);
-        let gone = self.offered.iter().map(|e| &e.id).filter(|id| !usable(id));
-        for id in gone {
+        let usable: BTreeSet<_> = engines.iter().map(|e| &e.id).collect();
+        for id in self.offered.iter().map(|e| &e.id).filter(|id| !usable.contains(id)) {
             if let Some(known) = self.engines.get_mut(id) {
                 known.usable = false;
             }
@@ -91,7 +90,11 @@
                 }
             }
         }
-        self.router.set_engines(engines);
+        let same = |(a, b): (&Engine, &Engine)| a.id == b.id && a.models == b.models;
+        let unmoved = self.offered.len() == engines.len();
+        if !unmoved || !self.offered.iter().zip(engines).all(same) {
+            self.router.set_engines(engines);
+        }
         self.offered = engines.to_vec();
     }
 
--- a/crates/nutmeggrade-policy/src/scheduler/waiting.rs
+++ b/crates/nutmeggrade-policy/src/scheduler/waiting.rs
@@ -83,7 +83,7 @@
     }
 
     fn next(&mut self, long: bool, now: Moment) -> Option<(Ticket, Verdict)> {
-        let heads: Vec<_> = self.queue.lane(long).next().take(TRIES).cloned().collect();
+        let heads: Vec<_> = self.queue.lane(long).heads().take(TRIES).cloned().collect();
         for ask in heads {
             let Some(verdict) = self.place(&ask, now) else { continue };
             let tokens = self.lengths.remaining(&ask.workspace, &ask.task, 0, ask.max_tokens);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod core;
 mod docs;
 mod operators;
+mod policy;
 mod process;
 mod random;
 mod state;
--- /dev/null
+++ b/tests/suite/policy.rs
@@ -0,0 +1,88 @@
+//! Decisions under load, without network, clock or threads.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use nutmeggrade_core::engine::LoadReport;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_policy::{Ask, Engine, Scheduler, Ticket};
+
+mod cold;
+mod fairness;
+mod gaps;
+mod lengths;
+mod memory;
+mod patterns;
+mod properties;
+mod retries;
+mod routing;
+
+/// Memory of an engine, in tokens.
+const MEMORY: u64 = 40_000;
+
+fn endpoint(number: usize) -> EndpointId {
+    EndpointId::new(&format!("engine-{number:02}")).expect("a valid id")
+}
+
+fn workspace(number: usize) -> WorkspaceId {
+    WorkspaceId::new(&format!("workspace-{number}")).expect("a valid id")
+}
+
+fn task(name: &str) -> TaskId {
+    TaskId::new(name).expect("a valid id")
+}
+
+fn model() -> ModelId {
+    ModelId::new("nutmeg-schrijvers").expect("a valid id")
+}
+
+fn engine(number: usize) -> Engine {
+    Engine {
+        id: endpoint(number),
+        domain: DomainId::new(&format!("domain-{}", number % 3)).expect("a valid id"),
+        models: BTreeSet::from([model()]),
+        memory: MEMORY,
+        cold_right: 0,
+        sharers: 1,
+    }
+}
+
+fn warm(used: u64) -> LoadReport {
+    LoadReport {
+        running: 0,
+        waiting: 0,
+        memory_used: used,
+        memory_total: MEMORY,
+        preemptions: 0,
+        cold: false,
+        cold_limit: 2,
+        age: Duration::ZERO,
+    }
+}
+
+/// Makes a scheduler with warm engines that are empty.
+fn scheduler(engines: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(3);
+    scheduler.set_preset(&nutmeggrade_fakes::fleet::preset().expect("a preset"));
+    let all: Vec<_> = (0..engines).map(engine).collect();
+    scheduler.set_engines(&all, Moment::ZERO);
+    for number in 0..engines {
+        scheduler.report(&endpoint(number), &warm(0), Moment::ZERO);
+    }
+    scheduler
+}
+
+fn ask(ticket: u64, long: bool) -> Ask {
+    Ask {
+        ticket: Ticket(ticket),
+        workspace: workspace(0),
+        task: task(if long { "permit-draft" } else { "district-sort" }),
+        long,
+        model: model(),
+        prompt: 400,
+        max_tokens: if long { 8_192 } else { 64 },
+        prefix: 0,
+        deadline: Moment::from_millis(3_600_000),
+        avoid: BTreeSet::new(),
+    }
+}
