--- a/crates/nutmeggrade-fakes/src/fleet.rs
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod process;
 mod running;
+mod usage;
 
 pub use caller::{Caller, Heard};
 pub use client::Client;
@@ -13,3 +14,4 @@
 pub use plan::Plan;
 pub use process::Process;
 pub use running::{Fleet, NodeAddresses};
+pub use usage::Usage;
--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::process::{Process, programs};
-use super::{Caller, Plan};
+use super::{Caller, Plan, Usage};
 use crate::http::{ask, send};
 use crate::relay::Relay;
 
@@ -218,6 +218,20 @@
         Ok(String::from_utf8_lossy(&got.1).into_owned())
     }
 
+    /// Sums the samples of an instance's metrics whose name and labels begin with `prefix`.
+    pub async fn counter(&self, name: &str, prefix: &str) -> anyhow::Result<f64> {
+        let text = self.metrics(name).await?;
+        let samples = text.lines().filter(|l| l.starts_with(prefix));
+        let value = |line: &str| line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+        Ok(samples.filter_map(value).sum())
+    }
+
+    /// Returns what a process uses.
+    pub fn usage(&self, name: &str) -> anyhow::Result<Usage> {
+        let process = self.processes.get(name).with_context(|| format!("no process {name}"))?;
+        Usage::read(process.id())
+    }
+
     /// Reads one instance's status.
     pub async fn status(&self, name: &str) -> anyhow::Result<Value> {
         let node = self.nodes.get(name).with_context(|| format!("no instance {name}"))?;
--- a/crates/nutmeggrade-platform/src/budget.rs
+++ b/crates/nutmeggrade-platform/src/budget.rs
@@ -2,11 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Counts calls to the platform by kind.
+use crate::Traffic;
+
+/// Counts calls to the platform by kind, and their bytes.
 #[derive(Debug, Default)]
 pub struct Budget {
     calls: Mutex<BTreeMap<&'static str, u64>>,
+    sent: AtomicU64,
+    received: AtomicU64,
 }
 
 impl Budget {
@@ -22,6 +27,22 @@
         }
     }
 
+    /// Counts the bytes of a request.
+    pub fn add_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts the bytes of an answer.
+    pub fn add_received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes so far.
+    pub fn traffic(&self) -> Traffic {
+        let sent = self.sent.load(Ordering::Relaxed);
+        Traffic { sent, received: self.received.load(Ordering::Relaxed) }
+    }
+
     /// Returns the calls made so far, by kind.
     pub fn calls(&self) -> BTreeMap<&'static str, u64> {
         self.calls.lock().map(|c| c.clone()).unwrap_or_default()
--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
+use hyper::body::Body as _;
 use nutmeggrade_core::endpoint::Endpoint;
 use nutmeggrade_core::object::{Changes, Object};
 use serde::de::DeserializeOwned;
@@ -15,7 +16,8 @@
 use tokio::time::timeout;
 
 use crate::call::{body_bytes, call};
-use crate::{Budget, Platform, PlatformError};
+use crate::traffic::head_size;
+use crate::{Budget, Platform, PlatformError, Traffic};
 
 /// Largest answer that is read: a listing of values of up to a megabyte each.
 const MAX_ANSWER: usize = 64 << 20;
@@ -41,6 +43,8 @@
         patience: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         self.budget.count(kind);
+        let body = usize::try_from(request.body().size_hint().lower()).unwrap_or(0);
+        self.budget.add_sent(head_size(request.uri().path(), request.headers()) + body);
         let exchange = async {
             let response = match call(self.address, request, self.patience).await {
                 Ok(r) => r,
@@ -48,9 +52,11 @@
                 Err(e) => return Err(PlatformError::Unknown(e.into())),
             };
             let status = response.status();
+            let head = head_size("", response.headers());
             let body = body_bytes(response.into_body(), MAX_ANSWER)
                 .await
                 .map_err(PlatformError::Unknown)?;
+            self.budget.add_received(head + body.len());
             Ok((status, body))
         };
         match timeout(patience, exchange).await {
@@ -168,4 +174,8 @@
     fn calls(&self) -> BTreeMap<&'static str, u64> {
         self.budget.calls()
     }
+
+    fn traffic(&self) -> Traffic {
+        self.budget.traffic()
+    }
 }
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -9,9 +9,11 @@
 mod http_platform;
 mod platform;
 mod platform_error;
+mod traffic;
 
 pub use budget::Budget;
 pub use call::{CallError, body_bytes, call, json_body};
 pub use http_platform::HttpPlatform;
 pub use platform::Platform;
 pub use platform_error::PlatformError;
+pub use traffic::Traffic;
--- a/crates/nutmeggrade-platform/src/platform.rs
+++ b/crates/nutmeggrade-platform/src/platform.rs
@@ -7,7 +7,7 @@
 use nutmeggrade_core::object::{Changes, Object};
 use serde_json::Value;
 
-use crate::PlatformError;
+use crate::{PlatformError, Traffic};
 
 /// The platform's object API: versions, conditional writes, watches, and the instance list.
 ///
@@ -55,4 +55,9 @@
 
     /// Returns the calls made so far, by kind.
     fn calls(&self) -> BTreeMap<&'static str, u64>;
+
+    /// Returns the bytes of those calls.
+    fn traffic(&self) -> Traffic {
+        Traffic::default()
+    }
 }
--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -28,6 +28,10 @@
     pub peers: IntGauge,
     /// Calls to the platform by kind.
     pub platform: IntGaugeVec,
+    /// Bytes of HTTP to and from the platform.
+    pub platform_bytes: IntGaugeVec,
+    /// Bytes of messages to and from peers.
+    pub peer_bytes: IntCounterVec,
     /// Messages of peers that were dropped, by reason.
     pub dropped: IntCounterVec,
     broken: IntGaugeVec,
@@ -68,6 +72,8 @@
             config: gauge("config_version", "configuration in force")?,
             peers: gauge("peers", "peers heard lately")?,
             platform: gauges("platform_calls", "calls to the platform", "kind")?,
+            platform_bytes: gauges("platform_bytes", "HTTP with the platform", "direction")?,
+            peer_bytes: counters("peer_bytes_total", "messages of peers", &["direction"])?,
             dropped: counters("peer_messages_dropped_total", "dropped peer messages", &["reason"])?,
             broken: gauges("invariants_broken", "must stay absent", "name")?,
             registry,
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -34,6 +34,7 @@
     inward: Socket,
     listener: Listener,
     dialers: Mutex<BTreeMap<InstanceId, Dialer>>,
+    subscribers: Arc<Mutex<BTreeSet<Pipe>>>,
     key: [u8; 32],
 }
 
@@ -45,8 +46,9 @@
         // Subscribers send nothing, but nng reads what comes, and without a limit takes memory for a
         // message of any size that a stranger announces: one connection could take it all.
         out.set_opt::<RecvMaxSize>(MAX_MESSAGE).context("message limit")?;
-        let subscribers = Mutex::new(BTreeSet::new());
-        out.pipe_notify(move |pipe, event| bound(&subscribers, pipe, event))
+        let subscribers = Arc::new(Mutex::new(BTreeSet::new()));
+        let seen = Arc::clone(&subscribers);
+        out.pipe_notify(move |pipe, event| bound(&seen, pipe, event))
             .context("follow subscribers")?;
         let listener = Listener::new(&out, &format!("tcp://{address}"))
             .with_context(|| format!("listen for peers on {address}"))?;
@@ -56,7 +58,8 @@
         inward.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN)).context("reconnect")?;
         inward.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX)).context("reconnect")?;
         let dialers = Mutex::new(BTreeMap::new());
-        Ok(Self { out, inward, listener, dialers, key: key.key("peer messages") })
+        let key = key.key("peer messages");
+        Ok(Self { out, inward, listener, dialers, subscribers, key })
     }
 
     /// Returns the address that peers subscribe at.
@@ -88,15 +91,17 @@
         }
     }
 
-    /// Sends a heartbeat to every subscriber.
-    pub fn publish(&self, beacon: &Beacon) -> anyhow::Result<()> {
+    /// Sends a heartbeat to every subscriber; returns the bytes to all of them.
+    pub fn publish(&self, beacon: &Beacon) -> anyhow::Result<u64> {
         let frame = seal(beacon, &self.key)?;
-        self.out.send(frame.as_slice()).map_err(|(_, e)| e).context("publish")
+        self.out.send(frame.as_slice()).map_err(|(_, e)| e).context("publish")?;
+        Ok((frame.len() * lock(&self.subscribers).len()) as u64)
     }
 
     /// Receives heartbeats for as long as the socket is open; runs on a thread of its own.
     pub fn receive<P: Platform>(&self, node: &Arc<Node<P>>) {
         while let Ok(message) = self.inward.recv() {
+            node.metrics.peer_bytes.with_label_values(&["in"]).inc_by(message.len() as u64);
             match open::<Beacon>(&message, &self.key) {
                 Ok(beacon) => take(node, &beacon),
                 Err(reason) => {
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -20,8 +20,9 @@
         let leaving = node.phase() > Phase::Serving;
         let entry = node.entry.clone();
         let beacon = Beacon { entry, sequence, config, leaving, in_flight };
-        if let Err(error) = peers.publish(&beacon) {
-            tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
+        match peers.publish(&beacon) {
+            Ok(bytes) => node.metrics.peer_bytes.with_label_values(&["out"]).inc_by(bytes),
+            Err(error) => tracing::warn!(event = "beacon_failed", error = format!("{error:#}")),
         }
         hear(&node);
         // A planned stop is told at once, so that peers stop handing out this address.
