--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -1,11 +1,13 @@
 //! The settings of an instance.
 
+mod clashes;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::Context;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::settings::{Kind, Mistake, Spec, Values};
+use nutmeggrade_core::settings::{Kind, Mistake, Spec, VARIABLE_PREFIX, Values};
 
 const MS: &str = "ms";
 
@@ -29,6 +31,8 @@
         .with_default("2000"),
     Spec::new("fence", range(MS, 500, 60_000), "silence of all sides after which work is refused")
         .with_default("3000"),
+    Spec::new("lease", range(MS, 200, 60_000), "how long a confirmed right to an endpoint counts")
+        .with_default("2000"),
     Spec::new("refresh", range(MS, 50, 60_000), "time between looks at the list of endpoints")
         .with_default("500"),
     Spec::new("poll", range(MS, 20, 10_000), "time between load reports of an engine")
@@ -52,10 +56,42 @@
     Spec::new("write-wait", range(MS, 100, 600_000), "most time in which a caller reads nothing")
         .with_default("15000"),
     Spec::new("workers", range("1", 1, 256), "worker threads").with_default("2"),
+    Spec::new(
+        "seeds",
+        Kind::Text,
+        "admin addresses of instances to ask while the platform is down",
+    )
+    .with_default(""),
     Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade=debug")
         .with_default("info"),
 ];
 
+/// Variables of the operators' command, which may run in the same environment.
+const OPERATOR_VARIABLES: &[&str] =
+    &["WHO", "WHY", "WAIT", "ADMIN", "CONFIRM", "DRY_RUN", "JSON", "ROUNDS"];
+
+/// Lists variables with the program's prefix that it does not know.
+///
+/// A mistyped variable would leave its setting at the default without a word; one would notice it
+/// when the fence that was meant to be short turns out to be long.
+fn unknown_variables() -> Vec<Mistake> {
+    let known = |name: &str| {
+        let of_spec = |s: &Spec| {
+            let variable = s.variable();
+            name == variable || (s.kind == Kind::Secret && name == format!("{variable}_FILE"))
+        };
+        let bare = name.trim_start_matches(VARIABLE_PREFIX);
+        OPERATOR_VARIABLES.contains(&bare) || SPECS.iter().any(of_spec)
+    };
+    let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    let ours = names.filter(|n| n.starts_with(VARIABLE_PREFIX) && !known(n));
+    let mistake = |n| Mistake {
+        code: Code::UnknownSetting,
+        detail: format!("{n} is not a variable of this program"),
+    };
+    ours.map(mistake).collect()
+}
+
 const fn range(unit: &'static str, min: u64, max: u64) -> Kind {
     Kind::Number { unit, min, max }
 }
@@ -89,6 +125,8 @@
     pub silence: Duration,
     /// Silence of all sides after which work is refused.
     pub fence: Duration,
+    /// How long a confirmed right to an endpoint counts.
+    pub lease: Duration,
     /// Time between looks at the list of endpoints.
     pub refresh: Duration,
     /// Time between load reports.
@@ -109,6 +147,8 @@
     pub write_wait: Duration,
     /// Worker threads.
     pub workers: usize,
+    /// Admin addresses of instances to ask while the platform is down.
+    pub seeds: Vec<SocketAddr>,
     /// Log filter.
     pub log: String,
     values: Values,
@@ -119,9 +159,16 @@
     pub fn load(args: &[String]) -> Result<Self, Vec<Mistake>> {
         let variable = |name: &str| std::env::var(name).ok();
         let file = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
-        let values = Values::load(SPECS, args, variable, file)?;
-        Self::new(values)
-            .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])
+        let unknown = unknown_variables();
+        let values = match Values::load(SPECS, args, variable, file) {
+            Ok(values) if unknown.is_empty() => values,
+            Ok(_) => return Err(unknown),
+            Err(mistakes) => return Err([mistakes, unknown].concat()),
+        };
+        let settings = Self::new(values)
+            .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])?;
+        let mistakes = settings.clashes();
+        if mistakes.is_empty() { Ok(settings) } else { Err(mistakes) }
     }
 
     /// Returns the help text with every setting.
@@ -154,6 +201,7 @@
             beacon: values.millis("beacon"),
             silence: values.millis("silence"),
             fence: values.millis("fence"),
+            lease: values.millis("lease"),
             refresh: values.millis("refresh"),
             poll: values.millis("poll"),
             connect: values.millis("connect"),
@@ -164,8 +212,15 @@
             header_wait: values.millis("header-wait"),
             write_wait: values.millis("write-wait"),
             workers: size("workers")?,
+            seeds: seeds(values.text("seeds"))?,
             log: values.text("log").to_owned(),
             values,
         })
     }
 }
+
+fn seeds(text: &str) -> anyhow::Result<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    let parse = |s: &str| s.parse().with_context(|| format!("--seeds: {s:?} is not ip:port"));
+    parts.map(parse).collect()
+}
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -5,10 +5,14 @@
 
 use nutmeggrade_core::peer::Entry;
 use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_state::audit_log::AuditLog;
+use nutmeggrade_state::cold_rights::ColdRights;
 use nutmeggrade_state::config_table::ConfigTable;
 use nutmeggrade_state::endpoint_table::EndpointTable;
+use nutmeggrade_state::explain_log::ExplainLog;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::recent_changes::RecentChanges;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -25,6 +29,8 @@
     pub members: Mutex<Membership>,
     /// Endpoints.
     pub endpoints: Mutex<EndpointTable>,
+    /// Rights to cold endpoints, under a lease.
+    pub rights: Mutex<ColdRights>,
     /// Admission and routing of generations.
     pub scheduler: Mutex<Scheduler>,
     /// Routing of service calls.
@@ -33,6 +39,12 @@
     pub fence: Mutex<Fence>,
     /// Requests that wait.
     pub waiters: Mutex<Waiters>,
+    /// What was decided about recent requests.
+    pub explain: Mutex<ExplainLog>,
+    /// Accepted changes that were in force lately.
+    pub changes: Mutex<RecentChanges>,
+    /// What this instance did and refused.
+    pub audit: Mutex<AuditLog>,
 }
 
 impl Tables {
@@ -42,10 +54,14 @@
             config: Mutex::new(ConfigTable::new()),
             members: Mutex::new(Membership::new(own, settings.silence)),
             endpoints: Mutex::new(EndpointTable::new()),
+            rights: Mutex::new(ColdRights::new(&own.instance, own.incarnation)),
             scheduler: Mutex::new(Scheduler::new(seed)),
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
+            explain: Mutex::new(ExplainLog::default()),
+            changes: Mutex::new(RecentChanges::default()),
+            audit: Mutex::new(AuditLog::new(&own.instance, own.incarnation)),
         }
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,4 +8,7 @@
 
 mod core;
 mod docs;
+mod operators;
 mod process;
+mod random;
+mod state;
