--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::process::{Process, programs};
-use super::{Caller, Plan};
+use super::{Caller, Plan, Usage};
 use crate::http::{ask, send};
 use crate::relay::Relay;
 
@@ -167,6 +167,22 @@
         }
     }
 
+    /// Adds a flag with its value for the instances that are started from now on.
+    pub fn add_flag(&mut self, flag: &str, value: &str) {
+        self.plan = self.plan.clone().with_flag(flag, value);
+    }
+
+    /// Hands an instance a configuration, as the operators' command does with an accepted one.
+    pub async fn push(&self, name: &str, config: &Configuration) -> anyhow::Result<()> {
+        let node = self.nodes.get(name).with_context(|| format!("no instance {name}"))?;
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let body = serde_json::to_vec(config).context("encode configuration")?;
+        let (status, _) = send(node.admin, Method::POST, "/config", &headers, body).await?;
+        anyhow::ensure!(status.is_success(), "push to {name}: {status}");
+        Ok(())
+    }
+
     /// Starts the n-th instance; its addresses are new.
     pub fn start_node(&mut self, n: usize) -> anyhow::Result<()> {
         self.start_node_with_key(n, PEER_KEY)
@@ -218,6 +234,20 @@
         Ok(String::from_utf8_lossy(&got.1).into_owned())
     }
 
+    /// Sums the samples of an instance's metrics whose name and labels begin with `prefix`.
+    pub async fn counter(&self, name: &str, prefix: &str) -> anyhow::Result<f64> {
+        let text = self.metrics(name).await?;
+        let samples = text.lines().filter(|l| l.starts_with(prefix));
+        let value = |line: &str| line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+        Ok(samples.filter_map(value).sum())
+    }
+
+    /// Returns what a process uses.
+    pub fn usage(&self, name: &str) -> anyhow::Result<Usage> {
+        let process = self.processes.get(name).with_context(|| format!("no process {name}"))?;
+        Usage::read(process.id())
+    }
+
     /// Reads one instance's status.
     pub async fn status(&self, name: &str) -> anyhow::Result<Value> {
         let node = self.nodes.get(name).with_context(|| format!("no instance {name}"))?;
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -16,8 +16,9 @@
     loop {
         sequence += 1;
         let beacon = beacon(&node, sequence);
-        if let Err(error) = peers.publish(&beacon) {
-            tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
+        match peers.publish(&beacon) {
+            Ok(bytes) => node.metrics.peer_bytes.with_label_values(&["out"]).inc_by(bytes),
+            Err(error) => tracing::warn!(event = "beacon_failed", error = format!("{error:#}")),
         }
         hear(&node);
         // A planned stop is told at once, so that peers stop handing out this address.
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -2,8 +2,10 @@
 
 mod bad_input;
 mod cold;
+mod config;
 mod cuts;
 mod limits;
+mod membership;
 mod planned_stop;
 mod raw;
 mod traces;
