Explain whose record a call that runs at most once found

Cause: explain showed attempts of a call but not why a retry made none.

Change: a step 'claimed' names the record in the platform and whether it is this attempt's own, was answered before, or is held by another.

--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -34,7 +34,9 @@
     let nonce = GenerationId::new(rand::random());
     let intent = Intent::new(nonce, &node.entry.instance, &request_hash(call));
     let place = Intent::key(&key_hash(call, key));
-    let version = match claim(node, &place, &intent).await? {
+    let claimed = claim(node, &place, &intent).await;
+    note(node, call, &place, &claimed);
+    let version = match claimed? {
         Claimed::Own(version) => version,
         Claimed::Answered(answer) => return Ok(answer),
     };
@@ -70,6 +72,16 @@
     Answered(Answer),
 }
 
+/// Notes whose record the call found in the platform.
+fn note<P: Platform>(node: &Node<P>, call: &Call, place: &str, claimed: &Result<Claimed, Failure>) {
+    let outcome = match claimed {
+        Ok(Claimed::Own(version)) => format!("own version={version}"),
+        Ok(Claimed::Answered(_)) => "answered before".to_owned(),
+        Err(failure) => format!("code={} {}", failure.code, failure.detail),
+    };
+    node.note(&call.caller.request, "claimed", &format!("record={place} {outcome}"));
+}
+
 /// Creates the record, or learns whose it is.
 ///
 /// The answer of the create can be lost after the write took effect. The record is then read back:
--- a/tests/suite/operators/explain.rs
+++ b/tests/suite/operators/explain.rs
@@ -2,7 +2,8 @@
 
 use http::{Method, Request, header};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_fakes::fleet::{MODEL, Plan};
+use nutmeggrade_fakes::fleet::{MODEL, Plan, SERVICE};
+use nutmeggrade_fakes::http::send;
 use nutmeggrade_platform::{body_bytes, call, json_body};
 use nutmeggrade_state::explain_log::{ExplainLog, MAX_BYTES, MAX_STEPS};
 use rstest::rstest;
@@ -82,3 +83,27 @@
         Ok(())
     });
 }
+
+// A permit is asked for twice with one key. The trace of each request tells which of them sent the
+// call and which got the recorded answer.
+#[rstest]
+fn a_repeated_call_is_explained() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(1).with_engines(1)).await?;
+        let entry = held.fleet.nodes["node-0"].callers;
+        let path = format!("/v1/services/{SERVICE}/issue-permit");
+        for (name, expected) in [("first", "ended=answered"), ("second", "answered before")] {
+            let headers = [
+                ("nutmeggrade-workspace", "staatsbos"),
+                ("nutmeggrade-request", name),
+                ("idempotency-key", "k1"),
+            ];
+            let body = json!({ "subject": "plot-1" }).to_string().into_bytes();
+            send(entry, Method::POST, &path, &headers, body).await?;
+            let (code, text) = held.fleet.operate(&["explain", name]).await?;
+            assert!(code == 0 && text.contains("step=claimed"), "{text}");
+            assert!(text.contains(expected), "{name}: {text}");
+        }
+        Ok(())
+    });
+}
