--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -5,7 +5,7 @@
 use nutmeggrade_core::prelude::*;
 
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
-/// half a minute by default, longer than the list lags.
+/// a minute by default, longer than the list lags.
 const RETURN_LOOKS: u32 = 60;
 
 /// Endpoints from the platform's lagging list, less what operators took out.
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -34,7 +34,7 @@
     Spec::new("lease", range(MS, 200, 60_000), "how long a confirmed right to an endpoint counts")
         .with_default("2000"),
     Spec::new("refresh", range(MS, 50, 60_000), "time between looks at the list of endpoints")
-        .with_default("500"),
+        .with_default("1000"),
     Spec::new("poll", range(MS, 20, 10_000), "time between load reports of an engine")
         .with_default("200"),
     Spec::new("connect", range(MS, 10, 10_000), "most time to connect to an endpoint")
--- a/crates/nutmeggrade/src/tasks/rights.rs
+++ b/crates/nutmeggrade/src/tasks/rights.rs
@@ -16,8 +16,9 @@
 
 /// Looks at the epoch within one lease while an owned endpoint is cold.
 const LOOKS: u32 = 4;
-/// Ticks between looks while all owned endpoints are warm; membership is all that matters then.
-const IDLE_TICKS: u32 = 4;
+/// Ticks between looks while all owned endpoints are warm: enough to hold the lease, which orders
+/// need, if every answer comes.
+const IDLE_TICKS: u32 = 2;
 
 pub(super) async fn run<P: Platform>(node: Arc<Node<P>>) {
     let mut idle = IDLE_TICKS;
--- a/tests/suite/process/config.rs
+++ b/tests/suite/process/config.rs
@@ -12,7 +12,7 @@
 use nutmeggrade_platform::newest_config;
 use rstest::rstest;
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{fleet, run};
 
@@ -102,6 +102,15 @@
     });
 }
 
+/// Waits until a process that was sent a stop answers no more.
+async fn stopped(fleet: &Fleet, name: &str) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while timeout(Duration::from_millis(500), fleet.status(name)).await.is_ok() {
+        ensure!(start.elapsed() < PATIENCE, "{name} goes on");
+    }
+    Ok(())
+}
+
 fn code(heard: &Heard) -> Option<u64> {
     heard.failure.as_ref()?.get("code")?.as_u64()
 }
@@ -114,6 +123,7 @@
         let mut held = fleet(&plan().with_relays()).await?;
         held.fleet.link("platform")?.set(Link::Stalled);
         held.fleet.process("node-1")?.signal(Signal::SIGSTOP)?;
+        stopped(&held.fleet, "node-1").await?;
         let caller = held.fleet.caller("staatsbos");
         let waiting: Vec<_> = (0..12)
             .map(|_| {
@@ -132,7 +142,8 @@
         let before = ran(&held.fleet, "engine-0").await?;
         held.fleet.process("node-1")?.signal(Signal::SIGCONT)?;
         for heard in join_all(waiting).await {
-            assert_eq!(self::code(&heard??), Some(4004));
+            let heard = heard??;
+            assert_eq!(self::code(&heard), Some(4004), "{heard:?}");
         }
         assert_eq!(ran(&held.fleet, "engine-0").await?, before);
         for peer in ["node-0", "node-2"] {
