Keep old versions small, and prove bounded reads and cold engines in an outage

The bounded reads of the configuration and the lapse of leases in an outage had no proof on real processes.

Change: the operators' command takes the presets out of the version that is no longer among the newest 64; the change, who, when and why remain as the audit trail. Ruled out: removing old versions (the trail is them) and copying the trail elsewhere (a second write that can be lost).

--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -6,7 +6,9 @@
 use http::Method;
 use nutmeggrade_core::config::{CONFIG_PREFIX, Change, Known};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError, newest_config, raise_head};
+use nutmeggrade_platform::{
+    HttpPlatform, Platform, PlatformError, newest_config, raise_head, thin_out,
+};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -89,6 +91,9 @@
         // The hint only saves reads.
         eprintln!("hint not raised: {error}");
     }
+    if let Err(error) = thin_out(&platform, next.version).await {
+        eprintln!("old version not thinned out: {error}");
+    }
     in_force(settings, &platform, &next).await
 }
 
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod call;
+mod config_retention;
 mod http_platform;
 mod newest_config;
 mod platform;
@@ -14,6 +15,7 @@
 
 pub use budget::Budget;
 pub use call::{CallError, body_bytes, call, call_if, json_body};
+pub use config_retention::{WHOLE_VERSIONS, thin_out};
 pub use http_platform::{HttpPlatform, WATCH_LIMIT};
 pub use newest_config::{CONFIG_HEAD, ConfigHead, NewestConfig, newest_config, raise_head};
 pub use platform::Platform;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod cold;
 mod config;
+mod config_size;
 mod cuts;
 mod limits;
 mod membership;
--- a/tests/suite/process/cold.rs
+++ b/tests/suite/process/cold.rs
@@ -131,3 +131,49 @@
     }
     Ok(())
 }
+
+// The platform is down for long while an engine starts. Whose it is can't be known any more, so it
+// gets nothing until it is warm; one would notice callers who wait for as long, and no crash.
+#[rstest]
+fn nobody_uses_a_cold_engine_in_an_outage() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        owner(&held.fleet, None).await?;
+        held.fleet.fault("platform", &json!({ "down": true })).await?;
+        let start = Instant::now();
+        while owned(&held.fleet).await? {
+            ensure!(start.elapsed() < PATIENCE, "the lease does not lapse");
+            sleep(PAUSE).await;
+        }
+        let caller = held.fleet.caller("staatsbos");
+        let calls: Vec<_> = (0..3)
+            .map(|n| {
+                let caller = caller.clone();
+                tokio::spawn(async move { caller.stream(n, "district-sort", "a len=5").await })
+            })
+            .collect();
+        for _ in 0..10 {
+            held.fleet.fault(ENGINE, &json!({ "cold": true })).await?;
+            sleep(PAUSE).await;
+        }
+        assert_eq!(held.fleet.log(ENGINE).await?["runs"], json!({}));
+        held.fleet.fault(ENGINE, &json!({ "cold": false })).await?;
+        for call in calls {
+            let heard = call.await??;
+            assert!(heard.is_whole(), "{heard:?}");
+        }
+        Ok(())
+    });
+}
+
+/// Keeps the engine cold, and says whether an instance may use it.
+async fn owned(fleet: &Fleet) -> anyhow::Result<bool> {
+    fleet.fault(ENGINE, &json!({ "cold": true })).await?;
+    for name in fleet.nodes.keys() {
+        let status = fleet.status(name).await?;
+        if status.pointer("/endpoints/0/owner_epoch").is_some_and(Value::is_u64) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/tests/suite/process/config_size.rs
@@ -0,0 +1,71 @@
+//! Many and large versions of the configuration.
+
+use anyhow::Context;
+use nutmeggrade_core::config::Change;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::fleet::{Fleet, Plan};
+use nutmeggrade_platform::{Platform, WHOLE_VERSIONS, newest_config, raise_head, thin_out};
+use rstest::rstest;
+
+use crate::support::{fleet, run};
+
+/// Writes versions up to `last`, each with a reason of `size` bytes.
+async fn write(fleet: &Fleet, last: u64, size: usize) -> anyhow::Result<()> {
+    let platform = fleet.client();
+    let mut config = newest_config(&platform).await?.config.context("no configuration")?;
+    let why = "x".repeat(size);
+    let change = Change::DomainIn { domain: DomainId::new("veluwe")? };
+    while config.version < last {
+        let id = ChangeId::new(&format!("c{}", config.version))?;
+        config = config.next(id, "anna", &why, &change)?;
+        platform
+            .create(&Configuration::key(config.version), &serde_json::to_value(&config)?)
+            .await?;
+    }
+    Ok(())
+}
+
+// After some days of changes an instance starts. Read all at once, the versions pass any limit on an
+// answer, and the instance never becomes ready.
+fn starts_whatever_there_is(last: u64, size: usize, hint: u64) {
+    run(async move {
+        let mut held = fleet(&Plan::default().with_nodes(0).with_engines(1)).await?;
+        write(&held.fleet, last, size).await?;
+        raise_head(&held.fleet.client(), hint).await?;
+        held.fleet.start_node(0)?;
+        held.fleet.ready().await?;
+        let status = held.fleet.status("node-0").await?;
+        assert_eq!(status["config"], last);
+        Ok(())
+    });
+}
+
+cases!(starts_whatever_there_is {
+    large_and_hinted: 90, 800_000, 90;
+    hint_far_behind: 100, 100, 3;
+    hint_just_behind: 9, 100, 8;
+    hint_of_a_page: 8, 100, 4;
+});
+
+// Thousands of versions a day, each with every preset, would fill the platform.
+#[rstest]
+fn old_versions_keep_the_audit_trail_only() {
+    run(async {
+        let held = fleet(&Plan::default().with_nodes(0).with_engines(0).with_services(0)).await?;
+        let platform = held.fleet.client();
+        let last = WHOLE_VERSIONS + 2;
+        write(&held.fleet, last, 10).await?;
+        thin_out(&platform, last).await?;
+        thin_out(&platform, last).await?;
+        let read = async |version: u64| {
+            let object = platform.read(&Configuration::key(version)).await?.context("gone")?;
+            anyhow::Ok(serde_json::from_value::<Configuration>(object.value.unwrap_or_default())?)
+        };
+        let old = read(2).await?;
+        assert!(old.presets.is_empty());
+        assert_eq!((old.who.as_str(), old.why.len()), ("anna", 10));
+        assert!(!read(3).await?.presets.is_empty());
+        assert!(!read(last).await?.presets.is_empty());
+        Ok(())
+    });
+}
