Prove that an engine that turns cold under load falls over once at most

Cause: what a warm engine gets between turning cold and its next report can't be prevented; that it does not fall over again and again as it comes up had no proof.

Ruled out: a first form of the test with a fixed number of calls each, which ended while the engine was down.

--- a/tests/suite/process/cold.rs
+++ b/tests/suite/process/cold.rs
@@ -177,3 +177,43 @@
     }
     Ok(false)
 }
+
+// A warm engine under load turns cold without a word. What is on its way makes it fall over once at
+// most; as it comes up again it must not fall over again and again under all that wait for it.
+#[rstest]
+fn engine_that_turns_cold_falls_over_once_at_most() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        owner(&held.fleet, None).await?;
+        held.fleet.fault(ENGINE, &json!({ "cold": false })).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let first = caller.stream(0, "district-sort", "a len=5").await?;
+        assert!(first.is_whole(), "{first:?}");
+        let calls: Vec<_> = (0..8)
+            .map(|n| {
+                let caller = caller.clone();
+                tokio::spawn(async move {
+                    let start = Instant::now();
+                    while start.elapsed() < Duration::from_secs(5) {
+                        // Those that the engine loses as it falls over end with an error.
+                        drop(caller.stream(n, "district-sort", "a len=12").await);
+                        sleep(PAUSE).await;
+                    }
+                })
+            })
+            .collect();
+        sleep(Duration::from_millis(400)).await;
+        held.fleet.fault(ENGINE, &json!({ "cold": true })).await?;
+        for call in calls {
+            call.await?;
+        }
+        let start = Instant::now();
+        while !caller.stream(1, "district-sort", "a len=5").await?.is_whole() {
+            ensure!(start.elapsed() < PATIENCE, "the engine does not come back");
+            sleep(PAUSE).await;
+        }
+        let log = held.fleet.log(ENGINE).await?;
+        assert!(log["crashes"].as_u64() <= Some(1), "{log}");
+        Ok(())
+    });
+}
