--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -24,6 +24,10 @@
     pub waiting: IntGauge,
     /// Version of the configuration in force.
     pub config: IntGauge,
+    /// Newest epoch known.
+    pub epoch: IntGauge,
+    /// Whether new work is refused for being cut off, 1 or 0.
+    pub fenced: IntGauge,
     /// Peers heard lately.
     pub peers: IntGauge,
     /// Calls to the platform by kind.
@@ -76,6 +80,8 @@
             repeats: counter("repeats_total", "repeated tokens that were dropped")?,
             waiting: gauge("waiting", "requests that wait")?,
             config: gauge("config_version", "configuration in force")?,
+            epoch: gauge("epoch", "newest epoch known")?,
+            fenced: gauge("fenced", "1 while new work is refused for being cut off")?,
             peers: gauge("peers", "peers heard lately")?,
             platform: gauges("platform_calls", "calls to the platform", "kind")?,
             platform_bytes: gauges("platform_bytes", "HTTP with the platform", "direction")?,
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -48,6 +48,10 @@
         (members.live(now).len(), members.in_flight(now))
     };
     node.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
+    let epoch = lock(&node.tables.rights).epoch();
+    node.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    let is_closed = lock(&node.tables.fence).is_closed(now);
+    node.metrics.fenced.set(i64::from(is_closed));
     lock(&node.tables.scheduler).set_peers(&in_flight, now);
     node.sync_engines();
 }
