Let weights choose reserve, cache bound and ramp apart; note the decisions

Cause: stall and preemptions asked for the same reserve, so that the two deployments' weights chose the same. Preemptions now ask for more of it than stall; the gap's weight also lets a cached prefix draw further.

--- a/crates/nutmeggrade-fakes/examples/decisions/main.rs
+++ b/crates/nutmeggrade-fakes/examples/decisions/main.rs
@@ -1,13 +1,14 @@
 //! Plays every pattern under the scheduler and the baselines, and prints the table of
 //! `docs/measurements/decisions.md`:
 //! `cargo run --release --example decisions [PATTERN [alone]]`;
-//! `alone` leaves the baselines out.
+//! `alone` leaves the baselines out, and `weights` as the pattern compares presets.
 
 mod baseline;
 
 use std::thread;
 
 use baseline::{Baseline, Rule};
+use nutmeggrade_core::config::{Preset, Weights};
 use nutmeggrade_fakes::driver::{Driver, Figures, Pattern, Shape};
 use nutmeggrade_fakes::fleet::preset;
 use nutmeggrade_policy::Scheduler;
@@ -24,6 +25,9 @@
          gap p50/95/99 ms | first p50/p99 s | fair | refused % | false % | crashes |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    if wanted.as_deref() == Some("weights") {
+        return weights();
+    }
     for shape in Shape::ALL {
         if wanted.as_ref().is_some_and(|w| !shape.name().contains(w.as_str())) {
             continue;
@@ -32,16 +36,36 @@
             let runs = run(shape, |_| Baseline::new(rule));
             print(shape, rule.name(), &runs);
         }
-        let runs = run(shape, |node| {
-            let mut scheduler = Scheduler::new(node as u64 + 1);
-            scheduler.set_preset(&preset);
-            scheduler
-        });
+        let runs = run(shape, |node| scheduler(node, &preset));
         print(shape, "**nutmeggrade**", &runs);
     }
     Ok(())
 }
 
+/// Prints what each choice of weights costs, on the patterns that show it.
+fn weights() -> anyhow::Result<()> {
+    let choices = [
+        ("all equal", Weights::default()),
+        ("Permit Desk", Weights { stall: 2.0, domains: 2.0, gap: 1.0, preemptions: 1.0 }),
+        ("Rāmis Kopā", Weights { stall: 1.0, domains: 1.0, gap: 2.0, preemptions: 2.0 }),
+    ];
+    let shapes = [Shape::Burst, Shape::Saturation15, Shape::DomainOutBusy];
+    for shape in shapes {
+        for (name, weights) in choices {
+            let preset = Preset { weights, ..preset()? };
+            let runs = run(shape, |node| scheduler(node, &preset));
+            print(shape, name, &runs);
+        }
+    }
+    Ok(())
+}
+
+fn scheduler(node: usize, preset: &Preset) -> Scheduler {
+    let mut scheduler = Scheduler::new(node as u64 + 1);
+    scheduler.set_preset(preset);
+    scheduler
+}
+
 fn run<D: nutmeggrade_fakes::driver::Decider>(
     shape: Shape,
     make: impl Fn(usize) -> D + Sync,
--- a/crates/nutmeggrade-fakes/src/driver/pattern.rs
+++ b/crates/nutmeggrade-fakes/src/driver/pattern.rs
@@ -165,13 +165,15 @@
     Saturation3,
     /// A failure domain leaves and returns cold.
     DomainOut,
+    /// The same at a load that the other two domains can't bear.
+    DomainOutBusy,
     /// Reports are three seconds old, and two warm engines turn cold.
     StaleReports,
 }
 
 impl Shape {
     /// Every pattern.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Burst,
         Self::TwoWorkspaces,
         Self::SlowEndpoint,
@@ -180,6 +182,7 @@
         Self::Saturation15,
         Self::Saturation3,
         Self::DomainOut,
+        Self::DomainOutBusy,
         Self::StaleReports,
     ];
 
@@ -194,6 +197,7 @@
             Self::Saturation15 => "saturation 1.5",
             Self::Saturation3 => "saturation 3",
             Self::DomainOut => "domain out and back",
+            Self::DomainOutBusy => "busy domain out",
             Self::StaleReports => "stale reports",
         }
     }
@@ -205,6 +209,7 @@
             Self::Huge => 0.35,
             Self::TwoWorkspaces => 1.3,
             Self::StaleReports => 0.7,
+            Self::DomainOutBusy => 0.9,
             Self::Saturation1 => 1.0,
             Self::Saturation15 => 1.5,
             Self::Saturation3 => 3.0,
@@ -219,7 +224,7 @@
                 Change::Slow { at: at(30_000), engine: 4, factor: 8 },
                 Change::Slow { at: at(90_000), engine: 4, factor: 1 },
             ],
-            Self::DomainOut => vec![
+            Self::DomainOut | Self::DomainOutBusy => vec![
                 Change::Out { at: at(30_000), domain: 1 },
                 Change::Restart { at: at(69_000), domain: 1 },
                 Change::Back { at: at(70_000), domain: 1 },
--- a/crates/nutmeggrade-policy/src/knobs.rs
+++ b/crates/nutmeggrade-policy/src/knobs.rs
@@ -18,6 +18,8 @@
     pub ramp: Duration,
     /// Prompt tokens that may wait unread on an engine.
     pub unread: u64,
+    /// How much fuller, as a part of its memory, an engine may be that has the prompt's start cached.
+    pub cached: f64,
 }
 
 impl Knobs {
@@ -26,14 +28,16 @@
         let Weights { stall, domains, gap, preemptions } = *weights;
         let mean = ((stall + domains + gap + preemptions) / 4.0).max(f64::MIN_POSITIVE);
         let relative = |w: f64| (w / mean).clamp(0.5, 2.0);
-        // A preemption is a stall too, so both weights ask for reserve; half a deviation each.
-        let reserve = 1.0 + 0.5 * relative(stall) + 0.5 * relative(preemptions);
+        // A preemption is a stall too, so both weights ask for reserve. Stalls also come from waiting
+        // for room, which reserve makes longer; so they ask for less of it.
+        let reserve = 1.0 + 0.3 * relative(stall) + 0.7 * relative(preemptions);
         let unread = if relative(gap) > 1.0 { 1_024 } else { 2_048 };
         Self {
             reserve,
             gap: Duration::from_millis(50).div_f64(relative(gap).sqrt()),
             ramp: Duration::from_secs(1).mul_f64(relative(domains)),
             unread,
+            cached: 0.1 * relative(gap),
         }
     }
 }
--- a/crates/nutmeggrade-policy/src/scheduler/placing.rs
+++ b/crates/nutmeggrade-policy/src/scheduler/placing.rs
@@ -14,8 +14,6 @@
 
 /// How much fuller than the drawn engines one with the prompt's start in its cache may be.
 const BOUND: f64 = 1.25;
-/// The same while engines are nearly empty, as a part of their memory.
-const BOUND_EMPTY: f64 = 0.1;
 
 impl Scheduler {
     /// Starts a request if an engine has room for it.
@@ -73,7 +71,7 @@
             }
         }
         let best = best.map(|(_, id)| id.clone());
-        let bound = if count > 0.0 { BOUND * sum / count + BOUND_EMPTY } else { 1.0 };
+        let bound = if count > 0.0 { BOUND * sum / count + self.knobs.cached } else { 1.0 };
         let mut affine = self.router.affine(&ask.model, ask.prefix).take(AFFINE);
         let cached = affine.find(|id| score(id).is_some_and(|s| s <= bound));
         cached.cloned().or(best)
--- a/tests/suite/policy/memory.rs
+++ b/tests/suite/policy/memory.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use nutmeggrade_core::config::Weights;
 use nutmeggrade_core::engine::LoadReport;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_policy::knobs::Knobs;
 use nutmeggrade_policy::memory::{AHEAD, Forecast, Others};
 use nutmeggrade_policy::priority::Priority;
-use nutmeggrade_policy::{End, Ticket, Verdict};
+use nutmeggrade_policy::{End, Engine, Ticket, Verdict};
 
-use super::{MEMORY, ask, endpoint, scheduler, warm};
+use super::{MEMORY, ask, endpoint, engine, scheduler, warm};
 
 // More answers than the memory holds at their full lengths arrive at once. Callers of those that
 // the engine preempts see their text stop.
@@ -84,3 +86,39 @@
     assert!(short > tight && tight == large && large > spare);
     assert!(short.number() > spare.number());
 }
+
+// Seven instances read the same report and fill the engine at the same moment. If each takes all the
+// room for itself, the engine preempts six answers of seven.
+#[test]
+fn instances_together_stay_within_the_memory() {
+    let report = LoadReport { running: 12, ..warm(20_000) };
+    let mut admitted = 0;
+    for node in 0..7 {
+        let mut scheduler = nutmeggrade_policy::Scheduler::new(node);
+        scheduler.set_preset(&nutmeggrade_fakes::fleet::preset().expect("a preset"));
+        scheduler.set_engines(&[Engine { sharers: 7, ..engine(0) }], Moment::ZERO);
+        scheduler.report(&endpoint(0), &report, Moment::ZERO);
+        scheduler.set_peers(&[(endpoint(0), 12)].into(), Moment::ZERO);
+        for number in 0..30 {
+            let verdict = scheduler.ask(&ask(number, true), Moment::ZERO);
+            admitted += u64::from(matches!(verdict, Verdict::Go { .. }));
+            scheduler.token(Ticket(number), Moment::ZERO);
+        }
+    }
+    assert!(admitted > 0);
+    assert!(admitted * 400 <= MEMORY - 20_000, "{admitted} answers in the room of 20,000 tokens");
+}
+
+// Operators weigh one figure ten times as much; that must move a setting, not switch one off.
+#[test]
+fn weights_choose_within_bounds() {
+    let weights = |gap, preemptions| Weights { stall: 1.0, domains: 1.0, gap, preemptions };
+    let even = Knobs::new(&weights(1.0, 1.0));
+    let careful = Knobs::new(&weights(1.0, 10.0));
+    let smooth = Knobs::new(&weights(10.0, 1.0));
+    assert!(careful.reserve > even.reserve && careful.reserve <= 3.0);
+    assert!(smooth.gap < even.gap && smooth.gap >= Duration::from_millis(30));
+    assert!(smooth.unread < even.unread && smooth.cached > even.cached);
+    let nothing = Weights { stall: 0.0, domains: 0.0, gap: 0.0, preemptions: 0.0 };
+    assert!(Knobs::new(&nothing).reserve >= 1.0);
+}
--- a/tests/suite/policy/patterns.rs
+++ b/tests/suite/policy/patterns.rs
@@ -1,4 +1,4 @@
-//! The patterns of load, played over the engine stand-in's model in a third of the usual time.
+//! The patterns of load, played over the engine stand-in's model in a quarter of the usual time.
 
 use nutmeggrade_fakes::driver::{Driver, Figures, Pattern, Shape};
 use nutmeggrade_policy::Scheduler;
@@ -53,17 +53,19 @@
             &Bound { whole: 0.93, stall: 30.0, preemptions: 60, gap: 0.042 };
         domain_out: Shape::DomainOut,
             &Bound { whole: 0.99, stall: 1.0, preemptions: 1, gap: 0.03 };
+        busy_domain_out: Shape::DomainOutBusy,
+            &Bound { whole: 0.97, stall: 15.0, preemptions: 30, gap: 0.042 };
         stale_reports: Shape::StaleReports,
             &Bound { whole: 0.97, stall: 1.0, preemptions: 5, gap: 0.035 };
     }
 }
 
-// At three times what engines bear most callers can't be served. Without refusals all wait, start
-// too late and get cut; here those who are let in get whole answers.
+// For thirty seconds three times as much comes as the engines bear. Let in at once, answers push each
+// other out of memory; here they wait, and those who are let in get whole answers.
 #[test]
 fn saturated_three_times_over() {
     let figures = play(Shape::Saturation3);
-    assert!(figures.whole >= 0.6, "{figures:?}");
+    assert!(figures.whole >= 0.95, "{figures:?}");
     assert!(figures.whole + figures.refused >= 0.95, "{figures:?}");
     assert!(figures.preemptions <= 60, "{figures:?}");
 }
