--- a/crates/nutmeggrade-fakes/src/driver.rs
+++ b/crates/nutmeggrade-fakes/src/driver.rs
@@ -1,22 +1,30 @@
 //! Plays a pattern of load in virtual time: several deciders, each with its own lagging view, over
 //! the engines' [`Model`]. The same pattern and seed give the same figures.
 
+mod arrival;
+mod change;
 mod decider;
+mod engines;
 mod figures;
 mod pattern;
+mod shape;
+mod views;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use nutmeggrade_core::engine::LoadReport;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_policy::{End, Engine, Ticket, Verdict};
+use nutmeggrade_policy::{End, Ticket, Verdict};
 
-use crate::engine::{Event, Job, Model, Spec};
+use crate::engine::{Event, Model, Spec};
 
+pub use arrival::{Arrival, model, workspace};
+pub use change::Change;
 pub use decider::Decider;
 pub use figures::{Figures, Outcome};
-pub use pattern::{Arrival, Change, Pattern, Shape, model, workspace};
+pub use pattern::Pattern;
+pub use shape::{CAPACITY, Shape};
 
 /// Instances that decide; as many as each deployment has today.
 pub const NODES: usize = 7;
@@ -191,77 +199,6 @@
         }
     }
 
-    /// Says whether an engine could take the request, knowing every true length.
-    fn fits(&self, engine: usize, request: usize, now: Moment) -> bool {
-        let held = &self.held[engine];
-        let need = |i: &usize| {
-            let arrival = &self.pattern.arrivals[*i];
-            arrival.prompt + arrival.output
-        };
-        let sum: u64 = held.iter().map(need).sum();
-        let model = &self.models[engine];
-        let usable = !self.out[engine % DOMAINS] && !model.is_cold(now);
-        usable
-            && held.len() < self.pattern.spec.batch as usize
-            && sum + need(&request) <= self.pattern.spec.memory
-    }
-
-    fn submit(&mut self, request: usize, engine: usize, priority: i32, now: Moment) {
-        let arrival = &self.pattern.arrivals[request];
-        let live = &mut self.live[request];
-        live.place = Some(engine);
-        let mut bytes = [0; 16];
-        bytes[8..].copy_from_slice(&live.attempt.to_be_bytes());
-        let job = Job {
-            generation: GenerationId::new(bytes),
-            prompt: arrival.prompt,
-            prefix: arrival.prefix,
-            prefix_len: arrival.prefix_len,
-            output: arrival.output,
-            priority,
-            poison: false,
-        };
-        self.held[engine].insert(request);
-        let events = self.models[engine].submit(job, now);
-        if !events.is_empty() {
-            self.crashed(engine, now);
-        }
-        self.kick(engine, now);
-    }
-
-    fn kick(&mut self, engine: usize, now: Moment) {
-        if self.busy[engine] || self.models[engine].is_idle() {
-            return;
-        }
-        let (took, events) = self.models[engine].step(now);
-        self.busy[engine] = true;
-        self.events[engine] = events;
-        self.at(now.after(took), What::Step(engine));
-    }
-
-    fn stepped(&mut self, engine: usize, now: Moment) {
-        self.busy[engine] = false;
-        for event in std::mem::take(&mut self.events[engine]) {
-            match event {
-                Event::Token { generation, last, .. } => self.token(generation, last, now),
-                Event::Preempted { .. } => self.preemptions += 1,
-                Event::Crashed => self.crashed(engine, now),
-            }
-        }
-        self.kick(engine, now);
-    }
-
-    fn token(&mut self, generation: GenerationId, last: bool, now: Moment) {
-        let number = u64::from_str_radix(&generation.to_string()[16..], 16).unwrap_or(0);
-        let Some(request) = self.tickets.get(&number).copied() else { return };
-        self.outcomes[request].token(now);
-        self.nodes[Self::node(request)].token(Ticket(number), now);
-        if last {
-            self.outcomes[request].whole = true;
-            self.finish(request, End::Finished, now);
-        }
-    }
-
     fn finish(&mut self, request: usize, end: End, now: Moment) {
         let live = &mut self.live[request];
         if live.over {
@@ -279,23 +216,6 @@
         self.nodes[Self::node(request)].end(Ticket(ticket), end, now);
     }
 
-    fn crashed(&mut self, engine: usize, now: Moment) {
-        for request in std::mem::take(&mut self.held[engine]) {
-            let live = &mut self.live[request];
-            live.place = None;
-            live.avoid.insert(endpoint(engine));
-            let started = self.outcomes[request].started();
-            if started || live.tries >= ATTEMPTS {
-                self.finish(request, End::Failed, now);
-            } else {
-                let ticket = live.attempt;
-                self.tickets.remove(&ticket);
-                self.nodes[Self::node(request)].end(Ticket(ticket), End::Failed, now);
-                self.ask(request, now);
-            }
-        }
-    }
-
     fn tick(&mut self, now: Moment) {
         for node in 0..NODES {
             for (ticket, verdict) in self.nodes[node].release(now) {
@@ -306,59 +226,6 @@
         }
     }
 
-    fn poll(&mut self, now: Moment) {
-        let lag = self.pattern.report_lag;
-        for engine in 0..ENGINES {
-            let fresh = self.models[engine].load(now);
-            let reports = &mut self.reports[engine];
-            reports.push_back((now, fresh));
-            while reports.get(1).is_some_and(|(at, _)| now.since(*at) >= lag) {
-                reports.pop_front();
-            }
-            let (at, report) = &reports[0];
-            let report = LoadReport { age: now.since(*at), ..report.clone() };
-            for node in &mut self.nodes {
-                node.report(&endpoint(engine), &report, now);
-            }
-        }
-    }
-
-    fn beacon(&mut self, now: Moment) {
-        let counts = self.nodes.iter().map(Decider::in_flight).collect();
-        self.beacons.push_back((now, counts));
-        while self.beacons.get(1).is_some_and(|(at, _)| now.since(*at) >= BEACON) {
-            self.beacons.pop_front();
-        }
-        let (_, counts) = &self.beacons[0];
-        for (own, node) in self.nodes.iter_mut().enumerate() {
-            let mut sum = BTreeMap::new();
-            for (_, of_peer) in counts.iter().enumerate().filter(|(peer, _)| *peer != own) {
-                for (id, count) in of_peer {
-                    *sum.entry(id.clone()).or_insert(0) += count;
-                }
-            }
-            node.set_peers(&sum, now);
-        }
-        self.tell_engines(now);
-    }
-
-    fn tell_engines(&mut self, now: Moment) {
-        for (own, node) in self.nodes.iter_mut().enumerate() {
-            let usable = (0..ENGINES).filter(|e| !self.out[e % DOMAINS]);
-            let engines: Vec<_> = usable
-                .map(|e| Engine {
-                    id: endpoint(e),
-                    domain: DomainId::new(&format!("domain-{}", e % DOMAINS)).expect("a valid id"),
-                    models: BTreeSet::from([model()]),
-                    memory: self.pattern.spec.memory,
-                    cold_right: if e % NODES == own { self.pattern.spec.cold_limit } else { 0 },
-                    sharers: u32::try_from(NODES).unwrap_or(1),
-                })
-                .collect();
-            node.set_engines(&engines, now);
-        }
-    }
-
     fn change(&mut self, index: usize, now: Moment) {
         match self.pattern.changes[index] {
             Change::Slow { engine, factor, .. } => self.models[engine].set_slow(factor),
--- a/crates/nutmeggrade-policy/src/known.rs
+++ b/crates/nutmeggrade-policy/src/known.rs
@@ -42,7 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct Known {
     pub engine: Engine,
-    pub usable: bool,
+    /// Since when it has been out of service; `None` while it may get work.
+    pub left: Option<Moment>,
     pub own: u32,
     pub peers: u32,
     forecast: Forecast,
@@ -62,7 +63,7 @@
     pub fn new(engine: &Engine, seed: u64) -> Self {
         Self {
             engine: engine.clone(),
-            usable: true,
+            left: None,
             own: 0,
             peers: 0,
             forecast: Forecast::default(),
@@ -81,14 +82,14 @@
 
     /// Takes the engine's settings over; one that was out of service starts slowly.
     pub fn set_engine(&mut self, engine: &Engine, now: Moment) {
-        if !self.usable {
+        if self.left.is_some() {
             self.ramp.begin(now);
             self.gap.reset();
         }
         if self.engine != *engine {
             self.engine = engine.clone();
         }
-        self.usable = true;
+        self.left = None;
     }
 
     pub fn report(&mut self, report: &LoadReport, now: Moment) {
@@ -108,7 +109,7 @@
     /// Returns the score of the engine for a request, lower being better; `None` if it may not go
     /// there.
     pub fn score(&self, view: &View<'_>) -> Option<f64> {
-        if !self.usable || view.ask.avoid.contains(&self.engine.id) {
+        if self.left.is_some() || view.ask.avoid.contains(&self.engine.id) {
             return None;
         }
         if self.is_cold(view.now) {
--- a/crates/nutmeggrade-policy/src/scheduler.rs
+++ b/crates/nutmeggrade-policy/src/scheduler.rs
@@ -22,6 +22,9 @@
 
 /// Gap between tokens before any was seen.
 const USUAL_GAP: Duration = Duration::from_millis(15);
+/// How long an engine that left is remembered: longer than maintenance of a failure domain, so that
+/// it ramps up when it returns, and not for ever, as engines are replaced by others all the time.
+const REMEMBER: Duration = Duration::from_hours(1);
 /// Weight of a gap in the usual gap of all engines.
 const NEW_GAP: f64 = 1.0 / 512.0;
 
@@ -79,9 +82,11 @@
         let usable: BTreeSet<_> = engines.iter().map(|e| &e.id).collect();
         for id in self.offered.iter().map(|e| &e.id).filter(|id| !usable.contains(id)) {
             if let Some(known) = self.engines.get_mut(id) {
-                known.usable = false;
+                known.left = Some(now);
             }
         }
+        let forgotten = |k: &Known| k.left.is_some_and(|at| now.since(at) > REMEMBER);
+        self.engines.retain(|_, k| k.own > 0 || !forgotten(k));
         for engine in engines {
             match self.engines.get_mut(&engine.id) {
                 Some(known) => known.set_engine(engine, now),
--- a/tests/suite/policy/cold.rs
+++ b/tests/suite/policy/cold.rs
@@ -100,3 +100,22 @@
     assert!(at(4_000, Duration::ZERO) < 2.0);
     assert!(at(4_000, SECOND * 3) > 30.0, "old reports show it later");
 }
+
+// A failure domain is out for half an hour and returns warm and empty. Work must not all go there at
+// once; an engine that never left gets its usual part meanwhile.
+#[test]
+fn returned_engine_gets_little_at_first() {
+    let mut scheduler = scheduler(2);
+    scheduler.set_engines(&[engine(0)], Moment::from_millis(1_000));
+    let back = 1_800_000;
+    scheduler.set_engines(&[engine(0), engine(1)], Moment::from_millis(back));
+    let mut counts = [0, 0];
+    for ticket in 0..30 {
+        let now = Moment::from_millis(back + 10 * ticket);
+        if let Verdict::Go { endpoint: id, .. } = scheduler.ask(&ask(ticket, false), now) {
+            counts[usize::from(id == endpoint(1))] += 1;
+        }
+        scheduler.token(Ticket(ticket), now);
+    }
+    assert!(counts[1] <= 4 && counts[0] >= 20, "{counts:?}");
+}
