Send no caller to an instance that can't serve yet

Change: ready and may_work ask for the list too, and a heartbeat says 'takes no new callers' for as long as the instance may not work; the instance doesn't name itself either. Not proved by a test of its own: no fault of the stand-ins holds the list back alone.

--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
+    known: bool,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
 }
@@ -36,6 +37,12 @@
             listed.insert(endpoint.id.clone(), endpoint);
         }
         self.listed = listed;
+        self.known = true;
+    }
+
+    /// Says whether a list was read yet, be it empty.
+    pub const fn is_known(&self) -> bool {
+        self.known
     }
 
     /// Takes a peer's list if there is none yet.
--- a/crates/nutmeggrade/src/front/entries.rs
+++ b/crates/nutmeggrade/src/front/entries.rs
@@ -33,7 +33,7 @@
         let members = lock(&node.tables.members);
         members.open(node.now()).into_iter().cloned().collect()
     };
-    if node.phase() == Phase::Serving {
+    if node.phase() == Phase::Serving && node.may_work().is_ok() {
         open.push(node.entry.clone());
     }
     open.retain(|e| !out(&e.domain));
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -110,7 +110,14 @@
             let failure = Failure::new(Code::Leaving, "this instance is leaving");
             return Err(failure.with_retry_after(self.settings.beacon));
         }
-        self.is_current()
+        self.is_current()?;
+        // An instance that is let in before its first list refuses its first callers with 3001, as
+        // if no endpoint were in service.
+        if !lock(&self.tables.endpoints).is_known() {
+            let failure = Failure::new(Code::NotReady, "no list of endpoints yet");
+            return Err(failure.with_retry_after(self.settings.refresh));
+        }
+        Ok(())
     }
 
     /// Says whether the configuration in force here can be trusted, and why not.
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -36,7 +36,9 @@
     };
     let in_flight = lock(&node.tables.scheduler).in_flight();
     let platform = lock(&node.tables.fence).platform().map(|at| now.since(at));
-    let leaving = node.phase() > Phase::Serving;
+    // Peers name whoever is not leaving to callers. One that starts and is not ready, or that may
+    // not work for another reason, would refuse them.
+    let leaving = node.phase() > Phase::Serving || node.may_work().is_err();
     let entry = node.entry.clone();
     Beacon { entry, sequence, config, leaving, in_flight, platform, echoes }
 }
