--- a/crates/nutmeggrade-fakes/src/engine/faults.rs
+++ b/crates/nutmeggrade-fakes/src/engine/faults.rs
@@ -18,6 +18,12 @@
     pub crash: Option<bool>,
     /// Refuses new generations.
     pub refuse: Option<bool>,
+    /// Says that it is about to go.
+    pub leaving: Option<bool>,
     /// Accepts new generations and never answers them.
     pub hang: Option<bool>,
+    /// Obeys orders with old fencing numbers.
+    pub ignore_fence: Option<bool>,
+    /// Time that a load of weights takes, in milliseconds.
+    pub load_ms: Option<u64>,
 }
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use nutmeggrade_core::peer::Entry;
-use nutmeggrade_policy::{Scheduler, ServicePicker, Ticket, Verdict};
+use nutmeggrade_policy::{RetryBudget, Scheduler, ServicePicker, Ticket, Verdict};
 use nutmeggrade_state::audit_log::AuditLog;
 use nutmeggrade_state::cold_rights::ColdRights;
 use nutmeggrade_state::config_table::ConfigTable;
@@ -12,6 +12,7 @@
 use nutmeggrade_state::explain_log::ExplainLog;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::order_table::OrderTable;
 use nutmeggrade_state::recent_changes::RecentChanges;
 use tokio::sync::oneshot;
 
@@ -31,10 +32,14 @@
     pub endpoints: Mutex<EndpointTable>,
     /// Rights to cold endpoints, under a lease.
     pub rights: Mutex<ColdRights>,
+    /// What operators want of engines.
+    pub orders: Mutex<OrderTable>,
     /// Admission and routing of generations.
     pub scheduler: Mutex<Scheduler>,
     /// Routing of service calls.
     pub picker: Mutex<ServicePicker>,
+    /// Whether failed attempts may be repeated.
+    pub retries: Mutex<RetryBudget>,
     /// Whether new work may be taken.
     pub fence: Mutex<Fence>,
     /// Requests that wait.
@@ -55,8 +60,10 @@
             members: Mutex::new(Membership::new(own, settings.silence)),
             endpoints: Mutex::new(EndpointTable::new()),
             rights: Mutex::new(ColdRights::new(&own.instance, own.incarnation)),
+            orders: Mutex::new(OrderTable::new()),
             scheduler: Mutex::new(Scheduler::new(seed)),
             picker: Mutex::new(ServicePicker::new()),
+            retries: Mutex::new(RetryBudget::new(seed)),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
             explain: Mutex::new(ExplainLog::default()),
--- a/tests/suite/operators.rs
+++ b/tests/suite/operators.rs
@@ -4,6 +4,8 @@
 mod changes;
 mod explain;
 mod metrics;
+mod orders;
+mod presets;
 mod refusals;
 mod settings;
 
