--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -7,7 +7,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Engine, Ticket};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::engine_client::EngineClient;
@@ -52,6 +52,8 @@
     pub metrics: Metrics,
     /// Key of event ids.
     pub event_key: [u8; 32],
+    /// Wakes whoever lets waiting requests go.
+    pub queued: Notify,
     phase: watch::Sender<Phase>,
     tickets: AtomicU64,
 }
@@ -74,6 +76,7 @@
             engines: EngineClient::new(settings.connect),
             metrics: Metrics::new()?,
             event_key: settings.peer_key.key("event ids"),
+            queued: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             tickets: AtomicU64::new(1),
         })
@@ -120,7 +123,14 @@
             let failure = Failure::new(Code::Leaving, "this instance is leaving");
             return Err(failure.with_retry_after(self.settings.beacon));
         }
-        self.is_current()
+        self.is_current()?;
+        // An instance that is let in before its first list refuses its first callers with 3001, as
+        // if no endpoint were in service.
+        if !lock(&self.tables.endpoints).is_known() {
+            let failure = Failure::new(Code::NotReady, "no list of endpoints yet");
+            return Err(failure.with_retry_after(self.settings.refresh));
+        }
+        Ok(())
     }
 
     /// Says whether the configuration in force here can be trusted, and why not.
