--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -5,13 +5,14 @@
 use nutmeggrade_core::prelude::*;
 
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
-/// half a minute by default, longer than the list lags.
+/// a minute by default, longer than the list lags.
 const RETURN_LOOKS: u32 = 60;
 
 /// Endpoints from the platform's lagging list, less what operators took out.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
+    known: bool,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
     said_leaving: BTreeSet<EndpointId>,
@@ -43,10 +44,16 @@
             listed.insert(endpoint.id.clone(), endpoint);
         }
         self.listed = listed;
+        self.known = true;
         self.said_leaving.retain(|e| self.listed.contains_key(e));
         self.listed_live.retain(|e, _| self.listed.contains_key(e));
     }
 
+    /// Says whether a list was read yet, be it empty.
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// Says whether an endpoint seen as leaving was listed as live often enough to stay after all.
     fn stays(&mut self, endpoint: &Endpoint) -> bool {
         let looks = self.listed_live.entry(endpoint.id.clone()).or_default();
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -36,7 +36,9 @@
     };
     let in_flight = lock(&node.tables.scheduler).in_flight();
     let platform = lock(&node.tables.fence).platform().map(|at| now.since(at));
-    let leaving = node.phase() > Phase::Serving;
+    // Peers name whoever is not leaving to callers. One that starts and is not ready, or that may
+    // not work for another reason, would refuse them.
+    let leaving = node.phase() > Phase::Serving || node.may_work().is_err();
     let entry = node.entry.clone();
     Beacon { entry, sequence, config, leaving, in_flight, platform, echoes }
 }
@@ -48,6 +50,10 @@
         (members.live(now).len(), members.in_flight(now))
     };
     node.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
+    let epoch = lock(&node.tables.rights).epoch();
+    node.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    let is_closed = lock(&node.tables.fence).is_closed(now);
+    node.metrics.fenced.set(i64::from(is_closed));
     lock(&node.tables.scheduler).set_peers(&in_flight, now);
     node.sync_engines();
 }
