Record the end of every non-idempotent call, whoever left

Cause: faults found by reading the thin code. - The handler of a caller that closed its connection was dropped between send and record; the key said "in progress" for as long as the instance lived. The call now runs in a task of its own. - An instance that restarted under its name made its old records "in progress" for ever; the record now names the life of the instance. - An outcome that met an outage was written once and lost; it is now written until the record says it, and a planned stop waits for it. - A released key was removed. A removal that arrives late could hit the next attempt's record where versions start again, so a release is now a state of the record and the next attempt replaces it by its version. - A claim whose write took effect after its sender gave up blocked the key; its own instance now knows that it never sent. - "not run" was said of a keyed call when the record could not be read, though an earlier attempt may have run; it says unknown now. - Answers larger than a platform value or not UTF-8 were lost or changed.

Ruled out: a lease on the record (a paused owner would run beside its successor); wall clocks.

Before (the new tests on the old code, `cargo test -p nutmeggrade-tests process::intents`): 5 passed, 3 failed: answer_waits_for_a_caller_that_left: still {"code":4005,...} killed_instance_leaves_unknown: still {"code":4005,...} outcome_is_recorded_after_an_outage: left 4001 not_run, right 4001 unknown Randomised (`random::intents`), with a takeover when the owner looks gone: "key 1 ran 2 times"; with a table that forgets attempts that send: "told not run, but it may still run".

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -89,6 +89,8 @@
     EndpointRefused = 3006, "endpoint_refused", 502;
     /// The generation named by the event id is gone.
     GenerationGone = 3007, "generation_gone", 410;
+    /// The call ran, but its answer was too large to be kept for a retry.
+    AnswerNotKept = 3008, "answer_not_kept", 502;
     /// The platform could not be asked, so the call was not started.
     PlatformDown = 4001, "platform_down", 503;
     /// This instance is leaving; use another entry.
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock: events and `now` go in, actions come out. The instance
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
+pub mod claiming;
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
@@ -10,3 +11,6 @@
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod own_intents;
+pub mod recorded;
+pub mod settling;
--- a/crates/nutmeggrade-state/src/membership.rs
+++ b/crates/nutmeggrade-state/src/membership.rs
@@ -90,10 +90,10 @@
         self.heard_lately(now).filter(|p| !p.leaving).map(|p| &p.entry).collect()
     }
 
-    /// Says whether an instance is known to be in service, this one included.
-    pub fn is_live(&self, instance: &InstanceId, now: Moment) -> bool {
-        *instance == self.own.instance
-            || self.heard_lately(now).any(|p| p.entry.instance == *instance)
+    /// Says whether one life of an instance is known to be in service, this one included.
+    pub fn is_alive(&self, instance: &InstanceId, incarnation: u64, now: Moment) -> bool {
+        let same = |e: &Entry| e.instance == *instance && e.incarnation == incarnation;
+        same(&self.own) || self.heard_lately(now).any(|p| same(&p.entry))
     }
 
     /// Returns the highest configuration version that a peer has in force.
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -23,7 +23,7 @@
     let node = super::node::<P>(&req)?;
     let body = req.bytes_with(None, node.settings.body).await;
     let result = match body {
-        Ok(body) => serve(&node, &req, body).await,
+        Ok(body) => serve(&node, &req, body).await.map_err(|f| keyed(&req, f)),
         Err(error) => Err(Failure::new(Code::BodyTooLarge, &error.to_string())),
     };
     let code = reply::success(&result);
@@ -61,6 +61,25 @@
     run_once(node, &call, &key).await
 }
 
+/// Corrects what is said of the run of a request that has a key and was refused before its record was
+/// looked at.
+///
+/// An earlier attempt with the same key may have run elsewhere. Told "not run", a caller would draw a
+/// new key and run the call a second time. Only a request that no instance can ever accept keeps
+/// "not run".
+fn keyed(req: &Request, failure: Failure) -> Failure {
+    let state = matches!(
+        failure.code,
+        Code::UnknownService
+            | Code::UnknownOperation
+            | Code::BadDeadline
+            | Code::Leaving
+            | Code::NotReady
+            | Code::Fenced
+    );
+    if state && req.headers().contains_key(KEY) { failure.with_run(Run::Unknown) } else { failure }
+}
+
 fn call<P: Platform>(node: &Node<P>, req: &Request, body: bytes::Bytes) -> Result<Call, Failure> {
     let service = req.param::<String>("service").unwrap_or_default();
     let operation = req.param::<String>("operation").unwrap_or_default();
@@ -96,7 +115,9 @@
     let mut response = Response::new(Body::Full(Full::from(answer.body.clone())));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let content = answer.content.as_deref().and_then(|c| HeaderValue::from_str(c).ok());
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, content.unwrap_or(json));
     if answer.replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("true"));
     }
--- a/crates/nutmeggrade/src/server.rs
+++ b/crates/nutmeggrade/src/server.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping an instance.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use nutmeggrade_core::peer::Entry;
@@ -13,8 +13,12 @@
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::tables::lock;
 use crate::{admin, front, tasks};
 
+/// Time between looks at calls that are not settled.
+const SETTLE_LOOK: Duration = Duration::from_millis(20);
+
 /// Serves until SIGTERM or SIGINT, then stops gracefully.
 pub async fn run(settings: &Settings) -> anyhow::Result<()> {
     let mut term = signal(SignalKind::terminate()).context("handle SIGTERM")?;
@@ -59,10 +63,24 @@
         let ended = timeout(node.settings.stall, &mut front).await;
         tracing::warn!(event = "drain_cut", ended = ended.is_ok());
     }
+    settle_calls(node).await;
     tasks::unregister(node).await;
     tracing::info!(event = "stopped", instance = %node.entry.instance, drained);
 }
 
+/// Waits until the platform knows how every non-idempotent call ended, so that a retry elsewhere
+/// gets the recorded answer; bounded, since an outage of the platform may outlast the stop.
+async fn settle_calls<P: Platform>(node: &Node<P>) {
+    let settled = async {
+        while lock(&node.tables.intents).open() > 0 {
+            sleep(SETTLE_LOOK).await;
+        }
+    };
+    if timeout(node.settings.drain, settled).await.is_err() {
+        tracing::warn!(event = "calls_not_settled", open = lock(&node.tables.intents).open());
+    }
+}
+
 /// Returns a number that is higher in every later life of an instance.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/nutmeggrade/src/service.rs
+++ b/crates/nutmeggrade/src/service.rs
@@ -3,6 +3,7 @@
 mod call;
 mod idempotent;
 mod once;
+mod records;
 mod replica;
 
 pub use call::{Answer, Call};
--- a/crates/nutmeggrade/src/service/call.rs
+++ b/crates/nutmeggrade/src/service/call.rs
@@ -23,8 +23,10 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
-    /// Body.
-    pub body: String,
+    /// Content type, if the service named one.
+    pub content: Option<String>,
+    /// Body, byte for byte as it came.
+    pub body: Bytes,
     /// Whether it was recorded by an earlier attempt.
     pub replayed: bool,
 }
--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, PlatformError};
+use nutmeggrade_platform::Platform;
+use nutmeggrade_state::claiming::{ClaimStep, Claiming, refused_run};
 use nutmeggrade_state::intent::{Claim, Intent, Progress};
-use serde_json::Value;
+use nutmeggrade_state::recorded::Recorded;
+use nutmeggrade_state::settling::Settling;
 
+use super::records::{claim_call, settle, settle_later};
 use super::replica::{Attempt, attempt};
 use super::{Answer, Call};
 use crate::node::Node;
@@ -15,139 +18,151 @@
 
 /// Replicas that a call is tried on while it is proved not to have run.
 const ATTEMPTS: usize = 3;
-/// Attempts to learn from the platform whose the record is.
-const CLAIM_ATTEMPTS: usize = 3;
-
-/// A record in the platform that this attempt owns.
-struct Owned {
-    key: String,
-    intent: Intent,
-    version: u64,
-}
 
 /// Runs a call at most once for its workspace's idempotency key.
+///
+/// A caller that closes its connection ends the handler of its request at any await. The call would
+/// stay without its outcome in the platform, and a retry would never learn it; so the call runs in a
+/// task of its own, which ends whether or not somebody listens.
 pub async fn run_once<P: Platform>(
     node: &Arc<Node<P>>,
     call: &Call,
     key: &RequestId,
 ) -> Result<Answer, Failure> {
-    let nonce = GenerationId::new(rand::random());
-    let intent = Intent::new(nonce, &node.entry.instance, &request_hash(call));
     let place = Intent::key(&key_hash(call, key));
-    let version = match claim(node, &place, &intent).await? {
-        Claimed::Own(version) => version,
-        Claimed::Answered(answer) => return Ok(answer),
-    };
-    let owned = Owned { key: place, intent, version };
-    let mut avoid = BTreeSet::new();
-    let mut why = "no replica took the call".to_owned();
-    for _ in 0..ATTEMPTS {
-        match attempt(node, call, &mut avoid).await {
-            Ok(Attempt::Answered(answer)) => {
-                let body = answer.body.clone();
-                record(node, &owned, Progress::Done { status: answer.status, body }).await;
-                return Ok(answer);
-            }
-            Ok(Attempt::NotRun(reason)) => why = reason,
-            Ok(Attempt::Lost(reason)) => {
-                record(node, &owned, Progress::Unknown).await;
-                let failure = Failure::new(Code::OutcomeUnknown, &reason);
-                return Err(failure.with_run(Run::Unknown));
-            }
-            Err(failure) => {
-                why = failure.detail;
-                break;
-            }
-        }
-    }
-    release(node, &owned).await;
-    let failure = Failure::new(Code::EndpointFailed, &why);
-    Err(failure.with_retry_after(node.settings.silence))
+    let task = tokio::spawn(run(Arc::clone(node), call.clone(), place));
+    task.await.unwrap_or_else(|error| {
+        let failure = Failure::new(Code::OutcomeUnknown, &error.to_string());
+        Err(failure.with_run(Run::Unknown))
+    })
 }
 
-enum Claimed {
-    Own(u64),
-    Answered(Answer),
+async fn run<P: Platform>(
+    node: Arc<Node<P>>,
+    call: Call,
+    place: String,
+) -> Result<Answer, Failure> {
+    let nonce = GenerationId::new(rand::random());
+    let entry = &node.entry;
+    let intent = Intent::new(nonce, &entry.instance, entry.incarnation, &request_hash(&call));
+    lock(&node.tables.intents).begin(nonce);
+    let mut claiming = Claiming::new(intent);
+    claim_call(&node, &place, &mut claiming).await;
+    let intent = claiming.intent().clone();
+    match claiming.step() {
+        ClaimStep::Decided(Claim::Send, version) => {
+            lock(&node.tables.intents).claimed(nonce);
+            send(&node, &call, &place, &intent, *version).await
+        }
+        ClaimStep::GaveUp { doubt: true } => {
+            lock(&node.tables.intents).end(nonce, Progress::Released);
+            let released = intent.with_progress(Progress::Released);
+            settle_later(&node, &place, Settling::new(released, None));
+            Err(platform_down(&node))
+        }
+        ClaimStep::Decided(claim, _) => {
+            lock(&node.tables.intents).settle(nonce);
+            refuse(&node, claim)
+        }
+        _ => {
+            lock(&node.tables.intents).settle(nonce);
+            Err(platform_down(&node))
+        }
+    }
 }
 
-/// Creates the record, or learns whose it is.
-///
-/// The answer of the create can be lost after the write took effect. The record is then read back:
-/// its nonce tells whether this attempt owns it. If that can't be learned either, nothing is sent,
-/// now or later, so "not run" stays true.
-async fn claim<P: Platform>(
-    node: &Node<P>,
+/// Hands the call to one replica after another until it may have run.
+async fn send<P: Platform>(
+    node: &Arc<Node<P>>,
+    call: &Call,
     place: &str,
     intent: &Intent,
-) -> Result<Claimed, Failure> {
-    let value = serde_json::to_value(intent)
-        .map_err(|e| Failure::new(Code::PlatformDown, &e.to_string()))?;
-    let mut last = String::new();
-    for _ in 0..CLAIM_ATTEMPTS {
-        match node.platform.create(place, &value).await {
-            Ok(version) => return Ok(Claimed::Own(version)),
-            Err(PlatformError::Refused(error)) => {
-                last = format!("{error:#}");
+    version: u64,
+) -> Result<Answer, Failure> {
+    let mut avoid = BTreeSet::new();
+    let mut refusal = Failure::new(Code::EndpointFailed, "no replica took the call");
+    let mut ended = None;
+    for _ in 0..ATTEMPTS {
+        if call.caller.deadline <= node.now() {
+            refusal = Failure::new(Code::DeadlinePassed, "the deadline passed before the call");
+            break;
+        }
+        lock(&node.tables.intents).sending(intent.nonce);
+        match attempt(node, call, &mut avoid).await {
+            Ok(Attempt::NotRun(reason)) => {
+                refusal = Failure::new(Code::EndpointFailed, &reason);
+                lock(&node.tables.intents).not_run(intent.nonce);
+            }
+            Err(failure) => {
+                lock(&node.tables.intents).not_run(intent.nonce);
+                refusal = failure;
                 break;
             }
-            Err(PlatformError::Unknown(error)) => last = format!("{error:#}"),
-            Err(PlatformError::Conflict) => {}
-        }
-        match node.platform.read(place).await {
-            Ok(Some(object)) => {
-                let value = object.value.unwrap_or_default();
-                return judge(node, intent, value, object.version);
+            Ok(other) => {
+                ended = Some(other);
+                break;
             }
-            Ok(None) => {}
-            Err(error) => last = error.to_string(),
         }
     }
-    let failure = Failure::new(Code::PlatformDown, &format!("the call can't be recorded: {last}"));
-    Err(failure.with_retry_after(node.settings.platform_wait))
+    let (progress, result) = outcome(ended, refusal.with_retry_after(node.settings.silence));
+    lock(&node.tables.intents).end(intent.nonce, progress.clone());
+    let settling = Settling::new(intent.clone().with_progress(progress), Some(version));
+    settle(node, place, settling).await;
+    result
 }
 
-fn judge<P: Platform>(
-    node: &Node<P>,
-    intent: &Intent,
-    value: Value,
-    version: u64,
-) -> Result<Claimed, Failure> {
-    let found: Intent = serde_json::from_value(value).map_err(|e| {
-        let detail = format!("the record can't be read: {e}");
-        Failure::new(Code::OutcomeUnknown, &detail).with_run(Run::Unknown)
-    })?;
-    let live = lock(&node.tables.members).is_live(&found.instance, node.now());
-    match intent.judge(&found, live) {
-        Claim::Send => Ok(Claimed::Own(version)),
-        Claim::Answer { status, body } => {
-            Ok(Claimed::Answered(Answer { status, body, replayed: true }))
+fn outcome(ended: Option<Attempt>, refusal: Failure) -> (Progress, Result<Answer, Failure>) {
+    match ended {
+        Some(Attempt::Answered(answer)) => {
+            let recorded = Recorded::new(answer.status, &answer.body);
+            let answer_kept = recorded.with_content(answer.content.as_deref());
+            (Progress::Done { answer: answer_kept }, Ok(answer))
         }
-        Claim::Refuse(Code::KeyReused) => {
-            let detail = "the idempotency key was used for a different request";
-            Err(Failure::new(Code::KeyReused, detail))
-        }
-        Claim::Refuse(code) => {
-            let detail = format!("an earlier attempt at {} holds the key", found.instance);
-            let failure = Failure::new(code, &detail).with_run(Run::Unknown);
-            Err(failure.with_retry_after(node.settings.silence))
+        Some(Attempt::Lost(reason)) => {
+            let failure = Failure::new(Code::OutcomeUnknown, &reason).with_run(Run::Unknown);
+            (Progress::Unknown, Err(failure))
         }
+        Some(Attempt::NotRun(_)) | None => (Progress::Released, Err(refusal)),
     }
 }
 
-/// Writes down how the call ended, so that a retry gets the same answer.
-async fn record<P: Platform>(node: &Node<P>, owned: &Owned, progress: Progress) {
-    let intent = owned.intent.clone().with_progress(progress);
-    let Ok(value) = serde_json::to_value(&intent) else { return };
-    if let Err(error) = node.platform.replace(&owned.key, &value, owned.version).await {
-        tracing::warn!(event = "outcome_not_recorded", key = owned.key, %error);
+fn refuse<P: Platform>(node: &Node<P>, claim: &Claim) -> Result<Answer, Failure> {
+    let code = match claim {
+        Claim::Answer(recorded) => return replay(recorded),
+        Claim::Refuse(code) => *code,
+        Claim::Send | Claim::TakeOver => Code::InProgress,
+    };
+    let detail = match code {
+        Code::KeyReused => "the idempotency key was used for a different request",
+        Code::InProgress => "an earlier attempt holds the key and may be running",
+        _ => "an earlier attempt held the key, and nobody can tell whether it ran",
+    };
+    let failure = Failure::new(code, detail).with_run(refused_run(code));
+    if code == Code::InProgress {
+        return Err(failure.with_retry_after(node.settings.silence));
     }
+    Err(failure)
 }
 
-/// Gives the key back after a call that is proved not to have run and never will by this attempt.
-async fn release<P: Platform>(node: &Node<P>, owned: &Owned) {
-    if let Err(error) = node.platform.remove(&owned.key, owned.version).await {
-        tracing::warn!(event = "key_not_released", key = owned.key, %error);
-    }
+fn replay(recorded: &Recorded) -> Result<Answer, Failure> {
+    let Some(body) = recorded.body() else {
+        let detail = "an earlier attempt ran; its answer was too large to be kept";
+        return Err(Failure::new(Code::AnswerNotKept, detail).with_run(Run::Ran));
+    };
+    let content = recorded.content.clone();
+    let body = bytes::Bytes::copy_from_slice(body);
+    Ok(Answer { status: recorded.status, content, body, replayed: true })
+}
+
+/// Refuses a call whose record can't be learned.
+///
+/// This attempt did not run and never will, but an earlier one with the same key may have: "not
+/// run" would let its caller draw a new key and book the plot a second time.
+fn platform_down<P: Platform>(node: &Node<P>) -> Failure {
+    let detail = "this attempt did not run, but whether an earlier one with the same key did can't \
+                  be learned; ask again with the same key";
+    let failure = Failure::new(Code::PlatformDown, detail).with_run(Run::Unknown);
+    failure.with_retry_after(node.settings.platform_wait)
 }
 
 fn key_hash(call: &Call, key: &RequestId) -> String {
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
@@ -17,6 +18,9 @@
 /// Largest answer that is passed on, in bytes; it fits a platform object with room to spare.
 const MAX_ANSWER: usize = 512 << 10;
 
+/// Twice the resolution of the runtime's timers.
+const TIMER_STEP: Duration = Duration::from_millis(2);
+
 /// How one attempt at one replica ended.
 #[derive(Debug)]
 pub enum Attempt {
@@ -47,6 +51,10 @@
     call: &Call,
     avoid: &mut BTreeSet<EndpointId>,
 ) -> Result<Attempt, Failure> {
+    // Claiming may have taken long, or the process was frozen meanwhile.
+    if lock(&node.tables.fence).is_closed(node.now()) {
+        return Ok(Attempt::NotRun("cut off from the platform and all peers".to_owned()));
+    }
     let Some(picked) = pick(node, call, avoid) else {
         let detail = format!("no replica of {} is in service", call.service);
         let failure = Failure::new(Code::NoEndpoint, &detail);
@@ -54,7 +62,13 @@
     };
     avoid.insert(picked.id.clone());
     let left = call.caller.deadline.since(node.now());
-    let ended = timeout(left, exchange(node, call, picked.address)).await;
+    // The connect ends before the deadline cuts the whole, so that a call which never left is told
+    // as not run.
+    let connect = node.settings.connect.min(left.saturating_sub(TIMER_STEP));
+    if connect.is_zero() {
+        return Ok(Attempt::NotRun("the deadline passed before the call".to_owned()));
+    }
+    let ended = timeout(left, exchange(call, picked.address, connect)).await;
     Ok(ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned())))
 }
 
@@ -74,7 +88,7 @@
     Some(Picked { node, id, address })
 }
 
-async fn exchange<P: Platform>(node: &Node<P>, call: &Call, address: SocketAddr) -> Attempt {
+async fn exchange(call: &Call, address: SocketAddr, connect: Duration) -> Attempt {
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("/call/{}", call.operation))
@@ -86,7 +100,7 @@
         Ok(request) => request,
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
-    let response = match send(address, request, node.settings.connect).await {
+    let response = match send(address, request, connect).await {
         Ok(response) => response,
         Err(error) if error.not_sent() => return Attempt::NotRun(error.to_string()),
         Err(error) => return Attempt::Lost(error.to_string()),
@@ -95,10 +109,11 @@
     if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         return Attempt::NotRun(format!("the service answered {status}"));
     }
+    let content = response.headers().get(header::CONTENT_TYPE);
+    let content = content.and_then(|v| v.to_str().ok()).map(ToOwned::to_owned);
     match body_bytes(response.into_body(), MAX_ANSWER).await {
         Ok(body) => {
-            let body = String::from_utf8_lossy(&body).into_owned();
-            Attempt::Answered(Answer { status: status.as_u16(), body, replayed: false })
+            Attempt::Answered(Answer { status: status.as_u16(), content, body, replayed: false })
         }
         Err(error) => Attempt::Lost(format!("{error:#}")),
     }
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -9,6 +9,7 @@
 use nutmeggrade_state::endpoint_table::EndpointTable;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::own_intents::OwnIntents;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -33,6 +34,8 @@
     pub fence: Mutex<Fence>,
     /// Requests that wait.
     pub waiters: Mutex<Waiters>,
+    /// Non-idempotent calls whose records are not settled.
+    pub intents: Mutex<OwnIntents>,
 }
 
 impl Tables {
@@ -46,6 +49,7 @@
             picker: Mutex::new(ServicePicker::new()),
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
+            intents: Mutex::new(OwnIntents::new()),
         }
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,3 +9,5 @@
 mod core;
 mod docs;
 mod process;
+mod random;
+mod state;
--- /dev/null
+++ b/tests/suite/state.rs
@@ -0,0 +1,3 @@
+//! The tables and state machines, one at a time.
+
+mod intent;
