Keep streams whole past stalls and leavers, and stop crashing requests

Cause: faults found by reading the thin code. - An engine that accepted a generation and never answered held the request until its deadline; resuming had no timeout at all. - A caller that left kept its generation on the engine to the last token; one that left before the first token likewise. - A connection that broke between the last token and the end of the stream could not be resumed: code 3003 for a whole answer. - A crossed token made the stream reconnect without progress or end. - A refusal after an attempt that may have run said "not run". - An engine that the list dropped could not be resumed. - A request that crashes engines took three of them at each sending.

Ruled out: cancelling at once (cuts callers that reconnect elsewhere); counting crashes alone (condemns the neighbours); a platform record for each retry after a crash (nothing retried in an outage).

Change: one session from the head of the answer on; orphans are cancelled after ten seconds unless a peer tells of their resumption; event ids say whether the token was the last; suspects are tried alone, fleet-wide.

--- a/crates/nutmeggrade-core/src/event_id.rs
+++ b/crates/nutmeggrade-core/src/event_id.rs
@@ -5,6 +5,8 @@
 use crate::id::{EndpointId, GenerationId, WorkspaceId};
 
 const TAG_LEN: usize = 32;
+/// Follows the offset of an answer's last token.
+const LAST: &str = ".";
 
 /// The place in a generation that an event id names.
 ///
@@ -18,16 +20,34 @@
     pub generation: GenerationId,
     /// Offset of the event's token.
     pub offset: u64,
+    /// Whether the token was the last of the answer.
+    pub last: bool,
 }
 
 impl EventId {
+    /// Names a token that is not the last.
+    pub const fn new(endpoint: EndpointId, generation: GenerationId, offset: u64) -> Self {
+        Self { endpoint, generation, offset, last: false }
+    }
+
+    /// Says whether the token was the last of the answer.
+    ///
+    /// A caller whose connection broke between the last token and the end of the stream resumes after
+    /// the last token. No engine can tell that apart from a lost answer; the id can.
+    #[must_use]
+    pub const fn with_last(mut self, last: bool) -> Self {
+        self.last = last;
+        self
+    }
+
     /// Writes the id as text with a tag that binds it to the workspace.
     ///
     /// Without the tag a caller could read another workspace's answer by guessing or copying ids;
     /// one would notice answers in logs under the wrong workspace. The tag is keyed with a secret
     /// of the instances, so an id verifies only for the workspace it was made for.
     pub fn seal(&self, workspace: &WorkspaceId, key: &[u8; 32]) -> String {
-        let place = format!("{}~{}~{}", self.offset, self.generation, self.endpoint);
+        let mark = if self.last { LAST } else { "" };
+        let place = format!("{}{mark}~{}~{}", self.offset, self.generation, self.endpoint);
         let tag = tag(&place, workspace, key);
         format!("{place}~{tag}")
     }
@@ -39,10 +59,12 @@
             return None;
         }
         let mut parts = place.splitn(3, '~');
-        let offset = parts.next()?.parse().ok()?;
+        let offset = parts.next()?;
+        let last = offset.ends_with(LAST);
+        let offset = offset.trim_end_matches(LAST).parse().ok()?;
         let generation = GenerationId::parse(parts.next()?)?;
         let endpoint = EndpointId::new(parts.next()?).ok()?;
-        Some(Self { endpoint, generation, offset })
+        Some(Self { endpoint, generation, offset, last })
     }
 }
 
--- a/crates/nutmeggrade-core/src/peer/beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/beacon.rs
@@ -1,11 +1,12 @@
 //! What an instance tells its peers several times a second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{DomainId, EndpointId, InstanceId};
+use super::Suspect;
+use crate::id::{DomainId, EndpointId, GenerationId, InstanceId};
 
 /// One instance of the system as others may use it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,4 +38,10 @@
     pub leaving: bool,
     /// Requests that the sender has in flight, by endpoint.
     pub in_flight: BTreeMap<EndpointId, u32>,
+    /// Generations whose callers resumed here lately.
+    #[serde(default)]
+    pub resumed: BTreeSet<GenerationId>,
+    /// Requests that are suspected of crashing engines.
+    #[serde(default)]
+    pub suspects: Vec<Suspect>,
 }
--- a/crates/nutmeggrade-fakes/src/engine/faults.rs
+++ b/crates/nutmeggrade-fakes/src/engine/faults.rs
@@ -12,6 +12,12 @@
     pub slow: Option<u32>,
     /// Cuts every stream after this many more tokens; the generations go on.
     pub cut_after: Option<u64>,
+    /// Stops every open stream after this many more tokens without closing it; the generations go on.
+    pub stall_after: Option<u64>,
+    /// Mixes tokens of another generation into every stream.
+    pub cross: Option<bool>,
+    /// Starts a resumed stream at the first token, whatever was asked for.
+    pub rewind: Option<bool>,
     /// Sends every token twice.
     pub duplicate: Option<bool>,
     /// Crashes now.
--- a/crates/nutmeggrade-fakes/src/engine/server.rs
+++ b/crates/nutmeggrade-fakes/src/engine/server.rs
@@ -27,6 +27,8 @@
 const MAX_BODY: u64 = 8 << 20;
 /// How long a crashed engine refuses work.
 const RESTART: Duration = Duration::from_millis(500);
+/// One token in this many is followed by one of another generation if streams are crossed.
+const CROSS: u64 = 16;
 /// How long an idle engine sleeps between looks at its queue.
 const IDLE: Duration = Duration::from_millis(2);
 
@@ -197,7 +199,9 @@
     let Some(id) = id.filter(|id| app.lock().answers.get(id).is_some_and(|a| !a.lost)) else {
         return Ok(status(StatusCode::NOT_FOUND));
     };
-    Ok(Sse::new(follow(app, id, query.from)).into_response())
+    let rewind = app.lock().faults.rewind == Some(true);
+    let from = if rewind { 0 } else { query.from };
+    Ok(Sse::new(follow(app, id, from)).into_response())
 }
 
 async fn cancel(req: Request) -> Result<Response> {
@@ -254,7 +258,7 @@
             inner.take(event);
         }
     }
-    if new.cut_after.is_some() {
+    if new.cut_after.is_some() || new.stall_after.is_some() {
         inner.cuts += 1;
     }
     inner.faults = new;
@@ -263,7 +267,7 @@
 
 /// What a follower finds at its place.
 enum Found {
-    Token { token: Token, twice: bool },
+    Token { token: Token, again: Option<Token> },
     Wait,
     End,
 }
@@ -273,14 +277,23 @@
         let inner = self.lock();
         let after = inner.faults.cut_after.filter(|_| inner.cuts > place.cuts);
         let cut = after.is_some_and(|n| place.sent >= n);
+        let stalled = inner.faults.stall_after.filter(|_| inner.cuts > place.cuts);
+        if stalled.is_some_and(|n| place.sent >= n) {
+            return Found::Wait;
+        }
         let Some(answer) = inner.answers.get(&id).filter(|a| !a.lost && !cut) else {
             return Found::End;
         };
         let index = usize::try_from(place.next).unwrap_or(usize::MAX);
         match answer.tokens.get(index) {
             Some(token) => {
-                let twice = inner.faults.duplicate == Some(true);
-                Found::Token { token: token.clone(), twice }
+                let again = if inner.faults.duplicate == Some(true) {
+                    Some(token.clone())
+                } else {
+                    (inner.faults.cross == Some(true) && place.next % CROSS == 1)
+                        .then(|| crossed(token))
+                };
+                Found::Token { token: token.clone(), again }
             }
             None if answer.tokens.last().is_some_and(|t| t.finish.is_some()) => Found::End,
             None => Found::Wait,
@@ -309,10 +322,10 @@
             match app.find(id, &place) {
                 Found::End => return None,
                 Found::Wait => changed.await,
-                Found::Token { token, twice } => {
+                Found::Token { token, again } => {
                     place.next += 1;
                     place.sent += 1;
-                    place.again = twice.then(|| token.clone());
+                    place.again = again;
                     break Some((event(&token), place));
                 }
             }
@@ -321,6 +334,12 @@
     })
 }
 
+/// A token of another generation at a place that fits, as a crossed stream has it.
+fn crossed(token: &Token) -> Token {
+    let generation = GenerationId::new([0xee; 16]);
+    Token { generation, offset: token.offset + 1, text: "crossed ".to_owned(), finish: None }
+}
+
 fn event(token: &Token) -> SseEvent {
     SseEvent::default().data(serde_json::to_string(token).unwrap_or_default())
 }
--- a/crates/nutmeggrade-state/src/delivery.rs
+++ b/crates/nutmeggrade-state/src/delivery.rs
@@ -43,6 +43,11 @@
         self
     }
 
+    /// Marks the answer as ended: the caller has its last token.
+    pub const fn end(&mut self) {
+        self.ended = true;
+    }
+
     /// Judges one token.
     pub fn accept(&mut self, token: &Token) -> Step {
         if token.generation != self.generation {
--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -1,15 +1,20 @@
 //! The endpoints as this instance sees them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use nutmeggrade_core::prelude::*;
 
+/// Addresses that are kept, those of endpoints that left the list included.
+const MAX_ADDRESSES: usize = 16_384;
+
 /// Endpoints from the platform's lagging list, less what operators took out.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
 }
 
 impl EndpointTable {
@@ -35,6 +40,10 @@
             }
             listed.insert(endpoint.id.clone(), endpoint);
         }
+        if self.addresses.len() > MAX_ADDRESSES {
+            self.addresses.clear();
+        }
+        self.addresses.extend(listed.values().map(|e| (e.id.clone(), e.address)));
         self.listed = listed;
     }
 
@@ -49,6 +58,14 @@
         self.listed.get(id)
     }
 
+    /// Returns where an endpoint is, or was when it was last listed.
+    ///
+    /// The list drops an endpoint while its last streams still run; a caller that resumes one then
+    /// would be told that its generation is gone.
+    pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
+        self.addresses.get(id).copied()
+    }
+
     /// Lists all endpoints, in service or not.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.listed.values()
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod orphans;
 pub mod own_intents;
 pub mod recorded;
 pub mod settling;
+pub mod suspects;
--- a/crates/nutmeggrade-state/src/membership.rs
+++ b/crates/nutmeggrade-state/src/membership.rs
@@ -96,6 +96,13 @@
         same(&self.own) || self.heard_lately(now).any(|p| same(&p.entry))
     }
 
+    /// Says whether every peer was heard at or after `at`; one silent for longer than `gone` counts as
+    /// gone.
+    pub fn all_heard(&self, at: Moment, gone: Duration, now: Moment) -> bool {
+        let said = |heard: Moment| heard >= at || now.since(heard) > gone;
+        self.peers.values().filter_map(|p| p.heard).all(said)
+    }
+
     /// Returns the highest configuration version that a peer has in force.
     pub fn highest_config(&self) -> u64 {
         self.peers.values().map(|p| p.config).max().unwrap_or(0)
--- a/crates/nutmeggrade/src/engine_client.rs
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -27,6 +27,15 @@
     Failed(anyhow::Error),
 }
 
+/// Why an engine did not start a generation.
+#[derive(Debug)]
+pub enum StartError {
+    /// Proved not to have run: no connection was made, or the engine refused.
+    NotRun(anyhow::Error),
+    /// The order was handed over and its fate is unknown.
+    Unknown(anyhow::Error),
+}
+
 /// Tokens as an engine sends them; an error or an early end means the connection broke.
 pub struct Tokens {
     events: Pin<Box<eventsource_stream::EventStream<BodyDataStream<Incoming>>>>,
@@ -70,17 +79,30 @@
     }
 
     /// Starts a generation.
-    pub async fn start(&self, address: SocketAddr, order: &Generate) -> anyhow::Result<Tokens> {
+    pub async fn start(&self, address: SocketAddr, order: &Generate) -> Result<Tokens, StartError> {
+        let body = json_body(order).map_err(StartError::NotRun)?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(GENERATIONS_PATH)
             .header(header::HOST, address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(json_body(order)?)
-            .context("build request")?;
-        let response = call(address, request, self.connect).await?;
-        anyhow::ensure!(response.status().is_success(), "engine answered {}", response.status());
-        Ok(Tokens::new(response.into_body()))
+            .body(body)
+            .map_err(|e| StartError::NotRun(e.into()))?;
+        let response = match call(address, request, self.connect).await {
+            Ok(response) => response,
+            Err(e) if e.not_sent() => return Err(StartError::NotRun(e.into())),
+            Err(e) => return Err(StartError::Unknown(e.into())),
+        };
+        let status = response.status();
+        let error = anyhow::anyhow!("engine answered {status}");
+        match status {
+            s if s.is_success() => Ok(Tokens::new(response.into_body())),
+            // A gateway's or a dying engine's 500 or 502 may come after the work began.
+            s if s.is_client_error() || s == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(StartError::NotRun(error))
+            }
+            _ => Err(StartError::Unknown(error)),
+        }
     }
 
     /// Takes up a generation again from an offset.
--- a/crates/nutmeggrade/src/front/completions.rs
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -75,7 +75,7 @@
         let Some(last) = EventId::open(text, &caller.workspace, &node.event_key) else {
             return Err(Failure::new(Code::BadEventId, "the last event id is not valid here"));
         };
-        resume(node, &caller, &completion.model, &last).await?
+        resume(node, &caller, &completion, &last).await?
     } else {
         node.may_work()?;
         start(node, &caller, &completion, class.long).await?
--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use nutmeggrade_core::engine::Token;
 use nutmeggrade_core::event_id::EventId;
@@ -13,15 +12,18 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::Placement;
-use crate::engine_client::{EngineError, Tokens};
+use super::{Lost, Placement, Trial, cancel, reconnect};
+use crate::engine_client::Tokens;
 use crate::front::Caller;
 use crate::node::{Node, Phase};
+use crate::tables::lock;
 
 /// Attempts to reach the engine again before a stream is given up.
-const RESUMES: u32 = 6;
-/// First pause between them; it doubles.
-const RESUME_PAUSE: Duration = Duration::from_millis(50);
+const TRIES: u32 = 6;
+/// The same before the first token, when the request can start again elsewhere.
+const FIRST_TRIES: u32 = 3;
+/// Times that a stream is taken up again without a single new token.
+const FRUITLESS: u32 = 8;
 
 /// What comes next in an open answer.
 #[derive(Debug)]
@@ -39,6 +41,7 @@
 pub struct Session<P: Platform> {
     node: Arc<Node<P>>,
     placement: Option<Placement<P>>,
+    trial: Option<Trial<P>>,
     /// The workspace that it belongs to.
     pub workspace: WorkspaceId,
     /// The request's id in logs.
@@ -49,10 +52,14 @@
     address: SocketAddr,
     delivery: Delivery,
     tokens: Option<Tokens>,
-    first: Option<Token>,
+    held: Option<Item>,
     deadline: Moment,
     phase: watch::Receiver<Phase>,
+    progress: Moment,
+    fruitless: u32,
+    resumable: bool,
     over: bool,
+    lost: bool,
 }
 
 enum Pulled {
@@ -75,6 +82,7 @@
         Self {
             node: Arc::clone(node),
             placement: None,
+            trial: None,
             workspace: caller.workspace.clone(),
             request: caller.request.clone(),
             model: model.clone(),
@@ -82,10 +90,14 @@
             address,
             delivery: Delivery::new(GenerationId::new([0; 16])),
             tokens: None,
-            first: None,
+            held: None,
             deadline: caller.deadline,
             phase: node.watch_phase(),
+            progress: node.now(),
+            fruitless: 0,
+            resumable: false,
             over: false,
+            lost: false,
         }
     }
 
@@ -103,10 +115,17 @@
         self
     }
 
-    /// Sets the token that was already read.
+    /// Sets whether the caller gets event ids to resume with.
     #[must_use]
-    pub fn with_first(mut self, token: Token) -> Self {
-        self.first = Some(token);
+    pub fn with_resumable(mut self, resumable: bool) -> Self {
+        self.resumable = resumable;
+        self
+    }
+
+    /// Marks the answer as ended: the caller has its last token.
+    #[must_use]
+    pub fn with_ended(mut self) -> Self {
+        self.delivery.end();
         self
     }
 
@@ -117,6 +136,13 @@
         self
     }
 
+    /// Sets the request's pass through the suspects of crashes.
+    #[must_use]
+    pub fn with_trial(mut self, trial: Trial<P>) -> Self {
+        self.trial = Some(trial);
+        self
+    }
+
     /// Returns the generation.
     pub fn generation(&self) -> GenerationId {
         self.delivery.generation()
@@ -124,12 +150,8 @@
 
     /// Returns the authenticated event id of a token.
     pub fn event_id(&self, token: &Token) -> String {
-        let id = EventId {
-            endpoint: self.endpoint.clone(),
-            generation: token.generation,
-            offset: token.offset,
-        };
-        id.seal(&self.workspace, &self.node.event_key)
+        let id = EventId::new(self.endpoint.clone(), token.generation, token.offset);
+        id.with_last(token.finish.is_some()).seal(&self.workspace, &self.node.event_key)
     }
 
     /// Returns the instance that serves this answer.
@@ -137,8 +159,26 @@
         &self.node
     }
 
+    /// Waits for the first token, which [`Session::next`] then returns; a failure before it gives the
+    /// trial back for another attempt.
+    pub async fn first(mut self) -> Result<Self, (Failure, Trial<P>)> {
+        match self.next().await {
+            Some(Item::Failed(failure)) if self.trial.is_some() => match self.trial.take() {
+                Some(trial) => Err((failure, trial)),
+                None => Ok(self),
+            },
+            item => {
+                self.held = item;
+                Ok(self)
+            }
+        }
+    }
+
     /// Waits for what comes next; `None` after the last token or after a failure.
     pub async fn next(&mut self) -> Option<Item> {
+        if let Some(item) = self.held.take() {
+            return Some(item);
+        }
         if self.over || self.delivery.ended() {
             return None;
         }
@@ -146,15 +186,20 @@
             match self.pull().await {
                 Pulled::Token(token) => match self.delivery.accept(&token) {
                     Step::Deliver => return Some(self.deliver(token)),
-                    Step::Repeat => self.node.metrics.repeats.inc(),
-                    Step::Foreign | Step::Gap => {
-                        if let Some(item) = self.reconnect("wrong token").await {
+                    Step::Repeat => {
+                        self.node.metrics.repeats.inc();
+                        self.progress = self.node.now();
+                    }
+                    // Dropped without progress: a stream with nothing else counts as stalled.
+                    Step::Foreign => self.node.metrics.foreign.inc(),
+                    Step::Gap => {
+                        if let Some(item) = self.resume("tokens are missing").await {
                             return Some(item);
                         }
                     }
                 },
                 Pulled::Broken(reason) => {
-                    if let Some(item) = self.reconnect(&reason).await {
+                    if let Some(item) = self.resume(&reason).await {
                         return Some(item);
                     }
                 }
@@ -170,27 +215,35 @@
         }
     }
 
+    /// Waits for a token. The deadline and the planned stop go first: an engine that sends old tokens
+    /// without end would otherwise hold the answer open for ever.
     async fn pull(&mut self) -> Pulled {
-        if let Some(token) = self.first.take() {
-            return Pulled::Token(token);
-        }
         let Some(tokens) = self.tokens.as_mut() else { return Pulled::Broken("cut".to_owned()) };
-        let left = self.deadline.since(self.node.now());
+        let now = self.node.now();
+        let left = self.deadline.since(now);
+        let stall = self.node.settings.stall.saturating_sub(now.since(self.progress));
         tokio::select! {
             biased;
-            token = timeout(self.node.settings.stall, tokens.next()) => match token {
+            () = sleep(left) => Pulled::Late,
+            _ = self.phase.wait_for(|p| *p == Phase::Closing) => Pulled::Closing,
+            token = timeout(stall, tokens.next()) => match token {
                 Ok(Ok(Some(token))) => Pulled::Token(token),
                 Ok(Ok(None)) => Pulled::Broken("stream ended early".to_owned()),
                 Ok(Err(error)) => Pulled::Broken(format!("{error:#}")),
                 Err(_) => Pulled::Broken("stalled".to_owned()),
             },
-            () = sleep(left) => Pulled::Late,
-            _ = self.phase.wait_for(|p| *p == Phase::Closing) => Pulled::Closing,
         }
     }
 
     fn deliver(&mut self, token: Token) -> Item {
         self.node.metrics.tokens.inc();
+        self.fruitless = 0;
+        self.progress = self.node.now();
+        if let Some(trial) = &self.trial
+            && (token.offset == 0 || token.finish.is_some())
+        {
+            trial.clear(token.finish.is_some());
+        }
         if let Some(placement) = &mut self.placement {
             placement.token();
             if token.finish.is_some() {
@@ -201,40 +254,53 @@
     }
 
     /// Takes the stream up again at the same engine; returns what to say if that can't be done.
-    async fn reconnect(&mut self, reason: &str) -> Option<Item> {
+    async fn resume(&mut self, reason: &str) -> Option<Item> {
         self.tokens = None;
         let generation = self.delivery.generation();
+        let next = self.delivery.next();
         tracing::info!(
             event = "resume",
             request = %self.request,
             endpoint = %self.endpoint,
             %generation,
-            next = self.delivery.next(),
+            next,
             reason
         );
-        let mut pause = RESUME_PAUSE;
-        for _ in 0..RESUMES {
-            self.node.metrics.resumes.inc();
-            let next = self.delivery.next();
-            let resumed = self.node.engines.resume(self.address, generation, next);
-            match timeout(self.node.settings.stall, resumed).await {
-                Ok(Ok(tokens)) => {
+        self.fruitless += 1;
+        let tries = if next == 0 { FIRST_TRIES } else { TRIES };
+        let lost = if self.fruitless > FRUITLESS {
+            Lost::Stalled
+        } else {
+            match reconnect(&self.node, self.address, generation, next, tries, self.deadline).await
+            {
+                Ok(tokens) => {
                     self.tokens = Some(tokens);
+                    self.progress = self.node.now();
                     return None;
                 }
-                Ok(Err(EngineError::Gone)) => break,
-                Ok(Err(EngineError::Failed(_))) | Err(_) => {}
-            }
-            sleep(pause).await;
-            pause *= 2;
-            if self.deadline <= self.node.now() {
-                break;
+                Err(lost) => lost,
             }
-        }
+        };
+        self.lost = lost == Lost::Gone;
+        self.note_crash(lost);
         let failure = Failure::new(Code::StreamLost, "the engine lost the generation");
         Some(self.fail(failure.with_run(Run::Ran)))
     }
 
+    /// Holds a crash against the request, unless the engine was expected to go.
+    fn note_crash(&self, lost: Lost) {
+        let stays = {
+            let table = lock(&self.node.tables.endpoints);
+            table.get(&self.endpoint).is_some_and(|e| e.state == EndpointState::Live)
+        };
+        if let Some(trial) = &self.trial
+            && lost.is_crash()
+            && stays
+        {
+            trial.crash(&self.endpoint, self.delivery.next() == 0);
+        }
+    }
+
     fn fail(&mut self, failure: Failure) -> Item {
         self.over = true;
         if let Some(placement) = &mut self.placement {
@@ -242,10 +308,29 @@
         }
         Item::Failed(failure)
     }
+
+    /// Frees the engine's memory once it is sure that nobody reads the answer.
+    fn leave(&self) {
+        let generation = self.delivery.generation();
+        if self.delivery.ended() || self.lost || self.phase_is_closing() {
+            return;
+        }
+        if self.resumable && !self.over && self.delivery.next() > 0 {
+            let now = self.node.now();
+            lock(&self.node.tables.orphans).leave(generation, self.address, now);
+        } else {
+            cancel(&self.node, self.address, generation);
+        }
+    }
+
+    fn phase_is_closing(&self) -> bool {
+        *self.phase.borrow() == Phase::Closing
+    }
 }
 
 impl<P: Platform> Drop for Session<P> {
     fn drop(&mut self) {
         self.node.metrics.streams.dec();
+        self.leave();
     }
 }
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -4,65 +4,65 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anyhow::Context;
-use nutmeggrade_core::engine::{Generate, Token};
+use nutmeggrade_core::engine::Generate;
 use nutmeggrade_core::event_id::EventId;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End};
 use tokio::time::timeout;
 
-use super::{Completion, Placement, Session, admit};
-use crate::engine_client::{EngineError, Tokens};
+use super::{Completion, Lost, Placement, Session, Trial, admit, cancel, reconnect};
+use crate::engine_client::{StartError, Tokens};
 use crate::front::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
 /// Engines that one request is tried on.
 const ATTEMPTS: usize = 3;
+/// Attempts to reach the engine of a caller that resumes.
+const RESUMES: u32 = 3;
+
+/// Why an attempt brought no first token.
+struct Broken {
+    run: Run,
+    why: String,
+}
 
 /// Starts a generation and waits for its first token.
 ///
 /// Until a token reached the caller a failed engine costs nothing but time: the request starts again
-/// elsewhere as a new generation. After it, it never does.
+/// elsewhere as a new generation. After it, it never does. What is said of the run covers every
+/// attempt: a refusal after one that may have run is no proof of "not run".
 pub async fn start<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
     completion: &Completion,
     long: bool,
 ) -> Result<Session<P>, Failure> {
-    let mut ask = Ask {
-        ticket: node.ticket(),
-        workspace: caller.workspace.clone(),
-        task: caller.task.clone(),
-        long,
-        model: completion.model.clone(),
-        prompt: completion.prompt_tokens(),
-        max_tokens: completion.max_tokens,
-        prefix: completion.prefix(),
-        deadline: caller.deadline,
-        avoid: BTreeSet::new(),
-    };
+    let mut ask = ask(node, caller, completion, long);
+    let mut run = Run::NotRun;
+    let mut why = String::new();
+    let mut trial = Trial::new(node, caller, completion);
     for _ in 0..ATTEMPTS {
         ask.ticket = node.ticket();
-        let mut placement = admit(node, &ask).await?;
+        let told = |f: Failure| f.with_run(run);
+        trial.pass(caller.deadline).await.map_err(told)?;
+        let placement = admit(node, &ask).await.map_err(told)?;
         let endpoint = placement.endpoint.clone();
-        match attempt(node, caller, completion, &placement).await {
-            Ok((address, tokens, first)) => {
-                return Ok(Session::new(node, caller, &completion.model, &endpoint, address)
-                    .with_generation(first.generation, 0)
-                    .with_tokens(tokens)
-                    .with_first(first)
-                    .with_placement(placement));
-            }
-            Err(error) => {
+        match attempt(node, caller, completion, placement, trial).await {
+            Ok(session) => return Ok(session),
+            Err((broken, back)) => {
+                trial = back;
+                trial.end();
+                run = both(run, broken.run);
+                why = broken.why;
                 tracing::warn!(
                     event = "attempt_failed",
                     request = %caller.request,
-                    endpoint = %endpoint,
-                    error = format!("{error:#}")
+                    %endpoint,
+                    run = broken.run.as_str(),
+                    error = why
                 );
-                placement.set_end(End::Failed);
                 node.metrics.retries.inc();
                 ask.avoid.insert(endpoint);
             }
@@ -73,17 +73,71 @@
     }
     let late = caller.deadline <= node.now();
     let code = if late { Code::DeadlinePassed } else { Code::EndpointFailed };
-    let failure = Failure::new(code, "no engine brought a first token").with_run(Run::Unknown);
+    let detail = format!("no engine brought a first token: {why}");
+    let failure = Failure::new(code, &detail).with_run(run);
     Err(failure.with_retry_after(node.settings.silence))
 }
 
+fn ask<P: Platform>(node: &Node<P>, caller: &Caller, completion: &Completion, long: bool) -> Ask {
+    Ask {
+        ticket: node.ticket(),
+        workspace: caller.workspace.clone(),
+        task: caller.task.clone(),
+        long,
+        model: completion.model.clone(),
+        prompt: completion.prompt_tokens(),
+        max_tokens: completion.max_tokens,
+        prefix: completion.prefix(),
+        deadline: caller.deadline,
+        avoid: BTreeSet::new(),
+    }
+}
+
+/// Joins what is known of two attempts: what surely ran goes before what may have run.
+fn both(a: Run, b: Run) -> Run {
+    match (a, b) {
+        (Run::Ran, _) | (_, Run::Ran) => Run::Ran,
+        (Run::Unknown, _) | (_, Run::Unknown) => Run::Unknown,
+        (Run::NotRun, Run::NotRun) => Run::NotRun,
+    }
+}
+
+/// Cancels a generation unless a session took it over.
+///
+/// A caller that leaves before the first token ends this request's task at any await, and the engine
+/// would go on for nobody. Without an event id nobody can resume it, so no grace is due.
+struct Started<P: Platform> {
+    node: Arc<Node<P>>,
+    address: SocketAddr,
+    generation: GenerationId,
+    armed: bool,
+}
+
+impl<P: Platform> Drop for Started<P> {
+    fn drop(&mut self) {
+        if self.armed {
+            cancel(&self.node, self.address, self.generation);
+        }
+    }
+}
+
 async fn attempt<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
     completion: &Completion,
-    placement: &Placement<P>,
-) -> anyhow::Result<(SocketAddr, Tokens, Token)> {
-    let address = address(node, &placement.endpoint).context("endpoint vanished")?;
+    mut placement: Placement<P>,
+    trial: Trial<P>,
+) -> Result<Session<P>, (Broken, Trial<P>)> {
+    let endpoint = placement.endpoint.clone();
+    let not_run = |why: &str| Broken { run: Run::NotRun, why: why.to_owned() };
+    let Some(address) = usable(node, &endpoint) else {
+        placement.set_end(End::Failed);
+        return Err((not_run("the engine left service"), trial));
+    };
+    // Waiting may have taken long, or the process was frozen meanwhile.
+    if lock(&node.tables.fence).is_closed(node.now()) {
+        return Err((not_run("cut off from the platform and all peers"), trial));
+    }
     let order = Generate {
         generation: GenerationId::new(rand::random()),
         model: completion.model.clone(),
@@ -91,58 +145,86 @@
         max_tokens: completion.max_tokens,
         priority: placement.priority,
     };
-    let left = caller.deadline.since(node.now());
-    let exchange = async {
-        let mut tokens = node.engines.start(address, &order).await?;
-        let first = tokens.next().await?.context("stream ended before its first token")?;
-        anyhow::ensure!(first.generation == order.generation, "crossed answer");
-        anyhow::Ok((address, tokens, first))
-    };
-    let result = timeout(left, exchange).await.context("no first token before the deadline");
-    let result = result.and_then(|r| r);
-    if result.is_err() {
-        give_up(node, address, order.generation);
+    match hand_over(node, caller, address, &order).await {
+        Ok(tokens) => {
+            let mut session = Session::new(node, caller, &completion.model, &endpoint, address)
+                .with_generation(order.generation, 0)
+                .with_resumable(completion.stream)
+                .with_placement(placement)
+                .with_trial(trial);
+            if let Some(tokens) = tokens {
+                session = session.with_tokens(tokens);
+            }
+            session.first().await.map_err(|(failure, trial)| {
+                (Broken { run: failure.run, why: failure.detail }, trial)
+            })
+        }
+        Err(broken) => {
+            placement.set_end(End::Failed);
+            Err((broken, trial))
+        }
     }
-    result
 }
 
-/// Cancels a generation that nobody will read, so that it frees the engine's memory.
-fn give_up<P: Platform>(node: &Arc<Node<P>>, address: SocketAddr, generation: GenerationId) {
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let cancel = node.engines.cancel(address, generation);
-        if timeout(node.settings.connect, cancel).await.is_err() {
-            tracing::debug!(event = "cancel_failed", %generation);
+/// Hands the order over; without tokens the head of the answer was lost, and the session asks the
+/// engine whether it has the generation.
+async fn hand_over<P: Platform>(
+    node: &Arc<Node<P>>,
+    caller: &Caller,
+    address: SocketAddr,
+    order: &Generate,
+) -> Result<Option<Tokens>, Broken> {
+    let generation = order.generation;
+    let mut started = Started { node: Arc::clone(node), address, generation, armed: true };
+    let wait = node.settings.stall.min(caller.deadline.since(node.now()));
+    let ended = timeout(wait, node.engines.start(address, order)).await;
+    started.armed = !matches!(ended, Ok(Ok(_) | Err(StartError::NotRun(_))));
+    match ended {
+        Ok(Ok(tokens)) => Ok(Some(tokens)),
+        Ok(Err(StartError::NotRun(error))) => {
+            Err(Broken { run: Run::NotRun, why: format!("{error:#}") })
         }
-    });
+        Ok(Err(StartError::Unknown(_))) => {
+            started.armed = false;
+            Ok(None)
+        }
+        Err(_) => Err(Broken { run: Run::Unknown, why: "the engine did not answer".to_owned() }),
+    }
 }
 
 /// Takes up a generation that the caller has up to an event.
 pub async fn resume<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
-    model: &ModelId,
+    completion: &Completion,
     last: &EventId,
 ) -> Result<Session<P>, Failure> {
+    let model = &completion.model;
     let gone = || Failure::new(Code::GenerationGone, "the generation is gone").with_run(Run::Ran);
-    let address = address(node, &last.endpoint).ok_or_else(gone)?;
-    let from = last.offset + 1;
-    match node.engines.resume(address, last.generation, from).await {
-        Ok(tokens) => {
-            node.metrics.resumes.inc();
-            Ok(Session::new(node, caller, model, &last.endpoint, address)
-                .with_generation(last.generation, from)
-                .with_tokens(tokens))
-        }
-        Err(EngineError::Gone) => Err(gone()),
-        Err(EngineError::Failed(error)) => {
-            let detail = format!("the engine can't be reached: {error:#}");
-            let failure = Failure::new(Code::EndpointFailed, &detail).with_run(Run::Ran);
+    let address = lock(&node.tables.endpoints).address(&last.endpoint).ok_or_else(gone)?;
+    let from = last.offset.checked_add(1).ok_or_else(gone)?;
+    let session = Session::new(node, caller, model, &last.endpoint, address)
+        .with_generation(last.generation, from)
+        .with_trial(Trial::new(node, caller, completion))
+        .with_resumable(completion.stream);
+    if last.last {
+        return Ok(session.with_ended());
+    }
+    lock(&node.tables.orphans).resume(last.generation, node.now());
+    match reconnect(node, address, last.generation, from, RESUMES, caller.deadline).await {
+        Ok(tokens) => Ok(session.with_tokens(tokens)),
+        Err(Lost::Gone) => Err(gone()),
+        Err(Lost::Unreachable | Lost::Stalled) => {
+            let detail = "the engine can't be reached";
+            let failure = Failure::new(Code::EndpointFailed, detail).with_run(Run::Ran);
             Err(failure.with_retry_after(node.settings.silence))
         }
     }
 }
 
-fn address<P: Platform>(node: &Node<P>, endpoint: &EndpointId) -> Option<SocketAddr> {
-    lock(&node.tables.endpoints).get(endpoint).map(|e| e.address)
+/// Returns where an engine is that may get new work now.
+fn usable<P: Platform>(node: &Node<P>, endpoint: &EndpointId) -> Option<SocketAddr> {
+    let table = lock(&node.tables.endpoints);
+    let found = table.get(endpoint)?;
+    table.in_service(found).then_some(found.address)
 }
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
-//! `scheduler`, `picker`, `fence`, `waiters`, `intents`. No lock is held over an await.
+//! `scheduler`, `picker`, `fence`, `waiters`, `intents`, `suspects`, `orphans`. No lock is held over an await.
 
 pub mod admin;
 pub mod clock;
--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -20,6 +20,14 @@
     pub resumes: IntCounter,
     /// Tokens that an engine sent again and that were dropped.
     pub repeats: IntCounter,
+    /// Tokens of another generation that were dropped.
+    pub foreign: IntCounter,
+    /// Generations cancelled after their callers left.
+    pub cancels: IntCounter,
+    /// Engines seen to crash while they ran a request of this instance.
+    pub crashes: IntCounter,
+    /// Requests refused because they crashed engines.
+    pub suspects: IntGauge,
     /// Requests that wait.
     pub waiting: IntGauge,
     /// Version of the configuration in force.
@@ -64,6 +72,10 @@
             retries: counter("retries_total", "generations started again before a token")?,
             resumes: counter("resumes_total", "streams taken up again at their engine")?,
             repeats: counter("repeats_total", "repeated tokens that were dropped")?,
+            foreign: counter("foreign_tokens_total", "tokens of another generation, dropped")?,
+            cancels: counter("cancels_total", "generations cancelled after their callers left")?,
+            crashes: counter("engine_crashes_total", "engine crashes seen under a request")?,
+            suspects: gauge("crash_suspects", "requests refused because they crashed engines")?,
             waiting: gauge("waiting", "requests that wait")?,
             config: gauge("config_version", "configuration in force")?,
             peers: gauge("peers", "peers heard lately")?,
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -6,7 +6,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Engine, Ticket};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::engine_client::EngineClient;
@@ -46,6 +46,8 @@
     pub metrics: Metrics,
     /// Key of event ids.
     pub event_key: [u8; 32],
+    /// Wakes the heartbeat at once for news that can't wait.
+    pub news: Notify,
     phase: watch::Sender<Phase>,
     tickets: AtomicU64,
 }
@@ -62,6 +64,7 @@
             engines: EngineClient::new(settings.connect),
             metrics: Metrics::new()?,
             event_key: settings.peer_key.key("event ids"),
+            news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             tickets: AtomicU64::new(1),
         })
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -111,5 +111,7 @@
     let fresh = lock(&node.tables.members).hear(beacon, now);
     if fresh {
         lock(&node.tables.fence).hear(now);
+        lock(&node.tables.suspects).hear(&beacon.entry.instance, &beacon.suspects, now);
+        lock(&node.tables.orphans).hear(&beacon.resumed);
     }
 }
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -9,7 +9,9 @@
 use nutmeggrade_state::endpoint_table::EndpointTable;
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
+use nutmeggrade_state::orphans::Orphans;
 use nutmeggrade_state::own_intents::OwnIntents;
+use nutmeggrade_state::suspects::Suspects;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -36,6 +38,10 @@
     pub waiters: Mutex<Waiters>,
     /// Non-idempotent calls whose records are not settled.
     pub intents: Mutex<OwnIntents>,
+    /// Requests that may crash engines.
+    pub suspects: Mutex<Suspects>,
+    /// Generations whose callers left.
+    pub orphans: Mutex<Orphans>,
 }
 
 impl Tables {
@@ -50,6 +56,8 @@
             fence: Mutex::new(Fence::new(settings.fence)),
             waiters: Mutex::new(Waiters::new()),
             intents: Mutex::new(OwnIntents::new()),
+            suspects: Mutex::new(Suspects::new(&own.instance, settings.beacon)),
+            orphans: Mutex::new(Orphans::new()),
         }
     }
 }
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -4,6 +4,7 @@
 mod config_watch;
 mod endpoint_refresh;
 mod load_poll;
+mod orphans;
 mod registration;
 mod release;
 
@@ -22,6 +23,7 @@
     tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
     tokio::spawn(endpoint_refresh::run(Arc::clone(node)));
     tokio::spawn(load_poll::run(Arc::clone(node)));
+    tokio::spawn(orphans::run(Arc::clone(node)));
     tokio::spawn(release::run(Arc::clone(node)));
     tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
     let node = Arc::clone(node);
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_core::peer::Beacon;
 use nutmeggrade_platform::Platform;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
@@ -18,12 +18,15 @@
         let in_flight = lock(&node.tables.scheduler).in_flight();
         let leaving = node.phase() > Phase::Serving;
         let entry = node.entry.clone();
-        let beacon = Beacon { entry, sequence, config, leaving, in_flight };
+        let suspects = lock(&node.tables.suspects).tell(node.now());
+        let resumed = lock(&node.tables.orphans).tell(node.now());
+        let beacon = Beacon { entry, sequence, config, leaving, in_flight, resumed, suspects };
         if let Err(error) = peers.publish(&beacon) {
             tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
         }
         hear(&node);
-        sleep(node.settings.beacon).await;
+        // Ends early for news that can't wait.
+        drop(timeout(node.settings.beacon, node.news.notified()).await);
     }
 }
 
--- a/tests/suite/core/event_id.rs
+++ b/tests/suite/core/event_id.rs
@@ -7,11 +7,8 @@
 const KEY: [u8; 32] = [7; 32];
 
 fn id() -> EventId {
-    EventId {
-        endpoint: EndpointId::new("engine-1").expect("id"),
-        generation: GenerationId::new([3; 16]),
-        offset: 41,
-    }
+    let engine = EndpointId::new("engine-1").expect("id");
+    EventId::new(engine, GenerationId::new([3; 16]), 41)
 }
 
 fn workspace(name: &str) -> WorkspaceId {
@@ -24,6 +21,13 @@
     assert_eq!(EventId::open(&text, &workspace("staatsbos"), &KEY), Some(id()));
 }
 
+#[rstest]
+fn last_comes_back_as_it_was() {
+    let last = id().with_last(true);
+    let text = last.seal(&workspace("staatsbos"), &KEY);
+    assert_eq!(EventId::open(&text, &workspace("staatsbos"), &KEY), Some(last));
+}
+
 // A workspace copies the event id of another one, to read its answer. It gets nothing.
 #[rstest]
 fn of_another_workspace_is_refused() {
@@ -40,6 +44,10 @@
     no_tag: "41~03030303030303030303030303030303~engine-1";
     wrong_tag: "41~03030303030303030303030303030303~engine-1~00000000000000000000000000000000";
     other_offset: &id().seal(&workspace("staatsbos"), &KEY).replacen("41", "42", 1);
+    made_last: &id().seal(&workspace("staatsbos"), &KEY).replacen("41", "41.", 1);
+    other_generation: &id().seal(&workspace("staatsbos"), &KEY).replacen("0303", "0304", 1);
+    other_endpoint: &id().seal(&workspace("staatsbos"), &KEY).replace("engine-1", "engine-2");
+    long: &"1".repeat(1 << 20);
     other_key: &id().seal(&workspace("staatsbos"), &[8; 32]);
     not_text: "\u{0}\u{ffff}~~~";
 });
--- /dev/null
+++ b/tests/suite/process/streams.rs
@@ -0,0 +1,224 @@
+//! Streams stay whole and in order while engines, links and instances fail.
+
+use std::time::Duration;
+
+use http::Method;
+use nix::sys::signal::Signal;
+use nutmeggrade_fakes::fleet::{Fleet, Heard, MODEL, Plan};
+use nutmeggrade_fakes::http::send;
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::support::{fleet, run};
+
+const TASK: &str = "permit-draft";
+const PATIENCE: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(50);
+
+fn plan() -> Plan {
+    Plan::default().with_nodes(3).with_engines(2).with_flag("stall", "700")
+}
+
+async fn fault_engines(fleet: &Fleet, faults: &Value) -> anyhow::Result<()> {
+    for name in ["engine-0", "engine-1"] {
+        fleet.fault(name, faults).await?;
+    }
+    Ok(())
+}
+
+async fn running(fleet: &Fleet) -> anyhow::Result<u64> {
+    let mut sum = 0;
+    for name in ["engine-0", "engine-1"] {
+        sum += fleet.log(name).await?["running"].as_u64().unwrap_or(0);
+    }
+    Ok(sum)
+}
+
+async fn started(fleet: &Fleet) -> anyhow::Result<usize> {
+    let mut sum = 0;
+    for name in ["engine-0", "engine-1"] {
+        sum += fleet.log(name).await?["runs"].as_object().map_or(0, serde_json::Map::len);
+    }
+    Ok(sum)
+}
+
+async fn until_running(fleet: &Fleet, wanted: u64) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while running(fleet).await? != wanted {
+        anyhow::ensure!(start.elapsed() < PATIENCE, "not {wanted} generations run");
+        sleep(PAUSE).await;
+    }
+    Ok(())
+}
+
+fn stays_whole(faults: &Value) {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let stream = caller.stream(0, TASK, "a len=120");
+        let (heard, set) = futures::join!(stream, async {
+            until_running(&held.fleet, 1).await?;
+            fault_engines(&held.fleet, faults).await
+        });
+        set?;
+        let heard = heard?;
+        assert!(heard.is_whole(), "{heard:?}");
+        assert_eq!(heard.tokens.len(), 120);
+        assert_eq!(started(&held.fleet).await?, 1, "more than one generation");
+        Ok(())
+    });
+}
+
+// An engine's stream breaks, stands still without closing, repeats tokens, carries another
+// generation's tokens, or starts over when it is resumed. The caller sees each token once.
+cases!(stays_whole {
+    cut: &json!({ "cut_after": 10 });
+    cut_at_once: &json!({ "cut_after": 0 });
+    stalled: &json!({ "stall_after": 10 });
+    repeated: &json!({ "duplicate": true });
+    crossed: &json!({ "cross": true });
+    cut_and_rewound: &json!({ "cut_after": 10, "rewind": true });
+    cut_crossed_and_rewound: &json!({ "cut_after": 10, "cross": true, "rewind": true });
+});
+
+// An engine accepts a generation and never answers. Another one takes it over.
+#[rstest]
+fn engine_that_hangs_is_left() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        held.fleet.fault("engine-0", &json!({ "hang": true })).await?;
+        for n in 0..4 {
+            let heard = held.fleet.caller("staatsbos").stream(n, TASK, "a len=5").await?;
+            assert!(heard.is_whole(), "{heard:?}");
+        }
+        Ok(())
+    });
+}
+
+// An engine dies in the middle of an answer. The stream ends with a numbered error that says that it
+// ran; no token of another generation is put behind it.
+#[rstest]
+fn dead_engine_ends_the_stream() {
+    run(async {
+        let mut held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let mut heard = Heard::default();
+        let listen = caller.listen(caller.entry(0), TASK, "a len=4000", &mut heard, None);
+        let (ended, killed) = futures::join!(listen, async {
+            until_running(&held.fleet, 1).await?;
+            sleep(Duration::from_millis(300)).await;
+            for name in ["engine-0", "engine-1"] {
+                held.fleet.process(name)?.kill()?;
+            }
+            anyhow::Ok(())
+        });
+        killed?;
+        ended?;
+        assert!(heard.in_order() && !heard.done, "{heard:?}");
+        let failure = heard.failure.unwrap_or_default();
+        assert_eq!((&failure["code"], &failure["run"]), (&json!(3003), &json!("ran")));
+        Ok(())
+    });
+}
+
+// The connection breaks between the last token and the end of the stream. Resuming after the last
+// token ends the stream at once, at any instance.
+#[rstest]
+fn resumes_after_the_last_token() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let mut heard = Heard::default();
+        caller.listen(caller.entry(0), TASK, "a len=9", &mut heard, Some(9)).await?;
+        assert!(!heard.done);
+        caller.listen(caller.entry(1), TASK, "a len=9", &mut heard, None).await?;
+        assert!(heard.is_whole() && heard.failure.is_none(), "{heard:?}");
+        assert_eq!(heard.tokens.len(), 9);
+        Ok(())
+    });
+}
+
+// A caller leaves and never comes back. Its generation would fill the engine's memory for thousands
+// of tokens; it is cancelled after a grace.
+#[rstest]
+fn generation_of_a_caller_that_left_is_cancelled() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let mut heard = Heard::default();
+        caller.listen(caller.entry(0), TASK, "a len=8000", &mut heard, Some(5)).await?;
+        assert_eq!(running(&held.fleet).await?, 1);
+        until_running(&held.fleet, 0).await
+    });
+}
+
+// A caller leaves before its first token, or from an answer that it can't resume.
+#[rstest]
+fn unresumable_generation_is_cancelled_at_once() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let entry = held.fleet.caller("staatsbos").entry(0);
+        let body = json!({ "model": MODEL, "prompt": "a len=8000" }).to_string().into_bytes();
+        let headers = [("nutmeggrade-workspace", "staatsbos"), ("nutmeggrade-task", TASK)];
+        let answer = send(entry, Method::POST, "/v1/completions", &headers, body);
+        tokio::select! {
+            _ = answer => anyhow::bail!("answered too soon"),
+            running = until_running(&held.fleet, 1) => running?,
+        }
+        until_running(&held.fleet, 0).await
+    });
+}
+
+// A caller loses its connection and goes on at another instance. The first instance must not cancel
+// the generation under it.
+#[rstest]
+fn resumed_generation_is_not_cancelled() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let mut heard = Heard::default();
+        let prompt = "a len=1100";
+        caller.listen(caller.entry(0), TASK, prompt, &mut heard, Some(5)).await?;
+        caller.listen(caller.entry(1), TASK, prompt, &mut heard, None).await?;
+        assert!(heard.is_whole(), "{:?} {:?}", heard.tokens.len(), heard.failure);
+        assert_eq!(heard.tokens.len(), 1100);
+        Ok(())
+    });
+}
+
+// The instance is frozen or killed in the middle of an answer; the caller goes on at another.
+#[rstest]
+fn killed_instance_loses_no_token() {
+    run(async {
+        let mut held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let stream = caller.stream(0, TASK, "a len=150");
+        let (heard, killed) = futures::join!(stream, async {
+            until_running(&held.fleet, 1).await?;
+            held.fleet.process("node-0")?.signal(Signal::SIGKILL)
+        });
+        killed?;
+        let heard = heard?;
+        assert!(heard.is_whole(), "{heard:?}");
+        assert_eq!(heard.tokens.len(), 150);
+        Ok(())
+    });
+}
+
+// One workspace gets hold of another's event id. It gets nothing of the answer.
+#[rstest]
+fn event_id_of_another_workspace_is_refused() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let mut heard = Heard::default();
+        caller.listen(caller.entry(0), TASK, "a len=300", &mut heard, Some(5)).await?;
+        let mut rival = Heard { last: heard.last, ..Heard::default() };
+        let caller = held.fleet.caller("rival");
+        caller.listen(caller.entry(1), TASK, "a len=300", &mut rival, None).await?;
+        assert_eq!(rival.failure.unwrap_or_default()["code"], 1010);
+        assert!(rival.tokens.is_empty());
+        Ok(())
+    });
+}
