--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -4,18 +4,23 @@
 
 use anyhow::Context;
 use http::Method;
-use nutmeggrade_core::config::{CONFIG_PREFIX, Change};
+use nutmeggrade_core::config::{CONFIG_PREFIX, Change, Known};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError};
+use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError, newest_config, raise_head};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::admin;
+use crate::line::Line;
 use crate::settings::Settings;
 
 const PATIENCE: Duration = Duration::from_secs(2);
-const POLL: Duration = Duration::from_millis(100);
-const READ_BACKS: u32 = 5;
+/// Pause between looks.
+pub const POLL: Duration = Duration::from_millis(100);
+/// Attempts to read back a write whose answer was lost.
+pub const READ_BACKS: u32 = 5;
+/// Versions that one call of a listing returns; each may be as large as a value can be.
+const PAGE: usize = 32;
 
 /// Opens the platform.
 pub fn platform(settings: &Settings) -> HttpPlatform {
@@ -24,27 +29,46 @@
 
 /// Reads the newest configuration; `None` before the first.
 pub async fn current(platform: &HttpPlatform) -> anyhow::Result<Option<Configuration>> {
-    let history = history(platform).await?;
-    Ok(history.into_iter().next_back())
+    let newest = newest_config(platform).await.map_err(|e| down(&e))?;
+    Ok(newest.config)
 }
 
-/// Reads every version of the configuration, oldest first.
+/// Reads every version of the configuration, oldest first, a few a call.
 pub async fn history(platform: &HttpPlatform) -> anyhow::Result<Vec<Configuration>> {
-    let listed = platform.list(CONFIG_PREFIX).await.map_err(|e| down(&e))?;
-    let decode = |value: Value| serde_json::from_value(value).context("decode configuration");
-    listed.objects.into_iter().filter_map(|o| o.value).map(decode).collect()
+    let mut after = CONFIG_PREFIX.to_owned();
+    let mut all = Vec::new();
+    loop {
+        let page = platform.list_after(CONFIG_PREFIX, &after, PAGE).await.map_err(|e| down(&e))?;
+        let count = page.objects.len();
+        if let Some(last) = page.objects.last() {
+            after.clone_from(&last.key);
+        }
+        for value in page.objects.into_iter().filter_map(|o| o.value) {
+            all.push(serde_json::from_value(value).context("decode configuration")?);
+        }
+        if count < PAGE {
+            return Ok(all);
+        }
+    }
 }
 
 /// Makes one change: checked as a whole, written, then seen in force.
 pub async fn make(settings: &Settings, change: &Change) -> anyhow::Result<()> {
+    if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
+        return Err(Failure::new(Code::WhoWhyMissing, "a change needs --who and --why").into());
+    }
     let platform = platform(settings);
     let id = ChangeId::new(&GenerationId::new(rand::random()).to_string())?;
-    let next = match (current(&platform).await?, change) {
+    let now = current(&platform).await?;
+    if let Some(now) = now.as_ref().filter(|c| c.has(change)) {
+        let line = Line::new("unchanged").with("version", now.version);
+        line.with("detail", "already so; nothing was written").print(settings);
+        return if settings.dry_run { Ok(()) } else { in_force(settings, &platform, now).await };
+    }
+    check_names(settings, &platform, now.as_ref(), change).await?;
+    let next = match (now, change) {
         (Some(now), _) => now.next(id, &settings.who, &settings.why, change)?,
         (None, Change::PutPreset { preset, content }) => {
-            if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
-                return Err(Failure::new(Code::WhoWhyMissing, "a change needs who and why").into());
-            }
             Configuration::new(id, &settings.who, &settings.why, preset, content)
         }
         (None, _) => {
@@ -53,11 +77,34 @@
         }
     };
     let next = next.with_time(wall_ms());
+    if settings.dry_run {
+        let line = Line::new("would_accept").with("version", next.version);
+        line.with("change", serde_json::to_value(change)?).print(settings);
+        return Ok(());
+    }
     write(&platform, &next).await?;
-    println!("accepted version={} change={}", next.version, next.id);
+    let line = Line::new("accepted").with("version", next.version);
+    line.with("change", next.id.as_str()).print(settings);
+    if let Err(error) = raise_head(&platform, next.version).await {
+        // The hint only saves reads.
+        eprintln!("hint not raised: {error}");
+    }
     in_force(settings, &platform, &next).await
 }
 
+/// Refuses a change that uses a name which the platform does not list.
+async fn check_names(
+    settings: &Settings,
+    platform: &HttpPlatform,
+    now: Option<&Configuration>,
+    change: &Change,
+) -> anyhow::Result<()> {
+    let endpoints = platform.endpoints().await.map_err(|e| down(&e))?;
+    let instances = admin::instances(platform).await?;
+    let known = Known::new(&endpoints, &instances);
+    Ok(known.judge(now, change, settings.confirm)?)
+}
+
 /// Writes a version if no other change came first.
 ///
 /// The answer of the write can be lost after it took effect. The version is then read back: the id
@@ -106,17 +153,20 @@
     let instances = admin::instances(platform).await?;
     let body = serde_json::to_value(config).context("encode configuration")?;
     let start = Instant::now();
-    let mut missing = instances;
+    let mut missing: Vec<_> = instances.into_iter().map(|e| (e, String::new())).collect();
     loop {
         let mut still = Vec::new();
-        for entry in missing {
+        for (entry, _) in missing {
             let pushed =
                 admin::ask(entry.admin_address, &settings.token, Method::POST, "/config", &body);
-            let version = pushed.await.ok().and_then(|v| v.get("config").and_then(Value::as_u64));
+            let answer = pushed.await;
+            let version = answer.as_ref().ok().and_then(|v| v.get("config")?.as_u64());
             if version.unwrap_or(0) >= config.version {
-                println!("in_force instance={} version={}", entry.instance, config.version);
+                let line = Line::new("in_force").with("instance", entry.instance.as_str());
+                line.with("version", config.version).print(settings);
             } else {
-                still.push(entry);
+                let why = answer.err().map_or("an older version".to_owned(), |e| format!("{e:#}"));
+                still.push((entry, why));
             }
         }
         if still.is_empty() {
@@ -124,7 +174,11 @@
         }
         missing = still;
         if start.elapsed() >= settings.wait {
-            let names: Vec<_> = missing.iter().map(|e| json!(e.instance)).collect();
+            for (entry, why) in &missing {
+                let line = Line::new("not_in_force").with("instance", entry.instance.as_str());
+                line.with("version", config.version).with("why", why.as_str()).print(settings);
+            }
+            let names: Vec<_> = missing.iter().map(|(e, _)| json!(e.instance)).collect();
             let detail = format!("accepted, but not yet in force at {}", Value::from(names));
             return Err(Failure::new(Code::NotInForce, &detail).into());
         }
@@ -137,7 +191,8 @@
     Failure::new(Code::PlatformDown, &error.to_string()).into()
 }
 
-fn wall_ms() -> u64 {
+/// Returns the wall time, milliseconds since 1970, for people only.
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -67,6 +67,8 @@
     NotFound = 1013, "not_found", 404;
     /// The idempotency key or the request id is not an id.
     BadHeader = 1014, "bad_header", 400;
+    /// The body did not arrive in time.
+    BodyTimeout = 1015, "body_timeout", 408;
     /// The queue is full for this workspace or in all.
     QueueFull = 2001, "queue_full", 429;
     /// The request can't be served before its deadline.
@@ -75,6 +77,8 @@
     DeadlinePassed = 2003, "deadline_passed", 504;
     /// The caller closed its connection.
     CallerGone = 2004, "caller_gone", 499;
+    /// The instance has as many connections as it takes.
+    TooManyConnections = 2005, "too_many_connections", 503;
     /// No endpoint in service offers what was asked for.
     NoEndpoint = 3001, "no_endpoint", 503;
     /// The endpoint failed before the work was started.
@@ -113,6 +117,20 @@
     WhoWhyMissing = 5005, "who_why_missing", 400;
     /// Whether the change was accepted could not be learned.
     ChangeUnknown = 5006, "change_unknown", 503;
+    /// A preset's text is not JSON, has an unknown key, or a value of the wrong kind.
+    PresetUnreadable = 5007, "preset_unreadable", 400;
+    /// A number in a preset is outside its range.
+    PresetRange = 5008, "preset_range", 400;
+    /// A preset lacks a part that it needs.
+    PresetPartMissing = 5009, "preset_part_missing", 400;
+    /// A preset's weights are negative, not finite, or all 0.
+    PresetWeights = 5010, "preset_weights", 400;
+    /// A change names a preset, failure domain or endpoint that is not known.
+    UnknownName = 5011, "unknown_name", 404;
+    /// A change would leave no failure domain in service.
+    LastDomain = 5012, "last_domain", 409;
+    /// No instance asked knows the request.
+    RequestUnknown = 5013, "request_unknown", 404;
     /// A flag or variable is not known.
     UnknownSetting = 6001, "unknown_setting", 400;
     /// A setting that has no default is missing.
@@ -121,6 +139,8 @@
     BadSetting = 6003, "bad_setting", 400;
     /// A setting is outside its range.
     SettingRange = 6004, "setting_range", 400;
+    /// Two settings contradict each other.
+    SettingsClash = 6005, "settings_clash", 400;
 }
 
 impl fmt::Display for Code {
--- a/crates/nutmeggrade-core/src/config/preset.rs
+++ b/crates/nutmeggrade-core/src/config/preset.rs
@@ -1,13 +1,13 @@
 //! Presets: what operators choose between.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{OperationClass, TaskClass, Weights};
-use crate::id::{ModelId, ServiceId, TaskId};
+use crate::id::{EndpointId, ModelId, ServiceId, TaskId};
 
 /// Limits that a preset sets on waiting.
 #[serde_as]
@@ -20,6 +20,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "call_deadline_ms")]
     pub call_deadline: Duration,
+    /// Loads from the weight store at a time, over the whole fleet.
+    #[serde(default = "default_loads")]
+    pub loads: u32,
+}
+
+/// Loads at a time where a preset names none: one engine after another is slow but never too much.
+const fn default_loads() -> u32 {
+    1
 }
 
 /// One model that callers may ask for.
@@ -28,6 +36,9 @@
 pub struct ModelClass {
     /// Longest prompt and answer together, in tokens.
     pub context: u64,
+    /// Engines that may serve it; empty for every engine that has it loaded.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub endpoints: BTreeSet<EndpointId>,
 }
 
 /// One preset: the limits, classes and weights in force together.
@@ -45,3 +56,11 @@
     /// What this deployment weighs most.
     pub weights: Weights,
 }
+
+impl Preset {
+    /// Says whether an engine may serve a model.
+    pub fn lets_serve(&self, model: &ModelId, engine: &EndpointId) -> bool {
+        let Some(class) = self.models.get(model) else { return false };
+        class.endpoints.is_empty() || class.endpoints.contains(engine)
+    }
+}
--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock; `use nutmeggrade_core::prelude::*` brings the common
 //! types into scope.
 
+pub mod audit;
 pub mod code;
 pub mod config;
 pub mod endpoint;
@@ -13,6 +14,7 @@
 pub mod id;
 pub mod moment;
 pub mod object;
+pub mod order;
 pub mod peer;
 pub mod prelude;
 pub mod run;
--- a/crates/nutmeggrade-fakes/src/fleet.rs
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -1,13 +1,17 @@
 //! Starts and stops the whole system as separate processes, for the demo and the tests.
 
 mod caller;
+mod client;
 mod deployment;
 mod plan;
 mod process;
 mod running;
+mod usage;
 
 pub use caller::{Caller, Heard};
-pub use deployment::{MODEL, SERVICE, preset};
+pub use client::Client;
+pub use deployment::{Deployment, MODEL, SERVICE, preset};
 pub use plan::Plan;
 pub use process::Process;
 pub use running::{Fleet, NodeAddresses};
+pub use usage::Usage;
--- a/crates/nutmeggrade-platform/src/platform.rs
+++ b/crates/nutmeggrade-platform/src/platform.rs
@@ -7,7 +7,7 @@
 use nutmeggrade_core::object::{Changes, Object};
 use serde_json::Value;
 
-use crate::PlatformError;
+use crate::{PlatformError, Traffic};
 
 /// The platform's object API: versions, conditional writes, watches, and the instance list.
 ///
@@ -42,6 +42,14 @@
     /// Lists the objects under a prefix in the order of their keys.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Changes, PlatformError>> + Send;
 
+    /// Lists at most `limit` objects under a prefix whose keys come after `after`.
+    fn list_after(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Changes, PlatformError>> + Send;
+
     /// Waits at most `wait` for changes under a prefix after `revision`.
     fn watch(
         &self,
@@ -55,4 +63,9 @@
 
     /// Returns the calls made so far, by kind.
     fn calls(&self) -> BTreeMap<&'static str, u64>;
+
+    /// Returns the bytes of those calls.
+    fn traffic(&self) -> Traffic {
+        Traffic::default()
+    }
 }
--- a/crates/nutmeggrade-state/src/config_table.rs
+++ b/crates/nutmeggrade-state/src/config_table.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigTable {
     current: Option<Arc<Configuration>>,
+    highest: u64,
 }
 
 impl ConfigTable {
@@ -34,6 +35,21 @@
         true
     }
 
+    /// Notes that a peer has a version in force; says whether it is higher than the one here.
+    ///
+    /// An instance that hears peers but can't get what they have is not cut off, and would go on
+    /// sending work into what operators took out. Until it has caught up, what it hears proves
+    /// nothing: the fence must not count it.
+    pub fn note(&mut self, version: u64) -> bool {
+        self.highest = self.highest.max(version);
+        self.wanted().is_some()
+    }
+
+    /// Returns the highest version known to be in force somewhere, if it is not in force here.
+    pub fn wanted(&self) -> Option<u64> {
+        (self.highest > self.version()).then_some(self.highest)
+    }
+
     /// Returns the version in force, 0 for none.
     pub fn version(&self) -> u64 {
         self.current.as_ref().map_or(0, |c| c.version)
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -3,16 +3,23 @@
 //! Nothing here does I/O or reads a clock: events and `now` go in, actions come out. The instance
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
+pub mod audit_log;
 pub mod claiming;
+pub mod cold_load;
+pub mod cold_rights;
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
+pub mod explain_log;
 pub mod fence;
 pub mod intent;
 pub mod invariant;
 pub mod membership;
+pub mod order_plan;
+pub mod order_table;
 pub mod orphans;
 pub mod own_intents;
+pub mod recent_changes;
 pub mod recorded;
 pub mod settling;
 pub mod suspects;
--- a/crates/nutmeggrade/src/engine_client.rs
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -10,9 +10,9 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyDataStream, Full};
 use hyper::body::Incoming;
-use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, LoadReport, Token};
+use nutmeggrade_core::engine::{GENERATIONS_PATH, Generate, LOAD_PATH, Standing, Token};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{body_bytes, call, json_body};
+use nutmeggrade_platform::{body_bytes, call, call_if, json_body};
 use tokio::time::timeout;
 
 /// Largest load report, in bytes.
@@ -78,8 +78,13 @@
         Self { connect }
     }
 
-    /// Starts a generation.
-    pub async fn start(&self, address: SocketAddr, order: &Generate) -> Result<Tokens, StartError> {
+    /// Starts a generation if `may_send` agrees immediately before the order goes out.
+    pub async fn start(
+        &self,
+        address: SocketAddr,
+        order: &Generate,
+        may_send: impl FnOnce() -> anyhow::Result<()>,
+    ) -> Result<Tokens, StartError> {
         let body = json_body(order).map_err(StartError::NotRun)?;
         let request = Request::builder()
             .method(Method::POST)
@@ -88,7 +93,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(body)
             .map_err(|e| StartError::NotRun(e.into()))?;
-        let response = match call(address, request, self.connect).await {
+        let response = match call_if(address, request, self.connect, may_send).await {
             Ok(response) => response,
             Err(e) if e.not_sent() => return Err(StartError::NotRun(e.into())),
             Err(e) => return Err(StartError::Unknown(e.into())),
@@ -137,8 +142,8 @@
         Ok(())
     }
 
-    /// Asks for the load report; `wait` bounds the whole exchange.
-    pub async fn load(&self, address: SocketAddr, wait: Duration) -> anyhow::Result<LoadReport> {
+    /// Asks for the load and whether the engine stays; `wait` bounds the whole exchange.
+    pub async fn standing(&self, address: SocketAddr, wait: Duration) -> anyhow::Result<Standing> {
         let request = bodiless(Method::GET, LOAD_PATH, address)?;
         let exchange = async {
             let response = call(address, request, self.connect).await?;
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -6,10 +6,10 @@
 use http_body_util::Full;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
-use viz::{Body, Request, RequestExt, RequestLimitsExt, Response};
+use viz::{Body, Request, RequestExt, Response};
 
 use super::caller::{self, Caller};
-use super::reply;
+use super::{body, reply};
 use crate::node::Node;
 use crate::service::{Answer, Call, run_idempotent, run_once};
 use crate::tables::lock;
@@ -21,18 +21,23 @@
 /// Answers one call of a plain service.
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
-    let body = req.bytes_with(None, node.settings.body).await;
-    let result = match body {
-        Ok(body) => serve(&node, &req, body).await.map_err(|f| keyed(&req, f)),
-        Err(error) => Err(Failure::new(Code::BodyTooLarge, &error.to_string())),
+    caller::name(req.headers_mut());
+    let result = match body::read(&node, &mut req).await {
+        Ok(body) => serve(&node, &req, body).await,
+        Err(failure) => Err(failure),
     };
     let code = reply::success(&result);
     node.metrics.requests.with_label_values(&[PATH, &code.to_string()]).inc();
-    if let Err(f) = &result {
-        let path = req.path();
-        tracing::info!(event = "call", path, code, run = f.run.as_str(), detail = f.detail);
+    let request = caller::request(req.headers()).ok();
+    if let Some(request) = &request {
+        let workspace = caller::text(req.headers(), caller::WORKSPACE).unwrap_or("");
+        let run = result.as_ref().map_or_else(|f| f.run, |_| Run::Ran);
+        let why = result.as_ref().map_or_else(|f| f.detail.as_str(), |_| "");
+        let detail = format!("path={} run={} {why}", req.path(), run.as_str());
+        node.note_end(request, workspace, code, &detail);
     }
-    Ok(result.map_or_else(|f| super::failure(&f), |a| response(&a)))
+    let response = result.map_or_else(|f| super::failure(&f), |a| response(&a));
+    Ok(reply::with_request(response, request.as_ref()))
 }
 
 async fn serve<P: Platform>(
@@ -61,25 +66,6 @@
     run_once(node, &call, &key).await
 }
 
-/// Corrects what is said of the run of a request that has a key and was refused before its record was
-/// looked at.
-///
-/// An earlier attempt with the same key may have run elsewhere. Told "not run", a caller would draw a
-/// new key and run the call a second time. Only a request that no instance can ever accept keeps
-/// "not run".
-fn keyed(req: &Request, failure: Failure) -> Failure {
-    let state = matches!(
-        failure.code,
-        Code::UnknownService
-            | Code::UnknownOperation
-            | Code::BadDeadline
-            | Code::Leaving
-            | Code::NotReady
-            | Code::Fenced
-    );
-    if state && req.headers().contains_key(KEY) { failure.with_run(Run::Unknown) } else { failure }
-}
-
 fn call<P: Platform>(node: &Node<P>, req: &Request, body: bytes::Bytes) -> Result<Call, Failure> {
     let service = req.param::<String>("service").unwrap_or_default();
     let operation = req.param::<String>("operation").unwrap_or_default();
--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -58,8 +58,19 @@
     progress: Moment,
     fruitless: u32,
     resumable: bool,
-    over: bool,
-    lost: bool,
+    ending: Option<Ending>,
+    code: Option<Code>,
+}
+
+/// How a session ended without the whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The caller was told.
+    Told,
+    /// The engine no longer has the generation.
+    Lost,
+    /// The request goes on as another attempt.
+    Retried,
 }
 
 enum Pulled {
@@ -96,8 +107,8 @@
             progress: node.now(),
             fruitless: 0,
             resumable: false,
-            over: false,
-            lost: false,
+            ending: None,
+            code: None,
         }
     }
 
@@ -164,7 +175,13 @@
     pub async fn first(mut self) -> Result<Self, (Failure, Trial<P>)> {
         match self.next().await {
             Some(Item::Failed(failure)) if self.trial.is_some() => match self.trial.take() {
-                Some(trial) => Err((failure, trial)),
+                Some(trial) => {
+                    if self.ending != Some(Ending::Lost) {
+                        self.cancel();
+                    }
+                    self.ending = Some(Ending::Retried);
+                    Err((failure, trial))
+                }
                 None => Ok(self),
             },
             item => {
@@ -179,7 +196,7 @@
         if let Some(item) = self.held.take() {
             return Some(item);
         }
-        if self.over || self.delivery.ended() {
+        if self.ending.is_some() || self.delivery.ended() {
             return None;
         }
         loop {
@@ -208,7 +225,8 @@
                     return Some(self.fail(failure.with_run(Run::Ran)));
                 }
                 Pulled::Closing => {
-                    self.over = true;
+                    self.ending = Some(Ending::Told);
+                    self.code = Some(Code::Leaving);
                     return Some(Item::Moved);
                 }
             }
@@ -225,7 +243,7 @@
         tokio::select! {
             biased;
             () = sleep(left) => Pulled::Late,
-            _ = self.phase.wait_for(|p| *p == Phase::Closing) => Pulled::Closing,
+            _ = self.phase.wait_for(|p| *p >= Phase::Closing) => Pulled::Closing,
             token = timeout(stall, tokens.next()) => match token {
                 Ok(Ok(Some(token))) => Pulled::Token(token),
                 Ok(Ok(None)) => Pulled::Broken("stream ended early".to_owned()),
@@ -238,6 +256,11 @@
     fn deliver(&mut self, token: Token) -> Item {
         self.node.metrics.tokens.inc();
         self.fruitless = 0;
+        if token.offset == 0
+            && let Some(placement) = &self.placement
+        {
+            placement.seat.note_started();
+        }
         self.progress = self.node.now();
         if let Some(trial) = &self.trial
             && (token.offset == 0 || token.finish.is_some())
@@ -266,6 +289,8 @@
             next,
             reason
         );
+        let why = format!("endpoint={} next={next} {reason}", self.endpoint);
+        self.node.note(&self.request, "resume", &why);
         self.fruitless += 1;
         let tries = if next == 0 { FIRST_TRIES } else { TRIES };
         let lost = if self.fruitless > FRUITLESS {
@@ -281,7 +306,7 @@
                 Err(lost) => lost,
             }
         };
-        self.lost = lost == Lost::Gone;
+        self.ending = (lost == Lost::Gone).then_some(Ending::Lost);
         self.note_crash(lost);
         let failure = Failure::new(Code::StreamLost, "the engine lost the generation");
         Some(self.fail(failure.with_run(Run::Ran)))
@@ -302,7 +327,8 @@
     }
 
     fn fail(&mut self, failure: Failure) -> Item {
-        self.over = true;
+        self.ending.get_or_insert(Ending::Told);
+        self.code = Some(failure.code);
         if let Some(placement) = &mut self.placement {
             placement.set_end(End::Failed);
         }
@@ -311,20 +337,23 @@
 
     /// Frees the engine's memory once it is sure that nobody reads the answer.
     fn leave(&self) {
-        let generation = self.delivery.generation();
-        if self.delivery.ended() || self.lost || self.phase_is_closing() {
+        let closing = *self.phase.borrow() >= Phase::Closing;
+        if self.delivery.ended() || closing {
             return;
         }
-        if self.resumable && !self.over && self.delivery.next() > 0 {
-            let now = self.node.now();
-            lock(&self.node.tables.orphans).leave(generation, self.address, now);
-        } else {
-            cancel(&self.node, self.address, generation);
+        match self.ending {
+            Some(Ending::Lost | Ending::Retried) => {}
+            None if self.resumable && self.delivery.next() > 0 => {
+                let now = self.node.now();
+                let generation = self.delivery.generation();
+                lock(&self.node.tables.orphans).leave(generation, self.address, now);
+            }
+            None | Some(Ending::Told) => self.cancel(),
         }
     }
 
-    fn phase_is_closing(&self) -> bool {
-        *self.phase.borrow() == Phase::Closing
+    fn cancel(&self) {
+        cancel(&self.node, self.address, self.delivery.generation());
     }
 }
 
@@ -332,5 +361,13 @@
     fn drop(&mut self) {
         self.node.metrics.streams.dec();
         self.leave();
+        // An attempt that gave its trial back goes on as another one.
+        if self.ending == Some(Ending::Retried) {
+            return;
+        }
+        let gone = (!self.delivery.ended()).then_some(Code::CallerGone);
+        let code = self.code.or(gone).map_or(0, Code::number);
+        let detail = format!("endpoint={} tokens={}", self.endpoint, self.delivery.next());
+        self.node.note_end(&self.request, self.workspace.as_str(), code, &detail);
     }
 }
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -9,16 +9,16 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use super::{Completion, Lost, Placement, Session, Trial, admit, cancel, reconnect};
+use super::{Completion, Lost, Placement, SEAT_PAUSE, Session, Trial, admit, cancel, reconnect};
 use crate::engine_client::{StartError, Tokens};
 use crate::front::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
 /// Engines that one request is tried on.
-const ATTEMPTS: usize = 3;
+const ATTEMPTS: u32 = 3;
 /// Attempts to reach the engine of a caller that resumes.
 const RESUMES: u32 = 3;
 
@@ -26,6 +26,13 @@
 struct Broken {
     run: Run,
     why: String,
+    seat_refused: bool,
+}
+
+impl Broken {
+    fn new(run: Run, why: &str) -> Self {
+        Self { run, why: why.to_owned(), seat_refused: false }
+    }
 }
 
 /// Starts a generation and waits for its first token.
@@ -43,15 +50,31 @@
     let mut run = Run::NotRun;
     let mut why = String::new();
     let mut trial = Trial::new(node, caller, completion);
-    for _ in 0..ATTEMPTS {
+    lock(&node.tables.retries).fresh();
+    let mut attempts = 0;
+    while attempts < ATTEMPTS {
         ask.ticket = node.ticket();
         let told = |f: Failure| f.with_run(run);
         trial.pass(caller.deadline).await.map_err(told)?;
-        let placement = admit(node, &ask).await.map_err(told)?;
+        let asked = node.now();
+        let admitted = admit(node, &ask).await;
+        node.note_admission(&caller.request, &ask, asked, &admitted);
+        let placement = admitted.map_err(told)?;
         let endpoint = placement.endpoint.clone();
         match attempt(node, caller, completion, placement, trial).await {
-            Ok(session) => return Ok(session),
+            Ok(session) => {
+                let place = format!("endpoint={endpoint} generation={}", session.generation());
+                node.note(&caller.request, "first_token", &place);
+                return Ok(session);
+            }
+            // Nothing was sent; what the load or the rights were at admission changed since.
+            Err((broken, back)) if broken.seat_refused => {
+                trial = back;
+                trial.end();
+                sleep(SEAT_PAUSE).await;
+            }
             Err((broken, back)) => {
+                attempts += 1;
                 trial = back;
                 trial.end();
                 run = both(run, broken.run);
@@ -63,8 +86,12 @@
                     run = broken.run.as_str(),
                     error = why
                 );
-                node.metrics.retries.inc();
+                let detail = format!("endpoint={endpoint} error={why}");
+                node.note(&caller.request, "attempt_failed", &detail);
                 ask.avoid.insert(endpoint);
+                if attempts < ATTEMPTS && !node.may_retry(attempts, caller.deadline).await {
+                    break;
+                }
             }
         }
         if caller.deadline <= node.now() {
@@ -129,15 +156,10 @@
     trial: Trial<P>,
 ) -> Result<Session<P>, (Broken, Trial<P>)> {
     let endpoint = placement.endpoint.clone();
-    let not_run = |why: &str| Broken { run: Run::NotRun, why: why.to_owned() };
-    let Some(address) = usable(node, &endpoint) else {
+    let Some(address) = address(node, &endpoint) else {
         placement.set_end(End::Failed);
-        return Err((not_run("the engine left service"), trial));
+        return Err((Broken::new(Run::NotRun, "the engine left the list"), trial));
     };
-    // Waiting may have taken long, or the process was frozen meanwhile.
-    if lock(&node.tables.fence).is_closed(node.now()) {
-        return Err((not_run("cut off from the platform and all peers"), trial));
-    }
     let order = Generate {
         generation: GenerationId::new(rand::random()),
         model: completion.model.clone(),
@@ -145,7 +167,7 @@
         max_tokens: completion.max_tokens,
         priority: placement.priority,
     };
-    match hand_over(node, caller, address, &order).await {
+    match hand_over(node, caller, address, &order, &placement).await {
         Ok(tokens) => {
             let mut session = Session::new(node, caller, &completion.model, &endpoint, address)
                 .with_generation(order.generation, 0)
@@ -155,12 +177,16 @@
             if let Some(tokens) = tokens {
                 session = session.with_tokens(tokens);
             }
-            session.first().await.map_err(|(failure, trial)| {
-                (Broken { run: failure.run, why: failure.detail }, trial)
-            })
+            session
+                .first()
+                .await
+                .map_err(|(failure, trial)| (Broken::new(failure.run, &failure.detail), trial))
         }
-        Err(broken) => {
-            placement.set_end(End::Failed);
+        Err(mut broken) => {
+            broken.seat_refused = placement.seat.was_refused();
+            if !broken.seat_refused {
+                placement.set_end(End::Failed);
+            }
             Err((broken, trial))
         }
     }
@@ -173,22 +199,22 @@
     caller: &Caller,
     address: SocketAddr,
     order: &Generate,
+    placement: &Placement<P>,
 ) -> Result<Option<Tokens>, Broken> {
     let generation = order.generation;
     let mut started = Started { node: Arc::clone(node), address, generation, armed: true };
     let wait = node.settings.stall.min(caller.deadline.since(node.now()));
-    let ended = timeout(wait, node.engines.start(address, order)).await;
+    let may_send = || Ok(placement.seat.take()?);
+    let ended = timeout(wait, node.engines.start(address, order, may_send)).await;
     started.armed = !matches!(ended, Ok(Ok(_) | Err(StartError::NotRun(_))));
     match ended {
         Ok(Ok(tokens)) => Ok(Some(tokens)),
-        Ok(Err(StartError::NotRun(error))) => {
-            Err(Broken { run: Run::NotRun, why: format!("{error:#}") })
-        }
+        Ok(Err(StartError::NotRun(error))) => Err(Broken::new(Run::NotRun, &format!("{error:#}"))),
         Ok(Err(StartError::Unknown(_))) => {
             started.armed = false;
             Ok(None)
         }
-        Err(_) => Err(Broken { run: Run::Unknown, why: "the engine did not answer".to_owned() }),
+        Err(_) => Err(Broken::new(Run::Unknown, "the engine did not answer")),
     }
 }
 
@@ -212,7 +238,11 @@
     }
     lock(&node.tables.orphans).resume(last.generation, node.now());
     match reconnect(node, address, last.generation, from, RESUMES, caller.deadline).await {
-        Ok(tokens) => Ok(session.with_tokens(tokens)),
+        Ok(tokens) => {
+            let place = format!("endpoint={} next={from}", last.endpoint);
+            node.note(&caller.request, "taken_up", &place);
+            Ok(session.with_tokens(tokens))
+        }
         Err(Lost::Gone) => Err(gone()),
         Err(Lost::Unreachable | Lost::Stalled) => {
             let detail = "the engine can't be reached";
@@ -222,9 +252,6 @@
     }
 }
 
-/// Returns where an engine is that may get new work now.
-fn usable<P: Platform>(node: &Node<P>, endpoint: &EndpointId) -> Option<SocketAddr> {
-    let table = lock(&node.tables.endpoints);
-    let found = table.get(endpoint)?;
-    table.in_service(found).then_some(found.address)
+fn address<P: Platform>(node: &Node<P>, endpoint: &EndpointId) -> Option<SocketAddr> {
+    lock(&node.tables.endpoints).get(endpoint).map(|e| e.address)
 }
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -8,15 +8,19 @@
 //!
 //! Tokio's worker pool runs all tasks over the shared [`tables::Tables`]. A worker that needs more
 //! than one lock takes them in the order of the struct's fields: `config`, `members`, `endpoints`,
-//! `scheduler`, `picker`, `fence`, `waiters`, `intents`, `suspects`, `orphans`. No lock is held over an await.
+//! `rights`, `orders`, `scheduler`, `picker`, `retries`, `fence`, `waiters`, `explain`, `changes`,
+//! `audit`, `intents`, `suspects`, `orphans`. No lock is held over an await.
 
 pub mod admin;
+pub mod audit;
 pub mod clock;
 pub mod engine_client;
+pub mod explain;
 pub mod front;
 pub mod generation;
 pub mod metrics;
 pub mod node;
+pub mod orders;
 pub mod peers;
 pub mod server;
 pub mod service;
--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -36,8 +36,18 @@
     pub peers: IntGauge,
     /// Calls to the platform by kind.
     pub platform: IntGaugeVec,
+    /// Bytes of HTTP to and from the platform.
+    pub platform_bytes: IntGaugeVec,
+    /// Bytes of messages to and from peers.
+    pub peer_bytes: IntCounterVec,
     /// Messages of peers that were dropped, by reason.
     pub dropped: IntCounterVec,
+    /// Requests whose decisions are remembered.
+    pub remembered: IntGauge,
+    /// Bytes that they take.
+    pub remembered_bytes: IntGauge,
+    /// Audit entries given up while the platform was away.
+    pub audit_lost: IntGauge,
     broken: IntGaugeVec,
 }
 
@@ -80,7 +90,12 @@
             config: gauge("config_version", "configuration in force")?,
             peers: gauge("peers", "peers heard lately")?,
             platform: gauges("platform_calls", "calls to the platform", "kind")?,
+            platform_bytes: gauges("platform_bytes", "HTTP with the platform", "direction")?,
+            peer_bytes: counters("peer_bytes_total", "messages of peers", &["direction"])?,
             dropped: counters("peer_messages_dropped_total", "dropped peer messages", &["reason"])?,
+            remembered: gauge("requests_remembered", "requests that can be explained")?,
+            remembered_bytes: gauge("requests_remembered_bytes", "bytes of their records")?,
+            audit_lost: gauge("audit_lost", "audit entries given up in an outage")?,
             broken: gauges("invariants_broken", "must stay absent", "name")?,
             registry,
         })
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -3,7 +3,7 @@
 //! Each instance publishes on one socket and subscribes to every peer on another. Publishing never
 //! waits for a slow or dead peer, and nng connects again by itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use nng::options::{
     LocalAddr, Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendTimeout,
 };
-use nng::{Dialer, Listener, Protocol, Socket, SocketAddr as NngAddr};
+use nng::{Dialer, Listener, Pipe, PipeEvent, Protocol, Socket, SocketAddr as NngAddr};
 use nutmeggrade_core::peer::{Beacon, Entry, MAX_MESSAGE, open, seal};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
@@ -21,6 +21,8 @@
 use crate::node::Node;
 use crate::tables::lock;
 
+/// Most subscribers: a few times the instances that a full mesh is made for.
+const MAX_SUBSCRIBERS: usize = 256;
 const SEND_WAIT: Duration = Duration::from_millis(100);
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 const RECONNECT_MAX: Duration = Duration::from_secs(1);
@@ -32,6 +34,7 @@
     inward: Socket,
     listener: Listener,
     dialers: Mutex<BTreeMap<InstanceId, Dialer>>,
+    subscribers: Arc<Mutex<BTreeSet<Pipe>>>,
     key: [u8; 32],
 }
 
@@ -40,6 +43,13 @@
     pub fn new(address: SocketAddr, key: &Secret) -> anyhow::Result<Self> {
         let out = Socket::new(Protocol::Pub0).context("open publisher")?;
         out.set_opt::<SendTimeout>(Some(SEND_WAIT)).context("send timeout")?;
+        // Subscribers send nothing, but nng reads what comes, and without a limit takes memory for a
+        // message of any size that a stranger announces: one connection could take it all.
+        out.set_opt::<RecvMaxSize>(MAX_MESSAGE).context("message limit")?;
+        let subscribers = Arc::new(Mutex::new(BTreeSet::new()));
+        let seen = Arc::clone(&subscribers);
+        out.pipe_notify(move |pipe, event| bound(&seen, pipe, event))
+            .context("follow subscribers")?;
         let listener = Listener::new(&out, &format!("tcp://{address}"))
             .with_context(|| format!("listen for peers on {address}"))?;
         let inward = Socket::new(Protocol::Sub0).context("open subscriber")?;
@@ -48,7 +58,8 @@
         inward.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN)).context("reconnect")?;
         inward.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX)).context("reconnect")?;
         let dialers = Mutex::new(BTreeMap::new());
-        Ok(Self { out, inward, listener, dialers, key: key.key("peer messages") })
+        let key = key.key("peer messages");
+        Ok(Self { out, inward, listener, dialers, subscribers, key })
     }
 
     /// Returns the address that peers subscribe at.
@@ -80,15 +91,17 @@
         }
     }
 
-    /// Sends a heartbeat to every subscriber.
-    pub fn publish(&self, beacon: &Beacon) -> anyhow::Result<()> {
+    /// Sends a heartbeat to every subscriber; returns the bytes to all of them.
+    pub fn publish(&self, beacon: &Beacon) -> anyhow::Result<u64> {
         let frame = seal(beacon, &self.key)?;
-        self.out.send(frame.as_slice()).map_err(|(_, e)| e).context("publish")
+        self.out.send(frame.as_slice()).map_err(|(_, e)| e).context("publish")?;
+        Ok((frame.len() * lock(&self.subscribers).len()) as u64)
     }
 
     /// Receives heartbeats for as long as the socket is open; runs on a thread of its own.
     pub fn receive<P: Platform>(&self, node: &Arc<Node<P>>) {
         while let Ok(message) = self.inward.recv() {
+            node.metrics.peer_bytes.with_label_values(&["in"]).inc_by(message.len() as u64);
             match open::<Beacon>(&message, &self.key) {
                 Ok(beacon) => take(node, &beacon),
                 Err(reason) => {
@@ -106,12 +119,47 @@
     }
 }
 
+/// Closes connections beyond the limit. Anyone who reaches the port may subscribe, and each
+/// subscriber costs a descriptor and buffers that callers' connections then lack.
+fn bound(subscribers: &Mutex<BTreeSet<Pipe>>, pipe: Pipe, event: PipeEvent) {
+    match event {
+        PipeEvent::AddPre => {
+            let full = {
+                let mut subscribers = lock(subscribers);
+                let full = subscribers.len() >= MAX_SUBSCRIBERS;
+                if !full {
+                    subscribers.insert(pipe);
+                }
+                full
+            };
+            if full {
+                pipe.close();
+            }
+        }
+        PipeEvent::RemovePost => {
+            lock(subscribers).remove(&pipe);
+        }
+        _ => {}
+    }
+}
+
 fn take<P: Platform>(node: &Node<P>, beacon: &Beacon) {
     let now = node.now();
-    let fresh = lock(&node.tables.members).hear(beacon, now);
+    node.meet(&beacon.entry);
+    let size = lock(&node.tables.rights).assignment().map_or(0, |a| a.members.len());
+    let (fresh, together) = {
+        let mut members = lock(&node.tables.members);
+        let fresh = members.hear(beacon, now);
+        // Without an assignment all instances that are known count.
+        let size = if size == 0 { members.known() } else { size };
+        (fresh, members.together_since(size))
+    };
     if fresh {
-        lock(&node.tables.fence).hear(now);
         lock(&node.tables.suspects).hear(&beacon.entry.instance, &beacon.suspects, now);
         lock(&node.tables.orphans).hear(&beacon.resumed);
+        let is_behind = lock(&node.tables.config).note(beacon.config);
+        if !is_behind {
+            lock(&node.tables.fence).hear_peers(together);
+        }
     }
 }
--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -154,14 +154,11 @@
     Ok(Answer { status: recorded.status, content, body, replayed: true })
 }
 
-/// Refuses a call whose record can't be learned.
-///
-/// This attempt did not run and never will, but an earlier one with the same key may have: "not
-/// run" would let its caller draw a new key and book the plot a second time.
+/// Refuses a call whose record can't be learned; this attempt sends nothing, now or later.
 fn platform_down<P: Platform>(node: &Node<P>) -> Failure {
-    let detail = "this attempt did not run, but whether an earlier one with the same key did can't \
-                  be learned; ask again with the same key";
-    let failure = Failure::new(Code::PlatformDown, detail).with_run(Run::Unknown);
+    let detail = "this attempt did not run; whether an earlier one with the same key did can't be \
+                  learned now, so ask again with the same key";
+    let failure = Failure::new(Code::PlatformDown, detail);
     failure.with_retry_after(node.settings.platform_wait)
 }
 
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -8,7 +8,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, body_bytes, call as send};
+use nutmeggrade_platform::{Platform, body_bytes, call_if};
 use tokio::time::timeout;
 
 use super::{Answer, Call};
@@ -32,6 +32,17 @@
     Lost(String),
 }
 
+impl Attempt {
+    /// Returns how it ended in one word.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not_run",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 /// A replica picked for one attempt; given back when dropped.
 struct Picked<'a, P: Platform> {
     node: &'a Node<P>,
@@ -51,10 +62,6 @@
     call: &Call,
     avoid: &mut BTreeSet<EndpointId>,
 ) -> Result<Attempt, Failure> {
-    // Claiming may have taken long, or the process was frozen meanwhile.
-    if lock(&node.tables.fence).is_closed(node.now()) {
-        return Ok(Attempt::NotRun("cut off from the platform and all peers".to_owned()));
-    }
     let Some(picked) = pick(node, call, avoid) else {
         let detail = format!("no replica of {} is in service", call.service);
         let failure = Failure::new(Code::NoEndpoint, &detail);
@@ -68,8 +75,15 @@
     if connect.is_zero() {
         return Ok(Attempt::NotRun("the deadline passed before the call".to_owned()));
     }
-    let ended = timeout(left, exchange(call, picked.address, connect)).await;
-    Ok(ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned())))
+    let ended = timeout(left, exchange(node, call, &picked, connect)).await;
+    let ended = ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned()));
+    let (request, endpoint, left) = (&call.caller.request, &picked.id, left.as_millis());
+    node.note(
+        request,
+        "attempt",
+        &format!("endpoint={endpoint} left_ms={left} ended={}", ended.as_str()),
+    );
+    Ok(ended)
 }
 
 fn pick<'a, P: Platform>(
@@ -88,7 +102,14 @@
     Some(Picked { node, id, address })
 }
 
-async fn exchange(call: &Call, address: SocketAddr, connect: Duration) -> Attempt {
+async fn exchange<P: Platform>(
+    node: &Node<P>,
+    call: &Call,
+    picked: &Picked<'_, P>,
+    connect: Duration,
+) -> Attempt {
+    let address = picked.address;
+    let may_send = || Ok(node.may_send(&picked.id)?);
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("/call/{}", call.operation))
@@ -100,7 +121,7 @@
         Ok(request) => request,
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
-    let response = match send(address, request, connect).await {
+    let response = match call_if(address, request, connect, may_send).await {
         Ok(response) => response,
         Err(error) if error.not_sent() => return Attempt::NotRun(error.to_string()),
         Err(error) => return Attempt::Lost(error.to_string()),
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -1,12 +1,15 @@
 //! Background tasks of an instance.
 
 mod beacon;
+mod catch_up;
+mod cleanup;
 mod config_watch;
 mod endpoint_refresh;
 mod load_poll;
 mod orphans;
 mod registration;
 mod release;
+mod rights;
 
 use std::sync::Arc;
 
@@ -20,9 +23,15 @@
 /// Starts every background task.
 pub fn start<P: Platform>(node: &Arc<Node<P>>, peers: &Arc<Peers>) {
     tokio::spawn(config_watch::run(Arc::clone(node)));
+    tokio::spawn(cleanup::run(Arc::clone(node)));
+    tokio::spawn(catch_up::run(Arc::clone(node)));
+    tokio::spawn(rights::run(Arc::clone(node)));
     tokio::spawn(registration::run(Arc::clone(node), Arc::clone(peers)));
     tokio::spawn(endpoint_refresh::run(Arc::clone(node)));
     tokio::spawn(load_poll::run(Arc::clone(node)));
+    tokio::spawn(crate::orders::follow(Arc::clone(node)));
+    tokio::spawn(crate::orders::give(Arc::clone(node)));
+    tokio::spawn(crate::audit::run(Arc::clone(node)));
     tokio::spawn(orphans::run(Arc::clone(node)));
     tokio::spawn(release::run(Arc::clone(node)));
     tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -12,24 +12,44 @@
 
 pub(super) async fn run<P: Platform>(node: Arc<Node<P>>, peers: Arc<Peers>) {
     let mut sequence = 0;
+    let mut phase = node.watch_phase();
     loop {
         sequence += 1;
-        let config = lock(&node.tables.config).version();
-        let in_flight = lock(&node.tables.scheduler).in_flight();
-        let leaving = node.phase() > Phase::Serving;
-        let entry = node.entry.clone();
-        let suspects = lock(&node.tables.suspects).tell(node.now());
-        let resumed = lock(&node.tables.orphans).tell(node.now());
-        let beacon = Beacon { entry, sequence, config, leaving, in_flight, resumed, suspects };
-        if let Err(error) = peers.publish(&beacon) {
-            tracing::warn!(event = "beacon_failed", error = format!("{error:#}"));
+        let beacon = beacon(&node, sequence);
+        match peers.publish(&beacon) {
+            Ok(bytes) => node.metrics.peer_bytes.with_label_values(&["out"]).inc_by(bytes),
+            Err(error) => tracing::warn!(event = "beacon_failed", error = format!("{error:#}")),
         }
         hear(&node);
-        // Ends early for news that can't wait.
-        drop(timeout(node.settings.beacon, node.news.notified()).await);
+        // A planned stop is told at once, so that peers stop handing out this address, and so is the
+        // crash of an engine.
+        let news = async {
+            tokio::select! {
+                changed = phase.changed() => drop(changed),
+                () = node.news.notified() => {}
+            }
+        };
+        drop(timeout(node.settings.beacon, news).await);
     }
 }
 
+fn beacon<P: Platform>(node: &Node<P>, sequence: u64) -> Beacon {
+    let now = node.now();
+    let config = lock(&node.tables.config).version();
+    let echoes = {
+        let mut members = lock(&node.tables.members);
+        members.note_sent(sequence, now);
+        members.echoes()
+    };
+    let in_flight = lock(&node.tables.scheduler).in_flight();
+    let platform = lock(&node.tables.fence).platform().map(|at| now.since(at));
+    let leaving = node.phase() > Phase::Serving;
+    let entry = node.entry.clone();
+    let suspects = lock(&node.tables.suspects).tell(now);
+    let resumed = lock(&node.tables.orphans).tell(now);
+    Beacon { entry, sequence, config, leaving, in_flight, platform, echoes, resumed, suspects }
+}
+
 fn hear<P: Platform>(node: &Arc<Node<P>>) {
     let now = node.now();
     let (live, in_flight) = {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,8 @@
 
 mod core;
 mod docs;
+mod operators;
+mod policy;
 mod process;
 mod random;
 mod state;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,7 +1,15 @@
 //! Real processes: the whole path, and failures brought about on it.
 
 mod bad_input;
+mod cold;
+mod config;
 mod crashers;
+mod cuts;
 mod intents;
+mod limits;
+mod membership;
+mod planned_stop;
+mod raw;
 mod streams;
+mod traces;
 mod whole_path;
--- a/tests/suite/random/intents.rs
+++ b/tests/suite/random/intents.rs
@@ -11,7 +11,7 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use super::{STEPS, config};
+use super::{STEPS, machine};
 
 const NODES: usize = 3;
 const KEYS: usize = 2;
@@ -365,7 +365,7 @@
 // run without an answer or after everybody gave up, instances look gone while they are paused, die
 // and come back under the same name. A household would find two permits for one plot.
 proptest_state_machine::prop_state_machine! {
-    #![proptest_config(config("intents"))]
+    #![proptest_config(machine("intents"))]
 
     #[test]
     fn runs_at_most_once(sequential STEPS..STEPS + 1 => Calls);
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -1,3 +1,4 @@
-//! The tables and state machines, one at a time.
+//! Tables and state machines, each by itself.
 
+mod cold_rights;
 mod intent;
