Play streams and suspects of crashes at random, and hold a verdict back

Cause: a stream's request that lost two engines beside a culprit was refused in the moment before the peers told of the culprit. Two crashes without a trial now count once the peers had time to tell of another cause; until then the request waits.

--- a/crates/nutmeggrade-state/src/suspects.rs
+++ b/crates/nutmeggrade-state/src/suspects.rs
@@ -106,7 +106,12 @@
         if self.is_condemned(request, now) {
             return Gate::Refuse;
         }
-        if !self.held(request, now).iter().any(|c| c.first) {
+        let held = self.held(request, now);
+        if distinct(&held) >= 2 {
+            // A peer may be about to tell that another request caused the last crash.
+            return Gate::Wait;
+        }
+        if !held.iter().any(|c| c.first) {
             return Gate::Free;
         }
         let trial = Trial { request, since: now, running: false };
@@ -211,8 +216,12 @@
     }
 
     fn is_condemned(&self, request: PromptHash, now: Moment) -> bool {
-        let held = self.held(request, now);
-        held.iter().any(|c| c.trial) || distinct(&held) >= 2
+        let mut held = self.held(request, now);
+        if held.iter().any(|c| c.trial) {
+            return true;
+        }
+        held.retain(|c| now.since(c.at) >= self.settle);
+        distinct(&held) >= 2
     }
 
     /// Lists the crashes that are held against a request: not old, not before it was cleared, and not
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -13,7 +13,9 @@
 
 mod cold;
 mod config;
+mod generations;
 mod intents;
+mod suspects;
 
 /// Steps of a short run.
 const SHORT: u32 = 40_000;
