--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -4,84 +4,91 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anyhow::Context;
-use nutmeggrade_core::engine::{Generate, Token};
+use nutmeggrade_core::engine::Generate;
 use nutmeggrade_core::event_id::EventId;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End};
 use tokio::time::{sleep, timeout};
 
-use super::{Completion, Placement, SEAT_PAUSE, Session, admit};
-use crate::engine_client::{EngineError, Tokens};
+use super::{Completion, Lost, Placement, SEAT_PAUSE, Session, Trial, admit, cancel, reconnect};
+use crate::engine_client::{StartError, Tokens};
 use crate::front::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
 /// Engines that one request is tried on.
 const ATTEMPTS: u32 = 3;
+/// Attempts to reach the engine of a caller that resumes.
+const RESUMES: u32 = 3;
+
+/// Why an attempt brought no first token.
+struct Broken {
+    run: Run,
+    why: String,
+    seat_refused: bool,
+}
+
+impl Broken {
+    fn new(run: Run, why: &str) -> Self {
+        Self { run, why: why.to_owned(), seat_refused: false }
+    }
+}
 
 /// Starts a generation and waits for its first token.
 ///
 /// Until a token reached the caller a failed engine costs nothing but time: the request starts again
-/// elsewhere as a new generation. After it, it never does.
+/// elsewhere as a new generation. After it, it never does. What is said of the run covers every
+/// attempt: a refusal after one that may have run is no proof of "not run".
 pub async fn start<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
     completion: &Completion,
     long: bool,
 ) -> Result<Session<P>, Failure> {
-    let mut ask = Ask {
-        ticket: node.ticket(),
-        workspace: caller.workspace.clone(),
-        task: caller.task.clone(),
-        long,
-        model: completion.model.clone(),
-        prompt: completion.prompt_tokens(),
-        max_tokens: completion.max_tokens,
-        prefix: completion.prefix(),
-        deadline: caller.deadline,
-        avoid: BTreeSet::new(),
-    };
+    let mut ask = ask(node, caller, completion, long);
+    let mut run = Run::NotRun;
+    let mut why = String::new();
+    let mut trial = Trial::new(node, caller, completion);
     lock(&node.tables.retries).fresh();
     let mut attempts = 0;
     while attempts < ATTEMPTS {
         ask.ticket = node.ticket();
+        let told = |f: Failure| f.with_run(run);
+        trial.pass(caller.deadline).await.map_err(told)?;
         let asked = node.now();
         let admitted = admit(node, &ask).await;
         node.note_admission(&caller.request, &ask, asked, &admitted);
-        let mut placement = admitted?;
+        let placement = admitted.map_err(told)?;
         let endpoint = placement.endpoint.clone();
-        match attempt(node, caller, completion, &placement).await {
-            Ok((address, tokens, first)) => {
-                let generation = first.generation;
-                let place = format!("endpoint={endpoint} generation={generation}");
+        match attempt(node, caller, completion, placement, trial).await {
+            Ok(session) => {
+                let place = format!("endpoint={endpoint} generation={}", session.generation());
                 node.note(&caller.request, "first_token", &place);
-                return Ok(Session::new(node, caller, &completion.model, &endpoint, address)
-                    .with_generation(first.generation, 0)
-                    .with_tokens(tokens)
-                    .with_first(first)
-                    .with_placement(placement));
+                return Ok(session);
             }
             // Nothing was sent; what the load or the rights were at admission changed since.
-            Err(_) if placement.seat.was_refused() => {
-                drop(placement);
+            Err((broken, back)) if broken.seat_refused => {
+                trial = back;
+                trial.end();
                 sleep(SEAT_PAUSE).await;
             }
-            Err(error) => {
+            Err((broken, back)) => {
                 attempts += 1;
+                trial = back;
+                trial.end();
+                run = both(run, broken.run);
+                why = broken.why;
                 tracing::warn!(
                     event = "attempt_failed",
                     request = %caller.request,
-                    endpoint = %endpoint,
-                    error = format!("{error:#}")
+                    %endpoint,
+                    run = broken.run.as_str(),
+                    error = why
                 );
-                let why = format!("endpoint={endpoint} error={error:#}");
-                node.note(&caller.request, "attempt_failed", &why);
-                placement.set_end(End::Failed);
+                let detail = format!("endpoint={endpoint} error={why}");
+                node.note(&caller.request, "attempt_failed", &detail);
                 ask.avoid.insert(endpoint);
-                // A failed attempt holds no place while it waits to be repeated.
-                drop(placement);
                 if attempts < ATTEMPTS && !node.may_retry(attempts, caller.deadline).await {
                     break;
                 }
@@ -93,17 +100,66 @@
     }
     let late = caller.deadline <= node.now();
     let code = if late { Code::DeadlinePassed } else { Code::EndpointFailed };
-    let failure = Failure::new(code, "no engine brought a first token").with_run(Run::Unknown);
+    let detail = format!("no engine brought a first token: {why}");
+    let failure = Failure::new(code, &detail).with_run(run);
     Err(failure.with_retry_after(node.settings.silence))
 }
 
+fn ask<P: Platform>(node: &Node<P>, caller: &Caller, completion: &Completion, long: bool) -> Ask {
+    Ask {
+        ticket: node.ticket(),
+        workspace: caller.workspace.clone(),
+        task: caller.task.clone(),
+        long,
+        model: completion.model.clone(),
+        prompt: completion.prompt_tokens(),
+        max_tokens: completion.max_tokens,
+        prefix: completion.prefix(),
+        deadline: caller.deadline,
+        avoid: BTreeSet::new(),
+    }
+}
+
+/// Joins what is known of two attempts: what surely ran goes before what may have run.
+fn both(a: Run, b: Run) -> Run {
+    match (a, b) {
+        (Run::Ran, _) | (_, Run::Ran) => Run::Ran,
+        (Run::Unknown, _) | (_, Run::Unknown) => Run::Unknown,
+        (Run::NotRun, Run::NotRun) => Run::NotRun,
+    }
+}
+
+/// Cancels a generation unless a session took it over.
+///
+/// A caller that leaves before the first token ends this request's task at any await, and the engine
+/// would go on for nobody. Without an event id nobody can resume it, so no grace is due.
+struct Started<P: Platform> {
+    node: Arc<Node<P>>,
+    address: SocketAddr,
+    generation: GenerationId,
+    armed: bool,
+}
+
+impl<P: Platform> Drop for Started<P> {
+    fn drop(&mut self) {
+        if self.armed {
+            cancel(&self.node, self.address, self.generation);
+        }
+    }
+}
+
 async fn attempt<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
     completion: &Completion,
-    placement: &Placement<P>,
-) -> anyhow::Result<(SocketAddr, Tokens, Token)> {
-    let address = address(node, &placement.endpoint).context("endpoint vanished")?;
+    mut placement: Placement<P>,
+    trial: Trial<P>,
+) -> Result<Session<P>, (Broken, Trial<P>)> {
+    let endpoint = placement.endpoint.clone();
+    let Some(address) = address(node, &endpoint) else {
+        placement.set_end(End::Failed);
+        return Err((Broken::new(Run::NotRun, "the engine left the list"), trial));
+    };
     let order = Generate {
         generation: GenerationId::new(rand::random()),
         model: completion.model.clone(),
@@ -111,57 +167,86 @@
         max_tokens: completion.max_tokens,
         priority: placement.priority,
     };
-    let left = caller.deadline.since(node.now());
-    let may_send = || Ok(placement.seat.take()?);
-    let exchange = async {
-        let mut tokens = node.engines.start(address, &order, may_send).await?;
-        let first = tokens.next().await?.context("stream ended before its first token")?;
-        anyhow::ensure!(first.generation == order.generation, "crossed answer");
-        placement.seat.note_started();
-        anyhow::Ok((address, tokens, first))
-    };
-    let result = timeout(left, exchange).await.context("no first token before the deadline");
-    let result = result.and_then(|r| r);
-    if result.is_err() {
-        give_up(node, address, order.generation);
+    match hand_over(node, caller, address, &order, &placement).await {
+        Ok(tokens) => {
+            let mut session = Session::new(node, caller, &completion.model, &endpoint, address)
+                .with_generation(order.generation, 0)
+                .with_resumable(completion.stream)
+                .with_placement(placement)
+                .with_trial(trial);
+            if let Some(tokens) = tokens {
+                session = session.with_tokens(tokens);
+            }
+            session
+                .first()
+                .await
+                .map_err(|(failure, trial)| (Broken::new(failure.run, &failure.detail), trial))
+        }
+        Err(mut broken) => {
+            broken.seat_refused = placement.seat.was_refused();
+            if !broken.seat_refused {
+                placement.set_end(End::Failed);
+            }
+            Err((broken, trial))
+        }
     }
-    result
 }
 
-/// Cancels a generation that nobody will read, so that it frees the engine's memory.
-fn give_up<P: Platform>(node: &Arc<Node<P>>, address: SocketAddr, generation: GenerationId) {
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let cancel = node.engines.cancel(address, generation);
-        if timeout(node.settings.connect, cancel).await.is_err() {
-            tracing::debug!(event = "cancel_failed", %generation);
+/// Hands the order over; without tokens the head of the answer was lost, and the session asks the
+/// engine whether it has the generation.
+async fn hand_over<P: Platform>(
+    node: &Arc<Node<P>>,
+    caller: &Caller,
+    address: SocketAddr,
+    order: &Generate,
+    placement: &Placement<P>,
+) -> Result<Option<Tokens>, Broken> {
+    let generation = order.generation;
+    let mut started = Started { node: Arc::clone(node), address, generation, armed: true };
+    let wait = node.settings.stall.min(caller.deadline.since(node.now()));
+    let may_send = || Ok(placement.seat.take()?);
+    let ended = timeout(wait, node.engines.start(address, order, may_send)).await;
+    started.armed = !matches!(ended, Ok(Ok(_) | Err(StartError::NotRun(_))));
+    match ended {
+        Ok(Ok(tokens)) => Ok(Some(tokens)),
+        Ok(Err(StartError::NotRun(error))) => Err(Broken::new(Run::NotRun, &format!("{error:#}"))),
+        Ok(Err(StartError::Unknown(_))) => {
+            started.armed = false;
+            Ok(None)
         }
-    });
+        Err(_) => Err(Broken::new(Run::Unknown, "the engine did not answer")),
+    }
 }
 
 /// Takes up a generation that the caller has up to an event.
 pub async fn resume<P: Platform>(
     node: &Arc<Node<P>>,
     caller: &Caller,
-    model: &ModelId,
+    completion: &Completion,
     last: &EventId,
 ) -> Result<Session<P>, Failure> {
+    let model = &completion.model;
     let gone = || Failure::new(Code::GenerationGone, "the generation is gone").with_run(Run::Ran);
-    let address = address(node, &last.endpoint).ok_or_else(gone)?;
-    let from = last.offset + 1;
-    match node.engines.resume(address, last.generation, from).await {
+    let address = lock(&node.tables.endpoints).address(&last.endpoint).ok_or_else(gone)?;
+    let from = last.offset.checked_add(1).ok_or_else(gone)?;
+    let session = Session::new(node, caller, model, &last.endpoint, address)
+        .with_generation(last.generation, from)
+        .with_trial(Trial::new(node, caller, completion))
+        .with_resumable(completion.stream);
+    if last.last {
+        return Ok(session.with_ended());
+    }
+    lock(&node.tables.orphans).resume(last.generation, node.now());
+    match reconnect(node, address, last.generation, from, RESUMES, caller.deadline).await {
         Ok(tokens) => {
-            node.metrics.resumes.inc();
             let place = format!("endpoint={} next={from}", last.endpoint);
             node.note(&caller.request, "taken_up", &place);
-            Ok(Session::new(node, caller, model, &last.endpoint, address)
-                .with_generation(last.generation, from)
-                .with_tokens(tokens))
+            Ok(session.with_tokens(tokens))
         }
-        Err(EngineError::Gone) => Err(gone()),
-        Err(EngineError::Failed(error)) => {
-            let detail = format!("the engine can't be reached: {error:#}");
-            let failure = Failure::new(Code::EndpointFailed, &detail).with_run(Run::Ran);
+        Err(Lost::Gone) => Err(gone()),
+        Err(Lost::Unreachable | Lost::Stalled) => {
+            let detail = "the engine can't be reached";
+            let failure = Failure::new(Code::EndpointFailed, detail).with_run(Run::Ran);
             Err(failure.with_retry_after(node.settings.silence))
         }
     }
