--- a/crates/nutmeggrade-core/src/peer/beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/beacon.rs
@@ -1,13 +1,14 @@
 //! What an instance tells its peers several times a second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::id::{DomainId, EndpointId, InstanceId};
+use super::Suspect;
+use crate::id::{DomainId, EndpointId, GenerationId, InstanceId};
 
 /// One instance of the system as others may use it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +50,12 @@
     pub leaving: bool,
     /// Requests that the sender has in flight, by endpoint.
     pub in_flight: BTreeMap<EndpointId, u32>,
+    /// Generations whose callers resumed here lately.
+    #[serde(default)]
+    pub resumed: BTreeSet<GenerationId>,
+    /// Requests that are suspected of crashing engines.
+    #[serde(default)]
+    pub suspects: Vec<Suspect>,
     /// How long ago the sender last heard the platform.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "platform_ms", default)]
--- a/crates/nutmeggrade-state/src/membership.rs
+++ b/crates/nutmeggrade-state/src/membership.rs
@@ -168,6 +168,20 @@
             || self.heard_lately(now).any(|p| p.entry.instance == *instance)
     }
 
+    /// Says whether one life of an instance is known to be in service, this one included.
+    pub fn is_alive(&self, instance: &InstanceId, incarnation: u64, now: Moment) -> bool {
+        let same = |e: &Entry| e.instance == *instance && e.incarnation == incarnation;
+        same(&self.own) || self.heard_lately(now).any(|p| same(&p.entry))
+    }
+
+    /// Says whether every peer answered a heartbeat sent at or after `at`; one silent for longer than `gone` counts as
+    /// gone.
+    pub fn all_heard(&self, at: Moment, gone: Duration, now: Moment) -> bool {
+        let answered = |p: &Peer| p.as_of.is_some_and(|as_of| as_of >= at);
+        let is_gone = |p: &Peer| p.heard.is_none_or(|heard| now.since(heard) > gone);
+        self.peers.values().all(|p| answered(p) || is_gone(p))
+    }
+
     /// Lists the peers that have at least this version of the configuration in force.
     pub fn holders(&self, version: u64) -> Vec<Entry> {
         let holders = self.peers.values().filter(|p| p.config >= version);
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -54,6 +54,8 @@
     pub event_key: [u8; 32],
     /// Wakes whoever lets waiting requests go.
     pub queued: Notify,
+    /// Wakes the heartbeat at once for news that can't wait.
+    pub news: Notify,
     phase: watch::Sender<Phase>,
     tickets: AtomicU64,
 }
@@ -77,6 +79,7 @@
             metrics: Metrics::new()?,
             event_key: settings.peer_key.key("event ids"),
             queued: Notify::new(),
+            news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             tickets: AtomicU64::new(1),
         })
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -155,6 +155,8 @@
         (fresh, members.together_since(size))
     };
     if fresh {
+        lock(&node.tables.suspects).hear(&beacon.entry.instance, &beacon.suspects, now);
+        lock(&node.tables.orphans).hear(&beacon.resumed);
         let is_behind = lock(&node.tables.config).note(beacon.config);
         if !is_behind {
             lock(&node.tables.fence).hear_peers(together);
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
@@ -17,6 +18,9 @@
 /// Largest answer that is passed on, in bytes; it fits a platform object with room to spare.
 const MAX_ANSWER: usize = 512 << 10;
 
+/// Twice the resolution of the runtime's timers.
+const TIMER_STEP: Duration = Duration::from_millis(2);
+
 /// How one attempt at one replica ended.
 #[derive(Debug)]
 pub enum Attempt {
@@ -65,7 +69,13 @@
     };
     avoid.insert(picked.id.clone());
     let left = call.caller.deadline.since(node.now());
-    let ended = timeout(left, exchange(node, call, &picked)).await;
+    // The connect ends before the deadline cuts the whole, so that a call which never left is told
+    // as not run.
+    let connect = node.settings.connect.min(left.saturating_sub(TIMER_STEP));
+    if connect.is_zero() {
+        return Ok(Attempt::NotRun("the deadline passed before the call".to_owned()));
+    }
+    let ended = timeout(left, exchange(node, call, &picked, connect)).await;
     let ended = ended.unwrap_or_else(|_| Attempt::Lost("the deadline passed".to_owned()));
     let (request, endpoint, left) = (&call.caller.request, &picked.id, left.as_millis());
     node.note(
@@ -92,7 +102,12 @@
     Some(Picked { node, id, address })
 }
 
-async fn exchange<P: Platform>(node: &Node<P>, call: &Call, picked: &Picked<'_, P>) -> Attempt {
+async fn exchange<P: Platform>(
+    node: &Node<P>,
+    call: &Call,
+    picked: &Picked<'_, P>,
+    connect: Duration,
+) -> Attempt {
     let address = picked.address;
     let may_send = || Ok(node.may_send(&picked.id)?);
     let request = Request::builder()
@@ -106,7 +121,7 @@
         Ok(request) => request,
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
-    let response = match call_if(address, request, node.settings.connect, may_send).await {
+    let response = match call_if(address, request, connect, may_send).await {
         Ok(response) => response,
         Err(error) if error.not_sent() => return Attempt::NotRun(error.to_string()),
         Err(error) => return Attempt::Lost(error.to_string()),
@@ -115,10 +130,11 @@
     if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         return Attempt::NotRun(format!("the service answered {status}"));
     }
+    let content = response.headers().get(header::CONTENT_TYPE);
+    let content = content.and_then(|v| v.to_str().ok()).map(ToOwned::to_owned);
     match body_bytes(response.into_body(), MAX_ANSWER).await {
         Ok(body) => {
-            let body = String::from_utf8_lossy(&body).into_owned();
-            Attempt::Answered(Answer { status: status.as_u16(), body, replayed: false })
+            Attempt::Answered(Answer { status: status.as_u16(), content, body, replayed: false })
         }
         Err(error) => Attempt::Lost(format!("{error:#}")),
     }
--- a/crates/nutmeggrade/src/tasks/beacon.rs
+++ b/crates/nutmeggrade/src/tasks/beacon.rs
@@ -21,8 +21,15 @@
             Err(error) => tracing::warn!(event = "beacon_failed", error = format!("{error:#}")),
         }
         hear(&node);
-        // A planned stop is told at once, so that peers stop handing out this address.
-        drop(timeout(node.settings.beacon, phase.changed()).await);
+        // A planned stop is told at once, so that peers stop handing out this address, and so is the
+        // crash of an engine.
+        let news = async {
+            tokio::select! {
+                changed = phase.changed() => drop(changed),
+                () = node.news.notified() => {}
+            }
+        };
+        drop(timeout(node.settings.beacon, news).await);
     }
 }
 
@@ -40,7 +47,9 @@
     // not work for another reason, would refuse them.
     let leaving = node.phase() > Phase::Serving || node.may_work().is_err();
     let entry = node.entry.clone();
-    Beacon { entry, sequence, config, leaving, in_flight, platform, echoes }
+    let suspects = lock(&node.tables.suspects).tell(now);
+    let resumed = lock(&node.tables.orphans).tell(now);
+    Beacon { entry, sequence, config, leaving, in_flight, platform, echoes, resumed, suspects }
 }
 
 fn hear<P: Platform>(node: &Arc<Node<P>>) {
