Kill an instance in mid-answer in the test that says so

The test killed the instance as soon as an engine ran the generation, which can be before the caller has the head of its answer; a caller without any event has nothing to resume and the call itself fails. Seen 1 time in 5 alone on a busy machine. Ruled out: a lost token (nothing had reached the caller). The test now waits until ten tokens were handed over, and still asks for all 150, once and in order.

--- a/tests/suite/process/streams.rs
+++ b/tests/suite/process/streams.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::support::{fleet, run};
+use crate::support::{fleet, run, until};
 
 const TASK: &str = "permit-draft";
 const PATIENCE: Duration = Duration::from_secs(40);
@@ -52,6 +52,16 @@
     Ok(())
 }
 
+/// Waits until an instance has handed some tokens to callers, so that they are in mid-answer.
+async fn until_handed_over(fleet: &Fleet, node: &str, wanted: u64) -> anyhow::Result<()> {
+    until("tokens handed over", async || {
+        let text = fleet.metrics(node).await?;
+        let line = text.lines().find_map(|l| l.strip_prefix("nutmeggrade_tokens_total "));
+        Ok(line.and_then(|n| n.parse().ok()).is_some_and(|n: u64| n >= wanted))
+    })
+    .await
+}
+
 fn stays_whole(faults: &Value) {
     run(async {
         let held = fleet(&plan()).await?;
@@ -195,7 +205,7 @@
         let caller = held.fleet.caller("staatsbos");
         let stream = caller.stream(0, TASK, "a len=150");
         let (heard, killed) = futures::join!(stream, async {
-            until_running(&held.fleet, 1).await?;
+            until_handed_over(&held.fleet, "node-0", 10).await?;
             held.fleet.process("node-0")?.signal(Signal::SIGKILL)
         });
         killed?;
