Keep engines open that are all slow

Cause: the target gap was absolute. A model that decodes slower than it on every engine closed them all but for one short answer at a time: after 2,000 steps of 120 ms on two engines a long request waits. The target is now at least 2.5 times the usual gap of all engines. The test fails without it.

--- a/crates/nutmeggrade-policy/src/known.rs
+++ b/crates/nutmeggrade-policy/src/known.rs
@@ -151,14 +151,14 @@
     }
 
     /// Notes the gap before a stream's next token.
-    pub fn gap(&mut self, gap: Duration, knobs: &Knobs, now: Moment) {
+    pub fn gap(&mut self, gap: Duration, target: Duration, now: Moment) {
         let running = self.running(now);
         self.watch.gap(gap, now);
         if self.watch.is_suspect(now) {
             self.doubt = Some(now);
         }
         if !self.is_cold(now) {
-            self.gap.gap(gap, knobs.gap, running, now);
+            self.gap.gap(gap, target, running, now);
         }
     }
 
--- a/crates/nutmeggrade-policy/src/scheduler.rs
+++ b/crates/nutmeggrade-policy/src/scheduler.rs
@@ -22,6 +22,9 @@
 
 /// Gap between tokens before any was seen.
 const USUAL_GAP: Duration = Duration::from_millis(15);
+/// How much slower than all engines one must be before it counts as slow. A model that decodes slowly
+/// on every engine would otherwise close them all, and nobody would be served.
+const SLOW: f64 = 2.5;
 /// How long an engine that left is remembered: longer than maintenance of a failure domain, so that
 /// it ramps up when it returns, and not for ever, as engines are replaced by others all the time.
 const REMEMBER: Duration = Duration::from_hours(1);
@@ -125,7 +128,8 @@
         if let Some(known) = self.engines.get_mut(&stream.endpoint) {
             if let Some(last) = last {
                 let gap = now.since(last);
-                known.gap(gap, &self.knobs, now);
+                let target = self.knobs.gap.max(self.gap.mul_f64(SLOW));
+                known.gap(gap, target, now);
                 // One stream that stands still says nothing of the pace of the others.
                 let gap = gap.min(self.gap * 4);
                 self.gap = self.gap.mul_f64(1.0 - NEW_GAP) + gap.mul_f64(NEW_GAP);
--- a/tests/suite/policy/gaps.rs
+++ b/tests/suite/policy/gaps.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::gap::GapLimit;
 use nutmeggrade_policy::prefill::PrefillPace;
+use nutmeggrade_policy::{Ticket, Verdict};
+
+use super::{ask, endpoint, scheduler, warm};
 
 const TARGET: Duration = Duration::from_millis(50);
 
@@ -59,3 +61,26 @@
     pace.read(Ticket(1));
     assert!(pace.allows(500, 1_024));
 }
+
+// A large model decodes slowly on every engine. None is to blame, and closing them all would leave
+// its callers without an answer.
+#[test]
+fn engines_that_are_all_slow_stay_open() {
+    let mut scheduler = scheduler(2);
+    let mut now = Moment::ZERO;
+    for ticket in 0..4 {
+        scheduler.ask(&ask(ticket, true), now);
+        scheduler.token(Ticket(ticket), now);
+    }
+    for step in 1..2_000 {
+        now = Moment::from_millis(step * 120);
+        for ticket in 0..4 {
+            scheduler.token(Ticket(ticket), now);
+        }
+    }
+    for number in 0..2 {
+        scheduler.report(&endpoint(number), &warm(10_000), now);
+    }
+    let verdict = scheduler.ask(&ask(9, true), now);
+    assert!(matches!(verdict, Verdict::Go { .. }), "{verdict:?}");
+}
