--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -3,9 +3,11 @@
 mod assignment;
 mod beacon;
 mod envelope;
+mod suspect;
 mod sync;
 
 pub use assignment::{ASSIGNMENT_KEY, Assignment};
 pub use beacon::{Beacon, Echo, Entry};
 pub use envelope::{BadEnvelope, MAX_MESSAGE, WIRE_VERSION, open, seal};
+pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, Topic};
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -4,6 +4,7 @@
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
 pub mod audit_log;
+pub mod claiming;
 pub mod cold_load;
 pub mod cold_rights;
 pub mod config_table;
@@ -16,4 +17,9 @@
 pub mod membership;
 pub mod order_plan;
 pub mod order_table;
+pub mod orphans;
+pub mod own_intents;
 pub mod recent_changes;
+pub mod recorded;
+pub mod settling;
+pub mod suspects;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -3,10 +3,14 @@
 mod bad_input;
 mod cold;
 mod config;
+mod config_size;
+mod crashers;
 mod cuts;
+mod intents;
 mod limits;
 mod membership;
 mod planned_stop;
 mod raw;
+mod streams;
 mod traces;
 mod whole_path;
