--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -1,11 +1,14 @@
 //! The endpoints as this instance sees them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use nutmeggrade_core::prelude::*;
 
+/// Addresses that are kept, those of endpoints that left the list included.
+const MAX_ADDRESSES: usize = 16_384;
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
-/// half a minute by default, longer than the list lags.
+/// a minute by default, longer than the list lags.
 const RETURN_LOOKS: u32 = 60;
 
 /// Endpoints from the platform's lagging list, less what operators took out.
@@ -15,6 +18,7 @@
     known: bool,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
     said_leaving: BTreeSet<EndpointId>,
     listed_live: BTreeMap<EndpointId, u32>,
 }
@@ -43,6 +47,10 @@
             }
             listed.insert(endpoint.id.clone(), endpoint);
         }
+        if self.addresses.len() > MAX_ADDRESSES {
+            self.addresses.clear();
+        }
+        self.addresses.extend(listed.values().map(|e| (e.id.clone(), e.address)));
         self.listed = listed;
         self.known = true;
         self.said_leaving.retain(|e| self.listed.contains_key(e));
@@ -88,6 +96,14 @@
         self.listed.get(id)
     }
 
+    /// Returns where an endpoint is, or was when it was last listed.
+    ///
+    /// The list drops an endpoint while its last streams still run; a caller that resumes one then
+    /// would be told that its generation is gone.
+    pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
+        self.addresses.get(id).copied()
+    }
+
     /// Lists all endpoints, in service or not.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.listed.values()
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -6,6 +6,7 @@
 mod config_watch;
 mod endpoint_refresh;
 mod load_poll;
+mod orphans;
 mod registration;
 mod release;
 mod rights;
@@ -31,6 +32,7 @@
     tokio::spawn(crate::orders::follow(Arc::clone(node)));
     tokio::spawn(crate::orders::give(Arc::clone(node)));
     tokio::spawn(crate::audit::run(Arc::clone(node)));
+    tokio::spawn(orphans::run(Arc::clone(node)));
     tokio::spawn(release::run(Arc::clone(node)));
     tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
     let node = Arc::clone(node);
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -3,14 +3,19 @@
 //! Short with fixed seeds by default. `NUTMEGGRADE_LONG=STEPS` plays that many steps under a seed of
 //! the moment, which is printed; `NUTMEGGRADE_SEED=N` repeats it.
 
+use std::collections::BTreeMap;
 use std::fmt::Debug;
+use std::sync::Mutex;
 
 use proptest::collection::vec;
 use proptest::strategy::Strategy;
-use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestCaseError, TestRng, TestRunner};
 
 mod cold;
 mod config;
+mod generations;
+mod intents;
+mod suspects;
 
 /// Steps of a short run.
 const SHORT: u32 = 40_000;
@@ -49,3 +54,29 @@
         panic!("seed {seed}: {error}");
     }
 }
+
+/// Steps of one case of a state machine.
+pub const STEPS: usize = 250;
+
+/// The seed of each state machine in this process; the library asks for the configuration often.
+static SEEDS: Mutex<BTreeMap<String, u64>> = Mutex::new(BTreeMap::new());
+
+/// Returns the configuration of a state machine, short or long like [`play`].
+pub fn machine(name: &str) -> Config {
+    let long = number("NUTMEGGRADE_LONG");
+    let cases = long.unwrap_or(u64::from(SHORT)).div_ceil(STEPS as u64);
+    let mut seeds = SEEDS.lock().expect("seeds");
+    let seed = *seeds.entry(name.to_owned()).or_insert_with(|| {
+        let drawn = long.map(|_| rand::random::<u64>() >> 32);
+        let seed = number("NUTMEGGRADE_SEED").or(drawn).unwrap_or(SEED);
+        println!("random run={name} steps={} seed={seed}", cases * STEPS as u64);
+        seed
+    });
+    Config {
+        cases: u32::try_from(cases).expect("fewer steps"),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    }
+}
--- a/tests/suite/random/config.rs
+++ b/tests/suite/random/config.rs
@@ -212,6 +212,8 @@
             in_flight: BTreeMap::new(),
             platform: None,
             echoes: node.members.echoes(),
+            resumed: BTreeSet::new(),
+            suspects: Vec::new(),
         };
         for other in (0..NODES).filter(|m| self.linked(n, *m)).collect::<Vec<_>>() {
             let inbox = &mut self.nodes[other].inbox;
