Assert before each send that the endpoint is neither out nor leaving

The last check asked the table for two things and asserted nothing; it is now one method with the invariants `leaving_gets_no_work` and `out_gets_no_work`.

Proof that failed first: `state::endpoint_table` without the list's word sticking: `an_older_answer` and `just_short` failed; `process::config::domain_leaves_and_returns_while_streams_run` with the out domains left out of the check: the instance broke the invariant and closed the connection.

--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -4,9 +4,11 @@
 
 use nutmeggrade_core::prelude::*;
 
+use crate::invariant;
+
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
 /// a minute by default, longer than the list lags.
-const RETURN_LOOKS: u32 = 60;
+pub const RETURN_LOOKS: u32 = 60;
 
 /// Endpoints from the platform's lagging list, less what operators took out.
 #[derive(Debug, Default)]
@@ -76,6 +78,17 @@
         self.out_endpoints.clone_from(&config.out_endpoints);
     }
 
+    /// Says whether new work may go to an endpoint; asked immediately before it is sent.
+    pub fn may_send(&self, id: &EndpointId) -> bool {
+        let Some(endpoint) = self.listed.get(id) else { return false };
+        let may = self.in_service(endpoint);
+        let is_leaving = self.said_leaving.contains(id) || endpoint.state == EndpointState::Leaving;
+        let is_out = self.out_endpoints.contains(id) || self.out_domains.contains(&endpoint.domain);
+        invariant::check(!(may && is_leaving), "leaving_gets_no_work");
+        invariant::check(!(may && is_out), "out_gets_no_work");
+        may
+    }
+
     /// Returns an endpoint that is listed, in service or not.
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
         self.listed.get(id)
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -150,11 +150,7 @@
     /// the endpoint's log long after the change.
     pub fn may_send(&self, endpoint: &EndpointId) -> Result<(), Failure> {
         self.is_current()?;
-        let in_service = {
-            let table = lock(&self.tables.endpoints);
-            table.get(endpoint).is_some_and(|e| table.in_service(e))
-        };
-        if in_service {
+        if lock(&self.tables.endpoints).may_send(endpoint) {
             return Ok(());
         }
         let failure = Failure::new(Code::NoEndpoint, "the endpoint was taken out of service");
--- a/tests/suite/process/config.rs
+++ b/tests/suite/process/config.rs
@@ -208,3 +208,40 @@
         Ok(())
     });
 }
+
+// A failure domain is taken out at short notice and comes back while long answers run everywhere.
+// None of them breaks, nothing new goes there meanwhile, and it is used again afterwards.
+#[rstest]
+fn domain_leaves_and_returns_while_streams_run() {
+    run(async {
+        let held = fleet(&plan()).await?;
+        let caller = held.fleet.caller("staatsbos");
+        let streams: Vec<_> = (0..6)
+            .map(|n| {
+                let caller = caller.clone();
+                tokio::spawn(async move { caller.stream(n, "permit-draft", "a len=250").await })
+            })
+            .collect();
+        while ran(&held.fleet, "engine-0").await? + ran(&held.fleet, "engine-1").await? < 6 {
+            sleep(PAUSE).await;
+        }
+        let go = |place| ["domain", place, DOMAIN, "--who", "anna", "--why", "switch work"];
+        assert_eq!(held.fleet.operate(&go("out")).await?.0, 0);
+        let before = ran(&held.fleet, "engine-0").await?;
+        for n in 0..6 {
+            assert!(caller.stream(n, "district-sort", "a len=5").await?.is_whole());
+        }
+        assert_eq!(ran(&held.fleet, "engine-0").await?, before);
+        assert_eq!(held.fleet.operate(&go("in")).await?.0, 0);
+        let start = Instant::now();
+        while ran(&held.fleet, "engine-0").await? == before {
+            assert!(caller.stream(0, "district-sort", "a len=5").await?.is_whole());
+            ensure!(start.elapsed() < PATIENCE, "the domain is not used again");
+        }
+        for stream in streams {
+            let heard = stream.await??;
+            assert!(heard.is_whole(), "{heard:?}");
+        }
+        Ok(())
+    });
+}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -1,3 +1,4 @@
 //! Tables and state machines, each by itself.
 
 mod cold_rights;
+mod endpoint_table;
--- /dev/null
+++ b/tests/suite/state/endpoint_table.rs
@@ -0,0 +1,69 @@
+//! Which endpoints may get new work, whatever the lagging list says.
+
+use std::collections::BTreeSet;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_state::endpoint_table::{EndpointTable, RETURN_LOOKS};
+use rstest::rstest;
+
+fn id() -> EndpointId {
+    EndpointId::new("engine-0").expect("name")
+}
+
+fn engine(state: EndpointState, port: u16) -> Endpoint {
+    Endpoint {
+        id: id(),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: DomainId::new("veluwe").expect("name"),
+        state,
+        checks_fencing: true,
+        kind: EndpointKind::Engine { models: BTreeSet::new(), memory: 1 },
+    }
+}
+
+const LIVE: EndpointState = EndpointState::Live;
+const LEAVING: EndpointState = EndpointState::Leaving;
+
+/// A table that saw the engine leave, then some live listings.
+fn left(looks: u32, port: u16) -> EndpointTable {
+    let mut table = EndpointTable::new();
+    table.set_list(&[engine(LIVE, 1)]);
+    assert!(table.may_send(&id()));
+    table.set_list(&[engine(LEAVING, 1)]);
+    for _ in 0..looks {
+        table.set_list(&[engine(LIVE, port)]);
+    }
+    table
+}
+
+// The list lags, and an older answer shows an engine as live that is about to go. What it gets then
+// is cut off when it goes.
+fn may_send(looks: u32, port: u16, expected: bool) {
+    assert_eq!(left(looks, port).may_send(&id()), expected);
+}
+
+cases!(may_send {
+    listed_as_leaving: 0, 1, false;
+    an_older_answer: 1, 1, false;
+    just_short: RETURN_LOOKS - 1, 1, false;
+    stays_after_all: RETURN_LOOKS, 1, true;
+    replaced_at_another_address: 1, 2, true;
+});
+
+#[rstest]
+fn own_word_comes_before_the_list() {
+    let mut table = EndpointTable::new();
+    table.set_list(&[engine(LIVE, 1)]);
+    table.note_leaving(&id(), true);
+    table.set_list(&[engine(LIVE, 1)]);
+    assert!(!table.may_send(&id()));
+    table.note_leaving(&id(), false);
+    assert!(table.may_send(&id()));
+}
+
+#[rstest]
+fn unlisted_gets_nothing() {
+    let mut table = left(RETURN_LOOKS, 1);
+    table.set_list(&[]);
+    assert!(!table.may_send(&id()));
+}
