--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -1,11 +1,14 @@
 //! The endpoints as this instance sees them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use nutmeggrade_core::prelude::*;
 
 use crate::invariant;
 
+/// Addresses that are kept, those of endpoints that left the list included.
+const MAX_ADDRESSES: usize = 16_384;
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
 /// a minute by default, longer than the list lags.
 pub const RETURN_LOOKS: u32 = 60;
@@ -14,8 +17,10 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
+    known: bool,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
     said_leaving: BTreeSet<EndpointId>,
     listed_live: BTreeMap<EndpointId, u32>,
 }
@@ -44,11 +49,21 @@
             }
             listed.insert(endpoint.id.clone(), endpoint);
         }
+        if self.addresses.len() > MAX_ADDRESSES {
+            self.addresses.clear();
+        }
+        self.addresses.extend(listed.values().map(|e| (e.id.clone(), e.address)));
         self.listed = listed;
+        self.known = true;
         self.said_leaving.retain(|e| self.listed.contains_key(e));
         self.listed_live.retain(|e, _| self.listed.contains_key(e));
     }
 
+    /// Says whether a list was read yet, be it empty.
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// Says whether an endpoint seen as leaving was listed as live often enough to stay after all.
     fn stays(&mut self, endpoint: &Endpoint) -> bool {
         let looks = self.listed_live.entry(endpoint.id.clone()).or_default();
@@ -94,6 +109,14 @@
         self.listed.get(id)
     }
 
+    /// Returns where an endpoint is, or was when it was last listed.
+    ///
+    /// The list drops an endpoint while its last streams still run; a caller that resumes one then
+    /// would be told that its generation is gone.
+    pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
+        self.addresses.get(id).copied()
+    }
+
     /// Lists all endpoints, in service or not.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.listed.values()
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -101,7 +101,9 @@
     let mut response = Response::new(Body::Full(Full::from(answer.body.clone())));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let content = answer.content.as_deref().and_then(|c| HeaderValue::from_str(c).ok());
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, content.unwrap_or(json));
     if answer.replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("true"));
     }
--- a/crates/nutmeggrade/src/server/stop.rs
+++ b/crates/nutmeggrade/src/server/stop.rs
@@ -16,6 +16,9 @@
 /// Time beyond all others for a busy machine to close the last connections.
 const SLACK: Duration = Duration::from_secs(2);
 
+/// Time between looks at calls that are not settled.
+const SETTLE_LOOK: Duration = Duration::from_millis(20);
+
 /// Stops an instance: out of the entries, then nothing new, then streams finish, then the rest is
 /// told where to resume. A second Ctrl-C skips to the last; a second SIGTERM changes nothing, since
 /// supervisors send it to a process and to its group.
@@ -32,6 +35,7 @@
         let ended = timeout(last_wait(node), front).await.is_ok();
         invariant::check(ended, "planned_stop_cuts_nobody");
     }
+    settle_calls(node).await;
     tasks::unregister(node).await;
     node.set_phase(Phase::Stopped);
     tracing::info!(event = "stopped", instance = %node.entry.instance, drained);
@@ -58,3 +62,16 @@
     let calls = preset.map(|p| p.limits.call_deadline).unwrap_or_default();
     calls.max(node.settings.stall) + node.settings.write_wait + SLACK
 }
+
+/// Waits until the platform knows how every non-idempotent call ended, so that a retry elsewhere
+/// gets the recorded answer; bounded, since an outage of the platform may outlast the stop.
+async fn settle_calls<P: Platform>(node: &Node<P>) {
+    let settled = async {
+        while lock(&node.tables.intents).open() > 0 {
+            sleep(SETTLE_LOOK).await;
+        }
+    };
+    if timeout(node.settings.drain, settled).await.is_err() {
+        tracing::warn!(event = "calls_not_settled", open = lock(&node.tables.intents).open());
+    }
+}
--- a/crates/nutmeggrade/src/tables.rs
+++ b/crates/nutmeggrade/src/tables.rs
@@ -13,7 +13,10 @@
 use nutmeggrade_state::fence::Fence;
 use nutmeggrade_state::membership::Membership;
 use nutmeggrade_state::order_table::OrderTable;
+use nutmeggrade_state::orphans::Orphans;
+use nutmeggrade_state::own_intents::OwnIntents;
 use nutmeggrade_state::recent_changes::RecentChanges;
+use nutmeggrade_state::suspects::Suspects;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -50,6 +53,12 @@
     pub changes: Mutex<RecentChanges>,
     /// What this instance did and refused.
     pub audit: Mutex<AuditLog>,
+    /// Non-idempotent calls whose records are not settled.
+    pub intents: Mutex<OwnIntents>,
+    /// Requests that may crash engines.
+    pub suspects: Mutex<Suspects>,
+    /// Generations whose callers left.
+    pub orphans: Mutex<Orphans>,
 }
 
 impl Tables {
@@ -69,6 +78,9 @@
             explain: Mutex::new(ExplainLog::default()),
             changes: Mutex::new(RecentChanges::default()),
             audit: Mutex::new(AuditLog::new(&own.instance, own.incarnation)),
+            intents: Mutex::new(OwnIntents::new()),
+            suspects: Mutex::new(Suspects::new(&own.instance, settings.beacon)),
+            orphans: Mutex::new(Orphans::new()),
         }
     }
 }
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -2,3 +2,4 @@
 
 mod cold_rights;
 mod endpoint_table;
+mod intent;
