--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -1,5 +1,8 @@
 //! One open answer: tokens from its engine, once and in order.
 
+mod ending;
+mod opening;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,18 +15,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::{Lost, Placement, Trial, cancel, reconnect};
+use super::{Placement, Trial};
 use crate::engine_client::Tokens;
-use crate::front::Caller;
 use crate::node::{Node, Phase};
-use crate::tables::lock;
-
-/// Attempts to reach the engine again before a stream is given up.
-const TRIES: u32 = 6;
-/// The same before the first token, when the request can start again elsewhere.
-const FIRST_TRIES: u32 = 3;
-/// Times that a stream is taken up again without a single new token.
-const FRUITLESS: u32 = 8;
 
 /// What comes next in an open answer.
 #[derive(Debug)]
@@ -81,79 +75,6 @@
 }
 
 impl<P: Platform> Session<P> {
-    /// Opens an answer of a generation on an engine.
-    pub fn new(
-        node: &Arc<Node<P>>,
-        caller: &Caller,
-        model: &ModelId,
-        endpoint: &EndpointId,
-        address: SocketAddr,
-    ) -> Self {
-        node.metrics.streams.inc();
-        Self {
-            node: Arc::clone(node),
-            placement: None,
-            trial: None,
-            workspace: caller.workspace.clone(),
-            request: caller.request.clone(),
-            model: model.clone(),
-            endpoint: endpoint.clone(),
-            address,
-            delivery: Delivery::new(GenerationId::new([0; 16])),
-            tokens: None,
-            held: None,
-            deadline: caller.deadline,
-            phase: node.watch_phase(),
-            progress: node.now(),
-            fruitless: 0,
-            resumable: false,
-            ending: None,
-            code: None,
-        }
-    }
-
-    /// Sets the generation and the offset of the next token.
-    #[must_use]
-    pub fn with_generation(mut self, generation: GenerationId, next: u64) -> Self {
-        self.delivery = Delivery::new(generation).with_next(next);
-        self
-    }
-
-    /// Sets the engine's stream.
-    #[must_use]
-    pub fn with_tokens(mut self, tokens: Tokens) -> Self {
-        self.tokens = Some(tokens);
-        self
-    }
-
-    /// Sets whether the caller gets event ids to resume with.
-    #[must_use]
-    pub fn with_resumable(mut self, resumable: bool) -> Self {
-        self.resumable = resumable;
-        self
-    }
-
-    /// Marks the answer as ended: the caller has its last token.
-    #[must_use]
-    pub fn with_ended(mut self) -> Self {
-        self.delivery.end();
-        self
-    }
-
-    /// Sets the place in the scheduler.
-    #[must_use]
-    pub fn with_placement(mut self, placement: Placement<P>) -> Self {
-        self.placement = Some(placement);
-        self
-    }
-
-    /// Sets the request's pass through the suspects of crashes.
-    #[must_use]
-    pub fn with_trial(mut self, trial: Trial<P>) -> Self {
-        self.trial = Some(trial);
-        self
-    }
-
     /// Returns the generation.
     pub fn generation(&self) -> GenerationId {
         self.delivery.generation()
@@ -275,99 +196,4 @@
         }
         Item::Token(token)
     }
-
-    /// Takes the stream up again at the same engine; returns what to say if that can't be done.
-    async fn resume(&mut self, reason: &str) -> Option<Item> {
-        self.tokens = None;
-        let generation = self.delivery.generation();
-        let next = self.delivery.next();
-        tracing::info!(
-            event = "resume",
-            request = %self.request,
-            endpoint = %self.endpoint,
-            %generation,
-            next,
-            reason
-        );
-        let why = format!("endpoint={} next={next} {reason}", self.endpoint);
-        self.node.note(&self.request, "resume", &why);
-        self.fruitless += 1;
-        let tries = if next == 0 { FIRST_TRIES } else { TRIES };
-        let lost = if self.fruitless > FRUITLESS {
-            Lost::Stalled
-        } else {
-            match reconnect(&self.node, self.address, generation, next, tries, self.deadline).await
-            {
-                Ok(tokens) => {
-                    self.tokens = Some(tokens);
-                    self.progress = self.node.now();
-                    return None;
-                }
-                Err(lost) => lost,
-            }
-        };
-        self.ending = (lost == Lost::Gone).then_some(Ending::Lost);
-        self.note_crash(lost);
-        let failure = Failure::new(Code::StreamLost, "the engine lost the generation");
-        Some(self.fail(failure.with_run(Run::Ran)))
-    }
-
-    /// Holds a crash against the request, unless the engine was expected to go.
-    fn note_crash(&self, lost: Lost) {
-        let stays = {
-            let table = lock(&self.node.tables.endpoints);
-            table.get(&self.endpoint).is_some_and(|e| e.state == EndpointState::Live)
-        };
-        if let Some(trial) = &self.trial
-            && lost.is_crash()
-            && stays
-        {
-            trial.crash(&self.endpoint, self.delivery.next() == 0);
-        }
-    }
-
-    fn fail(&mut self, failure: Failure) -> Item {
-        self.ending.get_or_insert(Ending::Told);
-        self.code = Some(failure.code);
-        if let Some(placement) = &mut self.placement {
-            placement.set_end(End::Failed);
-        }
-        Item::Failed(failure)
-    }
-
-    /// Frees the engine's memory once it is sure that nobody reads the answer.
-    fn leave(&self) {
-        let closing = *self.phase.borrow() >= Phase::Closing;
-        if self.delivery.ended() || closing {
-            return;
-        }
-        match self.ending {
-            Some(Ending::Lost | Ending::Retried) => {}
-            None if self.resumable && self.delivery.next() > 0 => {
-                let now = self.node.now();
-                let generation = self.delivery.generation();
-                lock(&self.node.tables.orphans).leave(generation, self.address, now);
-            }
-            None | Some(Ending::Told) => self.cancel(),
-        }
-    }
-
-    fn cancel(&self) {
-        cancel(&self.node, self.address, self.delivery.generation());
-    }
-}
-
-impl<P: Platform> Drop for Session<P> {
-    fn drop(&mut self) {
-        self.node.metrics.streams.dec();
-        self.leave();
-        // An attempt that gave its trial back goes on as another one.
-        if self.ending == Some(Ending::Retried) {
-            return;
-        }
-        let gone = (!self.delivery.ended()).then_some(Code::CallerGone);
-        let code = self.code.or(gone).map_or(0, Code::number);
-        let detail = format!("endpoint={} tokens={}", self.endpoint, self.delivery.next());
-        self.node.note_end(&self.request, self.workspace.as_str(), code, &detail);
-    }
 }
