--- a/crates/nutmeggrade-state/src/endpoint_table.rs
+++ b/crates/nutmeggrade-state/src/endpoint_table.rs
@@ -8,13 +8,14 @@
 /// Addresses that are kept, those of endpoints that left the list included.
 const MAX_ADDRESSES: usize = 16_384;
 /// Looks at the list in a row that show a leaving endpoint as live before it counts as live again:
-/// half a minute by default, longer than the list lags.
+/// a minute by default, longer than the list lags.
 const RETURN_LOOKS: u32 = 60;
 
 /// Endpoints from the platform's lagging list, less what operators took out.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     listed: BTreeMap<EndpointId, Endpoint>,
+    known: bool,
     out_domains: BTreeSet<DomainId>,
     out_endpoints: BTreeSet<EndpointId>,
     addresses: BTreeMap<EndpointId, SocketAddr>,
@@ -51,10 +52,16 @@
         }
         self.addresses.extend(listed.values().map(|e| (e.id.clone(), e.address)));
         self.listed = listed;
+        self.known = true;
         self.said_leaving.retain(|e| self.listed.contains_key(e));
         self.listed_live.retain(|e, _| self.listed.contains_key(e));
     }
 
+    /// Says whether a list was read yet, be it empty.
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// Says whether an endpoint seen as leaving was listed as live often enough to stay after all.
     fn stays(&mut self, endpoint: &Endpoint) -> bool {
         let looks = self.listed_live.entry(endpoint.id.clone()).or_default();
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -52,6 +52,8 @@
     pub metrics: Metrics,
     /// Key of event ids.
     pub event_key: [u8; 32],
+    /// Wakes whoever lets waiting requests go.
+    pub queued: Notify,
     /// Wakes the heartbeat at once for news that can't wait.
     pub news: Notify,
     phase: watch::Sender<Phase>,
@@ -76,6 +78,7 @@
             engines: EngineClient::new(settings.connect),
             metrics: Metrics::new()?,
             event_key: settings.peer_key.key("event ids"),
+            queued: Notify::new(),
             news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             tickets: AtomicU64::new(1),
@@ -123,7 +126,14 @@
             let failure = Failure::new(Code::Leaving, "this instance is leaving");
             return Err(failure.with_retry_after(self.settings.beacon));
         }
-        self.is_current()
+        self.is_current()?;
+        // An instance that is let in before its first list refuses its first callers with 3001, as
+        // if no endpoint were in service.
+        if !lock(&self.tables.endpoints).is_known() {
+            let failure = Failure::new(Code::NotReady, "no list of endpoints yet");
+            return Err(failure.with_retry_after(self.settings.refresh));
+        }
+        Ok(())
     }
 
     /// Says whether the configuration in force here can be trusted, and why not.
