Count the allocations of each decision

The cost of a decision was given in time alone: a counting allocator of our own needs unsafe code, which the workspace forbids. A package from the registry brings one without it (stats_alloc, for the example only).

--- a/crates/nutmeggrade-fakes/examples/decision_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/decision_cost.rs
@@ -1,8 +1,9 @@
 //! Measures what one decision costs at three numbers of engines:
 //! `cargo run --release --example decision_cost`.
 //!
-//! Allocations are not counted: a counting allocator needs unsafe code, which the workspace forbids.
+//! Each cell gives the time and the allocations of one decision.
 
+use std::alloc::System;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
@@ -11,6 +12,10 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_fakes::fleet::preset;
 use nutmeggrade_policy::{Ask, End, Engine, Scheduler, Ticket, Verdict};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Engines of today's deployments, ten times as many, and the largest that is planned for.
 const SIZES: [usize; 3] = [15, 150, 1_300];
@@ -21,10 +26,35 @@
 /// Memory of an engine, in tokens.
 const MEMORY: u64 = 40_000;
 
+/// What one decision spent on average.
+#[derive(Debug, Clone, Copy)]
+struct Spent {
+    nanos: f64,
+    allocations: f64,
+}
+
+/// Measures from its start.
+struct Meter {
+    began: Instant,
+    region: Region<'static, System>,
+}
+
+impl Meter {
+    fn start() -> Self {
+        Self { began: Instant::now(), region: Region::new(ALLOCATOR) }
+    }
+
+    fn mean(&self, rounds: u64) -> Spent {
+        let nanos = self.began.elapsed().as_nanos() as f64 / rounds as f64;
+        let allocations = self.region.change().allocations as f64 / rounds as f64;
+        Spent { nanos, allocations }
+    }
+}
+
 #[derive(Debug)]
 struct Cost {
     name: &'static str,
-    nanos: Vec<f64>,
+    spent: Vec<Spent>,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -37,20 +67,21 @@
             ("token", token(size)?),
             ("peers' counts, once a heartbeat", peers(size)?),
         ];
-        for (name, nanos) in measured {
+        for (name, spent) in measured {
             match costs.iter_mut().find(|c| c.name == name) {
-                Some(cost) => cost.nanos.push(nanos),
-                None => costs.push(Cost { name, nanos: vec![nanos] }),
+                Some(cost) => cost.spent.push(spent),
+                None => costs.push(Cost { name, spent: vec![spent] }),
             }
         }
     }
     println!("| decision | 15 engines | 150 | 1,300 | growth exponent |");
     println!("|---|---|---|---|---|");
-    for Cost { name, nanos } in &costs {
+    for Cost { name, spent } in &costs {
         let ratio = SIZES[2] as f64 / SIZES[0] as f64;
-        let growth = (nanos[2] / nanos[0]).ln() / ratio.ln();
-        let [first, second, third] = [nanos[0], nanos[1], nanos[2]];
-        println!("| {name} | {first:.0} ns | {second:.0} ns | {third:.0} ns | {growth:.2} |");
+        let growth = (spent[2].nanos / spent[0].nanos).ln() / ratio.ln();
+        let cell = |s: &Spent| format!("{:.0} ns, {:.2}", s.nanos, s.allocations);
+        let cells: Vec<_> = spent.iter().map(cell).collect();
+        println!("| {name} | {} | {growth:.2} |", cells.join(" | "));
     }
     Ok(())
 }
@@ -117,19 +148,15 @@
     Moment::new(Duration::from_secs_f64(number as f64 / size as f64))
 }
 
-fn mean(began: Instant) -> f64 {
-    began.elapsed().as_nanos() as f64 / ROUNDS as f64
-}
-
-fn room(size: usize) -> anyhow::Result<f64> {
+fn room(size: usize) -> anyhow::Result<Spent> {
     let mut scheduler = scheduler(size, 5_000)?;
     let hold = size as u64 * EACH;
     let asks: Vec<_> = (0..ROUNDS + hold).map(ask).collect();
     let mut placed = 0;
-    let mut began = Instant::now();
+    let mut meter = Meter::start();
     for (number, ask) in (0..).zip(&asks) {
         if number == hold {
-            began = Instant::now();
+            meter = Meter::start();
         }
         let now = at(number, size);
         let verdict = black_box(scheduler.ask(ask, now));
@@ -143,57 +170,57 @@
             scheduler.end(Ticket(number - hold), End::Cancelled, now);
         }
     }
-    let nanos = mean(began);
+    let spent = meter.mean(ROUNDS);
     anyhow::ensure!(placed * 10 > ROUNDS * 9, "only {placed} of {ROUNDS} were placed");
-    Ok(nanos)
+    Ok(spent)
 }
 
-fn full(size: usize) -> anyhow::Result<f64> {
+fn full(size: usize) -> anyhow::Result<Spent> {
     let mut scheduler = scheduler(size, MEMORY)?;
     let asks: Vec<_> = (0..ROUNDS).map(ask).collect();
-    let began = Instant::now();
+    let meter = Meter::start();
     for ask in &asks {
         black_box(scheduler.ask(ask, Moment::ZERO));
         scheduler.end(ask.ticket, End::Cancelled, Moment::ZERO);
     }
-    Ok(mean(began))
+    Ok(meter.mean(ROUNDS))
 }
 
-fn release(size: usize) -> anyhow::Result<f64> {
+fn release(size: usize) -> anyhow::Result<Spent> {
     let mut scheduler = scheduler(size, MEMORY)?;
     for number in 0..256 {
         scheduler.ask(&ask(number), Moment::ZERO);
     }
     anyhow::ensure!(scheduler.waiting() > 200, "the queue did not fill");
-    let began = Instant::now();
+    let meter = Meter::start();
     for round in 0..ROUNDS {
         black_box(scheduler.release(Moment::from_millis(round * 7)));
     }
-    Ok(mean(began))
+    Ok(meter.mean(ROUNDS))
 }
 
-fn token(size: usize) -> anyhow::Result<f64> {
+fn token(size: usize) -> anyhow::Result<Spent> {
     let mut scheduler = scheduler(size, 5_000)?;
     let hold = size as u64 * EACH;
     for number in 0..hold {
         scheduler.ask(&ask(number), at(number, size));
         scheduler.token(Ticket(number), at(number, size));
     }
-    let began = Instant::now();
+    let meter = Meter::start();
     for round in 0..ROUNDS {
         let now = Moment::from_millis(4_000 + round / hold * 15);
         scheduler.token(Ticket(round % hold), now);
     }
-    Ok(mean(began))
+    Ok(meter.mean(ROUNDS))
 }
 
-fn peers(size: usize) -> anyhow::Result<f64> {
+fn peers(size: usize) -> anyhow::Result<Spent> {
     let mut scheduler = scheduler(size, 5_000)?;
     let counts = counts(size);
     let rounds = 200;
-    let began = Instant::now();
+    let meter = Meter::start();
     for _ in 0..rounds {
         scheduler.set_peers(black_box(&counts), Moment::ZERO);
     }
-    Ok(began.elapsed().as_nanos() as f64 / f64::from(rounds))
+    Ok(meter.mean(rounds))
 }
