--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -48,7 +48,8 @@
     lock(&node.tables.intents).begin(nonce);
     let mut claiming = Claiming::new(intent);
     claim_call(&node, &place, &mut claiming).await;
-    note(&node, &call, &place, claiming.step());
+    let found = format!("record={place} {}", describe(claiming.step()));
+    node.note(&call.caller.request, "claimed", &found);
     let intent = claiming.intent().clone();
     match claiming.step() {
         ClaimStep::Decided(Claim::Send, version) => {
@@ -72,15 +73,14 @@
     }
 }
 
-/// Notes whose record the call found in the platform.
-fn note<P: Platform>(node: &Node<P>, call: &Call, place: &str, step: &ClaimStep) {
-    let outcome = match step {
+/// Tells whose record the call found in the platform.
+fn describe(step: &ClaimStep) -> String {
+    match step {
         ClaimStep::Decided(Claim::Send, version) => format!("own version={version}"),
         ClaimStep::Decided(Claim::Answer(_), _) => "answered before".to_owned(),
-        ClaimStep::Decided(Claim::Refuse(code), _) => format!("refused code={code}"),
-        _ => "the platform gave no answer".to_owned(),
-    };
-    node.note(&call.caller.request, "claimed", &format!("record={place} {outcome}"));
+        ClaimStep::Decided(Claim::Refuse(code), _) => format!("code={code}"),
+        _ => "the platform could not be asked".to_owned(),
+    }
 }
 
 /// Hands the call to one replica after another until it may have run.
