Say unknown where nobody looked at a key's record

Cause: a call that may not be repeated was refused with run=not_run whenever the platform could not be asked, or the instance was leaving, cut off or not ready. A retry of a call that had run and whose answer was lost got the same. A household told 'not run' takes a new key, and its plot is booked twice.

Looking at the record first does not help where the platform is away.

Failed first: process::intents::outcome_is_recorded_after_an_outage with the check of the refusal during the outage: left "not_run", right "unknown".

Change: a refusal made without a look at the record says unknown and asks for the same key again; nothing is sent, as before. Two tests pinned not_run for a first attempt in an outage (process::config::serves_through_a_long_outage, process::cuts::platform_link_stalls); an instance can't know that it is the first. They now ask for unknown, and both check the service's own log that nothing ran, which the first did not.

--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -11,7 +11,7 @@
 use super::caller::{self, Caller};
 use super::{body, reply};
 use crate::node::Node;
-use crate::service::{Answer, Call, run_idempotent, run_once};
+use crate::service::{Answer, Call, run_idempotent, run_once, unlearned};
 use crate::tables::lock;
 
 const PATH: &str = "services";
@@ -62,7 +62,7 @@
     };
     let key =
         RequestId::new(key).map_err(|e| Failure::new(Code::BadHeader, &format!("{KEY}: {e}")))?;
-    node.may_work()?;
+    node.may_work().map_err(unlearned)?;
     run_once(node, &call, &key).await
 }
 
--- a/crates/nutmeggrade/src/service.rs
+++ b/crates/nutmeggrade/src/service.rs
@@ -8,4 +8,4 @@
 
 pub use call::{Answer, Call};
 pub use idempotent::run_idempotent;
-pub use once::run_once;
+pub use once::{run_once, unlearned};
--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -168,10 +168,21 @@
 
 /// Refuses a call whose record can't be learned; this attempt sends nothing, now or later.
 fn platform_down<P: Platform>(node: &Node<P>) -> Failure {
-    let detail = "this attempt did not run; whether an earlier one with the same key did can't be \
-                  learned now, so ask again with the same key";
-    let failure = Failure::new(Code::PlatformDown, detail);
-    failure.with_retry_after(node.settings.platform_wait)
+    let failure = Failure::new(Code::PlatformDown, "the call can't be recorded");
+    unlearned(failure).with_retry_after(node.settings.platform_wait)
+}
+
+/// Marks a refusal that was made without looking at the record of the key.
+///
+/// An earlier attempt with the same key may have run, at another instance or before a cut. Told "not
+/// run", a caller would ask with a new key and get its plot booked twice. Only the record proves that
+/// no attempt ran, so without it the answer is "unknown", and the same key is safe to ask with again.
+pub fn unlearned(mut failure: Failure) -> Failure {
+    failure.detail.push_str(
+        "; this attempt did not run, but an earlier one with the same key may have: ask again with \
+         the same key",
+    );
+    failure.with_run(Run::Unknown)
 }
 
 fn key_hash(call: &Call, key: &RequestId) -> String {
--- a/tests/suite/process/config.rs
+++ b/tests/suite/process/config.rs
@@ -154,7 +154,7 @@
 }
 
 // The platform is away for much longer than the fence. Generations and idempotent calls go on; what
-// may not be repeated is refused as not run, because nothing could record it.
+// may not be repeated is refused, because nothing could record it or tell of an earlier attempt.
 #[rstest]
 fn serves_through_a_long_outage() {
     run(async {
@@ -172,7 +172,9 @@
         }
         let (status, failure) = caller.operation(0, "issue-permit", Some("k"), "plot-1").await?;
         assert_eq!(status, 503);
-        assert_eq!((&failure["code"], &failure["run"]), (&json!(4001), &json!("not_run")));
+        assert_eq!((&failure["code"], &failure["run"]), (&json!(4001), &json!("unknown")));
+        let log = held.fleet.log("service-0").await?;
+        assert!(log.get("issue-permit/plot-1").is_none(), "{log}");
         held.fleet.fault("platform", &json!({})).await?;
         let words = ["domain", "out", DOMAIN, "--who", "anna", "--why", "switch work"];
         let (code, output) = held.fleet.operate(&words).await?;
--- a/tests/suite/process/cuts.rs
+++ b/tests/suite/process/cuts.rs
@@ -232,7 +232,8 @@
 }
 
 // The platform can be reached, but no answer comes back any more. Streams go on and idempotent calls
-// are served; a call that may not be repeated is refused, and that refusal is true.
+// are served; a call that may not be repeated is refused and does not run, but nobody can tell of an
+// earlier attempt with its key, so the refusal doesn't say "not run".
 #[rstest]
 fn platform_link_stalls() {
     run(async {
@@ -245,7 +246,7 @@
         assert_eq!(status, StatusCode::OK);
         let (_, answer) = caller.operation(2, "issue-permit", Some("k"), "plot-1").await?;
         let failure: Failure = serde_json::from_value(answer)?;
-        assert_eq!((failure.code, failure.run), (Code::PlatformDown, Run::NotRun));
+        assert_eq!((failure.code, failure.run), (Code::PlatformDown, Run::Unknown));
         held.fleet.link("platform")?.set(Link::Open);
         let log = held.fleet.log("service-0").await?;
         assert!(log.get("issue-permit/plot-1").is_none(), "{log}");
--- a/tests/suite/process/intents.rs
+++ b/tests/suite/process/intents.rs
@@ -117,8 +117,9 @@
     });
 }
 
-// The platform goes away just after the call was claimed. The caller gets its answer at once, and
-// when the platform is back a retry at another instance gets the same one.
+// The platform goes away just after the call was claimed. The caller gets its answer at once. A retry
+// during the outage must not hear "not run", or a household would ask with a new key and book its
+// plot twice; when the platform is back a retry at another instance gets the same answer.
 #[rstest]
 fn outcome_is_recorded_after_an_outage() {
     run(async {
@@ -134,6 +135,7 @@
         assert_eq!(status, StatusCode::OK);
         let (_, refused) = caller.operation(1, ISSUE, KEY, "plot-1").await?;
         assert_eq!(code(&refused), Some(4001), "{refused}");
+        assert_eq!(refused["run"], "unknown", "{refused}");
         held.fleet.fault("platform", &json!({})).await?;
         let passing = [Code::InProgress, Code::PlatformDown];
         let (status, again) = settled(&caller, 1, &passing).await?;
