Fail the parts of the path only once an answer flows

The tests that kill an instance or engine, or stall a link, in mid-answer began as soon as an engine ran the generation, which on a busy machine is before the caller has a token: the killed instance then proved a new answer and not a resumed one, and a link stalled so early is only noticed at the request's deadline. They now wait for ten tokens, and the caller must have an event to resume from.

--- a/tests/suite/process/cuts.rs
+++ b/tests/suite/process/cuts.rs
@@ -42,6 +42,12 @@
     found.ok_or_else(|| anyhow::anyhow!("no engine runs anything"))
 }
 
+/// Waits until an instance is in mid-answer: some tokens reached its caller.
+async fn flowing(fleet: &Fleet) -> anyhow::Result<()> {
+    let tokens = async || fleet.counter("node-0", "nutmeggrade_tokens_total ").await;
+    until("tokens flow", async || Ok(tokens().await? >= 10.0)).await
+}
+
 fn assert_whole(heard: &Heard) {
     assert!(heard.is_whole(), "{heard:?}");
     assert_eq!(heard.tokens.len(), LENGTH);
@@ -57,14 +63,13 @@
         let mut heard = Heard::default();
         let listening = caller.listen(caller.entry(0), TASK, LONG, &mut heard, None);
         let killing = async {
-            busy(&held.fleet).await?;
+            flowing(&held.fleet).await?;
             held.fleet.process("node-0")?.kill()
         };
         let (listened, killed) = tokio::join!(listening, killing);
         killed?;
-        // The connection may break before the head of the answer, too.
-        drop(listened);
-        assert!(!heard.done && heard.in_order(), "{heard:?}");
+        listened?;
+        assert!(!heard.done && heard.last.is_some() && heard.in_order(), "{heard:?}");
         caller.listen(caller.entry(1), TASK, LONG, &mut heard, None).await?;
         assert_whole(&heard);
         Ok(())
@@ -128,10 +133,7 @@
         let mut heard = Heard::default();
         let listening = caller.listen(caller.entry(0), TASK, LONG, &mut heard, None);
         let killing = async {
-            let flowing = async || {
-                Ok(!held.fleet.metrics("node-0").await?.contains("nutmeggrade_tokens_total 0"))
-            };
-            until("tokens flow", flowing).await?;
+            flowing(&held.fleet).await?;
             let name = busy(&held.fleet).await?;
             held.fleet.process(&name)?.kill()
         };
@@ -155,6 +157,7 @@
         let mut heard = Heard::default();
         let listening = caller.listen(caller.entry(0), TASK, LONG, &mut heard, None);
         let stalling = async {
+            flowing(&held.fleet).await?;
             let name = busy(&held.fleet).await?;
             held.fleet.link(&name)?.set(Link::Stalled);
             let resumed = async || {
