--- a/crates/nutmeggrade/src/service/once.rs
+++ b/crates/nutmeggrade/src/service/once.rs
@@ -48,6 +48,8 @@
     lock(&node.tables.intents).begin(nonce);
     let mut claiming = Claiming::new(intent);
     claim_call(&node, &place, &mut claiming).await;
+    let found = format!("record={place} {}", describe(claiming.step()));
+    node.note(&call.caller.request, "claimed", &found);
     let intent = claiming.intent().clone();
     match claiming.step() {
         ClaimStep::Decided(Claim::Send, version) => {
@@ -71,6 +73,16 @@
     }
 }
 
+/// Tells whose record the call found in the platform.
+fn describe(step: &ClaimStep) -> String {
+    match step {
+        ClaimStep::Decided(Claim::Send, version) => format!("own version={version}"),
+        ClaimStep::Decided(Claim::Answer(_), _) => "answered before".to_owned(),
+        ClaimStep::Decided(Claim::Refuse(code), _) => format!("code={code}"),
+        _ => "the platform could not be asked".to_owned(),
+    }
+}
+
 /// Hands the call to one replica after another until it may have run.
 async fn send<P: Platform>(
     node: &Arc<Node<P>>,
