Check that every proof and invariant of a promise exists

The table of promises named tests and invariants that nothing compared with the code. A test now finds each named test, module and invariant, and that each of the nine promises has a row; with one name of each kind changed it failed with "no test process::intents::no_such_test" and "no_such_invariant is asserted nowhere".

--- a/tests/suite/docs.rs
+++ b/tests/suite/docs.rs
@@ -31,3 +31,66 @@
         assert!(root().join("docs").join(link).is_file(), "{link} is missing");
     }
 }
+
+const PROMISES: usize = 9;
+const INVARIANT: usize = 3;
+const PROOF: usize = 4;
+
+/// Returns the rows of the promises' table as their cells.
+fn promises() -> Vec<Vec<String>> {
+    let text = fs::read_to_string(root().join("docs/PROMISES.md")).expect("read promises");
+    let rows = text.lines().skip_while(|l| !l.starts_with("|---")).skip(1);
+    rows.map(|l| l.split('|').map(ToOwned::to_owned).collect()).collect()
+}
+
+/// Returns what stands between backticks.
+fn quoted(cell: &str) -> Vec<String> {
+    cell.split('`').skip(1).step_by(2).map(ToOwned::to_owned).collect()
+}
+
+/// Says whether `a::b::c` is a module of the suite, or a check `c` in the module `a::b`.
+fn is_test(name: &str) -> bool {
+    let file =
+        |name: &str| root().join("tests/suite").join(name.replace("::", "/")).with_extension("rs");
+    let Some((module, check)) = name.rsplit_once("::") else { return false };
+    let holds = |text: String| text.contains(&format!("fn {check}("));
+    file(name).is_file() || fs::read_to_string(file(module)).is_ok_and(holds)
+}
+
+#[rstest]
+fn every_proof_of_a_promise_exists() {
+    let rows = promises();
+    for number in 1..=PROMISES {
+        let row = rows.iter().find(|r| r[1].trim().starts_with(&format!("{number}. ")));
+        let row = row.unwrap_or_else(|| panic!("promise {number} has no row"));
+        let names = quoted(&row[PROOF]);
+        let names: Vec<_> = names.iter().filter(|n| !n.contains(' ')).collect();
+        assert!(!names.is_empty(), "promise {number} names no proof");
+    }
+    let proofs = rows.iter().flat_map(|r| quoted(&r[PROOF])).filter(|n| !n.contains(' '));
+    for name in proofs {
+        assert!(is_test(&name), "no test {name}");
+    }
+}
+
+#[rstest]
+fn every_invariant_of_a_promise_is_asserted() {
+    let asserted = sources(&root().join("crates"));
+    for name in promises().iter().flat_map(|r| quoted(&r[INVARIANT])) {
+        assert!(asserted.contains(&format!("\"{name}\"")), "{name} is asserted nowhere");
+    }
+}
+
+/// Returns the text of every Rust file under a folder.
+fn sources(folder: &Path) -> String {
+    let mut text = String::new();
+    for entry in fs::read_dir(folder).expect("read folder") {
+        let path = entry.expect("read entry").path();
+        if path.is_dir() {
+            text.push_str(&sources(&path));
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            text.push_str(&fs::read_to_string(&path).expect("read source"));
+        }
+    }
+    text
+}
