--- a/crates/nutmeggrade-fakes/src/engine.rs
+++ b/crates/nutmeggrade-fakes/src/engine.rs
@@ -1,17 +1,24 @@
 //! The model engine's stand-in.
 
+mod cache_change;
+mod cache_log;
 mod event;
 mod faults;
+mod follow;
 mod job;
 mod model;
 mod orders;
 mod server;
 mod spec;
+mod state;
 
+pub use cache_change::CacheChange;
+pub use cache_log::CacheLog;
 pub use event::Event;
 pub use faults::Faults;
 pub use job::Job;
 pub use model::Model;
 pub use orders::Orders;
-pub use server::{Engine, serve};
+pub use server::serve;
 pub use spec::Spec;
+pub use state::Engine;
--- a/crates/nutmeggrade-fakes/src/engine/job.rs
+++ b/crates/nutmeggrade-fakes/src/engine/job.rs
@@ -1,5 +1,6 @@
 //! One generation inside the engine.
 
+use nutmeggrade_core::engine::Generate;
 use nutmeggrade_core::id::GenerationId;
 
 /// One generation as the engine gets it.
@@ -20,3 +21,34 @@
     /// Whether it crashes the engine once its prompt is read.
     pub poison: bool,
 }
+
+impl Job {
+    /// Reads the hidden output length, prefix and fault out of the prompt: `len=N`, `prefix=N`,
+    /// `crash=now`.
+    pub fn read(order: &Generate) -> Self {
+        let words = order.prompt.split_whitespace();
+        let mut output = 20 + order.prompt.len() as u64 % 80;
+        let mut poison = false;
+        let mut prompt = 0;
+        let mut prefix = 0;
+        for word in words {
+            prompt += 1;
+            if let Some(n) = word.strip_prefix("len=").and_then(|n| n.parse().ok()) {
+                output = n;
+            }
+            if let Some(n) = word.strip_prefix("prefix=").and_then(|n| n.parse().ok()) {
+                prefix = n;
+            }
+            poison |= word == "crash=now";
+        }
+        Self {
+            generation: order.generation,
+            prompt,
+            prefix,
+            prefix_len: prompt / 2,
+            output: output.clamp(1, order.max_tokens.max(1)),
+            priority: order.priority,
+            poison,
+        }
+    }
+}
--- a/crates/nutmeggrade-fakes/src/engine/model.rs
+++ b/crates/nutmeggrade-fakes/src/engine/model.rs
@@ -7,7 +7,10 @@
 use nutmeggrade_core::id::GenerationId;
 use nutmeggrade_core::moment::Moment;
 
-use super::{Event, Job, Spec};
+use super::{CacheChange, Event, Job, Spec};
+
+/// Changes of the cache that are kept until somebody takes them.
+const CHANGES: usize = 256;
 
 #[derive(Debug, Clone)]
 struct Slot {
@@ -30,6 +33,7 @@
     running: BTreeMap<GenerationId, Slot>,
     waiting: VecDeque<Slot>,
     prefixes: VecDeque<u64>,
+    changes: VecDeque<CacheChange>,
     cold_until: Moment,
     arrivals: u64,
     preemptions: u64,
@@ -46,6 +50,7 @@
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
             prefixes: VecDeque::new(),
+            changes: VecDeque::new(),
             cold_until: Moment::ZERO,
             arrivals: 0,
             preemptions: 0,
@@ -63,7 +68,9 @@
     /// Turns the engine cold, as after a restart, without losing its work.
     pub fn set_cold(&mut self, now: Moment) {
         self.cold_until = now.after(self.spec.cold_time);
-        self.prefixes.clear();
+        for dropped in std::mem::take(&mut self.prefixes) {
+            self.note_cache(dropped, false);
+        }
     }
 
     /// Ends the cold start.
@@ -138,6 +145,11 @@
         (base * cold * self.slow, events)
     }
 
+    /// Takes the changes of the prefix cache since the last time.
+    pub fn cache_changes(&mut self) -> VecDeque<CacheChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Reports the load as it is now; the caller adds the lag.
     pub fn load(&self, now: Moment) -> LoadReport {
         LoadReport {
@@ -197,11 +209,25 @@
     }
 
     fn remember(&mut self, prefix: u64) {
+        let count = self.prefixes.len();
         self.prefixes.retain(|p| *p != prefix);
+        let is_new = self.prefixes.len() == count;
         self.prefixes.push_back(prefix);
+        if is_new {
+            self.note_cache(prefix, true);
+        }
         while self.prefixes.len() > self.spec.prefixes {
-            self.prefixes.pop_front();
+            if let Some(dropped) = self.prefixes.pop_front() {
+                self.note_cache(dropped, false);
+            }
+        }
+    }
+
+    fn note_cache(&mut self, prefix: u64, kept: bool) {
+        if self.changes.len() == CHANGES {
+            self.changes.pop_front();
         }
+        self.changes.push_back(CacheChange { prefix, kept });
     }
 
     fn poisoned(&self) -> bool {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,4 +12,5 @@
 mod policy;
 mod process;
 mod random;
+mod stand_ins;
 mod state;
