Name slots and load samples by the field's terms; write versions in one place

Reading as a newcomer: 'seat', 'sight' and 'stay' are metaphors for a slot, a load sample and a hold on a slot; they are renamed, with nothing else changed. Orders and changes of the configuration each had their own copy of writing a version and settling a lost answer; nutmegctl/versioned.rs is the one now.

One fault found on the way: when the read-back after a lost answer found nothing, the command said 'was not written; try again'. The write may still be on its way, so both say now that it is not known, and how to find out; the code (5006) and exit code (6) are as before.

--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -15,12 +15,12 @@
 use crate::admin;
 use crate::line::Line;
 use crate::settings::Settings;
+use crate::versioned::write;
 
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Pause between looks.
 pub const POLL: Duration = Duration::from_millis(100);
 /// Attempts to read back a write whose answer was lost.
-pub const READ_BACKS: u32 = 5;
 /// Versions that one call of a listing returns; each may be as large as a value can be.
 const PAGE: usize = 32;
 
@@ -84,7 +84,8 @@
         line.with("change", serde_json::to_value(change)?).print(settings);
         return Ok(());
     }
-    write(&platform, &next).await?;
+    let later = format!("ask `nutmegctl audit` later for change {}", next.id);
+    write(&platform, &Configuration::key(next.version), &next, &later).await?;
     let line = Line::new("accepted").with("version", next.version);
     line.with("change", next.id.as_str()).print(settings);
     if let Err(error) = raise_head(&platform, next.version).await {
@@ -110,45 +111,6 @@
     Ok(known.judge(now, change, settings.confirm)?)
 }
 
-/// Writes a version if no other change came first.
-///
-/// The answer of the write can be lost after it took effect. The version is then read back: the id
-/// of the change in it tells whose it is.
-async fn write(platform: &HttpPlatform, next: &Configuration) -> anyhow::Result<()> {
-    let key = Configuration::key(next.version);
-    let value = serde_json::to_value(next).context("encode configuration")?;
-    match platform.create(&key, &value).await {
-        Ok(_) => return Ok(()),
-        Err(error @ PlatformError::Refused(_)) => return Err(down(&error)),
-        Err(PlatformError::Conflict | PlatformError::Unknown(_)) => {}
-    }
-    for _ in 0..READ_BACKS {
-        if let Ok(found) = platform.read(&key).await {
-            return settle(next, found.and_then(|o| o.value));
-        }
-        sleep(POLL).await;
-    }
-    let detail = format!("ask `nutmegctl audit` later for change {}", next.id);
-    Err(Failure::new(Code::ChangeUnknown, &detail).with_run(Run::Unknown).into())
-}
-
-fn settle(next: &Configuration, found: Option<Value>) -> anyhow::Result<()> {
-    let Some(value) = found else {
-        let detail = format!("version {} was not written; try again", next.version);
-        return Err(Failure::new(Code::ChangeUnknown, &detail).into());
-    };
-    let winner: Configuration = serde_json::from_value(value).context("decode configuration")?;
-    if winner.id == next.id {
-        return Ok(());
-    }
-    let change = serde_json::to_string(&winner.change).unwrap_or_default();
-    let detail = format!(
-        "version {} was taken by {} ({}): {change}",
-        winner.version, winner.who, winner.why
-    );
-    Err(Failure::new(Code::Conflict, &detail).into())
-}
-
 /// Pushes an accepted version to every instance and waits until each has it in force.
 async fn in_force(
     settings: &Settings,
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -9,6 +9,7 @@
 mod order_change;
 mod settings;
 mod trail;
+mod versioned;
 
 use std::process::ExitCode;
 
--- a/crates/nutmegctl/src/order_change.rs
+++ b/crates/nutmegctl/src/order_change.rs
@@ -3,13 +3,14 @@
 use anyhow::Context;
 use nutmeggrade_core::order::{Desired, Effect, Order, Progress};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{HttpPlatform, Platform, PlatformError};
+use nutmeggrade_platform::{HttpPlatform, Platform};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-use crate::change::{POLL, READ_BACKS, down, platform, wall_ms};
+use crate::change::{POLL, down, platform, wall_ms};
 use crate::line::Line;
 use crate::settings::Settings;
+use crate::versioned::write;
 
 /// Versions of an engine's orders that the platform keeps.
 const KEPT: u64 = 32;
@@ -60,7 +61,8 @@
         line.print(settings);
         return Ok(());
     }
-    write(&platform, endpoint, &next).await?;
+    let later = format!("ask `nutmegctl order show {endpoint}` later for {}", next.id);
+    write(&platform, &Desired::key(endpoint, next.version), &next, &later).await?;
     line.print(settings);
     forget_old(&platform, endpoint, next.version).await;
     seen(settings, &platform, endpoint, &next).await
@@ -76,43 +78,6 @@
     Err(Failure::new(Code::UnknownName, &detail).into())
 }
 
-/// Writes a version if no other order came first; a lost answer is settled by reading back.
-async fn write(
-    platform: &HttpPlatform,
-    endpoint: &EndpointId,
-    next: &Desired,
-) -> anyhow::Result<()> {
-    let key = Desired::key(endpoint, next.version);
-    let value = serde_json::to_value(next).context("encode order")?;
-    match platform.create(&key, &value).await {
-        Ok(_) => return Ok(()),
-        Err(error @ PlatformError::Refused(_)) => return Err(down(&error)),
-        Err(PlatformError::Conflict | PlatformError::Unknown(_)) => {}
-    }
-    for _ in 0..READ_BACKS {
-        if let Ok(found) = platform.read(&key).await {
-            return settle(next, found.and_then(|o| o.value));
-        }
-        sleep(POLL).await;
-    }
-    let detail = format!("ask `nutmegctl order show {endpoint}` later for {}", next.id);
-    Err(Failure::new(Code::ChangeUnknown, &detail).with_run(Run::Unknown).into())
-}
-
-fn settle(next: &Desired, found: Option<Value>) -> anyhow::Result<()> {
-    let Some(value) = found else {
-        let detail = format!("version {} was not written; try again", next.version);
-        return Err(Failure::new(Code::ChangeUnknown, &detail).into());
-    };
-    let winner: Desired = serde_json::from_value(value).context("decode order")?;
-    if winner.id == next.id {
-        return Ok(());
-    }
-    let (version, who, why) = (winner.version, &winner.who, &winner.why);
-    let detail = format!("version {version} was taken by {who} ({why}): {}", winner.change);
-    Err(Failure::new(Code::Conflict, &detail).into())
-}
-
 async fn forget_old(platform: &HttpPlatform, endpoint: &EndpointId, version: u64) {
     let Some(old) = version.checked_sub(KEPT) else { return };
     let key = Desired::key(endpoint, old);
--- a/crates/nutmeggrade-state/src/cold_load.rs
+++ b/crates/nutmeggrade-state/src/cold_load.rs
@@ -10,11 +10,11 @@
 
 /// One generation's place on an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Seat(pub u64);
+pub struct Slot(pub u64);
 
 /// What an endpoint said of itself, as of a moment on this instance's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sight {
+pub struct LoadSample {
     /// Earliest moment at which the numbers can have been taken.
     pub taken: Moment,
     /// Generations that it held, running or waiting.
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Stay {
+struct Hold {
     started: Option<Moment>,
     left: Option<Moment>,
 }
@@ -40,79 +40,79 @@
 /// until a later report.
 #[derive(Debug, Default)]
 pub struct ColdLoad {
-    sight: Option<Sight>,
-    stays: BTreeMap<Seat, Stay>,
+    sample: Option<LoadSample>,
+    holds: BTreeMap<Slot, Hold>,
 }
 
 impl ColdLoad {
     /// Takes a report unless a later one is known.
-    pub fn see(&mut self, sight: Sight) {
-        if self.sight.is_some_and(|s| s.taken > sight.taken) {
+    pub fn note_load(&mut self, sample: LoadSample) {
+        if self.sample.is_some_and(|s| s.taken > sample.taken) {
             return;
         }
-        self.sight = Some(sight);
-        self.stays.retain(|_, stay| stay.left.is_none_or(|at| at >= sight.taken));
+        self.sample = Some(sample);
+        self.holds.retain(|_, hold| hold.left.is_none_or(|at| at >= sample.taken));
     }
 
     /// Forgets the last report.
-    pub const fn lose_sight(&mut self) {
-        self.sight = None;
+    pub const fn forget_load(&mut self) {
+        self.sample = None;
     }
 
     /// Says whether the endpoint must be taken for cold.
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.sight.is_none_or(|s| s.cold || now.since(s.taken) > STALE)
+        self.sample.is_none_or(|s| s.cold || now.since(s.taken) > STALE)
     }
 
     /// Returns how many generations of this instance it holds.
     pub fn own(&self) -> u32 {
-        count(self.stays.values().filter(|s| s.left.is_none()))
+        count(self.holds.values().filter(|s| s.left.is_none()))
     }
 
     /// Says whether it holds nothing of this instance.
     pub fn is_empty(&self) -> bool {
-        self.stays.is_empty()
+        self.holds.is_empty()
     }
 
     /// Returns how many more it bears while cold; none before a report taken after `since`, because
     /// only that shows what earlier owners left on it.
     pub fn room(&self, since: Moment) -> u32 {
-        let Some(sight) = self.sight.filter(|s| s.taken >= since) else { return 0 };
-        sight.limit.saturating_sub(self.taken_by(sight))
+        let Some(sample) = self.sample.filter(|s| s.taken >= since) else { return 0 };
+        sample.limit.saturating_sub(self.taken_by(sample))
     }
 
     /// Says whether what it holds at most is within its limit.
     pub fn fits(&self, since: Moment) -> bool {
-        self.sight.is_some_and(|s| s.taken >= since && self.taken_by(s) <= s.limit)
+        self.sample.is_some_and(|s| s.taken >= since && self.taken_by(s) <= s.limit)
     }
 
     /// Counts a generation.
-    pub fn sit(&mut self, seat: Seat) {
-        self.stays.insert(seat, Stay::default());
+    pub fn take(&mut self, slot: Slot) {
+        self.holds.insert(slot, Hold::default());
     }
 
     /// Notes that the endpoint surely holds the generation from `now` on.
-    pub fn note_started(&mut self, seat: Seat, now: Moment) {
-        if let Some(stay) = self.stays.get_mut(&seat) {
-            stay.started.get_or_insert(now);
+    pub fn note_started(&mut self, slot: Slot, now: Moment) {
+        if let Some(hold) = self.holds.get_mut(&slot) {
+            hold.started.get_or_insert(now);
         }
     }
 
     /// Notes that the generation was ended or given up.
-    pub fn leave(&mut self, seat: Seat, now: Moment) {
-        if let Some(stay) = self.stays.get_mut(&seat) {
-            stay.left.get_or_insert(now);
+    pub fn leave(&mut self, slot: Slot, now: Moment) {
+        if let Some(hold) = self.holds.get_mut(&slot) {
+            hold.left.get_or_insert(now);
         }
     }
 
-    fn taken_by(&self, sight: Sight) -> u32 {
-        let surely = |s: &&Stay| {
-            let inside = s.started.is_some_and(|at| at < sight.taken);
-            inside && s.left.is_none_or(|at| at > sight.taken)
+    fn taken_by(&self, sample: LoadSample) -> u32 {
+        let surely = |s: &&Hold| {
+            let inside = s.started.is_some_and(|at| at < sample.taken);
+            inside && s.left.is_none_or(|at| at > sample.taken)
         };
-        let in_report = count(self.stays.values().filter(surely));
-        let others = sight.held.saturating_sub(in_report);
-        others.saturating_add(count(self.stays.values()))
+        let in_report = count(self.holds.values().filter(surely));
+        let others = sample.held.saturating_sub(in_report);
+        others.saturating_add(count(self.holds.values()))
     }
 }
 
--- a/crates/nutmeggrade-state/src/cold_rights.rs
+++ b/crates/nutmeggrade-state/src/cold_rights.rs
@@ -6,7 +6,7 @@
 use nutmeggrade_core::peer::Assignment;
 use nutmeggrade_core::prelude::*;
 
-use crate::cold_load::{ColdLoad, Seat, Sight};
+use crate::cold_load::{ColdLoad, LoadSample, Slot};
 use crate::invariant;
 use crate::membership::Candidate;
 
@@ -134,14 +134,14 @@
     }
 
     /// Takes an endpoint's own word on its load.
-    pub fn see(&mut self, endpoint: &EndpointId, sight: Sight) {
-        self.loads.entry(endpoint.clone()).or_default().see(sight);
+    pub fn note_load(&mut self, endpoint: &EndpointId, sample: LoadSample) {
+        self.loads.entry(endpoint.clone()).or_default().note_load(sample);
     }
 
     /// Forgets an endpoint's last word: it did not answer, so it may have started again, cold.
-    pub fn lose_sight(&mut self, endpoint: &EndpointId) {
+    pub fn forget_load(&mut self, endpoint: &EndpointId) {
         if let Some(load) = self.loads.get_mut(endpoint) {
-            load.lose_sight();
+            load.forget_load();
         }
     }
 
@@ -160,33 +160,33 @@
     ///
     /// On a warm endpoint the place is only counted, in case it turns cold. On a cold one it is
     /// given only to the owner and only if the endpoint bears it.
-    pub fn take_seat(&mut self, endpoint: &EndpointId, seat: Seat, now: Moment) -> bool {
+    pub fn take_slot(&mut self, endpoint: &EndpointId, slot: Slot, now: Moment) -> bool {
         let since = self.owned_since(endpoint, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
         if !load.is_cold(now) {
-            load.sit(seat);
+            load.take(slot);
             return true;
         }
         let Some(since) = since else { return false };
         if load.room(since) == 0 {
             return false;
         }
-        load.sit(seat);
+        load.take(slot);
         invariant::check(load.fits(since), "cold_limit_kept");
         true
     }
 
     /// Notes the first token of a generation: from now on the endpoint's reports contain it.
-    pub fn note_started(&mut self, endpoint: &EndpointId, seat: Seat, now: Moment) {
+    pub fn note_started(&mut self, endpoint: &EndpointId, slot: Slot, now: Moment) {
         if let Some(load) = self.loads.get_mut(endpoint) {
-            load.note_started(seat, now);
+            load.note_started(slot, now);
         }
     }
 
     /// Gives a place back; it counts as taken until a later report of the endpoint.
-    pub fn leave_seat(&mut self, endpoint: &EndpointId, seat: Seat, now: Moment) {
+    pub fn leave_slot(&mut self, endpoint: &EndpointId, slot: Slot, now: Moment) {
         if let Some(load) = self.loads.get_mut(endpoint) {
-            load.leave(seat, now);
+            load.leave(slot, now);
         }
     }
 
@@ -197,7 +197,7 @@
         if !fresh || !self.is_owner(newest, endpoint) {
             return None;
         }
-        // An owner that stays the owner from one epoch to the next has nobody to wait for.
+        // An owner that holds the owner from one epoch to the next has nobody to wait for.
         let mut first = newest;
         for earlier in self.epochs.iter().rev().skip(1) {
             let follows = earlier.assignment.epoch + 1 == first.assignment.epoch;
--- a/crates/nutmeggrade/src/generation.rs
+++ b/crates/nutmeggrade/src/generation.rs
@@ -5,8 +5,8 @@
 mod chunk;
 mod completion;
 mod reconnect;
-mod seat_hold;
 mod session;
+mod slot_hold;
 mod start;
 mod trial;
 
@@ -15,7 +15,7 @@
 pub use chunk::{Chunk, whole};
 pub use completion::Completion;
 pub use reconnect::{Lost, reconnect};
-pub use seat_hold::{SEAT_PAUSE, SeatHold};
 pub use session::{Item, Session};
+pub use slot_hold::{SLOT_PAUSE, SlotHold};
 pub use start::{resume, start};
 pub use trial::Trial;
--- a/crates/nutmeggrade/src/generation/admission.rs
+++ b/crates/nutmeggrade/src/generation/admission.rs
@@ -5,10 +5,10 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use nutmeggrade_policy::{Ask, End, Ticket, Verdict};
-use nutmeggrade_state::cold_load::Seat;
+use nutmeggrade_state::cold_load::Slot;
 use tokio::sync::oneshot;
 
-use super::SeatHold;
+use super::SlotHold;
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -22,7 +22,7 @@
     /// Higher is preempted later.
     pub priority: i32,
     /// Its place on that engine.
-    pub seat: SeatHold<P>,
+    pub slot: SlotHold<P>,
     end: End,
 }
 
@@ -90,8 +90,8 @@
     match verdict {
         Verdict::Go { endpoint, priority } => {
             let node = Arc::clone(node);
-            let seat = SeatHold::new(&node, &endpoint, Seat(ticket.0));
-            Ok(Placement { node, ticket, endpoint, priority, seat, end: End::Cancelled })
+            let slot = SlotHold::new(&node, &endpoint, Slot(ticket.0));
+            Ok(Placement { node, ticket, endpoint, priority, slot, end: End::Cancelled })
         }
         Verdict::Refuse { code, retry_after } => {
             Err(Failure::new(code, "not let in").with_retry_after(retry_after))
--- a/crates/nutmeggrade/src/generation/session.rs
+++ b/crates/nutmeggrade/src/generation/session.rs
@@ -180,7 +180,7 @@
         if token.offset == 0
             && let Some(placement) = &self.placement
         {
-            placement.seat.note_started();
+            placement.slot.note_started();
         }
         self.progress = self.node.now();
         if let Some(trial) = &self.trial
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -11,7 +11,7 @@
 use nutmeggrade_policy::{Ask, End};
 use tokio::time::{sleep, timeout};
 
-use super::{Completion, Lost, Placement, SEAT_PAUSE, Session, Trial, admit, cancel, reconnect};
+use super::{Completion, Lost, Placement, SLOT_PAUSE, Session, Trial, admit, cancel, reconnect};
 use crate::engine_client::{StartError, Tokens};
 use crate::front::Caller;
 use crate::node::Node;
@@ -26,12 +26,12 @@
 struct Broken {
     run: Run,
     why: String,
-    seat_refused: bool,
+    slot_refused: bool,
 }
 
 impl Broken {
     fn new(run: Run, why: &str) -> Self {
-        Self { run, why: why.to_owned(), seat_refused: false }
+        Self { run, why: why.to_owned(), slot_refused: false }
     }
 }
 
@@ -68,10 +68,10 @@
                 return Ok(session);
             }
             // Nothing was sent; what the load or the rights were at admission changed since.
-            Err((broken, back)) if broken.seat_refused => {
+            Err((broken, back)) if broken.slot_refused => {
                 trial = back;
                 trial.end();
-                sleep(SEAT_PAUSE).await;
+                sleep(SLOT_PAUSE).await;
             }
             Err((broken, back)) => {
                 attempts += 1;
@@ -183,8 +183,8 @@
                 .map_err(|(failure, trial)| (Broken::new(failure.run, &failure.detail), trial))
         }
         Err(mut broken) => {
-            broken.seat_refused = placement.seat.was_refused();
-            if !broken.seat_refused {
+            broken.slot_refused = placement.slot.was_refused();
+            if !broken.slot_refused {
                 placement.set_end(End::Failed);
             }
             Err((broken, trial))
@@ -204,7 +204,7 @@
     let generation = order.generation;
     let mut started = Started { node: Arc::clone(node), address, generation, armed: true };
     let wait = node.settings.stall.min(caller.deadline.since(node.now()));
-    let may_send = || Ok(placement.seat.take()?);
+    let may_send = || Ok(placement.slot.take()?);
     let ended = timeout(wait, node.engines.start(address, order, may_send)).await;
     started.armed = !matches!(ended, Ok(Ok(_) | Err(StartError::NotRun(_))));
     match ended {
--- a/crates/nutmeggrade/src/tasks/load_poll.rs
+++ b/crates/nutmeggrade/src/tasks/load_poll.rs
@@ -7,7 +7,7 @@
 use nutmeggrade_core::engine::LoadReport;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
-use nutmeggrade_state::cold_load::Sight;
+use nutmeggrade_state::cold_load::LoadSample;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -34,20 +34,20 @@
     match node.engines.standing(address, node.settings.connect).await {
         Ok(standing) => {
             lock(&node.tables.endpoints).note_leaving(id, standing.leaving);
-            lock(&node.tables.rights).see(id, sight(&standing.load, asked));
+            lock(&node.tables.rights).note_load(id, sample(&standing.load, asked));
             lock(&node.tables.scheduler).report(id, &standing.load, node.now());
         }
         Err(error) => {
-            lock(&node.tables.rights).lose_sight(id);
+            lock(&node.tables.rights).forget_load(id);
             tracing::debug!(event = "load_report_failed", endpoint = %id, error = format!("{error:#}"));
         }
     }
 }
 
 /// Dates a report: it can't be older than its age counted back from the question.
-fn sight(report: &LoadReport, asked: Moment) -> Sight {
+fn sample(report: &LoadReport, asked: Moment) -> LoadSample {
     let taken = asked.since_start().saturating_sub(report.age);
-    Sight {
+    LoadSample {
         taken: Moment::new(taken),
         held: report.running + report.waiting,
         cold: report.cold,
--- a/tests/suite/random/cold.rs
+++ b/tests/suite/random/cold.rs
@@ -5,7 +5,7 @@
 
 use nutmeggrade_core::peer::Assignment;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_state::cold_load::{Seat, Sight};
+use nutmeggrade_state::cold_load::{LoadSample, Slot};
 use nutmeggrade_state::cold_rights::ColdRights;
 use nutmeggrade_state::membership::Candidate;
 use proptest::prelude::*;
@@ -72,13 +72,13 @@
     cut: bool,
     answer: Option<(Moment, u64, Assignment)>,
     version: u64,
-    load: Option<Sight>,
+    load: Option<LoadSample>,
 }
 
 struct Held {
     node: usize,
     incarnation: u64,
-    seat: Seat,
+    slot: Slot,
 }
 
 struct World {
@@ -87,7 +87,7 @@
     up: bool,
     object: Option<(u64, Assignment)>,
     held: Vec<Held>,
-    seats: u64,
+    slots: u64,
     peak: usize,
     given: BTreeSet<usize>,
 }
@@ -122,7 +122,7 @@
             up: true,
             object: None,
             held: Vec::new(),
-            seats: 0,
+            slots: 0,
             peak: 0,
             given: BTreeSet::new(),
         }
@@ -220,12 +220,13 @@
 
     fn poll(&mut self, n: usize) {
         let held = u32::try_from(self.held.len()).expect("few");
-        self.nodes[n].load = Some(Sight { taken: self.now(n), held, cold: true, limit: LIMIT });
+        self.nodes[n].load =
+            Some(LoadSample { taken: self.now(n), held, cold: true, limit: LIMIT });
     }
 
     fn hear_load(&mut self, n: usize) {
-        if let Some(sight) = self.nodes[n].load.take() {
-            self.nodes[n].rights.see(&engine(), sight);
+        if let Some(sample) = self.nodes[n].load.take() {
+            self.nodes[n].rights.note_load(&engine(), sample);
         }
     }
 
@@ -249,11 +250,11 @@
 
     fn start(&mut self, n: usize) {
         let now = self.now(n);
-        let seat = Seat(self.seats);
-        self.seats += 1;
+        let slot = Slot(self.slots);
+        self.slots += 1;
         let node = &mut self.nodes[n];
-        if node.rights.take_seat(&engine(), seat, now) {
-            self.held.push(Held { node: n, incarnation: node.incarnation, seat });
+        if node.rights.take_slot(&engine(), slot, now) {
+            self.held.push(Held { node: n, incarnation: node.incarnation, slot });
             self.peak = self.peak.max(self.held.len());
             self.given.insert(n);
         }
@@ -261,15 +262,15 @@
 
     fn note(&mut self, i: usize, step: &Step) {
         let Some(held) = self.held.get(i) else { return };
-        let (n, seat) = (held.node, held.seat);
+        let (n, slot) = (held.node, held.slot);
         let now = self.now(n);
         let node = &mut self.nodes[n];
         if node.frozen || node.incarnation != held.incarnation {
             return;
         }
         match step {
-            Step::FirstToken(_) => node.rights.note_started(&engine(), seat, now),
-            _ => node.rights.leave_seat(&engine(), seat, now),
+            Step::FirstToken(_) => node.rights.note_started(&engine(), slot, now),
+            _ => node.rights.leave_slot(&engine(), slot, now),
         }
     }
 
@@ -277,7 +278,7 @@
         let now = self.now(held.node);
         let node = &mut self.nodes[held.node];
         if !node.frozen && node.incarnation == held.incarnation {
-            node.rights.leave_seat(&engine(), held.seat, now);
+            node.rights.leave_slot(&engine(), held.slot, now);
         }
     }
 }
--- a/tests/suite/state/cold_rights.rs
+++ b/tests/suite/state/cold_rights.rs
@@ -5,7 +5,7 @@
 
 use nutmeggrade_core::peer::Assignment;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_state::cold_load::{Seat, Sight};
+use nutmeggrade_state::cold_load::{LoadSample, Slot};
 use nutmeggrade_state::cold_rights::ColdRights;
 use rstest::rstest;
 
@@ -27,8 +27,8 @@
     Assignment::new(BTreeMap::from([(own(), incarnation)]), LEASE)
 }
 
-fn sight(taken: u64, held: u32) -> Sight {
-    Sight { taken: at(taken), held, cold: true, limit: 2 }
+fn sample(taken: u64, held: u32) -> LoadSample {
+    LoadSample { taken: at(taken), held, cold: true, limit: 2 }
 }
 
 /// An owner since 1250 that confirmed its lease at 1500.
@@ -42,11 +42,11 @@
 #[rstest]
 fn owner_fills_the_limit_and_no_more() {
     let mut rights = owner();
-    rights.see(&engine(), sight(1_520, 0));
+    rights.note_load(&engine(), sample(1_520, 0));
     assert_eq!(rights.cold_right(&engine(), at(1_530)), 2);
-    assert!(rights.take_seat(&engine(), Seat(1), at(1_530)));
-    assert!(rights.take_seat(&engine(), Seat(2), at(1_530)));
-    assert!(!rights.take_seat(&engine(), Seat(3), at(1_530)));
+    assert!(rights.take_slot(&engine(), Slot(1), at(1_530)));
+    assert!(rights.take_slot(&engine(), Slot(2), at(1_530)));
+    assert!(!rights.take_slot(&engine(), Slot(3), at(1_530)));
 }
 
 // The owner is stopped by its machine for some seconds and goes on in the middle of sending.
@@ -54,8 +54,8 @@
 #[rstest]
 fn frozen_owner_wakes_without_its_right() {
     let mut rights = owner();
-    rights.see(&engine(), sight(1_520, 0));
-    assert!(!rights.take_seat(&engine(), Seat(1), at(2_600)));
+    rights.note_load(&engine(), sample(1_520, 0));
+    assert!(!rights.take_slot(&engine(), Slot(1), at(2_600)));
     // What lay in a buffer meanwhile was asked for before the gap.
     rights.learn(&alone(7), at(1_590), at(2_610));
     assert_eq!(rights.owner_epoch(&engine(), at(2_610)), None);
@@ -99,7 +99,7 @@
 // What the former owner gave the engine runs on for minutes after the lease is over.
 fn room_left(held: u32, room: u32) {
     let mut rights = owner();
-    rights.see(&engine(), sight(1_520, held));
+    rights.note_load(&engine(), sample(1_520, held));
     assert_eq!(rights.cold_right(&engine(), at(1_530)), room);
 }
 
@@ -113,7 +113,7 @@
 #[rstest]
 fn report_from_before_the_epoch_proves_nothing() {
     let mut rights = owner();
-    rights.see(&engine(), sight(1_240, 0));
+    rights.note_load(&engine(), sample(1_240, 0));
     assert_eq!(rights.cold_right(&engine(), at(1_530)), 0);
 }
 
@@ -121,12 +121,12 @@
 #[rstest]
 fn place_is_free_only_after_a_later_report() {
     let mut rights = owner();
-    rights.see(&engine(), sight(1_520, 1));
-    assert!(rights.take_seat(&engine(), Seat(1), at(1_530)));
-    rights.leave_seat(&engine(), Seat(1), at(1_600));
-    assert!(!rights.take_seat(&engine(), Seat(2), at(1_610)));
-    rights.see(&engine(), sight(1_590, 1));
-    assert!(!rights.take_seat(&engine(), Seat(2), at(1_610)));
-    rights.see(&engine(), sight(1_620, 1));
-    assert!(rights.take_seat(&engine(), Seat(2), at(1_630)));
+    rights.note_load(&engine(), sample(1_520, 1));
+    assert!(rights.take_slot(&engine(), Slot(1), at(1_530)));
+    rights.leave_slot(&engine(), Slot(1), at(1_600));
+    assert!(!rights.take_slot(&engine(), Slot(2), at(1_610)));
+    rights.note_load(&engine(), sample(1_590, 1));
+    assert!(!rights.take_slot(&engine(), Slot(2), at(1_610)));
+    rights.note_load(&engine(), sample(1_620, 1));
+    assert!(rights.take_slot(&engine(), Slot(2), at(1_630)));
 }
