Read the list of endpoints only when it changed

Cause: each instance read the whole list twice a second, 167 bytes/s for each endpoint; with twelve engines it was the larger part of the platform's bytes.

Ruled out: a longer interval, since a leaving endpoint is learned from the list; a watch, since the list lags and has no versions of its own.

Change: the list is asked for with the tag of the last one (If-None-Match), as HTTP has it; a platform without tags is read as before. The stand-in tags its list; an empty list has a tag of its own, else the first registration would not have been seen.

Conclusion: platform bytes no longer grow with endpoints while the list stands still.

--- a/crates/nutmeggrade-fakes/src/platform/server.rs
+++ b/crates/nutmeggrade-fakes/src/platform/server.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use http::{StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use nutmeggrade_core::endpoint::Endpoint;
 use serde::Deserialize;
 use tokio::sync::Notify;
@@ -174,9 +174,19 @@
     }
     let inner = app.lock();
     let delay = Duration::from_millis(inner.faults.lag_ms);
-    let seen = inner.lists.iter().rev().find(|(at, _)| at.elapsed() >= delay);
-    let list = seen.or(inner.lists.front()).map(|(_, l)| l.clone()).unwrap_or_default();
-    Ok(Response::json(list)?)
+    let shown = inner.lists.iter().rposition(|(at, _)| at.elapsed() >= delay).unwrap_or(0);
+    // An empty list has a tag of its own, unlike the first one's.
+    let number = if inner.lists.is_empty() { 0 } else { shown + 1 };
+    let tag = format!("\"{number}\"");
+    if req.headers().get(header::IF_NONE_MATCH).is_some_and(|t| t.as_bytes() == tag.as_bytes()) {
+        return Ok(status(StatusCode::NOT_MODIFIED));
+    }
+    let list = inner.lists.get(shown).map(|(_, l)| l.clone()).unwrap_or_default();
+    let mut response = Response::json(list)?;
+    if let Ok(tag) = HeaderValue::try_from(tag) {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+    Ok(response)
 }
 
 async fn register(mut req: Request) -> Result<Response> {
--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Body as _;
 use nutmeggrade_core::endpoint::Endpoint;
@@ -31,12 +31,21 @@
     address: SocketAddr,
     patience: Duration,
     budget: Arc<Budget>,
+    list: Arc<Mutex<Option<Tagged>>>,
+}
+
+/// The last list of endpoints with the tag that the platform gave it.
+#[derive(Debug, Clone)]
+struct Tagged {
+    tag: HeaderValue,
+    endpoints: Vec<Endpoint>,
 }
 
 impl HttpPlatform {
     /// Makes a client that waits at most `patience` for each answer.
     pub fn new(address: SocketAddr, patience: Duration) -> Self {
-        Self { address, patience, budget: Arc::new(Budget::new()) }
+        let list = Arc::new(Mutex::new(None));
+        Self { address, patience, budget: Arc::new(Budget::new()), list }
     }
 
     async fn send(
@@ -45,6 +54,16 @@
         request: Request<Full<Bytes>>,
         patience: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let (head, body) = self.exchange(kind, request, patience).await?.into_parts();
+        Ok((head.status, body))
+    }
+
+    async fn exchange(
+        &self,
+        kind: &'static str,
+        request: Request<Full<Bytes>>,
+        patience: Duration,
+    ) -> Result<Response<Bytes>, PlatformError> {
         self.budget.count(kind);
         let body = usize::try_from(request.body().size_hint().lower()).unwrap_or(0);
         self.budget.add_sent(head_size(request.uri().path(), request.headers()) + body);
@@ -54,13 +73,10 @@
                 Err(e) if e.not_sent() => return Err(PlatformError::Refused(e.into())),
                 Err(e) => return Err(PlatformError::Unknown(e.into())),
             };
-            let status = response.status();
-            let head = head_size("", response.headers());
-            let body = body_bytes(response.into_body(), MAX_ANSWER)
-                .await
-                .map_err(PlatformError::Unknown)?;
-            self.budget.add_received(head + body.len());
-            Ok((status, body))
+            let (head, body) = response.into_parts();
+            let body = body_bytes(body, MAX_ANSWER).await.map_err(PlatformError::Unknown)?;
+            self.budget.add_received(head_size("", &head.headers) + body.len());
+            Ok(Response::from_parts(head, body))
         };
         match timeout(patience, exchange).await {
             Ok(result) => result,
@@ -96,18 +112,30 @@
         }
     }
 
+    fn reading(
+        &self,
+        path: &str,
+        tag: Option<&HeaderValue>,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        let mut request =
+            Request::builder().uri(path).header(header::HOST, self.address.to_string());
+        if let Some(tag) = tag {
+            request = request.header(header::IF_NONE_MATCH, tag);
+        }
+        request.body(Full::default()).map_err(|e| PlatformError::Refused(e.into()))
+    }
+
+    fn last_list(&self) -> MutexGuard<'_, Option<Tagged>> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         kind: &'static str,
         path: &str,
         patience: Duration,
     ) -> Result<Option<T>, PlatformError> {
-        let request = Request::builder()
-            .uri(path)
-            .header(header::HOST, self.address.to_string())
-            .body(Full::default())
-            .map_err(|e| PlatformError::Refused(e.into()))?;
-        let (status, body) = self.send(kind, request, patience).await?;
+        let (status, body) = self.send(kind, self.reading(path, None)?, patience).await?;
         match status {
             StatusCode::OK => Ok(Some(parse(&body)?)),
             StatusCode::NOT_FOUND => Ok(None),
@@ -184,7 +212,22 @@
     }
 
     async fn endpoints(&self) -> Result<Vec<Endpoint>, PlatformError> {
-        self.get_some("endpoints", "/endpoints", self.patience).await
+        // The list is read again and again and seldom changes; a platform that tags it sends it
+        // only when it did.
+        let last = self.last_list().clone();
+        let request = self.reading("/endpoints", last.as_ref().map(|l| &l.tag))?;
+        let response = self.exchange("endpoints", request, self.patience).await?;
+        match (response.status(), last) {
+            (StatusCode::OK, _) => {
+                let endpoints: Vec<Endpoint> = parse(response.body())?;
+                let tag = response.headers().get(header::ETAG).cloned();
+                let tagged = tag.map(|tag| Tagged { tag, endpoints: endpoints.clone() });
+                *self.last_list() = tagged;
+                Ok(endpoints)
+            }
+            (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.endpoints),
+            (status, _) => Err(PlatformError::Refused(anyhow::anyhow!("endpoints: {status}"))),
+        }
     }
 
     fn calls(&self) -> BTreeMap<&'static str, u64> {
