--- a/crates/nutmeggrade/src/generation.rs
+++ b/crates/nutmeggrade/src/generation.rs
@@ -1,6 +1,7 @@
 //! Generations: from a caller's request to the last token.
 
 mod admission;
+mod attempt;
 mod cancel;
 mod chunk;
 mod completion;
