Look the instance up in one place for both HTTP sides

The callers' and the operators' side each had the same function that finds the instance behind a handler. The operators' side now calls the callers' one.

--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -17,9 +17,9 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use tokio::net::TcpListener;
-use viz::{Request, RequestExt, Router, types};
+use viz::{Request, Router, types};
 
-use crate::front::{Limits, listen};
+use crate::front::{Limits, listen, node};
 use crate::node::{Node, Phase};
 
 /// Most connections of operators and probes.
@@ -48,12 +48,6 @@
     listen(socket, router, &limits, node.watch_phase()).await;
 }
 
-fn node<P: Platform>(req: &Request) -> Result<Arc<Node<P>>, viz::Error> {
-    use viz::IntoResponse;
-    let missing = || http::StatusCode::INTERNAL_SERVER_ERROR.into_error();
-    req.state::<Arc<Node<P>>>().ok_or_else(missing)
-}
-
 /// Refuses a request without the operators' token.
 fn authorize<P: Platform>(node: &Node<P>, req: &Request) -> Result<(), Failure> {
     let given = req.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -38,8 +38,8 @@
     listen(socket, router, &limits, node.watch_phase()).await;
 }
 
-/// Returns the instance that a handler belongs to.
-fn node<P: Platform>(req: &Request) -> Result<Arc<Node<P>>, viz::Error> {
+/// Returns the instance that a handler belongs to, of callers or of operators.
+pub fn node<P: Platform>(req: &Request) -> Result<Arc<Node<P>>, viz::Error> {
     use viz::IntoResponse;
     let missing = || http::StatusCode::INTERNAL_SERVER_ERROR.into_error();
     req.state::<Arc<Node<P>>>().ok_or_else(missing)
