--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -69,6 +69,12 @@
     BadHeader = 1014, "bad_header", 400;
     /// The body did not arrive in time.
     BodyTimeout = 1015, "body_timeout", 408;
+    /// No workspace has the request's key.
+    UnknownKey = 1016, "unknown_key", 401;
+    /// The request says in two ways where its body ends, or names no host or two.
+    BadFraming = 1017, "bad_framing", 400;
+    /// No route has the request's host and path.
+    NoRoute = 1018, "no_route", 404;
     /// The queue is full for this workspace or in all.
     QueueFull = 2001, "queue_full", 429;
     /// The request can't be served before its deadline.
@@ -79,6 +85,8 @@
     CallerGone = 2004, "caller_gone", 499;
     /// The instance has as many connections as it takes.
     TooManyConnections = 2005, "too_many_connections", 503;
+    /// No endpoint has room for the request soon enough.
+    NoRoom = 2006, "no_room", 503;
     /// No endpoint in service offers what was asked for.
     NoEndpoint = 3001, "no_endpoint", 503;
     /// The endpoint failed before the work was started.
@@ -105,6 +113,8 @@
     Fenced = 4004, "fenced", 503;
     /// Another attempt with the same key is running.
     InProgress = 4005, "in_progress", 409;
+    /// This instance has not heard lately whether what it knows is still in force.
+    Outdated = 4006, "outdated", 503;
     /// The operators' token is missing or wrong.
     BadToken = 5001, "bad_token", 401;
     /// Another change came first.
--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -3,11 +3,13 @@
 mod assignment;
 mod beacon;
 mod envelope;
+mod fleet_beacon;
 mod suspect;
 mod sync;
 
 pub use assignment::{ASSIGNMENT_KEY, Assignment};
 pub use beacon::{Beacon, Echo, Entry};
 pub use envelope::{BadEnvelope, MAX_MESSAGE, WIRE_VERSION, open, seal};
+pub use fleet_beacon::{FleetBeacon, Revisions, Seat};
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, Topic};
--- /dev/null
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -0,0 +1,54 @@
+//! What an instance that serves routes tells its peers several times a second.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{DomainId, EndpointId, InstanceId};
+use crate::routing::Placed;
+
+/// Where an instance is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seat {
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where clients connect.
+    pub client: SocketAddr,
+    /// Where heartbeats go.
+    pub beacon: SocketAddr,
+    /// Where peers ask for what they can't read from the platform.
+    pub control: SocketAddr,
+}
+
+/// Revisions of the platform's store that an instance has read, one for each kind of object.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Revisions {
+    /// Of the configuration.
+    pub config: u64,
+    /// Of the endpoints.
+    pub endpoints: u64,
+    /// Of the failure domains that are out.
+    pub out: u64,
+}
+
+/// Heartbeat: that an instance lives, what it knows and what it has placed where.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetBeacon {
+    /// The sender.
+    pub instance: InstanceId,
+    /// Distinguishes two lives of an instance with the same name; higher is newer.
+    pub incarnation: u64,
+    /// Counts the sender's heartbeats; an older or repeated one is dropped.
+    pub sequence: u64,
+    /// Where the sender is reached.
+    pub seat: Seat,
+    /// Whether the sender takes no new clients.
+    pub leaving: bool,
+    /// What the sender has read.
+    pub revisions: Revisions,
+    /// What the sender has placed at each endpoint.
+    pub placed: BTreeMap<EndpointId, Placed>,
+    /// Where a few others are reached that the sender heard lately.
+    pub others: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/routing.rs
@@ -0,0 +1,25 @@
+//! The routing configuration of a deployment, and the endpoints that serve it.
+
+mod call_limits;
+mod endpoint_info;
+mod engine_spec;
+mod event_position;
+mod placed;
+mod prompt;
+mod route;
+mod route_kind;
+mod route_map;
+mod service_spec;
+mod workspace_key;
+
+pub use call_limits::CallLimits;
+pub use endpoint_info::EndpointInfo;
+pub use engine_spec::EngineSpec;
+pub use event_position::EventPosition;
+pub use placed::Placed;
+pub use prompt::{Prompt, PromptPart};
+pub use route::{Route, Split};
+pub use route_kind::RouteKind;
+pub use route_map::{Access, RouteMap};
+pub use service_spec::ServiceSpec;
+pub use workspace_key::WorkspaceKey;
--- /dev/null
+++ b/crates/nutmeggrade-core/src/routing/route_map.rs
@@ -0,0 +1,103 @@
+//! The routing configuration in force.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{CallLimits, Route, ServiceSpec, WorkspaceKey};
+use crate::id::ServiceId;
+
+/// What a request's key gives it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Access {
+    /// The route needs no key, or the deployment has no workspaces.
+    Open,
+    /// The key belongs to a workspace.
+    Workspace(WorkspaceKey),
+    /// No workspace has the key.
+    Unknown,
+}
+
+/// One version of the routing configuration.
+#[derive(Debug, Clone, Default)]
+pub struct RouteMap {
+    /// Its version; a higher one replaces a lower one.
+    pub version: u64,
+    /// Bounds on what clients may send.
+    pub limits: CallLimits,
+    services: BTreeMap<ServiceId, ServiceSpec>,
+    hosts: BTreeMap<String, Vec<Arc<Route>>>,
+    keys: BTreeMap<String, WorkspaceKey>,
+}
+
+impl RouteMap {
+    /// Makes a version without routes.
+    pub fn new(version: u64, limits: CallLimits) -> Self {
+        Self { version, limits, ..Self::default() }
+    }
+
+    /// Adds routes. The longest prefix of a host is tried first.
+    #[must_use]
+    pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
+        for route in routes {
+            self.hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in self.hosts.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        self
+    }
+
+    /// Adds services.
+    #[must_use]
+    pub fn with_services(mut self, services: impl IntoIterator<Item = ServiceSpec>) -> Self {
+        self.services.extend(services.into_iter().map(|s| (s.name.clone(), s)));
+        self
+    }
+
+    /// Adds the workspaces' keys. A configuration that names no workspace asks for no keys.
+    #[must_use]
+    pub fn with_keys(mut self, keys: impl IntoIterator<Item = (String, WorkspaceKey)>) -> Self {
+        self.keys.extend(keys);
+        self
+    }
+
+    /// Finds the route of a request; the host may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// Finds what a key gives on a route.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
+        let found = key.and_then(|k| self.keys.get(k));
+        match found {
+            Some(workspace) => Access::Workspace(workspace.clone()),
+            None if route.public || self.keys.is_empty() => Access::Open,
+            None => Access::Unknown,
+        }
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &ServiceId) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Lists the services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
+    /// Counts the routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Says whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- a/crates/nutmeggrade-core/src/settings/spec.rs
+++ b/crates/nutmeggrade-core/src/settings/spec.rs
@@ -25,6 +25,15 @@
         /// Largest value.
         max: u64,
     },
+    /// A number that may have a fraction, with its unit and range, both ends included.
+    Decimal {
+        /// Unit, such as `s` or `1`.
+        unit: &'static str,
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+    },
     /// A secret; only by variable, or by a file that `<variable>_FILE` names.
     Secret,
 }
@@ -70,6 +79,7 @@
             Kind::Addresses => "ip:port,...".to_owned(),
             Kind::Switch => "true or false".to_owned(),
             Kind::Number { unit, min, max } => format!("{unit}, {min} to {max}"),
+            Kind::Decimal { unit, min, max } => format!("{unit}, {min} to {max}, fractions too"),
             Kind::Secret => "secret, variable or file only".to_owned(),
         };
         format!("{} [{}; {kind}; {default}]", self.help, self.variable())
--- a/crates/nutmeggrade-core/src/settings/values.rs
+++ b/crates/nutmeggrade-core/src/settings/values.rs
@@ -108,6 +108,16 @@
         Duration::from_millis(self.number(flag))
     }
 
+    /// Returns a setting that may have a fraction.
+    pub fn decimal(&self, flag: &str) -> f64 {
+        self.text(flag).parse().unwrap_or(0.0)
+    }
+
+    /// Returns a setting that may have a fraction and whose unit is seconds.
+    pub fn seconds(&self, flag: &str) -> Duration {
+        Duration::try_from_secs_f64(self.decimal(flag)).unwrap_or_default()
+    }
+
     /// Returns an address setting.
     pub fn address(&self, flag: &str) -> Option<SocketAddr> {
         self.text(flag).parse().ok()
@@ -203,6 +213,14 @@
             }
             Err(_) => bad(format!("{place}: {text:?} is not a whole number of {unit}")),
         },
+        Kind::Decimal { unit, min, max } => match text.parse::<f64>() {
+            Ok(n) if (min as f64..=max as f64).contains(&n) => Ok(()),
+            Ok(n) => {
+                let detail = format!("{place}: {n} {unit} is not in {min} to {max}");
+                Err(Mistake { code: Code::SettingRange, detail })
+            }
+            Err(_) => bad(format!("{place}: {text:?} is not a number of {unit}")),
+        },
         Kind::Secret if text.len() < MIN_SECRET_LEN => {
             let detail = format!("{} is shorter than {MIN_SECRET_LEN} bytes", spec.variable());
             Err(Mistake { code: Code::SettingRange, detail })
--- /dev/null
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -0,0 +1,16 @@
+//! Where requests that clients send through routes go, which wait and which are turned away.
+
+mod candidate;
+mod dispatcher;
+mod health;
+mod load_book;
+mod need;
+mod room;
+
+pub use candidate::Candidate;
+pub use dispatcher::{Dispatcher, Offer};
+pub use health::Health;
+pub use load_book::LoadBook;
+pub use need::Need;
+pub use nutmeggrade_core::routing::Placed;
+pub use room::{fits, score};
--- /dev/null
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -0,0 +1,127 @@
+//! Who has how much where.
+
+use std::collections::BTreeMap;
+
+use nutmeggrade_core::prelude::*;
+
+use super::{Health, Placed};
+use crate::Ticket;
+
+#[derive(Debug, Clone)]
+struct Own {
+    endpoint: EndpointId,
+    placed: Placed,
+}
+
+/// What this instance and its peers have at each endpoint.
+///
+/// Answers several instances that choose by the same stale reports: each sees the same free engine
+/// and all fill it. Instances tell each other several times a second what they have placed, counted
+/// by what it will take in the end, so that a choice knows of the others' choices a moment later.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    own: BTreeMap<Ticket, Own>,
+    own_sum: BTreeMap<EndpointId, Placed>,
+    peers: BTreeMap<InstanceId, BTreeMap<EndpointId, Placed>>,
+    peer_sum: BTreeMap<EndpointId, Placed>,
+    health: BTreeMap<EndpointId, Health>,
+}
+
+impl LoadBook {
+    /// Makes an empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a request goes to an endpoint.
+    pub fn place(&mut self, ticket: Ticket, endpoint: &EndpointId, placed: Placed) {
+        self.end(ticket);
+        *self.own_sum.entry(endpoint.clone()).or_default() += placed;
+        self.own.insert(ticket, Own { endpoint: endpoint.clone(), placed });
+    }
+
+    /// Notes that a request's prompt is read.
+    pub fn has_read(&mut self, ticket: Ticket) {
+        let Some(own) = self.own.get_mut(&ticket) else { return };
+        let read = Placed { reading: own.placed.reading, ..Placed::default() };
+        own.placed -= read;
+        if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
+            *sum -= read;
+        }
+    }
+
+    /// Notes that a request takes at least this much memory, which may be more than was expected.
+    pub fn grow(&mut self, ticket: Ticket, memory: u64) {
+        let Some(own) = self.own.get_mut(&ticket) else { return };
+        let more = Placed { memory: memory.saturating_sub(own.placed.memory), ..Placed::default() };
+        own.placed += more;
+        if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
+            *sum += more;
+        }
+    }
+
+    /// Notes that a request is at its endpoint no more.
+    pub fn end(&mut self, ticket: Ticket) {
+        let Some(own) = self.own.remove(&ticket) else { return };
+        if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
+            *sum -= own.placed;
+            if sum.requests == 0 {
+                self.own_sum.remove(&own.endpoint);
+            }
+        }
+    }
+
+    /// Takes what a peer has placed.
+    pub fn set_peer(&mut self, peer: &InstanceId, placed: &BTreeMap<EndpointId, Placed>) {
+        self.peers.insert(peer.clone(), placed.clone());
+        self.sum_peers();
+    }
+
+    /// Forgets peers that are gone.
+    pub fn keep_peers(&mut self, is_there: impl Fn(&InstanceId) -> bool) {
+        let before = self.peers.len();
+        self.peers.retain(|peer, _| is_there(peer));
+        if self.peers.len() != before {
+            self.sum_peers();
+        }
+    }
+
+    fn sum_peers(&mut self) {
+        self.peer_sum.clear();
+        for (endpoint, placed) in self.peers.values().flatten() {
+            *self.peer_sum.entry(endpoint.clone()).or_default() += *placed;
+        }
+    }
+
+    /// Returns what everybody has at an endpoint.
+    pub fn at(&self, endpoint: &EndpointId) -> Placed {
+        let mut sum = self.own_sum.get(endpoint).copied().unwrap_or_default();
+        sum += self.peer_sum.get(endpoint).copied().unwrap_or_default();
+        sum
+    }
+
+    /// Returns what this instance has at each endpoint.
+    pub fn own(&self) -> &BTreeMap<EndpointId, Placed> {
+        &self.own_sum
+    }
+
+    /// Returns the tickets of this instance at an endpoint.
+    pub fn tickets(&self, endpoint: &EndpointId) -> impl Iterator<Item = Ticket> {
+        self.own.iter().filter(move |(_, o)| o.endpoint == *endpoint).map(|(t, _)| *t)
+    }
+
+    /// Returns what an endpoint's own answers say of it.
+    pub fn health(&self, endpoint: &EndpointId) -> Option<&Health> {
+        self.health.get(endpoint)
+    }
+
+    /// Returns what an endpoint's own answers say of it, to add to it.
+    pub fn health_mut(&mut self, endpoint: &EndpointId) -> &mut Health {
+        self.health.entry(endpoint.clone()).or_default()
+    }
+
+    /// Forgets what is known of endpoints that are gone.
+    pub fn keep_endpoints(&mut self, is_there: impl Fn(&EndpointId) -> bool) {
+        self.health.retain(|endpoint, _| is_there(endpoint));
+    }
+}
--- a/crates/nutmeggrade-policy/src/lib.rs
+++ b/crates/nutmeggrade-policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`ServicePicker`] for calls of plain services; each other type is one decision.
 
 pub mod cold_watch;
+pub mod dispatch;
+pub mod fleet;
 pub mod gap;
 pub mod knobs;
 pub mod length;
--- a/crates/nutmeggrade-policy/src/queue.rs
+++ b/crates/nutmeggrade-policy/src/queue.rs
@@ -4,4 +4,4 @@
 mod lane;
 
 pub use fair_queue::FairQueue;
-pub use lane::Lane;
+pub use lane::{Lane, Queued};
--- a/crates/nutmeggrade-policy/src/queue/lane.rs
+++ b/crates/nutmeggrade-policy/src/queue/lane.rs
@@ -6,46 +6,82 @@
 
 use crate::{Ask, Ticket};
 
-#[derive(Debug, Default)]
-struct Line {
-    asks: VecDeque<Ask>,
+/// What a lane has to know of a request.
+pub trait Queued {
+    /// Names the request inside this instance.
+    fn ticket(&self) -> Ticket;
+
+    /// Says who asks.
+    fn workspace(&self) -> &WorkspaceId;
+}
+
+impl Queued for Ask {
+    fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    fn workspace(&self) -> &WorkspaceId {
+        &self.workspace
+    }
+}
+
+#[derive(Debug)]
+struct Line<A> {
+    asks: VecDeque<A>,
     start: f64,
 }
 
+impl<A> Default for Line<A> {
+    fn default() -> Self {
+        Self { asks: VecDeque::new(), start: 0.0 }
+    }
+}
+
 /// Start-time fair queue: whoever got least so far is next.
 ///
 /// Answers two workspaces that send most of the load. In one line all wait behind them, and a
 /// workspace with one request a minute waits as long as the one that fills the queue. Each workspace
 /// has a line of its own; taking a request moves its workspace back by the request's cost. A
 /// workspace that was away begins at the present, with no credit for its absence.
-#[derive(Debug, Default)]
-pub struct Lane {
-    lines: BTreeMap<WorkspaceId, Line>,
+#[derive(Debug)]
+pub struct Lane<A = Ask> {
+    lines: BTreeMap<WorkspaceId, Line<A>>,
     order: BTreeSet<(u64, WorkspaceId)>,
     owners: BTreeMap<Ticket, WorkspaceId>,
     present: f64,
 }
 
-impl Lane {
+impl<A> Default for Lane<A> {
+    fn default() -> Self {
+        Self {
+            lines: BTreeMap::new(),
+            order: BTreeSet::new(),
+            owners: BTreeMap::new(),
+            present: 0.0,
+        }
+    }
+}
+
+impl<A: Queued + Clone> Lane<A> {
     /// Makes an empty lane.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Adds a request at the end of its workspace's line.
-    pub fn push(&mut self, ask: &Ask) {
+    pub fn push(&mut self, ask: &A) {
         let present = self.present;
-        self.owners.insert(ask.ticket, ask.workspace.clone());
-        let line = self.lines.entry(ask.workspace.clone()).or_default();
+        self.owners.insert(ask.ticket(), ask.workspace().clone());
+        let line = self.lines.entry(ask.workspace().clone()).or_default();
         if line.asks.is_empty() {
             line.start = line.start.max(present);
-            self.order.insert((key(line.start), ask.workspace.clone()));
+            self.order.insert((key(line.start), ask.workspace().clone()));
         }
         line.asks.push_back(ask.clone());
     }
 
     /// Returns the workspaces that wait, the next one first.
-    pub fn heads(&self) -> impl Iterator<Item = &Ask> {
+    pub fn heads(&self) -> impl Iterator<Item = &A> {
         let heads = self.order.iter().filter_map(|(_, w)| self.lines.get(w));
         heads.filter_map(|l| l.asks.front())
     }
@@ -62,10 +98,10 @@
     }
 
     /// Takes a request out that gave up; costs nothing.
-    pub fn remove(&mut self, ticket: Ticket) -> Option<Ask> {
+    pub fn remove(&mut self, ticket: Ticket) -> Option<A> {
         let workspace = self.owners.remove(&ticket)?;
         let line = self.lines.get_mut(&workspace)?;
-        let place = line.asks.iter().position(|a| a.ticket == ticket)?;
+        let place = line.asks.iter().position(|a| a.ticket() == ticket)?;
         let ask = line.asks.remove(place);
         if line.asks.is_empty() {
             self.order.remove(&(key(line.start), workspace));
@@ -77,9 +113,9 @@
     }
 
     /// Returns all whose deadline passed, or that can't finish any more by `late`.
-    pub fn expired(&self, late: impl Fn(&Ask) -> bool) -> Vec<Ticket> {
+    pub fn expired(&self, late: impl Fn(&A) -> bool) -> Vec<Ticket> {
         let asks = self.lines.values().flat_map(|l| &l.asks);
-        asks.filter(|a| late(a)).map(|a| a.ticket).collect()
+        asks.filter(|a| late(a)).map(Queued::ticket).collect()
     }
 
     /// Returns how many requests would be taken before a new one of this workspace.
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/answer_body.rs
@@ -0,0 +1,70 @@
+//! The body of an answer to a client.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// Says that an answer broke off; the client's connection is then closed in the middle of it, so
+/// that it can't look complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("answer broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// A piece of an answer, or the news that it broke off.
+pub type Piece = Result<Bytes, BrokenOff>;
+
+/// The body of an answer to a client.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it is here.
+    Whole(Option<Bytes>),
+    /// It comes in pieces.
+    Pieces(mpsc::Receiver<Piece>),
+}
+
+impl AnswerBody {
+    /// Makes a body of bytes that are all here.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Pieces(pieces) => {
+                pieces.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- a/crates/nutmeggrade/src/clock.rs
+++ b/crates/nutmeggrade-relay/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's monotonic clock.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nutmeggrade_core::prelude::*;
 
@@ -23,6 +23,16 @@
     pub fn now(&self) -> Moment {
         Moment::new(self.start.elapsed())
     }
+
+    /// Waits until a moment.
+    pub async fn until(&self, moment: Moment) {
+        tokio::time::sleep_until((self.start + moment.since_start()).into()).await;
+    }
+
+    /// Returns how long it is until a moment; zero if it has passed.
+    pub fn left(&self, moment: Moment) -> Duration {
+        moment.since(self.now())
+    }
 }
 
 impl Default for Clock {
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -0,0 +1,29 @@
+//! An instance that serves routes: it takes clients' requests, places each at an endpoint, and passes
+//! the answer back byte for byte.
+//!
+//! [`run`] starts everything. `relay/` follows one request, `watch/` keeps what is known of the
+//! platform up to date, `peers` exchanges heartbeats, `front/` holds the clients' connections.
+//! Decisions are in `nutmeggrade-policy` and `nutmeggrade-state`; names on the wire in `platform/`.
+
+mod admin;
+mod answer_body;
+mod clock;
+mod dial;
+mod fleet_sync;
+mod front;
+mod logs;
+mod metrics;
+mod node;
+mod peers;
+mod relay;
+mod reload;
+mod server;
+mod settings;
+mod tables;
+mod ticker;
+mod watch;
+
+pub use clock::Clock;
+pub use logs::{LogBuffer, start_writer};
+pub use server::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -0,0 +1,238 @@
+//! Copies a generation away from an endpoint that leaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::{EndpointInfo, EngineSpec};
+use nutmeggrade_platform::{body_bytes, call};
+use nutmeggrade_policy::dispatch::Need;
+use nutmeggrade_wire::engine::{self, Copied, MoveEnd};
+use tokio::time::{sleep, timeout};
+
+use super::place::{self, Place};
+use super::stream::Stream;
+use super::upstream::EndOnDrop;
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Time that an endpoint has left which does not say: two seconds' notice less the news' way here.
+const NOTICE: Duration = Duration::from_millis(1_400);
+/// Time before the end at which the last copy is made at the latest. It holds what was made since
+/// the first one and takes some milliseconds, unless others are still copied on the same link.
+const LAST_CALL: Duration = Duration::from_millis(250);
+/// Engines that are tried as the copy's place.
+const TRIES: u32 = 3;
+/// Longest wait for a connection to an engine.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Longest answer to an order.
+const MAX_ANSWER: usize = 64 << 10;
+/// Wait while another copy of the generation is under way.
+const BUSY_WAIT: Duration = Duration::from_millis(30);
+
+/// A generation whose memory is at another engine.
+#[derive(Debug)]
+pub struct Moved {
+    /// Where the copy came from.
+    pub source: SocketAddr,
+    /// Names the copy.
+    pub handle: String,
+    /// Events that the generation had made.
+    pub events: u64,
+    /// The place at the engine that has the copy.
+    pub place: Place,
+}
+
+/// How an escape ended.
+#[derive(Debug)]
+pub enum Escaped {
+    /// The generation runs on where it was, or has ended there.
+    Stays,
+    /// It was stopped and is at another engine.
+    Moved(Box<Moved>),
+}
+
+/// Copies a generation away from an endpoint that leaves, while it runs on.
+///
+/// An endpoint that is reclaimed ends all its generations after a notice of seconds, and most of the
+/// long answers would be lost. The memory is copied while the generation goes on; only what was made
+/// meanwhile is copied after it was stopped, so that the client sees no pause. Copies queue on the
+/// endpoint's link: whoever stops its generation while others are still copied waits behind them and
+/// its client sees the pause. So the last copy is made once those of all others should be over.
+#[derive(Debug)]
+pub struct Escape {
+    task: EndOnDrop<Escaped>,
+    is_stopping: Arc<AtomicBool>,
+}
+
+impl Escape {
+    /// Starts to copy the generation of a stream.
+    pub fn start(stream: &Stream, engine: EngineSpec) -> Self {
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let source = stream.place.endpoint.clone();
+        let memory = stream.memory();
+        let mut need = stream.call.need(stream.node.ticket(), &stream.node.anybody);
+        need.avoid.insert(source.id.clone());
+        need.from = Some(source.domain.clone());
+        need.memory = need.memory.max(memory);
+        need.prompt = 0;
+        let run = Run {
+            node: Arc::clone(&stream.node),
+            id: stream.call.id.clone(),
+            source,
+            need,
+            engine,
+            memory,
+            is_stopping: Arc::clone(&is_stopping),
+        };
+        Self { task: EndOnDrop(tokio::spawn(run.run())), is_stopping }
+    }
+
+    /// Says whether the generation is told to stop, so that its stream ends without its end.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Waits for the end.
+    pub async fn ended(&mut self) -> Escaped {
+        (&mut self.task.0).await.unwrap_or(Escaped::Stays)
+    }
+}
+
+struct Run {
+    node: Arc<Node>,
+    id: RequestId,
+    source: EndpointInfo,
+    need: Need,
+    engine: EngineSpec,
+    memory: u64,
+    is_stopping: Arc<AtomicBool>,
+}
+
+impl Run {
+    async fn run(mut self) -> Escaped {
+        let noticed = self.node.now();
+        let left = self.time_left().await;
+        let end = noticed.after(left);
+        let Some(place) = self.copy(end).await else { return Escaped::Stays };
+        self.node.clock.until(self.stop_at(noticed, end)).await;
+        self.stop(place, end).await
+    }
+
+    /// Returns how much time the endpoint has left.
+    async fn time_left(&self) -> Duration {
+        match report(self.source.address).await {
+            Ok(report) => report.leaves_in.unwrap_or(NOTICE),
+            Err(error) => {
+                tracing::info!(event = "no_report", endpoint = %self.source.id,
+                    error = format!("{error:#}"));
+                NOTICE
+            }
+        }
+    }
+
+    /// Makes the first copy, at the best engine that has room.
+    async fn copy(&mut self, end: Moment) -> Option<Place> {
+        for _ in 0..TRIES {
+            let place = self.target()?;
+            let ended = self.order(&place.endpoint, false, end).await;
+            tracing::info!(event = "copied", request = %self.id, from = %self.source.id,
+                to = %place.endpoint.id, tokens = self.memory, end = ?ended);
+            match ended {
+                MoveEnd::Copied(_) => return Some(place),
+                MoveEnd::NoSuchRun => return None,
+                MoveEnd::Busy => sleep(BUSY_WAIT).await,
+                MoveEnd::NoRoom(_) | MoveEnd::Failed(_) => {
+                    self.need.avoid.insert(place.endpoint.id.clone());
+                }
+            }
+        }
+        None
+    }
+
+    fn target(&mut self) -> Option<Place> {
+        self.need.ticket = self.node.ticket();
+        let id = {
+            let mut tables = lock(&self.node.tables);
+            let id = tables.dispatcher.choose_move(&self.need, self.node.now())?;
+            tables.dispatcher.place(&self.need, &id);
+            id
+        };
+        place::take(&self.node, self.need.ticket, &id)
+    }
+
+    /// Returns when the generation is stopped: once all copies from this endpoint should be over.
+    fn stop_at(&self, noticed: Moment, end: Moment) -> Moment {
+        let all = lock(&self.node.tables).dispatcher.book.at(&self.source.id).memory;
+        let quiet = noticed.after(self.engine.copy_time(all));
+        let latest = end.since_start().saturating_sub(LAST_CALL);
+        quiet.min(Moment::new(latest))
+    }
+
+    /// Stops the generation and copies the rest.
+    async fn stop(&self, place: Place, end: Moment) -> Escaped {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        let began = self.node.now();
+        let ended = self.order(&place.endpoint, true, end).await;
+        let took = self.node.now().since(began);
+        tracing::info!(event = "stopped_run", request = %self.id, from = %self.source.id,
+            to = %place.endpoint.id, ms = took.as_millis(), end = ?ended);
+        let moved = |Copied { handle, events }| {
+            let source = self.source.address;
+            Escaped::Moved(Box::new(Moved { source, handle, events, place }))
+        };
+        match ended {
+            MoveEnd::Copied(copied) | MoveEnd::NoRoom(Some(copied)) => moved(copied),
+            _ => Escaped::Stays,
+        }
+    }
+
+    async fn order(&self, to: &EndpointInfo, last: bool, end: Moment) -> MoveEnd {
+        let body = engine::write_move(&self.id, to.address, last);
+        let left = self.node.clock.left(end).max(CONNECT);
+        let answer = ask(self.source.address, engine::MOVE_METHOD, engine::MOVE_PATH, body, left);
+        match answer.await {
+            Ok((status, body)) => engine::read_move(status, &body),
+            Err(error) => {
+                tracing::info!(event = "order_failed", request = %self.id,
+                    endpoint = %self.source.id, error = format!("{error:#}"));
+                MoveEnd::Failed(StatusCode::GATEWAY_TIMEOUT)
+            }
+        }
+    }
+}
+
+async fn report(address: SocketAddr) -> anyhow::Result<engine::EngineReport> {
+    let (status, body) =
+        ask(address, Method::GET, engine::REPORT_PATH, Vec::new(), CONNECT).await?;
+    anyhow::ensure!(status == StatusCode::OK, "{status}");
+    engine::read_report(&body)
+}
+
+async fn ask(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+    patience: Duration,
+) -> anyhow::Result<(StatusCode, Bytes)> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .context("build request")?;
+    let exchange = async {
+        let response = call(address, request, CONNECT).await?;
+        let status = response.status();
+        Ok((status, body_bytes(response.into_body(), MAX_ANSWER).await?))
+    };
+    timeout(patience, exchange).await.context("no answer in time")?
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/relay/place.rs
@@ -0,0 +1,97 @@
+//! A request's place at an endpoint.
+
+use std::sync::Arc;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_policy::Ticket;
+use nutmeggrade_policy::dispatch::Need;
+
+use super::call::Call;
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Longest that a request waits for room, as a part of the time that its users are content with.
+/// What starts later is late anyway, and its client may find room elsewhere or come back.
+const PATIENCE: f64 = 0.8;
+
+/// A request's place at an endpoint; given back when it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    node: Arc<Node>,
+    /// Names the place.
+    pub ticket: Ticket,
+    /// The endpoint.
+    pub endpoint: EndpointInfo,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let mut tables = lock(&self.node.tables);
+        tables.dispatcher.book.end(self.ticket);
+        tables.release(now);
+    }
+}
+
+/// Takes a request out of the queue if its client leaves while it waits.
+struct Waiting<'a> {
+    node: &'a Arc<Node>,
+    need: &'a Need,
+    is_over: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            lock(&self.node.tables).give_up(self.need);
+        }
+    }
+}
+
+/// Finds a place for a request, waiting for one if it must.
+///
+/// # Errors
+///
+/// Fails if there is no room soon enough, with the time to come back.
+pub async fn find(node: &Arc<Node>, call: &Call, need: &Need) -> Result<Place, Failure> {
+    let begun = node.now();
+    let patience = call.route.target.mul_f64(PATIENCE).min(call.left(begun));
+    let offer = lock(&node.tables).offer(need, patience, begun);
+    let mut receiver = match offer {
+        Ok(receiver) => receiver,
+        Err(wait) => {
+            let failure = Failure::new(Code::NoRoom, "no endpoint has room");
+            return Err(
+                wait.map_or_else(|| failure.clone(), |w| failure.clone().with_retry_after(w))
+            );
+        }
+    };
+    let mut waiting = Waiting { node, need, is_over: false };
+    let endpoint = tokio::select! {
+        biased;
+        chosen = &mut receiver => chosen.ok(),
+        () = node.clock.until(begun.after(patience)) => None,
+    };
+    let waited = node.now().since(begun);
+    node.metrics.waits.observe(waited.as_secs_f64());
+    waiting.is_over = true;
+    let Some(id) = endpoint else {
+        let wait = lock(&node.tables).give_up(need);
+        let why = format!("no endpoint had room within {} ms", waited.as_millis());
+        return Err(Failure::new(Code::NoRoom, &why).with_retry_after(wait));
+    };
+    take(node, need.ticket, &id).ok_or_else(|| {
+        let wait = lock(&node.tables).dispatcher.return_time();
+        Failure::new(Code::NoRoom, "the chosen endpoint is gone").with_retry_after(wait)
+    })
+}
+
+/// Takes the place that was made for a ticket; `None` if the endpoint is gone meanwhile.
+pub fn take(node: &Arc<Node>, ticket: Ticket, id: &EndpointId) -> Option<Place> {
+    let Some(endpoint) = node.endpoint(id) else {
+        lock(&node.tables).dispatcher.book.end(ticket);
+        return None;
+    };
+    Some(Place { node: Arc::clone(node), ticket, endpoint })
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -0,0 +1,333 @@
+//! Looks for an endpoint that answers a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, Response, header};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::RouteKind;
+use nutmeggrade_policy::dispatch::Need;
+use nutmeggrade_state::attempt::Attempt;
+use nutmeggrade_wire::answer;
+
+use super::call::Call;
+use super::exchange::{Answer, Extra, NoAnswer, exchange};
+use super::place::{self, Place};
+use super::{plain, refusal, stream};
+use crate::answer_body::AnswerBody;
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Connections that may fail before a request is given up. An endpoint that died is in the registry
+/// for three of its heartbeats; when several die together, the third is mostly a live one.
+const MOST_UNSENT: u32 = 4;
+/// Part of the time left that a first endpoint gets to answer a request that a second one may
+/// answer too.
+const FIRST_TRY: u32 = 3;
+/// Time after which whoever was refused by an endpoint may come back: a few steps of an engine.
+const RETURN: Duration = Duration::from_millis(300);
+
+/// What the search found.
+enum Found {
+    /// A whole answer.
+    Whole(Parts, Bytes),
+    /// An answer of which only the head is read.
+    Begun(Box<Begun>),
+}
+
+/// An answer of which only the head is read, and the place it comes from.
+pub struct Begun {
+    /// The answer.
+    pub answer: Answer,
+    /// The place at its endpoint.
+    pub place: Place,
+}
+
+/// Whether the search goes on after a send.
+enum Step {
+    Done(Found),
+    Again,
+}
+
+/// Looks for an endpoint that answers a request.
+pub struct Search {
+    node: Arc<Node>,
+    /// The request.
+    pub call: Call,
+    /// What may be said and done about it.
+    pub attempt: Attempt,
+    need: Need,
+    unsent: u32,
+    last: Option<(Parts, Bytes)>,
+    endpoint: Option<EndpointId>,
+}
+
+/// Serves a request that may be served.
+pub async fn serve(node: &Arc<Node>, call: Call) -> Response<AnswerBody> {
+    let mut search = Search::new(node, call);
+    let deadline = search.call.deadline;
+    let result = tokio::select! {
+        result = search.run() => result,
+        () = node.clock.until(deadline) => Err(search.overdue()),
+    };
+    match result {
+        Ok(Found::Whole(head, body)) => {
+            search.log_answer(&head);
+            plain::response(head, AnswerBody::whole(body))
+        }
+        Ok(Found::Begun(begun)) => {
+            search.log_answer(&begun.answer.head);
+            if is_events(&begun.answer.head.headers) {
+                stream::start(node, search, *begun)
+            } else {
+                plain::forward(node, search.call.deadline, *begun)
+            }
+        }
+        Err(failure) => {
+            search.log_failure(&failure);
+            refusal::response(&failure)
+        }
+    }
+}
+
+fn is_events(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|k| k.starts_with("text/event-stream"))
+}
+
+impl Search {
+    fn new(node: &Arc<Node>, call: Call) -> Self {
+        let settings = node.settings();
+        lock(&node.tables).count_request(&call.service, &settings, call.arrived);
+        let need = call.need(node.ticket(), &node.anybody);
+        Self {
+            node: Arc::clone(node),
+            attempt: Attempt::new(call.route.kind, call.route.attempts),
+            call,
+            need,
+            unsent: 0,
+            last: None,
+            endpoint: None,
+        }
+    }
+
+    async fn run(&mut self) -> Result<Found, Failure> {
+        loop {
+            let place = match place::find(&self.node, &self.call, &self.need).await {
+                Ok(place) => place,
+                Err(failure) => return self.without_place(failure),
+            };
+            match self.send(place).await? {
+                Step::Done(found) => return Ok(found),
+                Step::Again => self.need.ticket = self.node.ticket(),
+            }
+        }
+    }
+
+    /// Ends a search that found no room: with the answer of an earlier endpoint, if there is one.
+    fn without_place(&mut self, failure: Failure) -> Result<Found, Failure> {
+        match self.last.take() {
+            Some((head, body)) => Ok(Found::Whole(head, body)),
+            None => Err(failure.with_run(self.attempt.run())),
+        }
+    }
+
+    async fn send(&mut self, place: Place) -> Result<Step, Failure> {
+        let endpoint = place.endpoint.clone();
+        self.endpoint = Some(endpoint.id.clone());
+        self.attempt.send();
+        let patience = self.patience();
+        let sent = exchange(&self.node, &self.call, &endpoint, &Extra::default(), patience).await;
+        match sent {
+            Ok(answer) if answer.said.misdirected => {
+                self.attempt.misdirected();
+                self.note("misdirected", &endpoint.id);
+                self.next_unsent(&endpoint.id, "another endpoint has the address")
+            }
+            Ok(answer) if answer.said.not_run => {
+                self.attempt.refused();
+                self.note("refused", &endpoint.id);
+                self.next(&endpoint.id, "the endpoint is full", Code::NoRoom)
+            }
+            Ok(answer) => self.take(answer, place).await,
+            Err(NoAnswer::NotSent(why)) => {
+                self.attempt.not_sent();
+                self.note("not_sent", &endpoint.id);
+                lock(&self.node.tables)
+                    .dispatcher
+                    .book
+                    .health_mut(&endpoint.id)
+                    .lost(self.node.now());
+                self.next_unsent(&endpoint.id, &why)
+            }
+            Err(NoAnswer::Leaving) => {
+                self.attempt.not_sent();
+                self.next_unsent(&endpoint.id, "the endpoint leaves")
+            }
+            Err(NoAnswer::Silent) => {
+                self.attempt.lost();
+                self.note("silent", &endpoint.id);
+                lock(&self.node.tables)
+                    .dispatcher
+                    .book
+                    .health_mut(&endpoint.id)
+                    .failed(self.node.now());
+                self.next(&endpoint.id, "no answer in time", Code::DeadlinePassed)
+            }
+            Err(NoAnswer::Lost(why)) => {
+                self.attempt.lost();
+                self.note("lost", &endpoint.id);
+                lock(&self.node.tables)
+                    .dispatcher
+                    .book
+                    .health_mut(&endpoint.id)
+                    .lost(self.node.now());
+                self.next(&endpoint.id, &why, Code::OutcomeUnknown)
+            }
+        }
+    }
+
+    /// Takes an answer whose head has come.
+    async fn take(&mut self, answer: Answer, place: Place) -> Result<Step, Failure> {
+        let is_stream = answer.said.status.is_success() && is_events(&answer.head.headers);
+        let is_large = answer.said.length.is_some_and(|l| l > plain::MOST_KEPT as u64);
+        if is_stream || is_large {
+            self.attempt.answer();
+            self.note("answered", &place.endpoint.id);
+            return Ok(Step::Done(Found::Begun(Box::new(Begun { answer, place }))));
+        }
+        let endpoint = place.endpoint.id.clone();
+        let Answer { head, said, upstream } = answer;
+        let body = match plain::read_whole(upstream).await {
+            Ok(body) => body,
+            Err(why) => {
+                self.attempt.lost();
+                self.note("broken", &endpoint);
+                lock(&self.node.tables)
+                    .dispatcher
+                    .book
+                    .health_mut(&endpoint)
+                    .failed(self.node.now());
+                return self.next(&endpoint, &why, Code::OutcomeUnknown);
+            }
+        };
+        if said.is_failure() {
+            self.attempt.failed();
+            self.note("failed", &endpoint);
+            lock(&self.node.tables).dispatcher.book.health_mut(&endpoint).failed(self.node.now());
+            if self.may_repeat() {
+                self.last = Some((head, body));
+                self.need.avoid.insert(endpoint);
+                return Ok(Step::Again);
+            }
+        } else {
+            self.attempt.answer();
+            self.note("answered", &endpoint);
+            lock(&self.node.tables)
+                .dispatcher
+                .book
+                .health_mut(&endpoint)
+                .succeeded(self.node.now());
+        }
+        Ok(Step::Done(Found::Whole(head, body)))
+    }
+
+    /// Goes on at another endpoint after nothing went out, or ends the search.
+    fn next_unsent(&mut self, endpoint: &EndpointId, why: &str) -> Result<Step, Failure> {
+        self.need.avoid.insert(endpoint.clone());
+        self.unsent += 1;
+        if self.unsent < MOST_UNSENT {
+            return Ok(Step::Again);
+        }
+        Err(self.failure(Code::NoRoom, why))
+    }
+
+    /// Goes on at another endpoint, or ends the search with what is known.
+    fn next(&mut self, endpoint: &EndpointId, why: &str, code: Code) -> Result<Step, Failure> {
+        self.need.avoid.insert(endpoint.clone());
+        if self.may_repeat() {
+            return Ok(Step::Again);
+        }
+        if let Some((head, body)) = self.last.take() {
+            return Ok(Step::Done(Found::Whole(head, body)));
+        }
+        Err(self.failure(code, why))
+    }
+
+    /// Says whether the request may be handed to a further endpoint, and takes that out of the
+    /// fleet's budget.
+    fn may_repeat(&mut self) -> bool {
+        if !self.attempt.may_send() {
+            return false;
+        }
+        let settings = self.node.settings();
+        let now = self.node.now();
+        let taken = lock(&self.node.tables).take_resend(&self.call.service, &settings, now);
+        if !taken {
+            self.node.metrics.over_budget.inc();
+        }
+        taken
+    }
+
+    /// Returns how long the next endpoint gets to answer.
+    fn patience(&self) -> Duration {
+        let left = self.call.left(self.node.now());
+        let is_last = self.attempt.sends() >= self.call.route.attempts;
+        if self.call.route.kind == RouteKind::Idempotent && !is_last {
+            return self.call.route.target.max(left / FIRST_TRY);
+        }
+        left
+    }
+
+    fn failure(&self, code: Code, why: &str) -> Failure {
+        let run = self.attempt.run();
+        let failure = Failure::new(if run == Run::NotRun { Code::NoRoom } else { code }, why);
+        let failure = failure.with_run(run);
+        if run == Run::NotRun { failure.with_retry_after(RETURN) } else { failure }
+    }
+
+    /// Returns the final answer at the end of the time that the request had.
+    fn overdue(&mut self) -> Failure {
+        self.attempt.end();
+        if self.attempt.run() == Run::NotRun {
+            return Failure::new(Code::TooLate, "the time passed before an endpoint had room")
+                .with_retry_after(RETURN);
+        }
+        Failure::new(Code::DeadlinePassed, "the time passed").with_run(self.attempt.run())
+    }
+
+    fn note(&self, end: &str, endpoint: &EndpointId) {
+        self.node.metrics.sends.with_label_values(&[end]).inc();
+        if end != "answered" {
+            tracing::info!(event = "send", request = %self.call.id, endpoint = %endpoint, end,
+                sends = self.attempt.sends(), run = self.attempt.run().as_str());
+        }
+    }
+
+    fn log_answer(&self, head: &Parts) {
+        let took = self.node.now().since(self.call.arrived);
+        self.node.metrics.first.observe(took.as_secs_f64());
+        let status = head.status.as_u16().to_string();
+        self.node.metrics.requests.with_label_values(&["answered", &status]).inc();
+        tracing::info!(event = "answered", request = %self.call.id, route = self.call.route.name,
+            endpoint = self.endpoint.as_ref().map_or("-", |e| e.as_str()), status,
+            sends = self.attempt.sends(), ms = took.as_millis());
+    }
+
+    fn log_failure(&self, failure: &Failure) {
+        let took = self.node.now().since(self.call.arrived);
+        refusal::count(&self.node, "failed", failure.code);
+        tracing::info!(event = "failed", request = %self.call.id, route = self.call.route.name,
+            endpoint = self.endpoint.as_ref().map_or("-", |e| e.as_str()),
+            code = failure.code.number(), name = failure.code.name(), run = failure.run.as_str(),
+            sends = self.attempt.sends(), ms = took.as_millis(),
+            back_ms = failure.retry_after.unwrap_or_default().as_millis(), why = failure.detail);
+    }
+}
+
+/// Removes from an answer's head what concerns the endpoint's connection only.
+pub fn clean(head: &mut Parts) {
+    answer::clean(&mut head.headers);
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/relay/splice.rs
@@ -0,0 +1,63 @@
+//! Takes a stream up again at another endpoint.
+
+use nutmeggrade_wire::request::ResumeFrom;
+
+use super::escape::Moved;
+use super::exchange::{Answer, Extra, exchange};
+use super::place::{self, Place};
+use super::stream::Stream;
+use super::upstream::Upstream;
+use crate::tables::lock;
+
+/// Goes on with a generation whose memory was copied.
+pub async fn go_on(stream: &mut Stream, moved: Moved) -> Option<(Upstream, Place)> {
+    let resume = ResumeFrom { address: moved.source, handle: moved.handle };
+    let extra = Extra { position: stream.splitter.position(), resume: Some(resume) };
+    let Some(upstream) = open(stream, &moved.place, &extra).await else {
+        stream.node.metrics.moves.with_label_values(&["lost"]).inc();
+        return None;
+    };
+    stream.node.metrics.moves.with_label_values(&["moved"]).inc();
+    tracing::info!(event = "moved", request = %stream.call.id, from = %stream.place.endpoint.id,
+        to = %moved.place.endpoint.id, events = stream.splitter.passed(), made = moved.events);
+    Some((upstream, moved.place))
+}
+
+/// Starts another run behind the last event, where the route allows it.
+pub async fn run_again(stream: &mut Stream) -> Option<(Upstream, Place)> {
+    if !stream.attempt.may_send() {
+        return None;
+    }
+    let now = stream.node.now();
+    let settings = stream.node.settings();
+    if !lock(&stream.node.tables).take_resend(&stream.call.service, &settings, now) {
+        stream.node.metrics.over_budget.inc();
+        return None;
+    }
+    let mut need = stream.call.need(stream.node.ticket(), &stream.node.anybody);
+    need.avoid.insert(stream.place.endpoint.id.clone());
+    let place = place::find(&stream.node, &stream.call, &need).await.ok()?;
+    stream.attempt.send();
+    let extra = Extra { position: stream.splitter.position(), resume: None };
+    let upstream = open(stream, &place, &extra).await?;
+    stream.attempt.answer();
+    Some((upstream, place))
+}
+
+async fn open(stream: &Stream, place: &Place, extra: &Extra) -> Option<Upstream> {
+    let left = stream.call.left(stream.node.now());
+    let endpoint = &place.endpoint;
+    match exchange(&stream.node, &stream.call, endpoint, extra, left).await {
+        Ok(Answer { said, upstream, .. }) if said.status.is_success() => Some(upstream),
+        Ok(Answer { said, .. }) => {
+            tracing::info!(event = "go_on_refused", request = %stream.call.id,
+                endpoint = %endpoint.id, status = said.status.as_u16(), not_run = said.not_run);
+            None
+        }
+        Err(error) => {
+            tracing::info!(event = "go_on_failed", request = %stream.call.id,
+                endpoint = %endpoint.id, error = %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -0,0 +1,283 @@
+//! Passes an event stream on, and takes its generation along when its endpoint leaves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EngineSpec;
+use nutmeggrade_state::attempt::Attempt;
+use nutmeggrade_state::event_splitter::EventSplitter;
+use nutmeggrade_wire::answer::Answered;
+use tokio::sync::{mpsc, watch};
+
+use super::call::Call;
+use super::escape::{Escape, Escaped};
+use super::place::Place;
+use super::plain;
+use super::search::{Begun, Search};
+use super::splice;
+use super::upstream::Upstream;
+use crate::answer_body::{AnswerBody, BrokenOff, Piece};
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Pieces that wait for a client that reads slowly; then the engine has to wait too.
+const PIECES: usize = 16;
+
+/// An event stream on its way to a client.
+pub struct Stream {
+    /// The instance.
+    pub node: Arc<Node>,
+    /// The request.
+    pub call: Call,
+    /// What may be said and done about it.
+    pub attempt: Attempt,
+    /// The place at the endpoint that makes the events.
+    pub place: Place,
+    /// The events that were passed on.
+    pub splitter: EventSplitter,
+    /// What all engines of the service have in common.
+    pub engine: Option<EngineSpec>,
+    upstream: Option<Upstream>,
+    is_framed: bool,
+    sender: mpsc::Sender<Piece>,
+    began: Option<Moment>,
+    moves: u32,
+}
+
+/// How a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Finished,
+    ClientGone,
+    Overdue,
+    Broken,
+}
+
+/// Begins to pass an event stream on.
+pub fn start(node: &Arc<Node>, search: Search, begun: Begun) -> Response<AnswerBody> {
+    let (sender, receiver) = mpsc::channel(PIECES);
+    let Begun { answer, place } = begun;
+    let Search { call, attempt, .. } = search;
+    let engine = node.map().service(&call.service).and_then(|s| s.engine);
+    let stream = Stream {
+        node: Arc::clone(node),
+        splitter: EventSplitter::new(call.position),
+        call,
+        attempt,
+        place,
+        engine,
+        is_framed: is_framed(&answer.said, &answer.head.headers),
+        upstream: Some(answer.upstream),
+        sender,
+        began: None,
+        moves: 0,
+    };
+    tokio::spawn(stream.run());
+    plain::response(answer.head, AnswerBody::Pieces(receiver))
+}
+
+/// Says whether the end of an answer shows in its bytes, and not only by the connection's end.
+fn is_framed(said: &Answered, headers: &http::HeaderMap) -> bool {
+    said.length.is_some() || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+impl Stream {
+    async fn run(mut self) {
+        let end = self.pass().await;
+        if matches!(end, End::Broken | End::Overdue) {
+            // The client's connection is cut in the middle of the answer, so that it does not look
+            // complete; a client that does not read any more is cut by the end of the channel.
+            drop(self.sender.try_send(Err(BrokenOff)));
+        }
+        self.attempt.end();
+        let health = match end {
+            End::Finished => "finished",
+            End::ClientGone => "client_gone",
+            End::Overdue => "overdue",
+            End::Broken => "broken",
+        };
+        let now = self.node.now();
+        self.node.metrics.requests.with_label_values(&["stream", health]).inc();
+        let first = self.began.map_or(Duration::ZERO, |b| b.since(self.call.arrived));
+        tracing::info!(event = "stream_ended", request = %self.call.id, route = self.call.route.name,
+            endpoint = %self.place.endpoint.id, end = health, events = self.splitter.passed(),
+            moves = self.moves, first_ms = first.as_millis(),
+            ms = now.since(self.call.arrived).as_millis());
+        if end == End::Finished {
+            lock(&self.node.tables)
+                .dispatcher
+                .book
+                .health_mut(&self.place.endpoint.id)
+                .succeeded(now);
+        }
+    }
+
+    async fn pass(&mut self) -> End {
+        let mut departures = self.node.departures();
+        let mut escape = self.escape_if_leaving();
+        let deadline = self.call.deadline;
+        let clock = self.node.clock;
+        loop {
+            let step = tokio::select! {
+                biased;
+                () = self.sender.closed() => return End::ClientGone,
+                escaped = ended(&mut escape) => Step::Escaped(escaped),
+                bytes = next(&mut self.upstream) => Step::Bytes(bytes),
+                () = changed(&mut departures), if escape.is_none() => Step::Departure,
+                () = clock.until(deadline) => return End::Overdue,
+            };
+            match step {
+                Step::Bytes(Some(Ok(bytes))) => {
+                    if !self.push(&bytes).await {
+                        return End::ClientGone;
+                    }
+                }
+                Step::Bytes(end) => {
+                    self.upstream = None;
+                    let is_stopping = escape.as_ref().is_some_and(Escape::is_stopping);
+                    if end.is_none() && (self.is_framed || !is_stopping) {
+                        return self.finish().await;
+                    }
+                    if escape.is_none() && !self.recover(end.and_then(Result::err)).await {
+                        return End::Broken;
+                    }
+                }
+                Step::Departure => escape = self.escape_if_leaving(),
+                Step::Escaped(escaped) => {
+                    escape = None;
+                    if !self.escaped(escaped).await {
+                        return End::Broken;
+                    }
+                    // It may have gone to an endpoint that leaves meanwhile.
+                    if self.moves > 0 {
+                        escape = self.escape_if_leaving();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes bytes on; says whether the client is still there.
+    async fn push(&mut self, bytes: &[u8]) -> bool {
+        let Some(events) = self.splitter.push(bytes) else { return true };
+        self.note_progress();
+        self.sender.send(Ok(events)).await.is_ok()
+    }
+
+    fn note_progress(&mut self) {
+        let now = self.node.now();
+        let mut tables = lock(&self.node.tables);
+        if self.began.is_none() {
+            self.began = Some(now);
+            tables.dispatcher.book.has_read(self.place.ticket);
+            tables.release(now);
+        }
+        let prompt = self.call.prompt.as_ref().map_or(0, |p| p.tokens);
+        tables.dispatcher.book.grow(self.place.ticket, prompt + self.made());
+    }
+
+    /// Returns how many tokens the generation has made.
+    fn made(&self) -> u64 {
+        self.splitter.passed() * u64::from(self.engine.map_or(1, |e| e.stride))
+    }
+
+    /// Returns the memory that the generation takes now, in tokens.
+    pub fn memory(&self) -> u64 {
+        self.call.prompt.as_ref().map_or(0, |p| p.tokens) + self.made()
+    }
+
+    async fn finish(&mut self) -> End {
+        if let Some(rest) = self.splitter.take_rest()
+            && self.sender.send(Ok(rest)).await.is_err()
+        {
+            return End::ClientGone;
+        }
+        End::Finished
+    }
+
+    /// Begins to take the generation along if its endpoint leaves.
+    fn escape_if_leaving(&self) -> Option<Escape> {
+        let engine = self.engine.filter(|e| e.moves)?;
+        let id = &self.place.endpoint.id;
+        let is_staying = lock(&self.node.tables).registry.get(id).is_some_and(|e| !e.info.leaving);
+        (!is_staying).then(|| Escape::start(self, engine))
+    }
+
+    /// Goes on where the generation was taken; says whether the stream goes on.
+    async fn escaped(&mut self, escaped: Escaped) -> bool {
+        match escaped {
+            Escaped::Stays if self.upstream.is_some() => true,
+            Escaped::Stays => self.recover(None).await,
+            Escaped::Moved(moved) => {
+                self.upstream = None;
+                self.splitter.cut();
+                match splice::go_on(self, *moved).await {
+                    Some((upstream, place)) => {
+                        self.go_on(upstream, place);
+                        true
+                    }
+                    None => self.recover(None).await,
+                }
+            }
+        }
+    }
+
+    fn go_on(&mut self, upstream: Upstream, place: Place) {
+        self.upstream = Some(upstream);
+        self.place = place;
+        self.moves += 1;
+        lock(&self.node.tables).dispatcher.book.has_read(self.place.ticket);
+    }
+
+    /// Looks for another way after the endpoint broke the stream off; says whether it goes on.
+    async fn recover(&mut self, error: Option<hyper::Error>) -> bool {
+        let now = self.node.now();
+        let endpoint = self.place.endpoint.id.clone();
+        lock(&self.node.tables).dispatcher.book.health_mut(&endpoint).lost(now);
+        let why = error.map_or_else(|| "ended".to_owned(), |e| e.to_string());
+        tracing::info!(event = "stream_broke", request = %self.call.id, endpoint = %endpoint,
+            events = self.splitter.passed(), why);
+        self.attempt.lost();
+        self.splitter.cut();
+        match splice::run_again(self).await {
+            Some((upstream, place)) => {
+                self.go_on(upstream, place);
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+enum Step {
+    Bytes(Option<Result<Bytes, hyper::Error>>),
+    Departure,
+    Escaped(Escaped),
+}
+
+/// Returns the next bytes, or waits for ever where nothing can come.
+async fn next(upstream: &mut Option<Upstream>) -> Option<Result<Bytes, hyper::Error>> {
+    match upstream {
+        Some(upstream) => upstream.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Returns how the escape ended, or waits for ever where there is none.
+async fn ended(escape: &mut Option<Escape>) -> Escaped {
+    match escape {
+        Some(escape) => escape.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits for the next departure of any endpoint.
+async fn changed(departures: &mut watch::Receiver<u64>) {
+    if departures.changed().await.is_err() {
+        // The instance is ending, so nobody departs any more.
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/settings.rs
@@ -0,0 +1,174 @@
+//! The settings of an instance that serves routes.
+
+mod file;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::settings::{Kind, Mistake, Spec, Values};
+use nutmeggrade_policy::fleet::Allowance;
+
+use file::SettingsFile;
+
+const S: &str = "s";
+const ONE: &str = "1";
+
+const SPECS: &[Spec] = &[
+    Spec::new("instance", Kind::Name, "name of this instance"),
+    Spec::new("domain", Kind::Name, "failure domain of this instance"),
+    Spec::new("platform", Kind::Address, "address of the platform's store"),
+    Spec::new("client-address", Kind::Address, "where clients connect"),
+    Spec::new("ready-address", Kind::Address, "where the platform asks for readiness"),
+    Spec::new("directory-address", Kind::Address, "where clients ask for instances"),
+    Spec::new("control-address", Kind::Address, "where peers ask for what they can't read"),
+    Spec::new("beacon-address", Kind::Address, "where peers' heartbeats come in, by UDP"),
+    Spec::new("metrics-address", Kind::Address, "where metrics are served"),
+    Spec::new("seeds", Kind::Addresses, "control addresses of instances to begin with")
+        .with_default(""),
+    Spec::new("descriptors", whole(64, 1_048_576), "file descriptors that the process may use")
+        .with_default("1024"),
+    Spec::new(
+        "memory",
+        Kind::Number { unit: "MB", min: 16, max: 1_048_576 },
+        "memory that the process may use",
+    )
+    .with_default("256"),
+    Spec::new("grace", decimal(S, 1, 3_600), "time from SIGTERM until the process is killed")
+        .with_default("8"),
+    Spec::new("entry-keep", decimal(S, 1, 600), "longest that clients keep an instance's address")
+        .with_default("5"),
+    Spec::new("resend-ratio", decimal(ONE, 0, 100), "second sends allowed for each request")
+        .with_default("0.1"),
+    Spec::new("resend-window", decimal(S, 1, 3_600), "time over which second sends are counted")
+        .with_default("10"),
+    Spec::new("resend-extra", decimal(ONE, 0, 1_000_000), "further second sends in each window")
+        .with_default("10"),
+    Spec::new(
+        "cold-overrun",
+        decimal(ONE, 0, 100),
+        "how far a cold endpoint's rate may be exceeded",
+    )
+    .with_default("1"),
+    Spec::new("cold-tolerance", decimal(ONE, 0, 1_000), "requests beyond a cold endpoint's rate")
+        .with_default("0"),
+    Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade_relay=debug")
+        .with_default("info"),
+];
+
+const fn whole(min: u64, max: u64) -> Kind {
+    Kind::Number { unit: ONE, min, max }
+}
+
+const fn decimal(unit: &'static str, min: u64, max: u64) -> Kind {
+    Kind::Decimal { unit, min, max }
+}
+
+/// The settings of an instance that serves routes, checked as a whole.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The platform's store.
+    pub platform: SocketAddr,
+    /// Where clients connect.
+    pub client_address: SocketAddr,
+    /// Where the platform asks for readiness.
+    pub ready_address: SocketAddr,
+    /// Where clients ask for instances.
+    pub directory_address: SocketAddr,
+    /// Where peers ask for what they can't read from the platform.
+    pub control_address: SocketAddr,
+    /// Where heartbeats come in.
+    pub beacon_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Where the heartbeats of a few other instances may come in.
+    pub seeds: Vec<SocketAddr>,
+    /// File descriptors that the process may use.
+    pub descriptors: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
+    /// Time from SIGTERM until the process is killed.
+    pub grace: Duration,
+    /// Longest that clients keep an instance's address.
+    pub entry_keep: Duration,
+    /// Second sends that all instances together may make.
+    pub resends: Allowance,
+    /// How far a cold endpoint's rate may be exceeded.
+    pub cold_overrun: f64,
+    /// Requests that a cold endpoint may get beyond that.
+    pub cold_tolerance: f64,
+    /// Log filter.
+    pub log: String,
+    values: Values,
+}
+
+impl Settings {
+    /// Reads flags, the settings file and environment variables; lists every mistake at once.
+    ///
+    /// A flag goes before the file, the file before a variable.
+    ///
+    /// # Errors
+    ///
+    /// Fails with each mistake, its code, and the line of the file if it is there.
+    pub fn load(args: &[String], path: Option<&PathBuf>) -> Result<Self, Vec<Mistake>> {
+        let file = match path {
+            Some(path) => SettingsFile::load(path, SPECS)?,
+            None => SettingsFile::default(),
+        };
+        let variable = |name: &str| file.get(name).or_else(|| std::env::var(name).ok());
+        let secret = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
+        let values = Values::load(SPECS, args, variable, secret).map_err(|mistakes| {
+            mistakes.into_iter().map(|m| file.locate(m, SPECS)).collect::<Vec<_>>()
+        })?;
+        Self::new(values)
+            .map_err(|e| vec![Mistake { code: Code::BadSetting, detail: format!("{e:#}") }])
+    }
+
+    /// Returns the help text with every setting.
+    pub fn usage(brief: &str) -> String {
+        Values::options(SPECS).usage(brief)
+    }
+
+    /// Lists the settings in force with their origin.
+    pub fn lines(&self) -> Vec<String> {
+        self.values.lines()
+    }
+
+    fn new(values: Values) -> anyhow::Result<Self> {
+        let address = |flag| values.address(flag).with_context(|| format!("--{flag}"));
+        let beacon_address = address("beacon-address")?;
+        // Ports are the same on all instances of a deployment; only the addresses are named.
+        let beacon_of = |seed: SocketAddr| SocketAddr::new(seed.ip(), beacon_address.port());
+        Ok(Self {
+            instance: InstanceId::new(values.text("instance")).context("--instance")?,
+            domain: DomainId::new(values.text("domain")).context("--domain")?,
+            platform: address("platform")?,
+            client_address: address("client-address")?,
+            ready_address: address("ready-address")?,
+            directory_address: address("directory-address")?,
+            control_address: address("control-address")?,
+            beacon_address,
+            metrics_address: address("metrics-address")?,
+            seeds: values.addresses("seeds").into_iter().map(beacon_of).collect(),
+            descriptors: usize::try_from(values.number("descriptors")).context("--descriptors")?,
+            memory: usize::try_from(values.number("memory") << 20).context("--memory")?,
+            grace: values.seconds("grace"),
+            entry_keep: values.seconds("entry-keep"),
+            resends: Allowance {
+                ratio: values.decimal("resend-ratio"),
+                extra: values.decimal("resend-extra"),
+                window: values.seconds("resend-window"),
+            },
+            cold_overrun: values.decimal("cold-overrun"),
+            cold_tolerance: values.decimal("cold-tolerance"),
+            log: values.text("log").to_owned(),
+            values,
+        })
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/settings/file.rs
@@ -0,0 +1,77 @@
+//! The settings file: a variable and its value a line.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::settings::{Mistake, Spec};
+
+#[derive(Debug, Clone)]
+struct Line {
+    number: usize,
+    value: String,
+}
+
+/// A settings file: `VARIABLE=value` a line, `#` begins a comment line.
+#[derive(Debug, Clone, Default)]
+pub struct SettingsFile {
+    path: PathBuf,
+    lines: BTreeMap<String, Line>,
+}
+
+impl SettingsFile {
+    /// Reads a file and refuses variables that are not those of a setting: a mistyped one would
+    /// leave its setting at the default without a word.
+    pub fn load(path: &Path, specs: &[Spec]) -> Result<Self, Vec<Mistake>> {
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let detail = format!("{}: {e}", path.display());
+            vec![Mistake { code: Code::BadSetting, detail }]
+        })?;
+        let mut file = Self { path: path.to_owned(), lines: BTreeMap::new() };
+        let mut mistakes = Vec::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let number = index + 1;
+            if let Err(mistake) = file.take(line, number, specs) {
+                mistakes.push(mistake);
+            }
+        }
+        if mistakes.is_empty() { Ok(file) } else { Err(mistakes) }
+    }
+
+    fn take(&mut self, line: &str, number: usize, specs: &[Spec]) -> Result<(), Mistake> {
+        let place = format!("{}:{number}", self.path.display());
+        let Some((name, value)) = line.split_once('=') else {
+            let detail = format!("{place}: no = in {line:?}");
+            return Err(Mistake { code: Code::BadSetting, detail });
+        };
+        let name = name.trim();
+        if !specs.iter().any(|s| s.variable() == name) {
+            let detail = format!("{place}: {name} is not a variable of this program");
+            return Err(Mistake { code: Code::UnknownSetting, detail });
+        }
+        let value = value.trim().to_owned();
+        self.lines.insert(name.to_owned(), Line { number, value });
+        Ok(())
+    }
+
+    /// Returns the value of a variable. An empty one counts as not given.
+    pub fn get(&self, name: &str) -> Option<String> {
+        self.lines.get(name).map(|l| l.value.clone()).filter(|v| !v.is_empty())
+    }
+
+    /// Adds the line of the file to a mistake in a value that came from it.
+    pub fn locate(&self, mut mistake: Mistake, specs: &[Spec]) -> Mistake {
+        let variables = specs.iter().map(Spec::variable);
+        let line = variables
+            .filter(|v| mistake.detail.contains(&format!("({v})")))
+            .find_map(|v| self.lines.get(&v));
+        if let Some(line) = line {
+            mistake.detail = format!("{}:{}: {}", self.path.display(), line.number, mistake.detail);
+        }
+        mistake
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -0,0 +1,167 @@
+//! What an instance knows and has decided, behind one lock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::{RouteMap, ServiceSpec};
+use nutmeggrade_policy::Ticket;
+use nutmeggrade_policy::dispatch::{Candidate, Dispatcher, Need, Offer};
+use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
+use nutmeggrade_state::fleet_view::FleetView;
+use nutmeggrade_state::registry::{Registered, Registry};
+use tokio::sync::oneshot;
+
+use crate::settings::Settings;
+
+/// Locks a table; a panic of another holder left it whole, since no table changes in two steps.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a decision may depend on.
+///
+/// One lock for all: choosing an endpoint looks at the registry, the load book, the budgets and the
+/// cold shares together, and holds the lock for some microseconds. Lock order: the route map is read
+/// before this lock is taken, never under it.
+#[derive(Debug)]
+pub struct Tables {
+    /// Endpoints and failure domains that are out.
+    pub registry: Registry,
+    /// Who has how much where, and who waits.
+    pub dispatcher: Dispatcher,
+    /// The other instances.
+    pub fleet: FleetView,
+    resends: BTreeMap<ServiceId, ResendBudget>,
+    cold: BTreeMap<EndpointId, ColdShare>,
+    waiting: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
+}
+
+impl Tables {
+    /// Makes tables of an instance that knows nothing yet.
+    pub fn new(dispatcher: Dispatcher, fleet: FleetView) -> Self {
+        Self {
+            registry: Registry::new(),
+            dispatcher,
+            fleet,
+            resends: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Decides about a request; one that waits hears by the channel.
+    pub fn offer(
+        &mut self,
+        need: &Need,
+        patience: Duration,
+        now: Moment,
+    ) -> Result<oneshot::Receiver<EndpointId>, Option<Duration>> {
+        let (sender, receiver) = oneshot::channel();
+        match self.dispatcher.offer(need, patience, now) {
+            Offer::Go(endpoint) => {
+                self.note_cold(&endpoint, now);
+                // The receiver is in hand, so the send can't fail.
+                drop(sender.send(endpoint));
+                Ok(receiver)
+            }
+            Offer::Wait => {
+                self.waiting.insert(need.ticket, sender);
+                Ok(receiver)
+            }
+            Offer::Refuse(wait) => Err(Some(wait)),
+        }
+    }
+
+    /// Gives free room to those who wait.
+    pub fn release(&mut self, now: Moment) {
+        for (ticket, endpoint) in self.dispatcher.release(now) {
+            self.note_cold(&endpoint, now);
+            let taken = self.waiting.remove(&ticket).map(|s| s.send(endpoint));
+            // Whoever gave up in the same moment leaves the room to the next.
+            if !matches!(taken, Some(Ok(()))) {
+                self.dispatcher.book.end(ticket);
+            }
+        }
+    }
+
+    /// Takes a request out that gave up waiting; returns when it may come back.
+    pub fn give_up(&mut self, need: &Need) -> Duration {
+        self.waiting.remove(&need.ticket);
+        self.dispatcher.book.end(need.ticket);
+        self.dispatcher.give_up(need)
+    }
+
+    /// Notes a request for a service.
+    pub fn count_request(&mut self, service: &ServiceId, settings: &Settings, now: Moment) {
+        self.budget(service, settings).request(now);
+    }
+
+    /// Takes a second send to a service out of the budget, if one is left.
+    pub fn take_resend(&mut self, service: &ServiceId, settings: &Settings, now: Moment) -> bool {
+        let sharers = self.fleet.sharers(now);
+        self.budget(service, settings).take(sharers, now)
+    }
+
+    fn budget(&mut self, service: &ServiceId, settings: &Settings) -> &mut ResendBudget {
+        let fresh = || ResendBudget::new(settings.resends);
+        self.resends.entry(service.clone()).or_insert_with(fresh)
+    }
+
+    /// Notes a request that goes to an endpoint that may be cold.
+    pub fn note_cold(&mut self, endpoint: &EndpointId, now: Moment) {
+        if let Some(share) = self.cold.get_mut(endpoint) {
+            share.sent(now);
+        }
+    }
+
+    /// Works out anew which endpoints may get work.
+    pub fn refresh(&mut self, map: &RouteMap, settings: &Settings, now: Moment) {
+        let mut candidates: BTreeMap<ServiceId, Vec<Candidate>> = BTreeMap::new();
+        let mut cold = BTreeSet::new();
+        let sharers = self.fleet.sharers(now);
+        for entry in self.registry.usable() {
+            let Some(spec) = map.service(&entry.info.service) else { continue };
+            let mut candidate = warm(entry, spec);
+            if let Some(bound) = cold_bound(entry, spec, settings, now) {
+                let rank = self.fleet.rank(&entry.info.id);
+                let share = self.cold.entry(entry.info.id.clone()).or_default();
+                candidate.cold_left = Some(share.left(bound, rank, sharers, now));
+                cold.insert(entry.info.id.clone());
+            }
+            candidates.entry(spec.name.clone()).or_default().push(candidate);
+        }
+        self.cold.retain(|id, _| cold.contains(id));
+        let registry = &self.registry;
+        self.dispatcher.book.keep_endpoints(|id| registry.get(id).is_some());
+        self.dispatcher.set_candidates(candidates);
+    }
+}
+
+fn warm(entry: &Registered, spec: &ServiceSpec) -> Candidate {
+    let slots = spec.engine.map_or(entry.info.slots, |e| e.slots);
+    Candidate {
+        id: entry.info.id.clone(),
+        domain: entry.info.domain.clone(),
+        slots,
+        memory: spec.engine.map(|e| e.memory),
+        cold_left: None,
+    }
+}
+
+/// Returns how many requests a second a cold endpoint may get from all instances together.
+fn cold_bound(
+    entry: &Registered,
+    spec: &ServiceSpec,
+    settings: &Settings,
+    now: Moment,
+) -> Option<u32> {
+    if entry.cold_until <= now || spec.cold_rate <= 0.0 {
+        return None;
+    }
+    let bound = spec.cold_rate * settings.cold_overrun + settings.cold_tolerance;
+    // A rate beyond any that an endpoint bears bounds nothing.
+    let steps = (0..16).rev().map(|bit| 1_u32 << bit);
+    Some(steps.fold(0, |sum, step| if f64::from(sum + step) <= bound { sum + step } else { sum }))
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -0,0 +1,9 @@
+//! Keeps what is known of the platform's store up to date.
+
+mod apply;
+mod follow;
+mod follower;
+
+pub use apply::{apply_known, known};
+pub use follow::Follow;
+pub use follower::start;
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -0,0 +1,144 @@
+//! Takes over what was read.
+
+use std::collections::BTreeSet;
+
+use anyhow::Context;
+use bytes::Bytes;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_state::registry::{Change, Registry};
+use nutmeggrade_wire::kinds::{CONFIG_NAME, Kind};
+use nutmeggrade_wire::store::{Snapshot, StoredObject};
+use nutmeggrade_wire::{config, endpoint};
+use serde_json::Value;
+
+use crate::fleet_sync::Known;
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Takes over a whole listing.
+pub fn listing(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
+    match kind {
+        Kind::Config => take_config(node, &snapshot.objects),
+        Kind::Endpoints => {
+            let all: Vec<EndpointInfo> = snapshot.objects.iter().filter_map(read).collect();
+            node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
+        }
+        Kind::Evacuations => {
+            let out = snapshot.objects.iter().filter_map(|o| read_out(&o.name)).collect();
+            node.set_out(&out);
+        }
+    }
+}
+
+/// Takes over changes. `after_outage` says that endpoints' entries may have lapsed.
+pub fn changes(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
+    match kind {
+        Kind::Config => take_config(node, &snapshot.objects),
+        Kind::Endpoints => node.change_registry(|registry, now| {
+            let each = snapshot.objects.iter();
+            each.filter_map(|o| change(registry, o, after_outage, now)).collect()
+        }),
+        Kind::Evacuations => {
+            let mut out = lock(&node.tables).registry.out().clone();
+            for object in &snapshot.objects {
+                let Some(domain) = read_out(&object.name) else { continue };
+                if object.is_gone {
+                    out.remove(&domain);
+                } else {
+                    out.insert(domain);
+                }
+            }
+            node.set_out(&out);
+        }
+    }
+}
+
+/// Takes over what a peer has read further; says whether it could be read.
+pub fn apply_known(node: &Node, known: &Known) -> anyhow::Result<()> {
+    let follow = &node.follow;
+    if known.revisions.config > follow.track(Kind::Config).read() && !known.config.is_empty() {
+        let raw = Bytes::from(known.config.clone().into_bytes());
+        let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
+        node.set_map(config::read(&value)?, raw);
+        follow.track(Kind::Config).note(known.revisions.config, true);
+    }
+    if known.revisions.endpoints > follow.track(Kind::Endpoints).read() {
+        let all = &known.endpoints;
+        node.change_registry(|registry, now| registry.replace(all, true, now));
+        follow.track(Kind::Endpoints).note(known.revisions.endpoints, true);
+    }
+    if known.revisions.out > follow.track(Kind::Evacuations).read() {
+        node.set_out(&known.out);
+        follow.track(Kind::Evacuations).note(known.revisions.out, true);
+    }
+    Ok(())
+}
+
+fn take_config(node: &Node, objects: &[StoredObject]) {
+    let newest = objects.iter().rfind(|o| o.name == CONFIG_NAME && !o.is_gone);
+    let Some(object) = newest else { return };
+    match config::read(&object.content) {
+        Ok(map) => {
+            node.set_map(map, Bytes::from(object.content.to_string()));
+        }
+        Err(error) => tracing::error!(event = "config_unreadable", error = format!("{error:#}")),
+    }
+}
+
+fn change(
+    registry: &mut Registry,
+    object: &StoredObject,
+    after_outage: bool,
+    now: Moment,
+) -> Option<Change> {
+    if !object.is_gone
+        && let Some(info) = read(object)
+    {
+        return registry.put(&info, now);
+    }
+    let id = EndpointId::new(&object.name).ok()?;
+    if object.is_gone && !after_outage {
+        return registry.remove(&id);
+    }
+    // Its entry lapsed with the store, or somebody else wrote over it; it is written anew at its
+    // next heartbeat if it lives.
+    registry.miss(&id, now);
+    None
+}
+
+fn read(object: &StoredObject) -> Option<EndpointInfo> {
+    match endpoint::read(&object.name, &object.content) {
+        Ok(info) => Some(info),
+        Err(error) => {
+            tracing::warn!(
+                event = "endpoint_unreadable",
+                name = object.name,
+                error = format!("{error:#}")
+            );
+            None
+        }
+    }
+}
+
+fn read_out(name: &str) -> Option<DomainId> {
+    match endpoint::read_evacuation(name) {
+        Ok(domain) => Some(domain),
+        Err(error) => {
+            tracing::warn!(event = "domain_unreadable", name, error = format!("{error:#}"));
+            None
+        }
+    }
+}
+
+/// Returns what a peer may want to know.
+pub fn known(node: &Node) -> Known {
+    let tables = lock(&node.tables);
+    let out: BTreeSet<DomainId> = tables.registry.out().clone();
+    Known {
+        revisions: node.revisions(),
+        config: String::from_utf8_lossy(&node.raw_map()).into_owned(),
+        endpoints: tables.registry.all().map(|e| e.info.clone()).collect(),
+        out,
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -0,0 +1,95 @@
+//! How far each kind of object is read.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use nutmeggrade_core::peer::Revisions;
+use nutmeggrade_wire::kinds::Kind;
+use tokio::sync::Notify;
+
+/// How far one kind of object is read.
+#[derive(Debug, Default)]
+pub struct Track {
+    /// Wakes the follower because a peer has read further.
+    pub nudge: Notify,
+    /// Revision of the last answer.
+    read: AtomicU64,
+    /// Revision of the last answer that held news, which is what peers compare.
+    news: AtomicU64,
+    known: AtomicBool,
+    away: AtomicBool,
+}
+
+impl Track {
+    /// Returns the revision up to which everything is read.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
+    }
+
+    /// Notes an answer.
+    pub fn note(&self, revision: u64, is_news: bool) {
+        self.read.fetch_max(revision, Ordering::Relaxed);
+        if is_news {
+            self.news.fetch_max(revision, Ordering::Relaxed);
+        }
+        self.known.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the kind was ever read.
+    pub fn is_known(&self) -> bool {
+        self.known.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the store can't be read; says whether that is a change.
+    pub fn set_away(&self, is_away: bool) -> bool {
+        self.away.swap(is_away, Ordering::Relaxed) != is_away
+    }
+
+    /// Says whether the store can't be read.
+    pub fn is_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed)
+    }
+}
+
+/// How far each kind of object is read.
+#[derive(Debug, Default)]
+pub struct Follow {
+    config: Track,
+    endpoints: Track,
+    out: Track,
+}
+
+impl Follow {
+    /// Makes one that has read nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how far a kind is read.
+    pub const fn track(&self, kind: Kind) -> &Track {
+        match kind {
+            Kind::Config => &self.config,
+            Kind::Endpoints => &self.endpoints,
+            Kind::Evacuations => &self.out,
+        }
+    }
+
+    /// Returns the revisions of the last news, for peers.
+    pub fn news(&self) -> Revisions {
+        let news = |track: &Track| track.news.load(Ordering::Relaxed);
+        Revisions {
+            config: news(&self.config),
+            endpoints: news(&self.endpoints),
+            out: news(&self.out),
+        }
+    }
+
+    /// Says whether the endpoints were ever read.
+    pub fn has_endpoints(&self) -> bool {
+        self.endpoints.is_known()
+    }
+
+    /// Says whether the configuration can't be read now.
+    pub fn is_config_away(&self) -> bool {
+        self.config.is_away()
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -0,0 +1,164 @@
+//! The instances that serve routes, as this one hears them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmeggrade_core::peer::{FleetBeacon, Revisions, Seat};
+use nutmeggrade_core::prelude::*;
+
+/// Silence after which a peer is no longer named to clients: six heartbeats, so that a few lost ones
+/// don't take a healthy peer's clients away.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence after which a peer no longer counts when limits are divided. One that is only cut off
+/// goes on sending its part, and it may take that long to learn that it is alone.
+const ROSTER: Duration = Duration::from_secs(30);
+/// Time after a start in which limits are divided by at least [`UNHEARD`]: heartbeats of all peers
+/// have come by then.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Instances that are assumed while a fresh one has not heard its peers.
+const UNHEARD: usize = 12;
+/// Peers' addresses that a heartbeat hands on; with them a newcomer that knows one peer soon hears
+/// all of them.
+const HANDED_ON: usize = 8;
+/// Most addresses that are remembered, a few times the largest deployment.
+const MOST_ADDRESSES: usize = 2_048;
+
+#[derive(Debug, Clone)]
+struct Peer {
+    seat: Seat,
+    incarnation: u64,
+    sequence: u64,
+    heard: Moment,
+    leaving: bool,
+    revisions: Revisions,
+}
+
+/// The instances that serve routes, as this one hears them.
+///
+/// There is no list of instances to read: each heartbeat says where its sender is reached and hands
+/// on a few others, so that those who know one know all within a few heartbeats, with the platform
+/// or without it.
+#[derive(Debug)]
+pub struct FleetView {
+    own: InstanceId,
+    seat: Seat,
+    peers: BTreeMap<InstanceId, Peer>,
+    addresses: BTreeSet<SocketAddr>,
+    turn: usize,
+}
+
+impl FleetView {
+    /// Makes the view of an instance that knows only where to begin.
+    pub fn new(own: &InstanceId, seat: &Seat, seeds: &[SocketAddr]) -> Self {
+        let addresses = seeds.iter().copied().filter(|a| *a != seat.beacon).collect();
+        Self { own: own.clone(), seat: seat.clone(), peers: BTreeMap::new(), addresses, turn: 0 }
+    }
+
+    /// Takes a heartbeat; says whether it was fresh.
+    pub fn hear(&mut self, beacon: &FleetBeacon, now: Moment) -> bool {
+        if beacon.instance == self.own {
+            return false;
+        }
+        for address in beacon.others.iter().chain([&beacon.seat.beacon]) {
+            if *address != self.seat.beacon && self.addresses.len() < MOST_ADDRESSES {
+                self.addresses.insert(*address);
+            }
+        }
+        let old = self.peers.get(&beacon.instance);
+        let is_old = old
+            .is_some_and(|p| (p.incarnation, p.sequence) >= (beacon.incarnation, beacon.sequence));
+        if is_old {
+            return false;
+        }
+        let peer = Peer {
+            seat: beacon.seat.clone(),
+            incarnation: beacon.incarnation,
+            sequence: beacon.sequence,
+            heard: now,
+            leaving: beacon.leaving,
+            revisions: beacon.revisions,
+        };
+        self.peers.insert(beacon.instance.clone(), peer);
+        true
+    }
+
+    /// Forgets peers that have been silent for so long that they don't count any more, and their
+    /// addresses, which may be another program's by now.
+    pub fn forget(&mut self, now: Moment) {
+        let gone: Vec<InstanceId> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now.since(p.heard) > ROSTER)
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        for instance in gone {
+            if let Some(peer) = self.peers.remove(&instance) {
+                self.addresses.remove(&peer.seat.beacon);
+            }
+        }
+    }
+
+    /// Says whether a peer was heard lately.
+    pub fn is_live(&self, instance: &InstanceId, now: Moment) -> bool {
+        self.peers.get(instance).is_some_and(|p| now.since(p.heard) <= SILENCE)
+    }
+
+    /// Lists peers that were heard lately.
+    pub fn live(&self, now: Moment) -> impl Iterator<Item = &InstanceId> {
+        self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= SILENCE).map(|(i, _)| i)
+    }
+
+    /// Lists where clients may connect, this instance first unless it is leaving.
+    pub fn entries(&self, is_leaving: bool, now: Moment) -> Vec<SocketAddr> {
+        let own = (!is_leaving).then_some(self.seat.client);
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE && !p.leaving);
+        own.into_iter().chain(live.map(|p| p.seat.client)).collect()
+    }
+
+    /// Counts the instances that limits are divided by, this one included.
+    pub fn sharers(&self, now: Moment) -> usize {
+        let heard = 1 + self.peers.values().filter(|p| now.since(p.heard) <= ROSTER).count();
+        if now.since_start() < SETTLING { heard.max(UNHEARD) } else { heard }
+    }
+
+    /// Returns this instance's place among all for one endpoint; places differ between endpoints.
+    pub fn rank(&self, endpoint: &EndpointId) -> usize {
+        let place = |instance: &InstanceId| {
+            let text = [instance.as_str(), endpoint.as_str()].join("\0");
+            *blake3::hash(text.as_bytes()).as_bytes()
+        };
+        let own = place(&self.own);
+        self.peers.keys().filter(|peer| place(peer) < own).count()
+    }
+
+    /// Lists where to send heartbeats, at most `most` in turn.
+    pub fn targets(&mut self, most: usize) -> Vec<SocketAddr> {
+        let all: Vec<SocketAddr> = self.addresses.iter().copied().collect();
+        let count = all.len().min(most);
+        let start = self.turn;
+        self.turn = if all.is_empty() { 0 } else { (start + count) % all.len() };
+        (0..count).map(|i| all[(start + i) % all.len()]).collect()
+    }
+
+    /// Lists where a few peers are reached that were heard lately.
+    pub fn others(&self, now: Moment) -> Vec<SocketAddr> {
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE);
+        let all: Vec<SocketAddr> = live.map(|p| p.seat.beacon).collect();
+        let start = self.turn;
+        (0..all.len().min(HANDED_ON)).map(|i| all[(start + i) % all.len()]).collect()
+    }
+
+    /// Returns a live peer that has read a newer revision, and where to ask it.
+    pub fn ahead(
+        &self,
+        revision: impl Fn(&Revisions) -> u64,
+        own: u64,
+        now: Moment,
+    ) -> Option<(SocketAddr, u64)> {
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE);
+        let newest = live.max_by_key(|p| revision(&p.revisions))?;
+        let theirs = revision(&newest.revisions);
+        (theirs > own).then_some((newest.seat.control, theirs))
+    }
+}
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock: events and `now` go in, actions come out. The instance
 //! runs the tables on its workers; a randomised test runs several instances' tables on one thread.
 
+pub mod attempt;
 pub mod audit_log;
 pub mod claiming;
 pub mod cold_load;
@@ -10,8 +11,10 @@
 pub mod config_table;
 pub mod delivery;
 pub mod endpoint_table;
+pub mod event_splitter;
 pub mod explain_log;
 pub mod fence;
+pub mod fleet_view;
 pub mod intent;
 pub mod invariant;
 pub mod membership;
@@ -21,5 +24,6 @@
 pub mod own_intents;
 pub mod recent_changes;
 pub mod recorded;
+pub mod registry;
 pub mod settling;
 pub mod suspects;
--- a/crates/nutmeggrade/src/cmd/help.rs
+++ b/crates/nutmeggrade/src/cmd/help.rs
@@ -4,10 +4,12 @@
 
 use nutmeggrade::Settings;
 
-const BRIEF: &str = "Usage: nutmeggrade [run|check] [--FLAG VALUE]...
+const BRIEF: &str = "Usage: nutmeggrade [run|relay|check|check relay] [--FLAG VALUE]...
 
-  run     serves until SIGTERM (the default)
-  check   validates the settings and prints them with their origin
+  run           serves generations and calls until SIGTERM (the default)
+  relay         serves the routes of a platform until SIGTERM
+  check         validates the settings of run and prints them with their origin
+  check relay   the same for the settings of relay
 
 A flag goes before its variable, a variable before the default. Secrets come from
 a variable or from a file that VARIABLE_FILE names, never from a flag.
--- /dev/null
+++ b/crates/nutmeggrade/src/cmd/relay.rs
@@ -0,0 +1,66 @@
+//! `nutmeggrade relay`: serves routes until SIGTERM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use nutmeggrade_relay::{LogBuffer, Settings, start_writer};
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+/// Runs the subcommand.
+pub fn run(args: &[String]) -> ExitCode {
+    let path = nutmeggrade_wire::settings::path();
+    let settings = match load(args, path.as_ref()) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let logs = LogBuffer::new();
+    let writer = logs.clone();
+    let filter = EnvFilter::new(&settings.log);
+    let lines = tracing_logfmt::builder().with_target(false).layer();
+    let lines = lines.with_writer(move || writer.clone());
+    tracing_subscriber::registry().with(filter).with(lines).init();
+    let served = start_writer(&logs, std::io::stdout())
+        .map_err(anyhow::Error::from)
+        .and_then(|()| serve(&settings, args, path, &logs));
+    let code = match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(event = "stopped", error = format!("{error:#}"));
+            ExitCode::FAILURE
+        }
+    };
+    // Nobody reads any more; there is nowhere left to say so.
+    drop(logs.drain(std::io::stdout()));
+    code
+}
+
+/// Validates the settings and prints them with their origin.
+pub fn check(args: &[String]) -> ExitCode {
+    match load(args, nutmeggrade_wire::settings::path().as_ref()) {
+        Ok(settings) => {
+            for line in settings.lines() {
+                println!("{line}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn load(args: &[String], path: Option<&PathBuf>) -> Result<Settings, ExitCode> {
+    Settings::load(args, path).map_err(|mistakes| super::report(&mistakes))
+}
+
+/// One thread serves: an instance has a part of one processor, and a second thread would only take
+/// turns with the first.
+fn serve(
+    settings: &Settings,
+    args: &[String],
+    path: Option<PathBuf>,
+    logs: &LogBuffer,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(nutmeggrade_relay::run(settings, args, path, logs))
+}
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -13,7 +13,6 @@
 
 pub mod admin;
 pub mod audit;
-pub mod clock;
 pub mod engine_client;
 pub mod explain;
 pub mod front;
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -9,12 +9,12 @@
 use nutmeggrade_policy::{Engine, Ticket};
 use tokio::sync::{Notify, watch};
 
-use crate::clock::Clock;
 use crate::engine_client::EngineClient;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
+use nutmeggrade_relay::Clock;
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
