Refuse what could not end before a leaving instance does

Ruled out: the directory, which names the instance no more by then; the client had kept the address. Change: a leaving instance refuses, as not run, what by the learned pace does not end in time.

--- a/crates/nutmeggrade-policy/src/lib.rs
+++ b/crates/nutmeggrade-policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod length;
 pub mod lots;
 pub mod memory;
+pub mod pace;
 pub mod prefill;
 pub mod priority;
 pub mod queue;
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -12,10 +12,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmeggrade_wire::{directory, names};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use viz::{Body, Request, Responder, Response, Result as VizResult, Router, Tree};
 
 use crate::fleet_sync::KNOWN_PATH;
 use crate::node::Node;
+use crate::settings::Settings;
 use crate::tables::lock;
 use crate::watch::known;
 
@@ -24,20 +27,64 @@
 /// Longest that clients may keep the directory's answer. Short enough that those who ask again leave
 /// an instance that stops well within its grace.
 const KEEP: Duration = Duration::from_secs(2);
+/// Pause after a failed accept, as when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const METRICS_PATH: &str = "/metrics";
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
-/// Serves everything that is not for clients' requests.
-pub async fn start(node: &Arc<Node>) -> anyhow::Result<()> {
-    let settings = node.settings();
-    let ready = route(node, names::READY_PATH, readiness);
-    let entries = route(node, names::DIRECTORY_PATH, entries);
-    let control = route(node, KNOWN_PATH, knowledge);
-    let metrics = route(node, METRICS_PATH, metrics);
-    serve(settings.ready_address, ready).await?;
-    serve(settings.directory_address, entries).await?;
-    serve(settings.control_address, control).await?;
-    serve(settings.metrics_address, metrics).await
+/// The sockets of everything that is not for clients' requests.
+#[derive(Debug)]
+pub struct Admin {
+    ready: TcpListener,
+    directory: TcpListener,
+    control: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Admin {
+    /// Opens the sockets.
+    pub async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        Ok(Self {
+            ready: bind(settings.ready_address).await?,
+            directory: bind(settings.directory_address).await?,
+            control: bind(settings.control_address).await?,
+            metrics: bind(settings.metrics_address).await?,
+        })
+    }
+
+    /// Returns where readiness is asked for.
+    pub fn ready(&self) -> anyhow::Result<SocketAddr> {
+        self.ready.local_addr().context("readiness address")
+    }
+
+    /// Returns where clients ask for instances.
+    pub fn directory(&self) -> anyhow::Result<SocketAddr> {
+        self.directory.local_addr().context("directory address")
+    }
+
+    /// Returns where peers ask.
+    pub fn control(&self) -> anyhow::Result<SocketAddr> {
+        self.control.local_addr().context("control address")
+    }
+
+    /// Returns where metrics are served.
+    pub fn metrics(&self) -> anyhow::Result<SocketAddr> {
+        self.metrics.local_addr().context("metrics address")
+    }
+
+    /// Serves on all of them.
+    pub fn start(self, node: &Arc<Node>) -> Vec<JoinHandle<()>> {
+        vec![
+            tokio::spawn(serve(self.ready, route(node, names::READY_PATH, readiness))),
+            tokio::spawn(serve(self.directory, route(node, names::DIRECTORY_PATH, entries))),
+            tokio::spawn(serve(self.control, route(node, KNOWN_PATH, knowledge))),
+            tokio::spawn(serve(self.metrics, route(node, METRICS_PATH, metrics))),
+        ]
+    }
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("bind {address}"))
 }
 
 fn route(node: &Arc<Node>, path: &str, answer: fn(&Node) -> Response) -> Router {
@@ -98,23 +145,19 @@
     response
 }
 
-async fn serve(address: SocketAddr, router: Router) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address).await.with_context(|| format!("bind {address}"))?;
+async fn serve(listener: TcpListener, router: Router) {
     let tree = Arc::new(Tree::from(router));
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(connection(stream, Arc::clone(&tree)));
-                }
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %address, %error);
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, Arc::clone(&tree)));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
             }
         }
-    });
-    Ok(())
+    }
 }
 
 async fn connection(stream: TcpStream, tree: Arc<Tree>) {
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod dial;
 mod fleet_sync;
 mod front;
+mod instance;
 mod logs;
 mod metrics;
 mod node;
@@ -24,6 +25,7 @@
 mod watch;
 
 pub use clock::Clock;
+pub use instance::{Addresses, Instance};
 pub use logs::{LogBuffer, start_writer};
 pub use server::run;
 pub use settings::Settings;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -65,19 +65,19 @@
     phase: watch::Sender<Phase>,
     departures: watch::Sender<u64>,
     tickets: AtomicU64,
+    ends_at: OnceLock<Moment>,
 }
 
 impl Node {
     /// Makes an instance that knows nothing yet.
-    pub fn new(settings: &Settings, logs: &LogBuffer, incarnation: u64) -> anyhow::Result<Self> {
-        let seat = Seat {
-            domain: settings.domain.clone(),
-            client: settings.client_address,
-            beacon: settings.beacon_address,
-            control: settings.control_address,
-        };
+    pub fn new(
+        settings: &Settings,
+        seat: &Seat,
+        logs: &LogBuffer,
+        incarnation: u64,
+    ) -> anyhow::Result<Self> {
         let dispatcher = Dispatcher::new(&settings.domain, rand::random());
-        let fleet = FleetView::new(&settings.instance, &seat, &settings.seeds);
+        let fleet = FleetView::new(&settings.instance, seat, &settings.seeds);
         Ok(Self {
             clock: Clock::new(),
             metrics: Metrics::new()?,
@@ -85,7 +85,7 @@
             store: Store::new(settings.platform, STORE_PATIENCE),
             follow: Follow::new(),
             logs: logs.clone(),
-            seat,
+            seat: seat.clone(),
             incarnation,
             anybody: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
@@ -94,6 +94,7 @@
             phase: watch::Sender::new(Phase::Serving),
             departures: watch::Sender::new(0),
             tickets: AtomicU64::new(1),
+            ends_at: OnceLock::new(),
         })
     }
 
@@ -154,6 +155,17 @@
         *self.phase.borrow()
     }
 
+    /// Begins a planned stop; the process ends at that moment, whatever is still open.
+    pub fn leave(&self, ends_at: Moment) {
+        self.ends_at.get_or_init(|| ends_at);
+        self.set_phase(Phase::Leaving);
+    }
+
+    /// Returns how long this instance stays, if it leaves.
+    pub fn stays(&self) -> Option<Duration> {
+        self.ends_at.get().map(|end| self.clock.left(*end))
+    }
+
     /// Enters the next phase of a planned stop.
     pub fn set_phase(&self, phase: Phase) {
         self.phase.send_replace(phase);
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -48,6 +48,11 @@
         Ok(Self { socket, key, sequence: AtomicU64::new(1) })
     }
 
+    /// Returns where heartbeats come in.
+    pub fn address(&self) -> anyhow::Result<SocketAddr> {
+        self.socket.local_addr().context("heartbeat address")
+    }
+
     /// Sends heartbeats for as long as the process runs.
     pub async fn send(&self, node: &Arc<Node>) {
         loop {
--- a/crates/nutmeggrade-relay/src/relay/intake.rs
+++ b/crates/nutmeggrade-relay/src/relay/intake.rs
@@ -21,6 +21,9 @@
 /// How long a client waits that does not say.
 const PATIENCE: Duration = Duration::from_mins(1);
 
+/// Time after which a client may come back that needs only another instance.
+const OTHER_ENTRY: Duration = Duration::from_millis(20);
+
 /// Reads a request and finds its route, its workspace and its service.
 pub async fn read(
     node: &Arc<Node>,
@@ -41,6 +44,9 @@
     };
     let patience = asked.patience.unwrap_or(PATIENCE).min(route.timeout);
     let deadline = arrived.after(patience);
+    if let Some(stays) = node.stays() {
+        check_end(node, &route, &asked, stays).map_err(refuse)?;
+    }
     let body = whole(node, body, &map, deadline).await.map_err(refuse)?;
     let priority = holder.as_ref().and_then(|h| h.priority).unwrap_or(route.priority);
     Ok(Call {
@@ -92,6 +98,21 @@
     Failure::new(code, why)
 }
 
+/// Refuses a request that could not end before this instance does.
+///
+/// Its answer would be cut in the middle, and a client may not repeat what has run.
+fn check_end(node: &Node, route: &Route, asked: &Asked, stays: Duration) -> Result<(), Failure> {
+    let takes = match &asked.prompt {
+        Some(prompt) => lock(&node.tables).pace.time(prompt.expected()),
+        None => route.target,
+    };
+    if takes < stays {
+        return Ok(());
+    }
+    let why = format!("this instance ends in {} ms; use another", stays.as_millis());
+    Err(Failure::new(Code::Leaving, &why).with_retry_after(OTHER_ENTRY))
+}
+
 fn come_back(node: &Node, code: Code, why: &str) -> Failure {
     let wait = lock(&node.tables).dispatcher.return_time();
     Failure::new(code, why).with_retry_after(wait)
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -107,11 +107,9 @@
             moves = self.moves, first_ms = first.as_millis(),
             ms = now.since(self.call.arrived).as_millis());
         if end == End::Finished {
-            lock(&self.node.tables)
-                .dispatcher
-                .book
-                .health_mut(&self.place.endpoint.id)
-                .succeeded(now);
+            let mut tables = lock(&self.node.tables);
+            tables.pace.ended(self.made(), now.since(self.call.arrived));
+            tables.dispatcher.book.health_mut(&self.place.endpoint.id).succeeded(now);
         }
     }
 
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -9,6 +9,7 @@
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{Candidate, Dispatcher, Need, Offer};
 use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
+use nutmeggrade_policy::pace::Pace;
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Registered, Registry};
 use tokio::sync::oneshot;
@@ -33,6 +34,8 @@
     pub dispatcher: Dispatcher,
     /// The other instances.
     pub fleet: FleetView,
+    /// How long answers take.
+    pub pace: Pace,
     resends: BTreeMap<ServiceId, ResendBudget>,
     cold: BTreeMap<EndpointId, ColdShare>,
     waiting: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -45,6 +48,7 @@
             registry: Registry::new(),
             dispatcher,
             fleet,
+            pace: Pace::new(),
             resends: BTreeMap::new(),
             cold: BTreeMap::new(),
             waiting: BTreeMap::new(),
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -8,6 +8,7 @@
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::store::Watched;
 use rand::RngExt;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::fleet_sync;
@@ -26,11 +27,9 @@
 const LAPSES: Duration = Duration::from_secs(3);
 
 /// Starts to follow every kind of object.
-pub fn start(node: &Arc<Node>) {
-    for kind in Kind::ALL {
-        let follower = Follower { node: Arc::clone(node), kind, failures: 0, back: None };
-        tokio::spawn(follower.run());
-    }
+pub fn start(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
+    let follower = |kind| Follower { node: Arc::clone(node), kind, failures: 0, back: None };
+    Kind::ALL.into_iter().map(|kind| tokio::spawn(follower(kind).run())).collect()
 }
 
 /// Lists and watches one kind of object.
