--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -65,7 +65,7 @@
     OutOfRange = 1012, "out_of_range", 400;
     /// No such path.
     NotFound = 1013, "not_found", 404;
-    /// The idempotency key or the request id is not an id.
+    /// A header that the system reads is missing, given twice or not what it should be.
     BadHeader = 1014, "bad_header", 400;
     /// The body did not arrive in time.
     BodyTimeout = 1015, "body_timeout", 408;
--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod platform;
 pub mod relay;
 pub mod service;
+pub mod site;
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/site/routing.rs
@@ -0,0 +1,123 @@
+//! What operators and endpoints write into the store.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// A routing configuration with one route of each kind.
+#[derive(Debug, Clone)]
+pub struct RoutingPlan {
+    /// Its version.
+    pub version: u64,
+    /// Keys of the workspace `acme`.
+    pub keys: Vec<String>,
+    /// Longest that a request is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Most endpoints that a repeatable request is sent to.
+    pub attempts: u32,
+    /// Key/value memory of an engine, in tokens.
+    pub memory: u64,
+    /// Whether there is a route `/late/`, which only later versions have.
+    pub has_late: bool,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+}
+
+impl Default for RoutingPlan {
+    fn default() -> Self {
+        Self {
+            version: 1,
+            keys: vec!["key-1".to_owned()],
+            timeout_ms: 20_000,
+            attempts: 2,
+            memory: 30_000,
+            has_late: false,
+            body_bytes: 100_000,
+        }
+    }
+}
+
+impl RoutingPlan {
+    /// Writes it as operators do.
+    pub fn content(&self) -> Value {
+        let mut routes = vec![
+            self.route("once", "non_idempotent", 1, "desk", false),
+            self.route("read", "idempotent", self.attempts, "desk", false),
+            self.route("draft", "streaming", 1, "writers", false),
+            self.route("sort", "streaming", self.attempts, "writers", true),
+        ];
+        if self.has_late {
+            routes.push(self.route("late", "idempotent", 2, "desk", false));
+        }
+        json!({
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                { "name": "desk", "health_path": "/health", "connection_limit": 50,
+                  "cold_start_s": 0.0, "cold_per_s": 0.0 },
+                { "name": "writers", "health_path": "/health", "connection_limit": 50,
+                  "cold_start_s": 1.0, "cold_per_s": 10.0,
+                  "inference_engine": { "slots": 8, "kv_cache_tokens": self.memory,
+                    "token_kv_bytes": 1_000, "link_mbps": 1_000.0, "migrations": true,
+                    "backups": true, "stride": 4, "cache_handle_s": 5.0 } },
+            ],
+            "limits": { "max_header_bytes": 8_192, "max_body_bytes": self.body_bytes,
+              "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+            "tenants": [{ "name": "acme", "api_keys": self.keys }],
+        })
+    }
+
+    fn route(
+        &self,
+        name: &str,
+        kind: &str,
+        attempts: u32,
+        service: &str,
+        resumable: bool,
+    ) -> Value {
+        json!({ "name": format!("r-{name}"), "host": "desk.example", "path_prefix": format!("/{name}/"),
+            "route_kind": kind, "timeout_ms": self.timeout_ms, "target_latency_ms": 5_000,
+            "priority": 1, "service": service, "max_attempts": attempts, "public": false,
+            "sticky": service == "writers", "resumable": resumable, "gap_aim_ms": 1_000 })
+    }
+}
+
+/// An endpoint's own entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// The service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether it said that it will end.
+    pub leaving: bool,
+    /// How much longer it is cold, in milliseconds.
+    pub cold_ms: u64,
+    /// When it started.
+    pub born: u64,
+}
+
+impl Entry {
+    /// Makes the entry of a warm endpoint that stays.
+    pub fn new(service: &str, address: SocketAddr) -> Self {
+        let (service, domain) = (service.to_owned(), "veluwe".to_owned());
+        Self { service, address, domain, leaving: false, cold_ms: 0, born: 1 }
+    }
+
+    /// Sets whether it said that it will end.
+    #[must_use]
+    pub fn with_leaving(mut self, leaving: bool) -> Self {
+        self.leaving = leaving;
+        self
+    }
+
+    /// Writes it as endpoints do.
+    pub fn content(&self) -> Value {
+        let state = if self.leaving { "draining" } else { "ready" };
+        json!({ "service": self.service, "address": self.address, "zone": self.domain,
+            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": self.cold_ms,
+            "sequence": 1, "born": self.born })
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -0,0 +1,197 @@
+//! The platform's store.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::door::{Door, Fault};
+use super::message::Message;
+
+/// Objects on one page.
+const PAGE: usize = 3;
+
+#[derive(Debug, Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    name: String,
+    content: Option<Value>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    changes: Vec<Change>,
+    forgotten: u64,
+    calls: u64,
+}
+
+/// The platform's store. Nothing in it expires by itself.
+#[derive(Debug, Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    news: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Store {
+    /// Makes an empty store.
+    pub fn new() -> Self {
+        let state = State { revision: 1, ..State::default() };
+        Self { state: Arc::new(Mutex::new(state)), news: watch::Sender::new(1) }
+    }
+
+    /// Opens a way into the store.
+    pub async fn door(&self) -> anyhow::Result<Door> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.context("bind a door")?;
+        let door = Door::new(listener.local_addr()?);
+        let (store, opened) = (self.clone(), door.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (store, door) = (store.clone(), opened.clone());
+                tokio::spawn(async move { store.serve(stream, &door).await });
+            }
+        });
+        Ok(door)
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, content: Value) {
+        self.change(kind, name, Some(content));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
+    /// Drops the history, so that older watches are told so.
+    pub fn forget(&self) {
+        let mut state = self.state();
+        state.forgotten = state.revision;
+        state.changes.clear();
+        drop(state);
+        self.news.send_modify(|n| *n += 1);
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn change(&self, kind: &str, name: &str, content: Option<Value>) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let key = (kind.to_owned(), name.to_owned());
+        match &content {
+            Some(content) => drop(state.objects.insert(key, (revision, content.clone()))),
+            None => drop(state.objects.remove(&key)),
+        }
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        state.changes.push(Change { revision, kind, name, content });
+        drop(state);
+        self.news.send_replace(revision);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(&self, mut stream: TcpStream, door: &Door) {
+        let Ok(Some(request)) = Message::read_head(&mut stream).await else { return };
+        self.state().calls += 1;
+        let (status, body) = match door.fault() {
+            Fault::None => self.answer(&request, door).await,
+            Fault::Refuse => (503, Value::Null),
+            Fault::Silent => std::future::pending().await,
+        };
+        let body = body.to_string();
+        let head = format!(
+            "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        // The instance may have given the call up.
+        drop(stream.write_all((head + &body).as_bytes()).await);
+    }
+
+    async fn answer(&self, request: &Message, door: &Door) -> (u16, Value) {
+        let (_, target) = request.request();
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let kind = path.strip_prefix("/nutmeggrade/objects/").unwrap_or_default();
+        let query: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
+        match query.get("watcher").and_then(|w| w.parse().ok()) {
+            Some(since) => {
+                let wait = query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+                self.watch(kind, since, Duration::from_millis(wait), door).await
+            }
+            None => self.list(kind, query.get("after").copied().unwrap_or_default()),
+        }
+    }
+
+    fn list(&self, kind: &str, after: &str) -> (u16, Value) {
+        let state = self.state();
+        let of_kind = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+        let mut entries: Vec<Value> =
+            of_kind.map(|((_, name), (at, content))| object(name, *at, content)).collect();
+        let has_more = entries.len() > PAGE;
+        entries.truncate(PAGE);
+        (200, json!({ "entries": entries, "has_more": has_more, "at": state.revision }))
+    }
+
+    async fn watch(&self, kind: &str, since: u64, wait: Duration, door: &Door) -> (u16, Value) {
+        let mut news = self.news.subscribe();
+        let found = async {
+            loop {
+                if let Some(answer) = self.changes(kind, since) {
+                    return answer;
+                }
+                if news.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        let answer = timeout(wait, found).await;
+        if door.fault() == Fault::Silent {
+            std::future::pending::<()>().await;
+        }
+        let at = self.state().revision;
+        answer.unwrap_or_else(|_| (200, json!({ "events": [], "at": at })))
+    }
+
+    fn changes(&self, kind: &str, since: u64) -> Option<(u16, Value)> {
+        let state = self.state();
+        if since < state.forgotten {
+            return Some((410, Value::Null));
+        }
+        let later = state.changes.iter().filter(|c| c.revision > since && c.kind == kind);
+        let events: Vec<Value> = later
+            .map(|c| {
+                let content = c.content.clone().unwrap_or(Value::Null);
+                let object = object(&c.name, c.revision, &content);
+                json!({ "deleted": c.content.is_none(), "resource_object": object })
+            })
+            .collect();
+        (!events.is_empty()).then(|| (200, json!({ "events": events, "at": state.revision })))
+    }
+}
+
+fn object(name: &str, revision: u64, content: &Value) -> Value {
+    let metadata = json!({ "name": name, "revision": revision, "created": 1, "finalizers": [],
+        "deletion_time": false });
+    json!({ "metadata": metadata, "specification": content, "status": null })
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,5 +12,6 @@
 mod policy;
 mod process;
 mod random;
+mod relay;
 mod stand_ins;
 mod state;
--- /dev/null
+++ b/tests/suite/relay.rs
@@ -0,0 +1,26 @@
+//! An instance that serves routes, against stand-ins of the platform, its endpoints and clients.
+
+mod clients;
+mod config;
+mod endpoints;
+mod fleet;
+mod framing;
+mod logs;
+mod moves;
+mod outcomes;
+mod settings;
+mod site;
+mod stop;
+mod streams;
+
+use nutmeggrade_fakes::site::{Answer, RawClient};
+use site::Site;
+
+/// Asks for `/ROUTE/x` and returns the answer.
+async fn ask(site: &Site, route: &str, id: &str) -> anyhow::Result<Answer> {
+    RawClient::ask(site.client(), route, id, "X-Nutmeggrade-Deadline-Ms: 20000\r\n").await
+}
+
+/// Headers of a request that carries a prompt.
+const PROMPT: &str = "X-Nutmeggrade-Deadline-Ms: 20000\r\nX-Nutmeggrade-Model-Name: m\r\n\
+     X-Nutmeggrade-Token-Count: 100,80\r\n";
--- /dev/null
+++ b/tests/suite/relay/config.rs
@@ -0,0 +1,110 @@
+//! Configurations, keys and the store's absence.
+
+use nutmeggrade_fakes::site::{Behaviour, Fault, RawClient, RoutingPlan, Store, request};
+
+use super::ask;
+use super::site::{Site, get_answer, instance};
+use crate::support::{run, until};
+
+async fn status(site: &Site, route: &str, key: &str) -> anyhow::Result<u16> {
+    let mut client = RawClient::connect(site.client()).await?;
+    client.send(&request(route, "a1", key, "")).await?;
+    Ok(client.answer().await?.status)
+}
+
+// A version adds a route and takes a key away; a later listing that is older must not bring the
+// key back.
+#[test]
+fn versions_only_go_forward() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        assert_eq!(status(&site, "late", "key-1").await?, 404);
+        let keys = vec!["key-2".to_owned()];
+        let newer = RoutingPlan { version: 7, keys, has_late: true, ..RoutingPlan::default() };
+        site.store.put("config", "main", newer.content());
+        site.until_metric("config_version", 7).await?;
+        assert_eq!(status(&site, "late", "key-2").await?, 200);
+        assert_eq!(status(&site, "once", "key-1").await?, 401);
+        site.store.put("config", "main", RoutingPlan::default().content());
+        site.endpoint("desk", "e-2", Behaviour::Answer).await?;
+        assert_eq!(status(&site, "once", "key-1").await?, 401);
+        site.until_metric("config_version", 7).await
+    });
+}
+
+// A version can't be read. The one before stays in force.
+#[test]
+fn unreadable_version_changes_nothing() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.store.put("config", "main", serde_json::json!({ "version": 9, "routes": 4 }));
+        site.endpoint("desk", "e-2", Behaviour::Answer).await?;
+        assert_eq!(status(&site, "once", "key-1").await?, 200);
+        Ok(())
+    });
+}
+
+// The store forgets its history while nobody watches closely. What changed in the gap is found by
+// a new listing.
+#[test]
+fn forgotten_history_is_listed_anew() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.door.set(Fault::Refuse);
+        site.store.put(
+            "config",
+            "main",
+            RoutingPlan { version: 2, ..Default::default() }.content(),
+        );
+        site.store.forget();
+        site.door.set(Fault::None);
+        site.until_metric("config_version", 2).await
+    });
+}
+
+// The store is down from the start. A fresh instance knows no route and must not claim that there
+// is none; it says when to come back.
+#[test]
+fn start_without_the_store_promises_nothing() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let door = store.door().await?;
+        door.set(Fault::Refuse);
+        let instance = instance("i-1", &door, "").await?;
+        let addresses = instance.addresses();
+        let answer = RawClient::ask(addresses.client, "once", "a1", "").await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        let ready = get_answer(addresses.ready, "/nutmeggrade/readiness").await?;
+        assert_eq!(ready.0, 503);
+        door.set(Fault::None);
+        until("ready", async || {
+            Ok(get_answer(addresses.ready, "/nutmeggrade/readiness").await?.0 == 200)
+        })
+        .await
+    });
+}
+
+// The store is down. Routes and keys that are known are served; for those that are not, this
+// instance may be behind, so it does not say that there are none.
+#[test]
+fn outage_serves_what_is_known_and_denies_nothing() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.door.set(Fault::Refuse);
+        // A call that waits at the store ends as something changes there.
+        site.store.put("config", "other", serde_json::Value::Null);
+        until(
+            "the instance has noticed",
+            async || Ok(status(&site, "late", "key-1").await? == 503),
+        )
+        .await?;
+        assert_eq!(status(&site, "once", "key-9").await?, 503);
+        assert_eq!(ask(&site, "once", "a1").await?.status, 200);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/relay/endpoints.rs
@@ -0,0 +1,142 @@
+//! Endpoints that leave, vanish, lie or are cold.
+
+use nutmeggrade_fakes::site::{Behaviour, Entry, Fault, RoutingPlan};
+use serde_json::json;
+
+use super::ask;
+use super::site::Site;
+use crate::support::{run, until};
+
+// An endpoint says that it leaves. From the moment at which the instance knows, nothing new goes to
+// it, however long it stays.
+#[test]
+fn leaving_endpoint_gets_nothing_new() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let leaving = site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.endpoint("desk", "e-2", Behaviour::Answer).await?;
+        let entry = Entry::new("desk", leaving.address).with_leaving(true);
+        site.store.put("servers", "e-1", entry.content());
+        site.until_metric("endpoints", 1).await?;
+        let before = leaving.seen().len();
+        for number in 0..20 {
+            assert_eq!(ask(&site, "once", &format!("a{number}")).await?.status, 200);
+        }
+        assert_eq!(leaving.seen().len(), before);
+        Ok(())
+    });
+}
+
+// A failure domain is taken out and brought back.
+#[test]
+fn domain_that_is_out_gets_nothing() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let endpoint = site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.store.put("evacuations", "veluwe", json!({}));
+        site.until_metric("endpoints", 0).await?;
+        assert_eq!(ask(&site, "once", "a1").await?.status, 503);
+        assert_eq!(endpoint.seen().len(), 0);
+        site.store.remove("evacuations", "veluwe");
+        site.until_metric("endpoints", 1).await?;
+        assert_eq!(ask(&site, "once", "a2").await?.status, 200);
+        Ok(())
+    });
+}
+
+// Another program writes into the endpoints' place. Its entries name nothing to use and disturb no
+// other.
+#[test]
+fn foreign_entries_are_passed_over() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        for (number, content) in [
+            json!("text"),
+            json!({ "service": "desk" }),
+            json!({ "service": "desk", "address": "nowhere", "zone": "veluwe", "state": "ready" }),
+            json!({ "service": "desk", "address": "127.0.0.1:9", "zone": "veluwe", "state": "odd" }),
+            json!({ "service": 4, "address": "127.0.0.1:9", "zone": "veluwe", "state": "ready" }),
+            json!(null),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            site.store.put("servers", &format!("foreign-{number}"), content);
+        }
+        site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.until_metric("endpoints", 1).await?;
+        assert_eq!(ask(&site, "once", "a1").await?.status, 200);
+        Ok(())
+    });
+}
+
+// Entries lapse while the store is away and are written again when it is back. Endpoints that live
+// must not lose their work for that; one that does not come back is gone.
+#[test]
+fn lapsed_entries_get_time_to_come_back() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stays = site.endpoint("desk", "e-1", Behaviour::Answer).await?;
+        site.endpoint("desk", "e-2", Behaviour::Answer).await?;
+        site.door.set(Fault::Refuse);
+        site.store.remove("servers", "e-1");
+        site.store.remove("servers", "e-2");
+        let away = "store_calls_total{end=\"failed\",kind=\"endpoints\"}";
+        until("the store is missed", async || {
+            Ok(super::site::metric(site.instance.addresses().metrics, away).await? > 0)
+        })
+        .await?;
+        site.door.set(Fault::None);
+        site.store.put("servers", "e-1", Entry::new("desk", stays.address).content());
+        site.until_metric("endpoints", 1).await?;
+        assert_eq!(ask(&site, "once", "a1").await?.status, 200);
+        Ok(())
+    });
+}
+
+// Another endpoint has got the address of one that is gone. It says so, and the request goes on to
+// one of its own service.
+#[test]
+fn reused_address_runs_nothing() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let other = site.endpoint("desk", "e-other", Behaviour::Answer).await?;
+        site.store.put("servers", "e-old", Entry::new("desk", other.address).content());
+        site.until_metric("endpoints", 2).await?;
+        for number in 0..12 {
+            let id = format!("a{number}");
+            assert_eq!(ask(&site, "once", &id).await?.status, 200);
+            assert_eq!(other.runs(&id), 1);
+        }
+        Ok(())
+    });
+}
+
+// An endpoint has just started and bears ten requests a second. Thirty come in the same moment, and
+// those that would come too late are refused.
+#[test]
+fn cold_endpoint_is_not_flooded() {
+    run(async {
+        let plan = RoutingPlan { timeout_ms: 400, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let pause = std::time::Duration::from_millis(1);
+        let behaviour = Behaviour::Stream { events: 1, pause };
+        let endpoint = site.endpoint("writers", "e-1", behaviour).await?;
+        let cold = Entry { cold_ms: 60_000, ..Entry::new("writers", endpoint.address) };
+        site.store.put("servers", "e-1", cold.content());
+        until("the endpoint counts as cold", async || {
+            let asks = (0..30).map(|n| {
+                let id = format!("w{n}");
+                let site = &site;
+                async move { ask(site, "sort", &id).await }
+            });
+            let before = endpoint.seen().len();
+            let answers = futures::future::join_all(asks).await;
+            let served = endpoint.seen().len() - before;
+            let refused =
+                answers.iter().filter(|a| a.as_ref().is_ok_and(|a| a.status == 503)).count();
+            Ok(served <= 10 && refused >= 20)
+        })
+        .await
+    });
+}
--- /dev/null
+++ b/tests/suite/relay/fleet.rs
@@ -0,0 +1,99 @@
+//! Several instances.
+
+use nutmeggrade_fakes::site::{
+    Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
+};
+use nutmeggrade_relay::{Instance, LogBuffer};
+
+use super::site::{get, instance, metric, settings};
+use crate::support::{run, until};
+
+async fn entries(instance: &Instance) -> anyhow::Result<usize> {
+    let path = "/nutmeggrade/resolution?name=desk.example&region=x&zone=veluwe";
+    let text = get(instance.addresses().directory, path).await?;
+    let answer: serde_json::Value = serde_json::from_str(&text)?;
+    Ok(answer["addresses"].as_array().map_or(0, Vec::len))
+}
+
+async fn until_entries(instance: &Instance, count: usize) -> anyhow::Result<()> {
+    until("the directory names them", async || Ok(entries(instance).await? == count)).await
+}
+
+/// Starts an instance whose heartbeats come in at the same port as the first one's, at another
+/// address of the loopback network.
+async fn second(
+    first: &Instance,
+    door: &nutmeggrade_fakes::site::Door,
+) -> anyhow::Result<Instance> {
+    let beacon = first.addresses().beacon;
+    let own = format!("127.0.0.2:{}", beacon.port());
+    let settings = settings("i-2", door, &first.addresses().control.to_string(), &own)?;
+    Instance::start(&settings, &LogBuffer::new(), 1).await
+}
+
+// Instances find each other by one address. One that is stopped is no longer named at once, and one
+// that dies is no longer named after some heartbeats.
+#[test]
+fn directory_names_who_is_there() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let door = store.door().await?;
+        let first = instance("i-1", &door, "").await?;
+        let other = second(&first, &door).await?;
+        until_entries(&first, 2).await?;
+        until_entries(&other, 2).await?;
+        drop(other);
+        until_entries(&first, 1).await?;
+        let other = second(&first, &door).await?;
+        until_entries(&first, 2).await?;
+        let stopping = tokio::spawn(other.stop());
+        until_entries(&first, 1).await?;
+        stopping.await?;
+        Ok(())
+    });
+}
+
+// The store turns one instance away and serves the other. A new version, a new endpoint and the end
+// of another reach the first one by the second.
+#[test]
+fn instance_that_is_turned_away_learns_from_its_peer() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let (open, shut) = (store.door().await?, store.door().await?);
+        let first = instance("i-1", &open, "").await?;
+        let other = second(&first, &shut).await?;
+        until_entries(&other, 2).await?;
+        shut.set(Fault::Refuse);
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        let plan = RoutingPlan { version: 5, has_late: true, ..RoutingPlan::default() };
+        store.put("config", "main", plan.content());
+        store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        let metrics = other.addresses().metrics;
+        until("its peer's version", async || Ok(metric(metrics, "config_version").await? == 5))
+            .await?;
+        until("its peer's endpoint", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
+        let answer = RawClient::ask(other.addresses().client, "late", "a1", "").await?;
+        assert_eq!(answer.status, 200);
+        Ok(())
+    });
+}
+
+// A connection to the store goes silent without an end. The peer's heartbeats tell that there was
+// news, so the instance asks again instead of waiting.
+#[test]
+fn silent_watch_is_noticed_by_a_peers_news() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let (open, silent) = (store.door().await?, store.door().await?);
+        let first = instance("i-1", &open, "").await?;
+        let other = second(&first, &silent).await?;
+        until_entries(&other, 2).await?;
+        silent.set(Fault::Silent);
+        store.put("config", "main", RoutingPlan { version: 3, ..Default::default() }.content());
+        let metrics = other.addresses().metrics;
+        until("the newer version", async || Ok(metric(metrics, "config_version").await? == 3)).await
+    });
+}
--- /dev/null
+++ b/tests/suite/relay/moves.rs
@@ -0,0 +1,76 @@
+//! Generations whose engine leaves.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{
+    Answer, Behaviour, Endpoint, Entry, RawClient, RoutingPlan, request,
+};
+
+use super::PROMPT;
+use super::site::Site;
+use super::streams::events;
+use crate::support::{run, until};
+
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// Asks for a stream and waits until the engine runs it.
+async fn begin(site: &Site, route: &str, engine: &Endpoint) -> anyhow::Result<RawClient> {
+    let mut client = RawClient::connect(site.client()).await?;
+    client.send(&request(route, "a1", "key-1", PROMPT)).await?;
+    until("the generation runs", async || Ok(engine.runs("a1") == 1)).await?;
+    engine.leave_in(Duration::from_millis(600));
+    Ok(client)
+}
+
+fn drain(site: &Site, first: &Endpoint) {
+    let entry = Entry::new("writers", first.address).with_leaving(true);
+    site.store.put("servers", "e-1", entry.content());
+}
+
+fn vanish(site: &Site, _: &Endpoint) {
+    site.store.remove("servers", "e-1");
+}
+
+/// Checks that a stream goes on whole, in order and once when its engine leaves.
+fn goes_on(route: &str, how: fn(&Site, &Endpoint)) {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 120, pause: PAUSE };
+        let first = site.endpoint("writers", "e-1", stream).await?;
+        let mut client = begin(&site, route, &first).await?;
+        let second = site.endpoint("writers", "e-2", stream).await?;
+        how(&site, &first);
+        let answer = client.answer().await?;
+        assert!(answer.is_whole);
+        assert_eq!(events(&answer.message.body), (1..=120).collect::<Vec<u64>>());
+        let resumed = second.seen().into_iter().find(|s| s.id() == "a1");
+        let resumed = resumed.expect("the second engine went on");
+        let from = resumed.message.header("kv-from").unwrap_or_default();
+        assert!(from.starts_with(&first.address.to_string()), "{from}");
+        Ok(())
+    });
+}
+
+// An engine is reclaimed. It says so, or its entry just vanishes. The client sees one stream.
+cases! {goes_on {
+    drained: "draft", drain;
+    vanished: "draft", vanish;
+    resumable: "sort", drain;
+}}
+
+// An engine leaves and there is nowhere to go. The generation ends there if it can, and nothing is
+// cut before.
+#[test]
+fn generation_that_finds_no_room_ends_where_it_is() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 60, pause: PAUSE };
+        let first = site.endpoint("writers", "e-1", stream).await?;
+        let mut client = begin(&site, "draft", &first).await?;
+        drain(&site, &first);
+        let answer = client.answer().await?;
+        assert!(answer.is_whole);
+        assert_eq!(events(&answer.message.body).len(), 60);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/relay/site.rs
@@ -0,0 +1,102 @@
+//! A deployment of one or several instances.
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use nutmeggrade_fakes::site::{
+    Behaviour, Door, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store,
+};
+use nutmeggrade_relay::{Instance, LogBuffer, Settings};
+
+use crate::support::until;
+
+/// The platform, its endpoints and one instance.
+pub struct Site {
+    pub store: Store,
+    pub door: Door,
+    pub generations: Generations,
+    pub instance: Instance,
+}
+
+impl Site {
+    /// Starts an instance and waits until it has the plan in force.
+    pub async fn start(plan: &RoutingPlan) -> anyhow::Result<Self> {
+        let store = Store::new();
+        store.put("config", "main", plan.content());
+        let door = store.door().await?;
+        let instance = instance("i-1", &door, "").await?;
+        let site = Self { store, door, generations: Generations::default(), instance };
+        site.until_metric("config_version", plan.version).await?;
+        Ok(site)
+    }
+
+    /// Starts an endpoint and waits until the instance knows it.
+    pub async fn endpoint(
+        &self,
+        service: &str,
+        id: &str,
+        behaviour: Behaviour,
+    ) -> anyhow::Result<Endpoint> {
+        let endpoint = Endpoint::start(id, behaviour, &self.generations).await?;
+        let before = metric(self.instance.addresses().metrics, "endpoints").await?;
+        self.store.put("servers", id, Entry::new(service, endpoint.address).content());
+        self.until_metric("endpoints", before + 1).await?;
+        Ok(endpoint)
+    }
+
+    /// Returns where clients connect.
+    pub fn client(&self) -> SocketAddr {
+        self.instance.addresses().client
+    }
+
+    /// Waits until a metric has a value.
+    pub async fn until_metric(&self, name: &str, value: u64) -> anyhow::Result<()> {
+        let address = self.instance.addresses().metrics;
+        let what = format!("{name} is {value}");
+        until(&what, async || Ok(metric(address, name).await? == value)).await
+    }
+}
+
+/// Starts an instance that reads the store through a door.
+pub async fn instance(name: &str, door: &Door, seeds: &str) -> anyhow::Result<Instance> {
+    let settings = settings(name, door, seeds, "127.0.0.1:0")?;
+    Instance::start(&settings, &LogBuffer::new(), 1).await
+}
+
+/// Makes the settings of an instance whose heartbeats come in at `beacon`.
+pub fn settings(name: &str, door: &Door, seeds: &str, beacon: &str) -> anyhow::Result<Settings> {
+    let mut args = vec![
+        format!("--instance={name}"),
+        "--domain=veluwe".to_owned(),
+        format!("--platform={}", door.address),
+        format!("--seeds={seeds}"),
+        format!("--beacon-address={beacon}"),
+        "--grace=4".to_owned(),
+        "--resend-extra=1000".to_owned(),
+        "--cold-tolerance=0".to_owned(),
+    ];
+    for flag in ["client", "ready", "directory", "control", "metrics"] {
+        args.push(format!("--{flag}-address=127.0.0.1:0"));
+    }
+    Settings::load(&args, None).map_err(|mistakes| anyhow::anyhow!("{mistakes:?}"))
+}
+
+/// Reads a gauge of an instance; 0 if it is not there.
+pub async fn metric(address: SocketAddr, name: &str) -> anyhow::Result<u64> {
+    let text = get(address, "/metrics").await?;
+    let line = text.lines().find_map(|l| l.strip_prefix(&format!("nutmeggrade_relay_{name} ")));
+    line.map_or(Ok(0), |value| value.trim().parse().context("metric"))
+}
+
+/// Gets a path and returns the body.
+pub async fn get(address: SocketAddr, path: &str) -> anyhow::Result<String> {
+    Ok(get_answer(address, path).await?.1)
+}
+
+/// Gets a path and returns the status and the body.
+pub async fn get_answer(address: SocketAddr, path: &str) -> anyhow::Result<(u16, String)> {
+    let mut client = RawClient::connect(address).await?;
+    client.send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")).await?;
+    let answer = client.answer().await?;
+    Ok((answer.status, String::from_utf8(answer.message.body).context("text")?))
+}
--- /dev/null
+++ b/tests/suite/relay/stop.rs
@@ -0,0 +1,65 @@
+//! Planned stops of an instance.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan, request};
+
+use super::PROMPT;
+use super::site::{Site, get_answer};
+use super::streams::events;
+use crate::support::{run, until};
+
+// An instance is stopped while a stream runs and while clients still have its address. The stream
+// ends whole, who comes is served and told to go elsewhere next time.
+#[test]
+fn planned_stop_cuts_nobody() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let pause = Duration::from_millis(10);
+        let engine =
+            site.endpoint("writers", "e-1", Behaviour::Stream { events: 90, pause }).await?;
+        site.endpoint("desk", "e-2", Behaviour::Answer).await?;
+        let addresses = site.instance.addresses();
+        let mut stream = RawClient::connect(addresses.client).await?;
+        stream.send(&request("draft", "a1", "key-1", PROMPT)).await?;
+        until("the stream runs", async || Ok(engine.runs("a1") == 1)).await?;
+        let stopping = tokio::spawn(site.instance.stop());
+        until("not ready", async || {
+            Ok(get_answer(addresses.ready, "/nutmeggrade/readiness").await?.0 == 503)
+        })
+        .await?;
+        let late = RawClient::ask(addresses.client, "once", "a2", "").await?;
+        // Its route's target is five seconds and the grace four, so it could not surely end.
+        assert_eq!(late.status, 503);
+        assert_eq!(late.message.header("connection"), Some("close"));
+        let answer = stream.answer().await?;
+        assert!(answer.is_whole);
+        assert_eq!(events(&answer.message.body).len(), 90);
+        stopping.await?;
+        Ok(())
+    });
+}
+
+// A long answer is asked for just before the end. It is refused as not run, since it would be cut.
+#[test]
+fn answer_that_could_not_end_is_refused() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let pause = Duration::from_millis(10);
+        let engine =
+            site.endpoint("writers", "e-1", Behaviour::Stream { events: 9, pause }).await?;
+        let address = site.instance.addresses();
+        let stopping = tokio::spawn(site.instance.stop());
+        until("not ready", async || {
+            Ok(get_answer(address.ready, "/nutmeggrade/readiness").await?.0 == 503)
+        })
+        .await?;
+        let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,4000\r\n";
+        let answer = RawClient::ask(address.client, "draft", "a1", long).await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        assert_eq!(engine.runs("a1"), 0);
+        stopping.await?;
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/suite/relay/streams.rs
@@ -0,0 +1,91 @@
+//! Event streams.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan};
+
+use super::PROMPT;
+use super::site::Site;
+use crate::support::run;
+
+/// Reads the ids of the whole events of a stream.
+pub fn events(body: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body).into_owned();
+    text.lines().filter_map(|l| l.strip_prefix("id: ")).filter_map(|i| i.parse().ok()).collect()
+}
+
+// Events pass on as they are, each once, with the signature of the endpoint that made them.
+#[test]
+fn events_pass_on_whole() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 30, pause: Duration::from_millis(1) };
+        site.endpoint("writers", "e-1", stream).await?;
+        let answer = RawClient::ask(site.client(), "draft", "a1", PROMPT).await?;
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+        assert_eq!(answer.message.header("x-nutmeggrade-server-signature"), Some("by.e-1"));
+        assert_eq!(events(&answer.message.body), (1..=30).collect::<Vec<u64>>());
+        Ok(())
+    });
+}
+
+// An engine dies in the middle of an event of an answer that may not run twice. The client gets the
+// whole events, and an end that does not look like one.
+#[test]
+fn cut_stream_does_not_look_complete() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let first = site.endpoint("writers", "e-1", Behaviour::StreamCut { events: 5 }).await?;
+        let second = site.endpoint("writers", "e-2", Behaviour::StreamCut { events: 5 }).await?;
+        let answer = RawClient::ask(site.client(), "draft", "a1", PROMPT).await?;
+        assert!(!answer.is_whole);
+        assert_eq!(events(&answer.message.body), [1, 2, 3, 4, 5]);
+        assert!(!answer.message.body.ends_with(b"da"));
+        assert_eq!(first.runs("a1") + second.runs("a1"), 1);
+        Ok(())
+    });
+}
+
+// An engine dies in the middle of an answer that may go on elsewhere. The client sees one stream;
+// the half event is not in it.
+#[test]
+fn resumable_stream_goes_on_at_another_endpoint() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let first = site.endpoint("writers", "e-1", Behaviour::StreamCut { events: 5 }).await?;
+        let stream = Behaviour::Stream { events: 12, pause: Duration::from_millis(1) };
+        let mut second = None;
+        for number in 0..20 {
+            let id = format!("a{number}");
+            if number == 1 {
+                second = Some(site.endpoint("writers", "e-2", stream).await?);
+            }
+            let answer = RawClient::ask(site.client(), "sort", &id, PROMPT).await?;
+            if number == 0 {
+                assert!(!answer.is_whole);
+                continue;
+            }
+            assert!(answer.is_whole);
+            assert_eq!(events(&answer.message.body), (1..=12).collect::<Vec<u64>>());
+        }
+        let taken_up = second.is_some_and(|s| {
+            s.seen().iter().any(|seen| seen.message.header("last-event-id") == Some("5"))
+        });
+        assert!(taken_up || first.seen().len() == 1);
+        Ok(())
+    });
+}
+
+// A client comes back with the last event that it has.
+#[test]
+fn client_resumes_behind_its_last_event() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 9, pause: Duration::from_millis(1) };
+        site.endpoint("writers", "e-1", stream).await?;
+        let more = format!("{PROMPT}Last-Event-Id: 6\r\n");
+        let answer = RawClient::ask(site.client(), "sort", "a1", &more).await?;
+        assert_eq!(events(&answer.message.body), [7, 8, 9]);
+        Ok(())
+    });
+}
