Let three instances follow the endpoints for all

Ruled out: stale reads, which may be seconds old. Change: three instances, chosen by hashes of their names among those heard within 0.8 s, watch the endpoints and hand changes on in datagrams; who misses some asks the store.

--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -45,6 +45,8 @@
     pub seat: Seat,
     /// Whether the sender takes no new clients.
     pub leaving: bool,
+    /// Whether the store answers the sender.
+    pub reads: bool,
     /// What the sender has read.
     pub revisions: Revisions,
     /// What the sender has placed at each endpoint.
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -88,6 +88,7 @@
         tasks.extend(admin.start(&node));
         tasks.push(tokio::spawn(send(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(receive(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(hand_on(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         let front = tokio::spawn(front::serve(Arc::clone(&node), listener));
         Ok(Self { node, peers, front, tasks, addresses })
@@ -142,3 +143,7 @@
 async fn receive(node: Arc<Node>, peers: Arc<Peers>) {
     peers.receive(&node).await;
 }
+
+async fn hand_on(node: Arc<Node>, peers: Arc<Peers>) {
+    peers.hand_on(&node).await;
+}
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use nutmeggrade_core::peer::{Revisions, Seat};
+use nutmeggrade_core::peer::{FleetNews, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, RouteMap};
 use nutmeggrade_policy::Ticket;
@@ -14,7 +14,7 @@
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Change, Registry};
 use nutmeggrade_wire::store::Store;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
 use crate::logs::LogBuffer;
@@ -27,6 +27,11 @@
 /// a slow one still does within this time.
 const STORE_PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// Changes of endpoints that wait to be handed on; the socket takes each in microseconds.
+const MOST_NEWS: usize = 16;
+/// Changes that fit into one datagram of some kilobytes.
+const MOST_CHANGES: usize = 16;
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -66,6 +71,8 @@
     departures: watch::Sender<u64>,
     tickets: AtomicU64,
     ends_at: OnceLock<Moment>,
+    news: mpsc::Sender<FleetNews>,
+    outgoing: Mutex<Option<mpsc::Receiver<FleetNews>>>,
 }
 
 impl Node {
@@ -78,6 +85,7 @@
     ) -> anyhow::Result<Self> {
         let dispatcher = Dispatcher::new(&settings.domain, rand::random());
         let fleet = FleetView::new(&settings.instance, seat, &settings.seeds);
+        let (news, outgoing) = mpsc::channel(MOST_NEWS);
         Ok(Self {
             clock: Clock::new(),
             metrics: Metrics::new()?,
@@ -95,6 +103,8 @@
             departures: watch::Sender::new(0),
             tickets: AtomicU64::new(1),
             ends_at: OnceLock::new(),
+            news,
+            outgoing: Mutex::new(Some(outgoing)),
         })
     }
 
@@ -230,6 +240,20 @@
         }
     }
 
+    /// Hands changes of endpoints on to the peers, if this instance reads for all and the changes fit
+    /// into a datagram. Peers that don't get them notice by the next heartbeat.
+    pub fn hand_on(&self, news: FleetNews) {
+        let is_reader = lock(&self.tables).fleet.is_reader(self.now());
+        if is_reader && news.changes.len() <= MOST_CHANGES && self.news.try_send(news).is_err() {
+            tracing::warn!(event = "news_not_handed_on");
+        }
+    }
+
+    /// Takes the receiving end of what is handed on; there is one.
+    pub fn outgoing_news(&self) -> Option<mpsc::Receiver<FleetNews>> {
+        lock(&self.outgoing).take()
+    }
+
     /// Works out anew which endpoints may get work, and gives their room to those who wait.
     pub fn refresh(&self) {
         let map = self.map();
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use nutmeggrade_core::peer::{FleetBeacon, open, seal};
+use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, FleetNews, open, seal};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_wire::kinds::Kind;
 use rand::RngExt;
@@ -18,12 +18,14 @@
 
 use crate::node::{Node, Phase};
 use crate::tables::lock;
+use crate::watch::endpoint_news;
 
 /// Time between heartbeats. What peers have placed is a quarter of a second old then, in which all
 /// instances of a deployment together place a few requests.
 const PERIOD: Duration = Duration::from_millis(250);
 /// Peers that a heartbeat goes to. In a larger fleet they take turns, so that the cost of an
-/// instance does not grow with the fleet.
+/// instance does not grow with the fleet. Only the few that read the store for all send to everybody
+/// each time, since their silence has to be noticed soon.
 const FANOUT: usize = 16;
 /// Largest datagram that is read; heartbeats stay far below.
 const MAX_DATAGRAM: usize = 8 << 10;
@@ -65,10 +67,23 @@
     /// Sends one heartbeat.
     pub async fn send_one(&self, node: &Arc<Node>) {
         let (beacon, targets) = self.beacon(node);
-        let frame = match seal(&beacon, &self.key) {
+        self.send_to(&FleetMessage::Beacon(beacon), &targets).await;
+    }
+
+    /// Hands on changes of endpoints that this instance has read for all.
+    pub async fn hand_on(&self, node: &Arc<Node>) {
+        let Some(mut news) = node.outgoing_news() else { return };
+        while let Some(news) = news.recv().await {
+            let targets = lock(&node.tables).fleet.addresses();
+            self.send_to(&FleetMessage::News(news), &targets).await;
+        }
+    }
+
+    async fn send_to(&self, message: &FleetMessage, targets: &[SocketAddr]) {
+        let frame = match seal(message, &self.key) {
             Ok(frame) => frame,
             Err(error) => {
-                tracing::error!(event = "heartbeat_unsendable", %error);
+                tracing::error!(event = "message_unsendable", %error);
                 return;
             }
         };
@@ -84,13 +99,16 @@
         let now = node.now();
         let mut tables = lock(&node.tables);
         let others = tables.fleet.others(now);
-        let targets = tables.fleet.targets(FANOUT);
+        let is_reader = tables.fleet.is_reader(now);
+        let fanout = if is_reader { usize::MAX } else { FANOUT };
+        let targets = tables.fleet.targets(fanout);
         let beacon = FleetBeacon {
             instance: node.settings().instance.clone(),
             incarnation: node.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             seat: node.seat.clone(),
             leaving: node.phase() > Phase::Serving,
+            reads: node.follow.is_answered(),
             revisions: node.revisions(),
             placed: tables.dispatcher.book.own().clone(),
             others,
@@ -103,8 +121,9 @@
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((length, _)) => match open::<FleetBeacon>(&buffer[..length], &self.key) {
-                    Ok(beacon) => take(node, &beacon),
+                Ok((length, _)) => match open(&buffer[..length], &self.key) {
+                    Ok(FleetMessage::Beacon(beacon)) => take(node, &beacon),
+                    Ok(FleetMessage::News(news)) => take_news(node, &news),
                     Err(reason) => tracing::debug!(event = "heartbeat_dropped", %reason),
                 },
                 // An earlier datagram to a closed port is told this way.
@@ -128,15 +147,24 @@
                 incarnation = beacon.incarnation);
         }
     }
-    nudge(node, Kind::Config, beacon.revisions.config);
-    nudge(node, Kind::Endpoints, beacon.revisions.endpoints);
-    nudge(node, Kind::Evacuations, beacon.revisions.out);
+    node.follow.track(Kind::Config).hint(beacon.revisions.config);
+    node.follow.track(Kind::Endpoints).hint(beacon.revisions.endpoints);
+    node.follow.track(Kind::Evacuations).hint(beacon.revisions.out);
 }
 
-/// Wakes the follower of a kind that the peer has read further.
-fn nudge(node: &Node, kind: Kind, theirs: u64) {
-    let track = node.follow.track(kind);
-    if theirs > track.read() {
-        track.nudge.notify_one();
+/// Takes changes of endpoints that a peer has read.
+///
+/// Whoever has not read up to their beginning would miss what was before, so it asks the store.
+fn take_news(node: &Node, news: &FleetNews) {
+    let track = node.follow.track(Kind::Endpoints);
+    let read = track.read();
+    if read >= news.revision {
+        return;
+    }
+    if read < news.since || !track.is_known() {
+        track.hint(news.revision);
+        return;
     }
+    endpoint_news(node, news);
+    track.note(news.revision, true);
 }
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use nutmeggrade_core::peer::{EndpointNews, FleetNews};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::registry::{Change, Registry};
@@ -31,14 +32,11 @@
     }
 }
 
-/// Takes over changes. `after_outage` says that endpoints' entries may have lapsed.
-pub fn changes(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
+/// Takes over changes since a revision. `after_outage` says that endpoints' entries may have lapsed.
+pub fn changes(node: &Node, kind: Kind, snapshot: &Snapshot, since: u64, after_outage: bool) {
     match kind {
         Kind::Config => take_config(node, &snapshot.objects),
-        Kind::Endpoints => node.change_registry(|registry, now| {
-            let each = snapshot.objects.iter();
-            each.filter_map(|o| change(registry, o, after_outage, now)).collect()
-        }),
+        Kind::Endpoints => take_endpoints(node, snapshot, since, after_outage),
         Kind::Evacuations => {
             let mut out = lock(&node.tables).registry.out().clone();
             for object in &snapshot.objects {
@@ -54,6 +52,14 @@
     }
 }
 
+/// Takes over changes of endpoints that a peer has read.
+pub fn endpoint_news(node: &Node, news: &FleetNews) {
+    node.change_registry(|registry, now| {
+        let each = news.changes.iter();
+        each.filter_map(|c| change(registry, c, news.lapses, now)).collect()
+    });
+}
+
 /// Takes over what a peer has read further; says whether it could be read.
 pub fn apply_known(node: &Node, known: &Known) -> anyhow::Result<()> {
     let follow = &node.follow;
@@ -75,6 +81,17 @@
     Ok(())
 }
 
+fn take_endpoints(node: &Node, snapshot: &Snapshot, since: u64, lapses: bool) {
+    let changes: Vec<EndpointNews> = snapshot.objects.iter().filter_map(to_news).collect();
+    if changes.is_empty() {
+        return;
+    }
+    let instance = node.settings().instance.clone();
+    let news = FleetNews { instance, since, revision: snapshot.revision, lapses, changes };
+    endpoint_news(node, &news);
+    node.hand_on(news);
+}
+
 fn take_config(node: &Node, objects: &[StoredObject]) {
     let newest = objects.iter().rfind(|o| o.name == CONFIG_NAME && !o.is_gone);
     let Some(object) = newest else { return };
@@ -88,23 +105,27 @@
 
 fn change(
     registry: &mut Registry,
-    object: &StoredObject,
-    after_outage: bool,
+    news: &EndpointNews,
+    lapses: bool,
     now: Moment,
 ) -> Option<Change> {
-    if !object.is_gone
-        && let Some(info) = read(object)
-    {
-        return registry.put(&info, now);
+    match &news.info {
+        Some(info) => registry.put(info, now),
+        None if lapses => {
+            // Its entry lapsed with the store; it is written anew at its next heartbeat if it lives.
+            registry.miss(&news.id, now);
+            None
+        }
+        None => registry.remove(&news.id),
     }
+}
+
+/// Reads what a changed object says of an endpoint; `None` if it names none. Another program's bytes
+/// in the place of an endpoint's entry count as no entry.
+fn to_news(object: &StoredObject) -> Option<EndpointNews> {
     let id = EndpointId::new(&object.name).ok()?;
-    if object.is_gone && !after_outage {
-        return registry.remove(&id);
-    }
-    // Its entry lapsed with the store, or somebody else wrote over it; it is written anew at its
-    // next heartbeat if it lives.
-    registry.miss(&id, now);
-    None
+    let info = if object.is_gone { None } else { read(object) };
+    Some(EndpointNews { id, info })
 }
 
 fn read(object: &StoredObject) -> Option<EndpointInfo> {
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -15,6 +15,8 @@
     read: AtomicU64,
     /// Revision of the last answer that held news, which is what peers compare.
     news: AtomicU64,
+    /// Revision that a peer is known to have read.
+    hint: AtomicU64,
     known: AtomicBool,
     away: AtomicBool,
 }
@@ -25,6 +27,19 @@
         self.read.load(Ordering::Relaxed)
     }
 
+    /// Notes that a peer has read so far, and wakes the follower if that is further.
+    pub fn hint(&self, theirs: u64) {
+        self.hint.fetch_max(theirs, Ordering::Relaxed);
+        if self.is_behind() {
+            self.nudge.notify_one();
+        }
+    }
+
+    /// Says whether a peer has read further.
+    pub fn is_behind(&self) -> bool {
+        self.hint.load(Ordering::Relaxed) > self.read()
+    }
+
     /// Notes an answer.
     pub fn note(&self, revision: u64, is_news: bool) {
         self.read.fetch_max(revision, Ordering::Relaxed);
@@ -88,6 +103,11 @@
         self.endpoints.is_known()
     }
 
+    /// Says whether the store answers every kind of question.
+    pub fn is_answered(&self) -> bool {
+        ![&self.config, &self.endpoints, &self.out].into_iter().any(Track::is_away)
+    }
+
     /// Says whether the configuration can't be read now.
     pub fn is_config_away(&self) -> bool {
         self.config.is_away()
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -13,11 +13,24 @@
 
 use crate::fleet_sync;
 use crate::node::Node;
+use crate::tables::lock;
 use crate::watch::apply;
+use crate::watch::follow::Track;
 
 /// How long the store holds a watch back. A connection that has gone silent is noticed only when
 /// its answer is overdue; peers' heartbeats tell earlier if there was news.
 const HELD: Duration = Duration::from_secs(4);
+/// The same for instances that don't read for all, of objects that seldom change. Each call is paid
+/// for, and those that read for all notice what these miss.
+const HELD_LONG: Duration = Duration::from_secs(15);
+/// Time that the news of a peer get to come before the store is asked. They are sent together with
+/// the heartbeat that tells of them.
+const NEWS_WAIT: Duration = Duration::from_millis(60);
+/// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
+/// store tells all watches within milliseconds.
+const OVERTAKEN: Duration = Duration::from_millis(60);
+/// Time between looks whether it is this instance's turn to read.
+const TURN: Duration = Duration::from_millis(200);
 /// First wait after a call that failed.
 const FIRST_WAIT: Duration = Duration::from_millis(150);
 /// Longest wait between two calls while the store can't be read. Calls are counted by the platform,
@@ -43,11 +56,12 @@
 impl Follower {
     async fn run(mut self) {
         loop {
-            let result = if self.node.follow.track(self.kind).is_known() {
-                self.watch().await
-            } else {
-                self.list().await
-            };
+            let track = self.node.follow.track(self.kind);
+            if track.is_known() && self.is_told() && !track.is_behind() {
+                self.wait_for_news().await;
+                continue;
+            }
+            let result = if track.is_known() { self.watch().await } else { self.list().await };
             match result {
                 Ok(()) => self.succeeded(),
                 Err(error) => self.failed(&error).await,
@@ -55,6 +69,20 @@
         }
     }
 
+    /// Says whether others read this kind of object for this instance.
+    fn is_told(&self) -> bool {
+        self.kind == Kind::Endpoints && !lock(&self.node.tables).fleet.is_reader(self.node.now())
+    }
+
+    /// Waits until a peer has read further, or until it may be this instance's turn to read. What was
+    /// read by a peer mostly comes with its news; only what did not is worth a call.
+    async fn wait_for_news(&self) {
+        tokio::select! {
+            () = self.node.follow.track(self.kind).nudge.notified() => sleep(NEWS_WAIT).await,
+            () = sleep(TURN) => {}
+        }
+    }
+
     async fn list(&self) -> Result<(), PlatformError> {
         let snapshot = self.node.store.list(self.kind).await?;
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
@@ -64,19 +92,20 @@
 
     async fn watch(&self) -> Result<(), PlatformError> {
         let track = self.node.follow.track(self.kind);
+        let since = track.read();
         let held = tokio::select! {
-            result = self.node.store.watch(self.kind, track.read(), HELD) => Some(result?),
-            () = track.nudge.notified() => None,
+            result = self.node.store.watch(self.kind, since, self.held()) => Some(result?),
+            () = overtaken(track) => None,
         };
         // A peer has read further, so the watch is late or silent: ask for what there is.
         let watched = match held {
             Some(watched) => watched,
-            None => self.node.store.watch(self.kind, track.read(), Duration::ZERO).await?,
+            None => self.node.store.watch(self.kind, since, Duration::ZERO).await?,
         };
         match watched {
             Watched::Changes(snapshot) => {
                 let is_news = !snapshot.objects.is_empty();
-                apply::changes(&self.node, self.kind, &snapshot, self.is_after_outage());
+                apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, is_news);
                 Ok(())
             }
@@ -87,6 +116,16 @@
         }
     }
 
+    /// Returns how long the store may hold a watch back.
+    fn held(&self) -> Duration {
+        let is_reader = lock(&self.node.tables).fleet.is_reader(self.node.now());
+        match (self.node.follow.track(self.kind).is_behind(), is_reader) {
+            (true, _) => Duration::ZERO,
+            (false, true) => HELD,
+            (false, false) => HELD_LONG,
+        }
+    }
+
     /// Says whether entries that vanish may have lapsed with the store.
     fn is_after_outage(&self) -> bool {
         let is_soon = |back| self.node.now().since(back) <= LAPSES;
@@ -127,3 +166,14 @@
         self.node.metrics.store_calls.with_label_values(&[self.kind.name(), end]).inc();
     }
 }
+
+/// Waits until a peer has read further than this instance for a while.
+async fn overtaken(track: &Track) {
+    loop {
+        track.nudge.notified().await;
+        sleep(OVERTAKEN).await;
+        if track.is_behind() {
+            return;
+        }
+    }
+}
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -10,6 +10,13 @@
 /// Silence after which a peer is no longer named to clients: six heartbeats, so that a few lost ones
 /// don't take a healthy peer's clients away.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Instances that follow the endpoints in the store for all; two may be killed or cut off together
+/// without a gap.
+const READERS: usize = 3;
+/// Silence after which an instance that followed the endpoints for others is taken for gone: three
+/// of its heartbeats. Whoever takes over still has most of the time in which a leaving endpoint may
+/// get its last request.
+const READER_SILENCE: Duration = Duration::from_millis(800);
 /// Silence after which a peer no longer counts when limits are divided. One that is only cut off
 /// goes on sending its part, and it may take that long to learn that it is alone.
 const ROSTER: Duration = Duration::from_secs(30);
@@ -31,7 +38,9 @@
     sequence: u64,
     heard: Moment,
     leaving: bool,
+    reads: bool,
     revisions: Revisions,
+    turn_key: u64,
 }
 
 /// The instances that serve routes, as this one hears them.
@@ -42,6 +51,7 @@
 #[derive(Debug)]
 pub struct FleetView {
     own: InstanceId,
+    turn_key: u64,
     seat: Seat,
     peers: BTreeMap<InstanceId, Peer>,
     addresses: BTreeSet<SocketAddr>,
@@ -52,7 +62,14 @@
     /// Makes the view of an instance that knows only where to begin.
     pub fn new(own: &InstanceId, seat: &Seat, seeds: &[SocketAddr]) -> Self {
         let addresses = seeds.iter().copied().filter(|a| *a != seat.beacon).collect();
-        Self { own: own.clone(), seat: seat.clone(), peers: BTreeMap::new(), addresses, turn: 0 }
+        Self {
+            own: own.clone(),
+            turn_key: turn_key(own),
+            seat: seat.clone(),
+            peers: BTreeMap::new(),
+            addresses,
+            turn: 0,
+        }
     }
 
     /// Takes a heartbeat; says whether it was fresh.
@@ -77,7 +94,9 @@
             sequence: beacon.sequence,
             heard: now,
             leaving: beacon.leaving,
+            reads: beacon.reads,
             revisions: beacon.revisions,
+            turn_key: turn_key(&beacon.instance),
         };
         self.peers.insert(beacon.instance.clone(), peer);
         true
@@ -109,6 +128,25 @@
         self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= SILENCE).map(|(i, _)| i)
     }
 
+    /// Says whether this instance follows the endpoints in the store for all.
+    ///
+    /// Each call to the store is paid for and counted, and in a large fleet one watch an instance uses
+    /// up what all together may call. A few instances read and hand on; which ones follows from
+    /// hashes of their names, so that they are mostly in different failure domains, among those that were heard lately and whom the store answers. An instance that hears
+    /// nobody reads for itself.
+    pub fn is_reader(&self, now: Moment) -> bool {
+        let reads = |p: &Peer| p.reads && !p.leaving && now.since(p.heard) <= READER_SILENCE;
+        let own = (self.turn_key, &self.own);
+        let before =
+            self.peers.iter().filter(|(name, p)| (p.turn_key, *name) < own && reads(p)).count();
+        before < READERS
+    }
+
+    /// Lists all addresses that heartbeats go to.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().copied().collect()
+    }
+
     /// Lists where clients may connect, this instance first unless it is leaving.
     pub fn entries(&self, is_leaving: bool, now: Moment) -> Vec<SocketAddr> {
         let own = (!is_leaving).then_some(self.seat.client);
@@ -162,3 +200,10 @@
         (theirs > own).then_some((newest.seat.control, theirs))
     }
 }
+
+/// Returns the place of an instance in the order in which instances read for all.
+fn turn_key(instance: &InstanceId) -> u64 {
+    let hash = blake3::hash(instance.as_str().as_bytes());
+    let first: [u8; 8] = std::array::from_fn(|i| hash.as_bytes()[i]);
+    u64::from_be_bytes(first)
+}
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{
-    Answer, Behaviour, Endpoint, Entry, RawClient, RoutingPlan, request,
-};
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, RawClient, RoutingPlan, request};
 
 use super::PROMPT;
 use super::site::Site;
