Tell peers at once what is placed, and bound the prompts that an engine has to read

Ruled out: too few engines (half of their reading time was used). Change: totals of changed endpoints go to all peers within 15 ms, and an engine with 8,000 prompt tokens to read gets no further ones.

--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -1,10 +1,12 @@
 //! What an instance that reads the store hands on at once.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::FleetBeacon;
 use crate::id::{EndpointId, InstanceId};
-use crate::routing::EndpointInfo;
+use crate::routing::{EndpointInfo, Placed};
 
 /// One endpoint's new entry, or the news that it is gone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +32,15 @@
     pub changes: Vec<EndpointNews>,
 }
 
+/// What the sender has at some endpoints, as of now.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetPlaced {
+    /// The sender.
+    pub instance: InstanceId,
+    /// All that it has at each of these endpoints; nothing at those with zeros.
+    pub placed: BTreeMap<EndpointId, Placed>,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -37,4 +48,6 @@
     Beacon(FleetBeacon),
     /// Changes of endpoints.
     News(FleetNews),
+    /// What the sender has just placed.
+    Placed(FleetPlaced),
 }
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -1,6 +1,6 @@
 //! Who has how much where.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use nutmeggrade_core::prelude::*;
 
@@ -25,6 +25,7 @@
     peers: BTreeMap<InstanceId, BTreeMap<EndpointId, Placed>>,
     peer_sum: BTreeMap<EndpointId, Placed>,
     health: BTreeMap<EndpointId, Health>,
+    changed: BTreeSet<EndpointId>,
 }
 
 impl LoadBook {
@@ -36,6 +37,7 @@
     /// Notes that a request goes to an endpoint.
     pub fn place(&mut self, ticket: Ticket, endpoint: &EndpointId, placed: Placed) {
         self.end(ticket);
+        self.changed.insert(endpoint.clone());
         *self.own_sum.entry(endpoint.clone()).or_default() += placed;
         self.own.insert(ticket, Own { endpoint: endpoint.clone(), placed });
     }
@@ -45,6 +47,7 @@
         let Some(own) = self.own.get_mut(&ticket) else { return };
         let read = Placed { reading: own.placed.reading, ..Placed::default() };
         own.placed -= read;
+        self.changed.insert(own.endpoint.clone());
         if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
             *sum -= read;
         }
@@ -63,6 +66,7 @@
     /// Notes that a request is at its endpoint no more.
     pub fn end(&mut self, ticket: Ticket) {
         let Some(own) = self.own.remove(&ticket) else { return };
+        self.changed.insert(own.endpoint.clone());
         if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
             *sum -= own.placed;
             if sum.requests == 0 {
@@ -77,6 +81,27 @@
         self.sum_peers();
     }
 
+    /// Takes what a peer has at some endpoints.
+    pub fn change_peer(&mut self, peer: &InstanceId, placed: &BTreeMap<EndpointId, Placed>) {
+        let all = self.peers.entry(peer.clone()).or_default();
+        for (endpoint, new) in placed {
+            let old = all.insert(endpoint.clone(), *new).unwrap_or_default();
+            let sum = self.peer_sum.entry(endpoint.clone()).or_default();
+            *sum -= old;
+            *sum += *new;
+        }
+    }
+
+    /// Returns what this instance has at the endpoints where that has changed since the last call.
+    pub fn take_changes(&mut self) -> BTreeMap<EndpointId, Placed> {
+        let changed = std::mem::take(&mut self.changed);
+        let now = |id: EndpointId| {
+            let placed = self.own_sum.get(&id).copied().unwrap_or_default();
+            (id, placed)
+        };
+        changed.into_iter().map(now).collect()
+    }
+
     /// Forgets peers that are gone.
     pub fn keep_peers(&mut self, is_there: impl Fn(&InstanceId) -> bool) {
         let before = self.peers.len();
--- a/crates/nutmeggrade-policy/src/dispatch/room.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/room.rs
@@ -11,6 +11,10 @@
 /// Requests in an endpoint's own queue for each of its slots, before requests wait here. A short
 /// queue there keeps its slots busy between two requests; a long one can't be reordered any more.
 const OVERBOOKED: f64 = 1.5;
+/// Tokens of prompts that an engine has to read before further ones wait here. An engine reads some
+/// ten tokens a millisecond beside its answers, so this is about a second; what waits there longer
+/// can't go elsewhere when another engine is free or this one leaves.
+const MOST_READING: u64 = 8_000;
 /// How much one recent failure counts, as a part of an endpoint's capacity.
 const TROUBLE: f64 = 0.15;
 /// Most that failures count: above it all that fail look alike, and load decides among them.
@@ -32,7 +36,9 @@
         Some(memory) => {
             let promised = memory as f64 * MEMORY_PROMISED;
             let is_alone = placed.requests == 0 && need.memory <= memory;
-            placed.requests < candidate.slots.max(1)
+            let reads_soon = placed.reading == 0 || placed.reading + need.prompt <= MOST_READING;
+            reads_soon
+                && placed.requests < candidate.slots.max(1)
                 && (is_alone || (placed.memory + need.memory) as f64 <= promised)
         }
         None => f64::from(placed.requests) < f64::from(candidate.slots.max(1)) * OVERBOOKED,
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -89,6 +89,7 @@
         tasks.push(tokio::spawn(send(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(receive(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(hand_on(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(tell_placed(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         let front = tokio::spawn(front::serve(Arc::clone(&node), listener));
         Ok(Self { node, peers, front, tasks, addresses })
@@ -147,3 +148,7 @@
 async fn hand_on(node: Arc<Node>, peers: Arc<Peers>) {
     peers.hand_on(&node).await;
 }
+
+async fn tell_placed(node: Arc<Node>, peers: Arc<Peers>) {
+    peers.tell_placed(&node).await;
+}
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -14,7 +14,7 @@
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Change, Registry};
 use nutmeggrade_wire::store::Store;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::Clock;
 use crate::logs::LogBuffer;
@@ -62,6 +62,8 @@
     pub seat: Seat,
     /// Distinguishes two lives of an instance with the same name.
     pub incarnation: u64,
+    /// Wakes whoever tells the peers what is placed.
+    pub placed: Notify,
     /// Whoever needs no key shares one place among the workspaces.
     pub anybody: WorkspaceId,
     settings: RwLock<Arc<Settings>>,
@@ -95,6 +97,7 @@
             logs: logs.clone(),
             seat: seat.clone(),
             incarnation,
+            placed: Notify::new(),
             anybody: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
             map: RwLock::default(),
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, FleetNews, open, seal};
+use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, FleetNews, FleetPlaced, open, seal};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_wire::kinds::Kind;
 use rand::RngExt;
@@ -27,6 +27,9 @@
 /// instance does not grow with the fleet. Only the few that read the store for all send to everybody
 /// each time, since their silence has to be noticed soon.
 const FANOUT: usize = 16;
+/// Time in which changes of what is placed are gathered into one message; a tenth of the time that
+/// an engine needs to read a prompt, so that few choices are made without knowing of each other.
+const GATHER: Duration = Duration::from_millis(15);
 /// Largest datagram that is read; heartbeats stay far below.
 const MAX_DATAGRAM: usize = 8 << 10;
 /// Key of the checksum. The platform gives instances no secret, so it guards against damage and
@@ -79,6 +82,22 @@
         }
     }
 
+    /// Tells the peers what this instance has placed, soon after each change.
+    pub async fn tell_placed(&self, node: &Arc<Node>) {
+        loop {
+            node.placed.notified().await;
+            sleep(GATHER).await;
+            let (message, targets) = {
+                let mut tables = lock(&node.tables);
+                let placed = tables.dispatcher.book.take_changes();
+                let instance = node.settings().instance.clone();
+                let targets = tables.fleet.addresses();
+                (FleetMessage::Placed(FleetPlaced { instance, placed }), targets)
+            };
+            self.send_to(&message, &targets).await;
+        }
+    }
+
     async fn send_to(&self, message: &FleetMessage, targets: &[SocketAddr]) {
         let frame = match seal(message, &self.key) {
             Ok(frame) => frame,
@@ -124,6 +143,9 @@
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
                     Ok(FleetMessage::Beacon(beacon)) => take(node, &beacon),
                     Ok(FleetMessage::News(news)) => take_news(node, &news),
+                    Ok(FleetMessage::Placed(FleetPlaced { instance, placed })) => {
+                        lock(&node.tables).dispatcher.book.change_peer(&instance, &placed);
+                    }
                     Err(reason) => tracing::debug!(event = "heartbeat_dropped", %reason),
                 },
                 // An earlier datagram to a closed port is told this way.
--- a/crates/nutmeggrade-relay/src/relay/place.rs
+++ b/crates/nutmeggrade-relay/src/relay/place.rs
@@ -31,6 +31,7 @@
         let mut tables = lock(&self.node.tables);
         tables.dispatcher.book.end(self.ticket);
         tables.release(now);
+        self.node.placed.notify_one();
     }
 }
 
@@ -93,5 +94,6 @@
         lock(&node.tables).dispatcher.book.end(ticket);
         return None;
     };
+    node.placed.notify_one();
     Some(Place { node: Arc::clone(node), ticket, endpoint })
 }
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -172,6 +172,7 @@
             self.began = Some(now);
             tables.dispatcher.book.has_read(self.place.ticket);
             tables.release(now);
+            self.node.placed.notify_one();
         }
         let prompt = self.call.prompt.as_ref().map_or(0, |p| p.tokens);
         tables.dispatcher.book.grow(self.place.ticket, prompt + self.made());
