Take turns when generations leave an engine; play the new decisions at random

Change: one generation is copied from an engine at a time, and is stopped at once when its copy is there.

--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -152,7 +152,7 @@
 
     /// Notes that a request goes to an endpoint.
     pub fn place(&mut self, need: &Need, endpoint: &EndpointId) {
-        let placed = Placed { requests: 1, memory: need.memory, reading: need.prompt };
+        let placed = Placed { requests: 1, memory: need.memory, reading: need.prompt, moving: 0 };
         self.book.place(need.ticket, endpoint, placed);
         let all = self.candidates.get_mut(&need.service).into_iter().flatten();
         for candidate in all.filter(|c| c.id == *endpoint) {
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -53,6 +53,20 @@
         }
     }
 
+    /// Notes how much of a request is being copied to or from its endpoint.
+    pub fn set_moving(&mut self, ticket: Ticket, tokens: u64) {
+        let Some(own) = self.own.get_mut(&ticket) else { return };
+        let old = Placed { moving: own.placed.moving, ..Placed::default() };
+        let new = Placed { moving: tokens, ..Placed::default() };
+        own.placed -= old;
+        own.placed += new;
+        self.changed.insert(own.endpoint.clone());
+        if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
+            *sum -= old;
+            *sum += new;
+        }
+    }
+
     /// Notes that a request takes at least this much memory, which may be more than was expected.
     pub fn grow(&mut self, ticket: Ticket, memory: u64) {
         let Some(own) = self.own.get_mut(&ticket) else { return };
--- a/crates/nutmeggrade-policy/src/dispatch/room.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/room.rs
@@ -51,7 +51,7 @@
     let load = match candidate.memory {
         Some(memory) => {
             let memory = placed.memory as f64 / memory.max(1) as f64;
-            memory.max(slots) + placed.reading as f64 / READING_FULL
+            memory.max(slots) + (placed.reading + placed.moving) as f64 / READING_FULL
         }
         None => slots,
     };
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -27,8 +27,9 @@
 /// instance does not grow with the fleet. Only the few that read the store for all send to everybody
 /// each time, since their silence has to be noticed soon.
 const FANOUT: usize = 16;
-/// Time in which changes of what is placed are gathered into one message; a tenth of the time that
-/// an engine needs to read a prompt, so that few choices are made without knowing of each other.
+/// Least time between two messages of what is placed; changes in between are gathered. It is a tenth
+/// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
+/// each other.
 const GATHER: Duration = Duration::from_millis(15);
 /// Largest datagram that is read; heartbeats stay far below.
 const MAX_DATAGRAM: usize = 8 << 10;
@@ -86,7 +87,6 @@
     pub async fn tell_placed(&self, node: &Arc<Node>) {
         loop {
             node.placed.notified().await;
-            sleep(GATHER).await;
             let (message, targets) = {
                 let mut tables = lock(&node.tables);
                 let placed = tables.dispatcher.book.take_changes();
@@ -95,6 +95,7 @@
                 (FleetMessage::Placed(FleetPlaced { instance, placed }), targets)
             };
             self.send_to(&message, &targets).await;
+            sleep(GATHER).await;
         }
     }
 
--- a/crates/nutmeggrade-relay/src/relay/escape.rs
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -1,6 +1,7 @@
 //! Copies a generation away from an endpoint that leaves.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -10,10 +11,12 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EndpointInfo, EngineSpec};
+use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_platform::{body_bytes, call};
+use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::Need;
 use nutmeggrade_wire::engine::{self, Copied, MoveEnd};
+use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
 use super::place::{self, Place};
@@ -24,9 +27,13 @@
 
 /// Time that an endpoint has left which does not say: two seconds' notice less the news' way here.
 const NOTICE: Duration = Duration::from_millis(1_400);
-/// Time before the end at which the last copy is made at the latest. It holds what was made since
-/// the first one and takes some milliseconds, unless others are still copied on the same link.
-const LAST_CALL: Duration = Duration::from_millis(250);
+/// Time before the end at which no copy is begun any more: about as long as one takes.
+const LAST_CALL: Duration = Duration::from_millis(150);
+/// Shortest and longest wait before a look whether the engine's link is free. Instances hear of each
+/// other's copies within a few milliseconds, so that two seldom begin in the same moment.
+const TURN: Range<u64> = 2..40;
+/// Wait of generations that will probably end before their engine does; the others go first.
+const LET_PASS: Duration = Duration::from_millis(250);
 /// Engines that are tried as the copy's place.
 const TRIES: u32 = 3;
 /// Longest wait for a connection to an engine.
@@ -63,8 +70,10 @@
 /// An endpoint that is reclaimed ends all its generations after a notice of seconds, and most of the
 /// long answers would be lost. The memory is copied while the generation goes on; only what was made
 /// meanwhile is copied after it was stopped, so that the client sees no pause. Copies queue on the
-/// endpoint's link: whoever stops its generation while others are still copied waits behind them and
-/// its client sees the pause. So the last copy is made once those of all others should be over.
+/// links of both engines: whoever stops its generation while another is copied waits behind that one,
+/// and its client sees the pause. So generations take turns. Each instance waits until none is being
+/// copied from the engine, copies one and stops it at once; those that have had their turn are safe
+/// even if the time is too short for all.
 #[derive(Debug)]
 pub struct Escape {
     task: EndOnDrop<Escaped>,
@@ -73,7 +82,7 @@
 
 impl Escape {
     /// Starts to copy the generation of a stream.
-    pub fn start(stream: &Stream, engine: EngineSpec) -> Self {
+    pub fn start(stream: &Stream) -> Self {
         let is_stopping = Arc::new(AtomicBool::new(false));
         let source = stream.place.endpoint.clone();
         let memory = stream.memory();
@@ -87,8 +96,9 @@
             id: stream.call.id.clone(),
             source,
             need,
-            engine,
+            ticket: stream.place.ticket,
             memory,
+            remaining: stream.remaining(),
             is_stopping: Arc::clone(&is_stopping),
         };
         Self { task: EndOnDrop(tokio::spawn(run.run())), is_stopping }
@@ -110,19 +120,85 @@
     id: RequestId,
     source: EndpointInfo,
     need: Need,
-    engine: EngineSpec,
+    ticket: Ticket,
     memory: u64,
+    remaining: u64,
     is_stopping: Arc<AtomicBool>,
 }
 
+/// How a first copy ended.
+enum Copy {
+    Done((Place, Moving)),
+    Again,
+    Over,
+}
+
+/// Shows to all instances that a generation is being copied, until it is dropped.
+struct Moving {
+    node: Arc<Node>,
+    tickets: [Ticket; 2],
+}
+
+impl Moving {
+    fn new(node: &Arc<Node>, tickets: [Ticket; 2], tokens: u64) -> Self {
+        let moving = Self { node: Arc::clone(node), tickets };
+        moving.set(tokens);
+        moving
+    }
+
+    fn set(&self, tokens: u64) {
+        let mut tables = lock(&self.node.tables);
+        for ticket in self.tickets {
+            tables.dispatcher.book.set_moving(ticket, tokens);
+        }
+        self.node.placed.notify_one();
+    }
+}
+
+impl Drop for Moving {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 impl Run {
     async fn run(mut self) -> Escaped {
         let noticed = self.node.now();
-        let left = self.time_left().await;
-        let end = noticed.after(left);
-        let Some(place) = self.copy(end).await else { return Escaped::Stays };
-        self.node.clock.until(self.stop_at(noticed, end)).await;
-        self.stop(place, end).await
+        let end = noticed.after(self.time_left().await);
+        if self.ends_before(end) {
+            sleep(LET_PASS).await;
+        }
+        for _ in 0..TRIES {
+            if !self.turn(end).await {
+                return Escaped::Stays;
+            }
+            match self.copy(end).await {
+                Copy::Done(place) => return self.stop(place, end).await,
+                Copy::Over => return Escaped::Stays,
+                Copy::Again => {}
+            }
+        }
+        Escaped::Stays
+    }
+
+    /// Says whether the generation will probably end before its engine.
+    fn ends_before(&self, end: Moment) -> bool {
+        lock(&self.node.tables).pace.time(self.remaining) < self.node.clock.left(end)
+    }
+
+    /// Waits until nothing is copied from the engine; says whether there is time left.
+    async fn turn(&self, end: Moment) -> bool {
+        let latest = Moment::new(end.since_start().saturating_sub(LAST_CALL));
+        loop {
+            let wait = rand::rng().random_range(TURN);
+            sleep(Duration::from_millis(wait)).await;
+            if self.node.now() >= latest {
+                return false;
+            }
+            if lock(&self.node.tables).dispatcher.book.at(&self.source.id).moving == 0 {
+                return true;
+            }
+        }
     }
 
     /// Returns how much time the endpoint has left.
@@ -138,22 +214,24 @@
     }
 
     /// Makes the first copy, at the best engine that has room.
-    async fn copy(&mut self, end: Moment) -> Option<Place> {
-        for _ in 0..TRIES {
-            let place = self.target()?;
-            let ended = self.order(&place.endpoint, false, end).await;
-            tracing::info!(event = "copied", request = %self.id, from = %self.source.id,
-                to = %place.endpoint.id, tokens = self.memory, end = ?ended);
-            match ended {
-                MoveEnd::Copied(_) => return Some(place),
-                MoveEnd::NoSuchRun => return None,
-                MoveEnd::Busy => sleep(BUSY_WAIT).await,
-                MoveEnd::NoRoom(_) | MoveEnd::Failed(_) => {
-                    self.need.avoid.insert(place.endpoint.id.clone());
-                }
+    async fn copy(&mut self, end: Moment) -> Copy {
+        let Some(place) = self.target() else { return Copy::Over };
+        let moving = Moving::new(&self.node, [self.ticket, place.ticket], self.memory);
+        let ended = self.order(&place.endpoint, false, end).await;
+        tracing::info!(event = "copied", request = %self.id, from = %self.source.id,
+            to = %place.endpoint.id, tokens = self.memory, end = ?ended);
+        match ended {
+            MoveEnd::Copied(_) => Copy::Done((place, moving)),
+            MoveEnd::NoSuchRun => Copy::Over,
+            MoveEnd::Busy => {
+                sleep(BUSY_WAIT).await;
+                Copy::Again
+            }
+            MoveEnd::NoRoom(_) | MoveEnd::Failed(_) => {
+                self.need.avoid.insert(place.endpoint.id.clone());
+                Copy::Again
             }
         }
-        None
     }
 
     fn target(&mut self) -> Option<Place> {
@@ -167,16 +245,8 @@
         place::take(&self.node, self.need.ticket, &id)
     }
 
-    /// Returns when the generation is stopped: once all copies from this endpoint should be over.
-    fn stop_at(&self, noticed: Moment, end: Moment) -> Moment {
-        let all = lock(&self.node.tables).dispatcher.book.at(&self.source.id).memory;
-        let quiet = noticed.after(self.engine.copy_time(all));
-        let latest = end.since_start().saturating_sub(LAST_CALL);
-        quiet.min(Moment::new(latest))
-    }
-
     /// Stops the generation and copies the rest.
-    async fn stop(&self, place: Place, end: Moment) -> Escaped {
+    async fn stop(&self, (place, _moving): (Place, Moving), end: Moment) -> Escaped {
         self.is_stopping.store(true, Ordering::Relaxed);
         let began = self.node.now();
         let ended = self.order(&place.endpoint, true, end).await;
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::EngineSpec;
+use nutmeggrade_core::routing::{EngineSpec, Prompt};
 use nutmeggrade_state::attempt::Attempt;
 use nutmeggrade_state::event_splitter::EventSplitter;
 use nutmeggrade_wire::answer::Answered;
@@ -188,6 +188,12 @@
         self.call.prompt.as_ref().map_or(0, |p| p.tokens) + self.made()
     }
 
+    /// Returns how many more tokens are expected.
+    pub fn remaining(&self) -> u64 {
+        let expected = self.call.prompt.as_ref().map_or(0, Prompt::expected);
+        expected.saturating_sub(self.made())
+    }
+
     async fn finish(&mut self) -> End {
         if let Some(rest) = self.splitter.take_rest()
             && self.sender.send(Ok(rest)).await.is_err()
@@ -199,10 +205,10 @@
 
     /// Begins to take the generation along if its endpoint leaves.
     fn escape_if_leaving(&self) -> Option<Escape> {
-        let engine = self.engine.filter(|e| e.moves)?;
+        self.engine.filter(|e| e.moves)?;
         let id = &self.place.endpoint.id;
         let is_staying = lock(&self.node.tables).registry.get(id).is_some_and(|e| !e.info.leaving);
-        (!is_staying).then(|| Escape::start(self, engine))
+        (!is_staying).then(|| Escape::start(self))
     }
 
     /// Goes on where the generation was taken; says whether the stream goes on.
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -83,8 +83,12 @@
             }
         }
         let old = self.peers.get(&beacon.instance);
-        let is_old = old
-            .is_some_and(|p| (p.incarnation, p.sequence) >= (beacon.incarnation, beacon.sequence));
+        // Incarnations come from the time of day, which may have been set back before the peer's new
+        // life; once its old life is silent, any life is the newest.
+        let is_old = old.is_some_and(|p| {
+            now.since(p.heard) <= SILENCE
+                && (p.incarnation, p.sequence) >= (beacon.incarnation, beacon.sequence)
+        });
         if is_old {
             return false;
         }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -8,7 +8,9 @@
 use nutmeggrade_policy::{Ask, Engine, Scheduler, Ticket};
 
 mod cold;
+mod dispatch;
 mod fairness;
+mod fleet;
 mod gaps;
 mod lengths;
 mod memory;
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -11,8 +11,10 @@
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestCaseError, TestRng, TestRunner};
 
+mod attempts;
 mod cold;
 mod config;
+mod event_streams;
 mod generations;
 mod intents;
 mod suspects;
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -2,5 +2,7 @@
 
 mod cold_rights;
 mod endpoint_table;
+mod fleet_view;
 mod intent;
 mod membership;
+mod registry;
--- /dev/null
+++ b/tests/suite/state/registry.rs
@@ -0,0 +1,85 @@
+//! Endpoints that register, leave, lapse and come back.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_state::registry::{Change, Leaving, Registry};
+
+fn info(number: u8) -> EndpointInfo {
+    EndpointInfo {
+        id: id(number),
+        service: ServiceId::new("desk").expect("an id"),
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        domain: DomainId::new("veluwe").expect("an id"),
+        slots: 4,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        born: 5,
+    }
+}
+
+fn id(number: u8) -> EndpointId {
+    EndpointId::new(&format!("e-{number}")).expect("an id")
+}
+
+const NOW: Moment = Moment::from_millis(10_000);
+
+// An endpoint said that it leaves. An older entry that arrives late must not bring it back; its next
+// life under the same id may come.
+#[test]
+fn leaving_stays_until_the_next_life() {
+    let mut registry = Registry::new();
+    assert!(matches!(registry.put(&info(1), NOW), Some(Change::Joined(_))));
+    let leaving = EndpointInfo { leaving: true, ..info(1) };
+    assert!(matches!(registry.put(&leaving, NOW), Some(Change::Left(_, Leaving::Draining))));
+    assert_eq!(registry.put(&info(1), NOW), None);
+    assert!(!registry.may_send(&id(1)));
+    let reborn = EndpointInfo { born: 6, ..info(1) };
+    assert!(matches!(registry.put(&reborn, NOW), Some(Change::Joined(_))));
+    assert!(registry.may_send(&id(1)));
+    assert_eq!(registry.put(&leaving, NOW), None);
+    assert!(registry.may_send(&id(1)));
+}
+
+// Entries are missing in the first listing after an outage. They count until they had time to come
+// back; without an outage they are gone at once.
+#[test]
+fn missing_after_an_outage_has_time() {
+    let mut registry = Registry::new();
+    registry.replace(&[info(1), info(2), info(3)], false, NOW);
+    assert_eq!(registry.replace(&[info(1), info(2)], false, NOW).len(), 1);
+    assert!(registry.replace(&[info(2)], true, NOW).is_empty());
+    assert!(registry.may_send(&id(1)));
+    let later = NOW.after(Duration::from_millis(1_700));
+    assert!(registry.expire(later).is_empty());
+    let over = NOW.after(Duration::from_millis(1_800));
+    assert_eq!(registry.expire(over), [Change::Left(info(1), Leaving::Removed)]);
+    assert!(!registry.may_send(&id(1)));
+    assert!(registry.may_send(&id(2)));
+}
+
+// An entry that was missing comes back in time, and is not dropped later.
+#[test]
+fn entry_that_comes_back_stays() {
+    let mut registry = Registry::new();
+    registry.put(&info(1), NOW);
+    registry.miss(&id(1), NOW);
+    registry.put(&info(1), NOW.after(Duration::from_secs(1)));
+    assert!(registry.expire(NOW.after(Duration::from_secs(60))).is_empty());
+    assert!(registry.may_send(&id(1)));
+}
+
+// A failure domain is out. Its endpoints get nothing, and are back as soon as it is.
+#[test]
+fn domain_that_is_out_is_out() {
+    let mut registry = Registry::new();
+    registry.put(&info(1), NOW);
+    registry.set_out(&BTreeSet::from([info(1).domain]));
+    assert!(!registry.may_send(&id(1)));
+    assert_eq!(registry.usable().count(), 0);
+    registry.set_out(&BTreeSet::new());
+    assert!(registry.may_send(&id(1)));
+}
