Wait behind those in time, ask engines in an outage, and call a dead store seldom

Ruled out: moves that fail; those after a departure went well. Change: while the store is away one instance asks each engine for its report and tells the others; requests that are late wait behind those in time instead of being refused; all but three instances ask a dead store every four seconds. Tests: late requests wait behind those in time.

--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -50,4 +50,6 @@
     News(FleetNews),
     /// What the sender has just placed.
     Placed(FleetPlaced),
+    /// Endpoints that told the sender themselves that they leave.
+    Leaving(Vec<EndpointId>),
 }
--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod dispatcher;
 mod health;
+mod line_key;
 mod load_book;
 mod need;
 mod room;
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::line_key::LineKey;
 use super::{Candidate, LoadBook, Need, Placed, fits, score};
 use crate::queue::Lane;
 use crate::wait::WaitEstimate;
@@ -48,8 +49,8 @@
     pub book: LoadBook,
     domain: DomainId,
     candidates: BTreeMap<ServiceId, Vec<Candidate>>,
-    lanes: BTreeMap<(ServiceId, u8), Lane<Need>>,
-    waits: BTreeMap<(ServiceId, u8), WaitEstimate>,
+    lanes: BTreeMap<LineKey, Lane<Need>>,
+    waits: BTreeMap<LineKey, WaitEstimate>,
     spread: Spread,
     rng: ChaCha8Rng,
 }
@@ -84,9 +85,12 @@
         if !self.can_ever_run(need) {
             return Offer::Refuse(self.spread.draw(RETURN));
         }
-        let place = (need.service.clone(), need.priority);
-        let lane = self.lanes.entry(place.clone()).or_default();
-        let estimate = self.waits.get(&place).and_then(|w| w.wait(lane.ahead(&need.workspace) + 1));
+        let key = LineKey::fresh(&need.service, need.priority);
+        let set_back = LineKey::late(&need.service, need.priority);
+        let behind = self.lanes.get(&set_back).map_or(0, Lane::len);
+        let lane = self.lanes.entry(key.clone()).or_default();
+        let ahead = lane.ahead(&need.workspace) + behind + 1;
+        let estimate = self.waits.get(&key).and_then(|w| w.wait(ahead));
         if let Some(wait) = estimate
             && wait > patience
         {
@@ -99,19 +103,20 @@
     /// Gives room that has become free to those who wait, the most urgent first.
     pub fn release(&mut self, now: Moment) -> Vec<(Ticket, EndpointId)> {
         let mut released = Vec::new();
-        let places: Vec<(ServiceId, u8)> = self.lanes.keys().cloned().collect();
-        for place in places {
+        self.set_back(now);
+        let keys: Vec<LineKey> = self.lanes.keys().cloned().collect();
+        for key in keys {
             let mut count = 0;
-            while let Some((need, endpoint)) = self.next(&place, now) {
+            while let Some((need, endpoint)) = self.next(&key, now) {
                 self.place(&need, &endpoint);
-                if let Some(lane) = self.lanes.get_mut(&place) {
+                if let Some(lane) = self.lanes.get_mut(&key) {
                     lane.take(need.ticket, need.memory.max(1) as f64);
                 }
                 released.push((need.ticket, endpoint));
                 count += 1;
             }
-            let is_idle = self.lanes.get(&place).is_none_or(Lane::is_empty);
-            let wait = self.waits.entry(place).or_default();
+            let is_idle = self.lanes.get(&key).is_none_or(Lane::is_empty);
+            let wait = self.waits.entry(key).or_default();
             wait.released(count, now);
             if is_idle {
                 wait.idle(now);
@@ -123,10 +128,14 @@
 
     /// Takes a request out that gave up waiting; returns when it may come back.
     pub fn give_up(&mut self, need: &Need) -> Duration {
-        let place = (need.service.clone(), need.priority);
-        let Some(lane) = self.lanes.get_mut(&place) else { return self.spread.draw(RETURN) };
-        lane.remove(need.ticket);
-        let wait = self.waits.get(&place).and_then(|w| w.wait(lane.ahead(&need.workspace)));
+        let key = LineKey::fresh(&need.service, need.priority);
+        for key in [&key, &LineKey::late(&need.service, need.priority)] {
+            if let Some(lane) = self.lanes.get_mut(key) {
+                lane.remove(need.ticket);
+            }
+        }
+        let ahead = self.lanes.get(&key).map_or(0, |lane| lane.ahead(&need.workspace));
+        let wait = self.waits.get(&key).and_then(|w| w.wait(ahead));
         self.spread.draw(wait.map_or(RETURN, |w| w.min(LONGEST_RETURN) / 2))
     }
 
@@ -162,8 +171,22 @@
 
     /// Says whether others of the same or a higher rank wait for the same service.
     fn is_behind_others(&self, need: &Need) -> bool {
-        let upto = (need.service.clone(), 0)..=(need.service.clone(), need.priority);
-        self.lanes.range(upto).any(|(_, lane)| !lane.is_empty())
+        let first = LineKey::fresh(&need.service, 0);
+        let last = LineKey::fresh(&need.service, need.priority);
+        self.lanes.range(first..=last).any(|(_, lane)| !lane.is_empty())
+    }
+
+    /// Sets back those that waited too long for an answer in time.
+    fn set_back(&mut self, now: Moment) {
+        let mut late = Vec::new();
+        for (key, lane) in self.lanes.iter_mut().filter(|(key, _)| !key.is_late) {
+            for ticket in lane.expired(|need| need.fresh_until <= now) {
+                late.extend(lane.remove(ticket).map(|need| (key.priority, need)));
+            }
+        }
+        for (priority, need) in late {
+            self.lanes.entry(LineKey::late(&need.service, priority)).or_default().push(&need);
+        }
     }
 
     /// Says whether an endpoint that is there could run the request if it had nothing else.
@@ -172,8 +195,8 @@
         all.is_some_and(|a| a.iter().any(|c| c.memory.is_none_or(|m| need.memory <= m)))
     }
 
-    fn next(&mut self, place: &(ServiceId, u8), now: Moment) -> Option<(Need, EndpointId)> {
-        let heads: Vec<Need> = self.lanes.get(place)?.heads().cloned().collect();
+    fn next(&mut self, key: &LineKey, now: Moment) -> Option<(Need, EndpointId)> {
+        let heads: Vec<Need> = self.lanes.get(key)?.heads().cloned().collect();
         heads.into_iter().find_map(|need| {
             let endpoint = self.choose(&need, now)?;
             Some((need, endpoint))
--- a/crates/nutmeggrade-policy/src/dispatch/need.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/need.rs
@@ -24,6 +24,8 @@
     pub memory: u64,
     /// Endpoints that failed this request.
     pub avoid: BTreeSet<EndpointId>,
+    /// Until when it can still be answered in the time that its users are content with.
+    pub fresh_until: Moment,
     /// The failure domain that its memory is copied from, if it goes on elsewhere.
     pub from: Option<DomainId>,
 }
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -0,0 +1,63 @@
+//! Asks engines themselves whether they leave, while the store can't say it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use nutmeggrade_core::peer::FleetMessage;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_wire::kinds::Kind;
+use tokio::time::sleep;
+
+use crate::engine_call;
+use crate::node::Node;
+use crate::tables::lock;
+
+/// Time between two questions to an engine. It leaves two seconds after it knows, and copying what
+/// runs there takes more than one.
+const PERIOD: Duration = Duration::from_millis(350);
+
+/// Asks for as long as the process runs.
+///
+/// Engines are reclaimed while the store is away too. Nobody hears of it then, and all that they run
+/// is lost, as one sees by streams that break off without a departure in the logs. An engine's own
+/// report says that it leaves; one instance asks each engine and tells the others.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        sleep(PERIOD).await;
+        if !node.follow.track(Kind::Endpoints).is_away() {
+            continue;
+        }
+        let engines = own_engines(&node);
+        let asked = engines.iter().map(|engine| leaves(&node, engine));
+        let leaving: Vec<EndpointId> = join_all(asked).await.into_iter().flatten().collect();
+        if !leaving.is_empty() {
+            node.note_leaving(&leaving);
+            node.tell(FleetMessage::Leaving(leaving));
+        }
+    }
+}
+
+/// Lists the engines that this instance asks.
+fn own_engines(node: &Node) -> Vec<EndpointInfo> {
+    let map = node.map();
+    let now = node.now();
+    let tables = lock(&node.tables);
+    let is_engine = |e: &EndpointInfo| map.service(&e.service).is_some_and(|s| s.engine.is_some());
+    let all = tables.registry.all().map(|e| &e.info).filter(|e| !e.leaving && is_engine(e));
+    all.filter(|e| tables.fleet.is_first_for(&e.id, now)).cloned().collect()
+}
+
+async fn leaves(node: &Node, engine: &EndpointInfo) -> Option<EndpointId> {
+    match engine_call::report(engine.address).await {
+        Ok(report) if report.is_leaving => Some(engine.id.clone()),
+        Ok(_) => None,
+        Err(error) => {
+            tracing::info!(event = "no_report", endpoint = %engine.id, error = format!("{error:#}"));
+            let now = node.now();
+            lock(&node.tables).dispatcher.book.health_mut(&engine.id).lost(now);
+            None
+        }
+    }
+}
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -9,6 +9,8 @@
 mod answer_body;
 mod clock;
 mod dial;
+mod engine_call;
+mod engine_watch;
 mod fleet_sync;
 mod front;
 mod instance;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use nutmeggrade_core::peer::{FleetNews, Revisions, Seat};
+use nutmeggrade_core::peer::{FleetMessage, FleetNews, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, RouteMap};
 use nutmeggrade_policy::Ticket;
@@ -73,8 +73,8 @@
     departures: watch::Sender<u64>,
     tickets: AtomicU64,
     ends_at: OnceLock<Moment>,
-    news: mpsc::Sender<FleetNews>,
-    outgoing: Mutex<Option<mpsc::Receiver<FleetNews>>>,
+    news: mpsc::Sender<FleetMessage>,
+    outgoing: Mutex<Option<mpsc::Receiver<FleetMessage>>>,
 }
 
 impl Node {
@@ -247,13 +247,27 @@
     /// into a datagram. Peers that don't get them notice by the next heartbeat.
     pub fn hand_on(&self, news: FleetNews) {
         let is_reader = lock(&self.tables).fleet.is_reader(self.now());
-        if is_reader && news.changes.len() <= MOST_CHANGES && self.news.try_send(news).is_err() {
+        if is_reader && news.changes.len() <= MOST_CHANGES {
+            self.tell(FleetMessage::News(news));
+        }
+    }
+
+    /// Sends a message to all peers.
+    pub fn tell(&self, message: FleetMessage) {
+        if self.news.try_send(message).is_err() {
             tracing::warn!(event = "news_not_handed_on");
         }
     }
 
+    /// Takes the word of endpoints that they leave, which comes before the store's.
+    pub fn note_leaving(&self, endpoints: &[EndpointId]) {
+        self.change_registry(|registry, _| {
+            endpoints.iter().filter_map(|id| registry.leave(id)).collect()
+        });
+    }
+
     /// Takes the receiving end of what is handed on; there is one.
-    pub fn outgoing_news(&self) -> Option<mpsc::Receiver<FleetNews>> {
+    pub fn outgoing_news(&self) -> Option<mpsc::Receiver<FleetMessage>> {
         lock(&self.outgoing).take()
     }
 
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -77,9 +77,9 @@
     /// Hands on changes of endpoints that this instance has read for all.
     pub async fn hand_on(&self, node: &Arc<Node>) {
         let Some(mut news) = node.outgoing_news() else { return };
-        while let Some(news) = news.recv().await {
+        while let Some(message) = news.recv().await {
             let targets = lock(&node.tables).fleet.addresses();
-            self.send_to(&FleetMessage::News(news), &targets).await;
+            self.send_to(&message, &targets).await;
         }
     }
 
@@ -144,6 +144,7 @@
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
                     Ok(FleetMessage::Beacon(beacon)) => take(node, &beacon),
                     Ok(FleetMessage::News(news)) => take_news(node, &news),
+                    Ok(FleetMessage::Leaving(endpoints)) => node.note_leaving(&endpoints),
                     Ok(FleetMessage::Placed(FleetPlaced { instance, placed })) => {
                         lock(&node.tables).dispatcher.book.change_peer(&instance, &placed);
                     }
--- a/crates/nutmeggrade-relay/src/relay/call.rs
+++ b/crates/nutmeggrade-relay/src/relay/call.rs
@@ -13,6 +13,10 @@
 /// Rank of requests whose route or workspace has a rank that engines don't know.
 const LAST_RANK: u8 = 9;
 
+/// Part of the time that users are content with in which a request may wait for room; the rest is
+/// for the answer's beginning.
+const FRESH: f64 = 0.8;
+
 /// A request that is to be served.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -56,6 +60,7 @@
             prompt: prompt.map_or(0, |p| p.tokens),
             memory: prompt.map_or(0, |p| p.tokens + p.expected()),
             avoid: std::collections::BTreeSet::new(),
+            fresh_until: self.arrived.after(self.route.target.mul_f64(FRESH)),
             from: None,
         }
     }
--- a/crates/nutmeggrade-relay/src/relay/escape.rs
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -6,22 +6,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
-use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
-use http_body_util::Full;
+use http::StatusCode;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
-use nutmeggrade_platform::{body_bytes, call};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::Need;
 use nutmeggrade_wire::engine::{self, Copied, MoveEnd};
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::place::{self, Place};
 use super::stream::Stream;
 use super::upstream::EndOnDrop;
+use crate::engine_call::{self, CONNECT};
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -36,10 +33,6 @@
 const LET_PASS: Duration = Duration::from_millis(250);
 /// Engines that are tried as the copy's place.
 const TRIES: u32 = 3;
-/// Longest wait for a connection to an engine.
-const CONNECT: Duration = Duration::from_millis(300);
-/// Longest answer to an order.
-const MAX_ANSWER: usize = 64 << 10;
 /// Wait while another copy of the generation is under way.
 const BUSY_WAIT: Duration = Duration::from_millis(30);
 
@@ -203,7 +196,7 @@
 
     /// Returns how much time the endpoint has left.
     async fn time_left(&self) -> Duration {
-        match report(self.source.address).await {
+        match engine_call::report(self.source.address).await {
             Ok(report) => report.leaves_in.unwrap_or(NOTICE),
             Err(error) => {
                 tracing::info!(event = "no_report", endpoint = %self.source.id,
@@ -266,7 +259,13 @@
     async fn order(&self, to: &EndpointInfo, last: bool, end: Moment) -> MoveEnd {
         let body = engine::write_move(&self.id, to.address, last);
         let left = self.node.clock.left(end).max(CONNECT);
-        let answer = ask(self.source.address, engine::MOVE_METHOD, engine::MOVE_PATH, body, left);
+        let answer = engine_call::ask(
+            self.source.address,
+            engine::MOVE_METHOD,
+            engine::MOVE_PATH,
+            body,
+            left,
+        );
         match answer.await {
             Ok((status, body)) => engine::read_move(status, &body),
             Err(error) => {
@@ -277,32 +276,3 @@
         }
     }
 }
-
-async fn report(address: SocketAddr) -> anyhow::Result<engine::EngineReport> {
-    let (status, body) =
-        ask(address, Method::GET, engine::REPORT_PATH, Vec::new(), CONNECT).await?;
-    anyhow::ensure!(status == StatusCode::OK, "{status}");
-    engine::read_report(&body)
-}
-
-async fn ask(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
-    patience: Duration,
-) -> anyhow::Result<(StatusCode, Bytes)> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)))
-        .context("build request")?;
-    let exchange = async {
-        let response = call(address, request, CONNECT).await?;
-        let status = response.status();
-        Ok((status, body_bytes(response.into_body(), MAX_ANSWER).await?))
-    };
-    timeout(patience, exchange).await.context("no answer in time")?
-}
--- a/crates/nutmeggrade-relay/src/relay/place.rs
+++ b/crates/nutmeggrade-relay/src/relay/place.rs
@@ -11,9 +11,11 @@
 use crate::node::Node;
 use crate::tables::lock;
 
-/// Longest that a request waits for room, as a part of the time that its users are content with.
-/// What starts later is late anyway, and its client may find room elsewhere or come back.
-const PATIENCE: f64 = 0.8;
+/// Longest that a request waits for room, as a multiple of the time that its users are content with.
+/// Clients give a stream up that has not begun after four times that.
+const MOST_TARGETS: f64 = 3.0;
+/// Part of the time left in which a request may wait for room; the rest is for its answer.
+const MOST_LEFT: f64 = 0.5;
 
 /// A request's place at an endpoint; given back when it is dropped.
 #[derive(Debug)]
@@ -57,7 +59,7 @@
 /// Fails if there is no room soon enough, with the time to come back.
 pub async fn find(node: &Arc<Node>, call: &Call, need: &Need) -> Result<Place, Failure> {
     let begun = node.now();
-    let patience = call.route.target.mul_f64(PATIENCE).min(call.left(begun));
+    let patience = call.route.target.mul_f64(MOST_TARGETS).min(call.left(begun).mul_f64(MOST_LEFT));
     let offer = lock(&node.tables).offer(need, patience, begun);
     let mut receiver = match offer {
         Ok(receiver) => receiver,
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -22,7 +22,7 @@
 const HELD: Duration = Duration::from_secs(4);
 /// The same for instances that don't read for all, of objects that seldom change. Each call is paid
 /// for, and those that read for all notice what these miss.
-const HELD_LONG: Duration = Duration::from_secs(15);
+const HELD_LONG: Duration = Duration::from_secs(29);
 /// Time that the news of a peer get to come before the store is asked. They are sent together with
 /// the heartbeat that tells of them.
 const NEWS_WAIT: Duration = Duration::from_millis(60);
@@ -36,6 +36,9 @@
 /// Longest wait between two calls while the store can't be read. Calls are counted by the platform,
 /// and a second is within every time in which changes have to be in force.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of an instance that does not read for all. Those that do find out that the store is
+/// back, and their heartbeats tell of news.
+const LONGEST_TOLD: Duration = Duration::from_secs(4);
 /// Time after an outage in which entries that vanish may have lapsed with the store.
 const LAPSES: Duration = Duration::from_secs(3);
 
@@ -118,8 +121,10 @@
 
     /// Returns how long the store may hold a watch back.
     fn held(&self) -> Duration {
+        let track = self.node.follow.track(self.kind);
         let is_reader = lock(&self.node.tables).fleet.is_reader(self.node.now());
-        match (self.node.follow.track(self.kind).is_behind(), is_reader) {
+        // After an outage the first answer is wanted at once: it says that the store is back.
+        match (track.is_behind() || track.is_away(), is_reader) {
             (true, _) => Duration::ZERO,
             (false, true) => HELD,
             (false, false) => HELD_LONG,
@@ -150,7 +155,9 @@
             tracing::warn!(event = "store_away", kind = self.kind.name(), error = %error);
         }
         fleet_sync::catch_up(&self.node).await;
-        let most = FIRST_WAIT.saturating_mul(1 << self.failures.min(4)).min(LONGEST_WAIT);
+        let leads = lock(&self.node.tables).fleet.leads(self.node.now());
+        let longest = if leads { LONGEST_WAIT } else { LONGEST_TOLD };
+        let most = FIRST_WAIT.saturating_mul(1 << self.failures.min(5)).min(longest);
         // Spread, or all instances call in the same moment when the store is back.
         let wait = most.mul_f64(rand::rng().random_range(0.5..1.0));
         tokio::select! {
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -139,11 +139,27 @@
     /// hashes of their names, so that they are mostly in different failure domains, among those that were heard lately and whom the store answers. An instance that hears
     /// nobody reads for itself.
     pub fn is_reader(&self, now: Moment) -> bool {
-        let reads = |p: &Peer| p.reads && !p.leaving && now.since(p.heard) <= READER_SILENCE;
+        self.is_among_first(now, |p| p.reads && !p.leaving)
+    }
+
+    /// Says whether this instance would read for all if the store answered everybody alike. While it
+    /// answers nobody, these ask it again and again, and the others seldom.
+    pub fn leads(&self, now: Moment) -> bool {
+        self.is_among_first(now, |p| !p.leaving)
+    }
+
+    /// Says whether this instance is the first of those that live, in an order that differs between
+    /// endpoints.
+    pub fn is_first_for(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        let own = place_for(&self.own, endpoint);
+        self.live(now).all(|peer| place_for(peer, endpoint) > own)
+    }
+
+    fn is_among_first(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> bool {
         let own = (self.turn_key, &self.own);
-        let before =
-            self.peers.iter().filter(|(name, p)| (p.turn_key, *name) < own && reads(p)).count();
-        before < READERS
+        let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
+        let peers = self.peers.iter().filter(|(_, p)| heard(p) && counts(p));
+        peers.filter(|(name, p)| (p.turn_key, *name) < own).count() < READERS
     }
 
     /// Lists all addresses that heartbeats go to.
@@ -166,12 +182,8 @@
 
     /// Returns this instance's place among all for one endpoint; places differ between endpoints.
     pub fn rank(&self, endpoint: &EndpointId) -> usize {
-        let place = |instance: &InstanceId| {
-            let text = [instance.as_str(), endpoint.as_str()].join("\0");
-            *blake3::hash(text.as_bytes()).as_bytes()
-        };
-        let own = place(&self.own);
-        self.peers.keys().filter(|peer| place(peer) < own).count()
+        let own = place_for(&self.own, endpoint);
+        self.peers.keys().filter(|peer| place_for(peer, endpoint) < own).count()
     }
 
     /// Lists where to send heartbeats, at most `most` in turn.
@@ -211,3 +223,9 @@
     let first: [u8; 8] = std::array::from_fn(|i| hash.as_bytes()[i]);
     u64::from_be_bytes(first)
 }
+
+/// Returns the place of an instance for an endpoint, in an order that differs between endpoints.
+fn place_for(instance: &InstanceId, endpoint: &EndpointId) -> [u8; 32] {
+    let text = [instance.as_str(), endpoint.as_str()].join("\0");
+    *blake3::hash(text.as_bytes()).as_bytes()
+}
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Takes an endpoint's own word that it leaves.
+    pub fn leave(&mut self, id: &EndpointId) -> Option<Change> {
+        let entry = self.endpoints.get_mut(id).filter(|e| !e.info.leaving)?;
+        entry.info.leaving = true;
+        Some(Change::Left(entry.info.clone(), Leaving::Draining))
+    }
+
     /// Takes the news that an endpoint's entry is gone.
     pub fn remove(&mut self, id: &EndpointId) -> Option<Change> {
         let old = self.endpoints.remove(id)?;
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -48,6 +48,7 @@
         prompt: 0,
         memory,
         avoid: BTreeSet::new(),
+        fresh_until: Moment::from_millis(3_600_000),
         from: None,
     }
 }
@@ -157,9 +158,9 @@
         got[number] += 1;
         let health = dispatcher.book.health_mut(&chosen);
         if number == 0 {
-            health.failed(now)
+            health.failed(now);
         } else {
-            health.succeeded(now)
+            health.succeeded(now);
         }
         dispatcher.book.end(Ticket(ticket));
     }
@@ -231,3 +232,22 @@
     let moving = Need { from: Some(domain("far")), ..need(3, 0, 1, 3_500) };
     assert_eq!(dispatcher.choose_move(&moving, at(0)), Some(endpoint(1)));
 }
+
+// Engines are full for longer than users are content to wait. A request that has just come gets the
+// next room before one that is late anyway, and the late one gets room that nobody else wants.
+#[test]
+fn late_requests_wait_behind_those_in_time() {
+    let mut dispatcher = dispatcher(vec![plain(0)]);
+    for ticket in 0..6 {
+        assert!(place(&dispatcher.offer(&need(ticket, 0, 1, 0), PATIENCE, at(0))).is_some());
+    }
+    let old = Need { fresh_until: at(500), ..need(10, 0, 1, 0) };
+    assert_eq!(dispatcher.offer(&old, PATIENCE, at(0)), Offer::Wait);
+    dispatcher.release(at(600));
+    let new = Need { fresh_until: at(1_400), ..need(11, 0, 1, 0) };
+    assert_eq!(dispatcher.offer(&new, PATIENCE, at(900)), Offer::Wait);
+    dispatcher.book.end(Ticket(0));
+    assert_eq!(dispatcher.release(at(950)), [(Ticket(11), endpoint(0))]);
+    dispatcher.book.end(Ticket(1));
+    assert_eq!(dispatcher.release(at(960)), [(Ticket(10), endpoint(0))]);
+}
--- a/tests/suite/random/attempts.rs
+++ b/tests/suite/random/attempts.rs
@@ -84,9 +84,9 @@
             }
             Step::Failed | Step::Lost if truth.at_endpoint => {
                 if matches!(step, Step::Failed) {
-                    attempt.failed()
+                    attempt.failed();
                 } else {
-                    attempt.lost()
+                    attempt.lost();
                 }
                 truth.at_endpoint = false;
                 truth.ran += 1;
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -68,7 +68,7 @@
     registry.put(&info(1), NOW);
     registry.miss(&id(1), NOW);
     registry.put(&info(1), NOW.after(Duration::from_secs(1)));
-    assert!(registry.expire(NOW.after(Duration::from_secs(60))).is_empty());
+    assert!(registry.expire(NOW.after(Duration::from_mins(1))).is_empty());
     assert!(registry.may_send(&id(1)));
 }
 
