--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -29,6 +29,11 @@
 /// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
 /// store tells all watches within milliseconds.
 const OVERTAKEN: Duration = Duration::from_millis(60);
+/// Time in which changes of endpoints gather before the first reader asks for more. It is a small part
+/// of the two seconds for which an endpoint that leaves may still get work.
+const GATHER: Duration = Duration::from_millis(50);
+/// The same for the other readers, whose news count only when the first one's are lost.
+const GATHER_LONG: Duration = Duration::from_millis(400);
 /// Time between looks whether it is this instance's turn to read.
 const TURN: Duration = Duration::from_millis(200);
 /// First wait after a call that failed.
@@ -110,6 +115,9 @@
                 let is_news = !snapshot.objects.is_empty();
                 apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, is_news);
+                if is_news && self.kind == Kind::Endpoints {
+                    self.gather().await;
+                }
                 Ok(())
             }
             Watched::HistoryGone => {
@@ -119,6 +127,13 @@
         }
     }
 
+    /// Waits until further changes have gathered: endpoints that join or leave together change their
+    /// entries one after another, and each answer is paid for.
+    async fn gather(&self) {
+        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
+        sleep(if is_first { GATHER } else { GATHER_LONG }).await;
+    }
+
     /// Returns how long the store may hold a watch back.
     fn held(&self) -> Duration {
         let track = self.node.follow.track(self.kind);
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -142,6 +142,12 @@
         self.is_among_first(now, |p| p.reads && !p.leaving)
     }
 
+    /// Says whether this instance is the first of those that read for all, whose news the others
+    /// only have to repeat where they were lost.
+    pub fn is_first_reader(&self, now: Moment) -> bool {
+        self.before(now, |p| p.reads && !p.leaving) == 0
+    }
+
     /// Says whether this instance would read for all if the store answered everybody alike. While it
     /// answers nobody, these ask it again and again, and the others seldom.
     pub fn leads(&self, now: Moment) -> bool {
@@ -156,10 +162,15 @@
     }
 
     fn is_among_first(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> bool {
+        self.before(now, counts) < READERS
+    }
+
+    /// Counts the peers before this instance in the order in which instances read for all.
+    fn before(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> usize {
         let own = (self.turn_key, &self.own);
         let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
         let peers = self.peers.iter().filter(|(_, p)| heard(p) && counts(p));
-        peers.filter(|(name, p)| (p.turn_key, *name) < own).count() < READERS
+        peers.filter(|(name, p)| (p.turn_key, *name) < own).count()
     }
 
     /// Lists all addresses that heartbeats go to.
