Send clients near by, shorten heartbeats, tell only engines' work at once

Change: only work at engines is told at once, every fifth heartbeat introduces, clients are told of instances in their own domain where there are three, and another domain counts 0.15 of an endpoint's capacity instead of 0.06. Silence that takes a peer for gone grows with the turns of a large fleet.

--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -21,6 +21,21 @@
     pub control: SocketAddr,
 }
 
+/// Where the sender and a few others are reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Introduction {
+    /// Where the sender is reached.
+    pub seat: Seat,
+    /// Where heartbeats of a few others go that the sender heard lately.
+    pub others: Vec<SocketAddr>,
+}
+
+/// Heartbeats after a start that all carry an introduction, five seconds' worth.
+const FIRST: u64 = 20;
+/// Heartbeats from one with an introduction to the next. Peers take turns, and the number has no
+/// divisor in common with most numbers of turns, so that all get one.
+const EVERY: u64 = 5;
+
 /// Revisions of the platform's store that an instance has read, one for each kind of object.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revisions {
@@ -41,8 +56,9 @@
     pub incarnation: u64,
     /// Counts the sender's heartbeats; an older or repeated one is dropped.
     pub sequence: u64,
-    /// Where the sender is reached.
-    pub seat: Seat,
+    /// Where the sender and others are reached; now and then, since peers mostly know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub intro: Option<Introduction>,
     /// Whether the sender takes no new clients.
     pub leaving: bool,
     /// Whether the store answers the sender.
@@ -51,6 +67,12 @@
     pub revisions: Revisions,
     /// What the sender has placed at each endpoint.
     pub placed: BTreeMap<EndpointId, Placed>,
-    /// Where a few others are reached that the sender heard lately.
-    pub others: Vec<SocketAddr>,
+}
+
+impl FleetBeacon {
+    /// Says whether the heartbeat of this number carries an introduction: those of the first seconds
+    /// do, and every fifth after them for peers that missed it.
+    pub const fn introduces(sequence: u64) -> bool {
+        sequence <= FIRST || sequence.is_multiple_of(EVERY)
+    }
 }
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -18,7 +18,7 @@
 const CHANCE: f64 = 0.04;
 /// How much another failure domain counts, as a part of an endpoint's capacity: bytes between
 /// domains cost more and take a millisecond longer, which must not outweigh real load.
-const FAR: f64 = 0.06;
+const FAR: f64 = 0.15;
 /// How much another failure domain counts for a copy, which takes twice as long between domains
 /// while the engine that it comes from is about to go.
 const FAR_COPY: f64 = 0.35;
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -37,7 +37,7 @@
     /// Notes that a request goes to an endpoint.
     pub fn place(&mut self, ticket: Ticket, endpoint: &EndpointId, placed: Placed) {
         self.end(ticket);
-        self.changed.insert(endpoint.clone());
+        self.note_change(endpoint, placed);
         *self.own_sum.entry(endpoint.clone()).or_default() += placed;
         self.own.insert(ticket, Own { endpoint: endpoint.clone(), placed });
     }
@@ -80,7 +80,7 @@
     /// Notes that a request is at its endpoint no more.
     pub fn end(&mut self, ticket: Ticket) {
         let Some(own) = self.own.remove(&ticket) else { return };
-        self.changed.insert(own.endpoint.clone());
+        self.note_change(&own.endpoint, own.placed);
         if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
             *sum -= own.placed;
             if sum.requests == 0 {
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Notes what peers are told at once: work at engines, where a choice that does not know of it
+    /// costs memory and seconds. Short calls are over before it would help.
+    fn note_change(&mut self, endpoint: &EndpointId, placed: Placed) {
+        if placed.memory > 0 {
+            self.changed.insert(endpoint.clone());
+        }
+    }
+
     fn sum_peers(&mut self) {
         self.peer_sum.clear();
         for (endpoint, placed) in self.peers.values().flatten() {
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -87,22 +87,23 @@
     TcpListener::bind(address).await.with_context(|| format!("bind {address}"))
 }
 
-fn route(node: &Arc<Node>, path: &str, answer: fn(&Node) -> Response) -> Router {
+fn route(node: &Arc<Node>, path: &str, answer: fn(&Node, &str) -> Response) -> Router {
     let node = Arc::clone(node);
-    Router::new().get(path, move |_: Request| {
+    Router::new().get(path, move |request: Request| {
         let node = Arc::clone(&node);
-        async move { VizResult::Ok(answer(&node)) }
+        async move { VizResult::Ok(answer(&node, request.uri().query().unwrap_or_default())) }
     })
 }
 
-fn readiness(node: &Node) -> Response {
+fn readiness(node: &Node, _: &str) -> Response {
     let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     respond(status, Vec::new())
 }
 
-fn entries(node: &Node) -> Response {
+fn entries(node: &Node, query: &str) -> Response {
+    let near = directory::read_domain(query);
     let is_leaving = !node.is_ready();
-    let mut addresses = lock(&node.tables).fleet.entries(is_leaving, node.now());
+    let mut addresses = lock(&node.tables).fleet.entries(near.as_ref(), is_leaving, node.now());
     if addresses.is_empty() {
         // Nobody else is known, and a refusal helps a client more than no address.
         addresses.push(node.seat.client);
@@ -111,7 +112,7 @@
     respond(StatusCode::OK, directory::write(&addresses, keep))
 }
 
-fn knowledge(node: &Node) -> Response {
+fn knowledge(node: &Node, _: &str) -> Response {
     match serde_json::to_vec(&known(node)) {
         Ok(body) => respond(StatusCode::OK, body),
         Err(error) => {
@@ -121,7 +122,7 @@
     }
 }
 
-fn metrics(node: &Node) -> Response {
+fn metrics(node: &Node, _: &str) -> Response {
     let dropped = i64::try_from(node.logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.dropped_lines.set(dropped);
     match node.metrics.text() {
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, FleetNews, FleetPlaced, open, seal};
+use nutmeggrade_core::peer::{
+    FleetBeacon, FleetMessage, FleetNews, FleetPlaced, Introduction, open, seal,
+};
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_state::fleet_view::{FANOUT, PERIOD};
 use nutmeggrade_wire::kinds::Kind;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -20,13 +23,6 @@
 use crate::tables::lock;
 use crate::watch::endpoint_news;
 
-/// Time between heartbeats. What peers have placed is a quarter of a second old then, in which all
-/// instances of a deployment together place a few requests.
-const PERIOD: Duration = Duration::from_millis(250);
-/// Peers that a heartbeat goes to. In a larger fleet they take turns, so that the cost of an
-/// instance does not grow with the fleet. Only the few that read the store for all send to everybody
-/// each time, since their silence has to be noticed soon.
-const FANOUT: usize = 16;
 /// Least time between two messages of what is placed; changes in between are gathered. It is a tenth
 /// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
 /// each other.
@@ -90,6 +86,9 @@
             let (message, targets) = {
                 let mut tables = lock(&node.tables);
                 let placed = tables.dispatcher.book.take_changes();
+                if placed.is_empty() {
+                    continue;
+                }
                 let instance = node.settings().instance.clone();
                 let targets = tables.fleet.addresses();
                 (FleetMessage::Placed(FleetPlaced { instance, placed }), targets)
@@ -118,20 +117,21 @@
     fn beacon(&self, node: &Arc<Node>) -> (FleetBeacon, Vec<SocketAddr>) {
         let now = node.now();
         let mut tables = lock(&node.tables);
-        let others = tables.fleet.others(now);
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let intro = FleetBeacon::introduces(sequence)
+            .then(|| Introduction { seat: node.seat.clone(), others: tables.fleet.others(now) });
         let is_reader = tables.fleet.is_reader(now);
         let fanout = if is_reader { usize::MAX } else { FANOUT };
         let targets = tables.fleet.targets(fanout);
         let beacon = FleetBeacon {
             instance: node.settings().instance.clone(),
             incarnation: node.incarnation,
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            seat: node.seat.clone(),
+            sequence,
+            intro,
             leaving: node.phase() > Phase::Serving,
             reads: node.follow.is_answered(),
             revisions: node.revisions(),
             placed: tables.dispatcher.book.own().clone(),
-            others,
         };
         (beacon, targets)
     }
@@ -167,7 +167,7 @@
         }
         tables.dispatcher.book.set_peer(&beacon.instance, &beacon.placed);
         if !was_live {
-            tracing::info!(event = "peer_heard", peer = %beacon.instance, domain = %beacon.seat.domain,
+            tracing::info!(event = "peer_heard", peer = %beacon.instance,
                 incarnation = beacon.incarnation);
         }
     }
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -4,12 +4,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{FleetBeacon, Revisions, Seat};
+use nutmeggrade_core::peer::{FleetBeacon, Introduction, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
 
-/// Silence after which a peer is no longer named to clients: six heartbeats, so that a few lost ones
-/// don't take a healthy peer's clients away.
+/// Silence after which a peer is no longer named to clients, beside that of the turns in which peers
+/// send to each other: a few heartbeats, so that lost ones don't take a healthy peer's clients away.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Turns that may pass without a heartbeat.
+const TURNS: u32 = 3;
+/// Instances in a client's failure domain from which on it is told of no others.
+const ENOUGH: usize = 3;
+/// Time between two heartbeats of an instance. What peers have placed is told at once, so that this
+/// only bounds how soon silence is noticed.
+pub const PERIOD: Duration = Duration::from_millis(250);
+/// Peers that a heartbeat goes to. In a larger fleet they take turns, so that the cost of an
+/// instance does not grow with the fleet. Only the few that read the store for all send to everybody
+/// each time, since their silence has to be noticed soon.
+pub const FANOUT: usize = 16;
 /// Instances that follow the endpoints in the store for all; two may be killed or cut off together
 /// without a gap.
 const READERS: usize = 3;
@@ -77,23 +88,25 @@
         if beacon.instance == self.own {
             return false;
         }
-        for address in beacon.others.iter().chain([&beacon.seat.beacon]) {
-            if *address != self.seat.beacon && self.addresses.len() < MOST_ADDRESSES {
-                self.addresses.insert(*address);
-            }
+        if let Some(intro) = &beacon.intro {
+            self.meet(intro);
         }
         let old = self.peers.get(&beacon.instance);
         // Incarnations come from the time of day, which may have been set back before the peer's new
         // life; once its old life is silent, any life is the newest.
         let is_old = old.is_some_and(|p| {
-            now.since(p.heard) <= SILENCE
+            now.since(p.heard) <= self.silence()
                 && (p.incarnation, p.sequence) >= (beacon.incarnation, beacon.sequence)
         });
         if is_old {
             return false;
         }
+        let intro = beacon.intro.as_ref().map(|intro| &intro.seat);
+        let same_life = old.filter(|p| p.incarnation == beacon.incarnation).map(|p| &p.seat);
+        // A peer that was never introduced is not reached yet; its next introduction comes soon.
+        let Some(seat) = intro.or(same_life).cloned() else { return false };
         let peer = Peer {
-            seat: beacon.seat.clone(),
+            seat,
             incarnation: beacon.incarnation,
             sequence: beacon.sequence,
             heard: now,
@@ -106,6 +119,14 @@
         true
     }
 
+    fn meet(&mut self, intro: &Introduction) {
+        for address in intro.others.iter().chain([&intro.seat.beacon]) {
+            if *address != self.seat.beacon && self.addresses.len() < MOST_ADDRESSES {
+                self.addresses.insert(*address);
+            }
+        }
+    }
+
     /// Forgets peers that have been silent for so long that they don't count any more, and their
     /// addresses, which may be another program's by now.
     pub fn forget(&mut self, now: Moment) {
@@ -122,14 +143,22 @@
         }
     }
 
+    /// Returns the silence after which a peer counts as gone. Instances of a large fleet send to each
+    /// other in turns, so that each hears the others less often.
+    fn silence(&self) -> Duration {
+        let turns = self.addresses.len().div_ceil(FANOUT);
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+        SILENCE + PERIOD.saturating_mul(turns.saturating_mul(TURNS))
+    }
+
     /// Says whether a peer was heard lately.
     pub fn is_live(&self, instance: &InstanceId, now: Moment) -> bool {
-        self.peers.get(instance).is_some_and(|p| now.since(p.heard) <= SILENCE)
+        self.peers.get(instance).is_some_and(|p| now.since(p.heard) <= self.silence())
     }
 
     /// Lists peers that were heard lately.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = &InstanceId> {
-        self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= SILENCE).map(|(i, _)| i)
+        self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= self.silence()).map(|(i, _)| i)
     }
 
     /// Says whether this instance follows the endpoints in the store for all.
@@ -178,11 +207,23 @@
         self.addresses.iter().copied().collect()
     }
 
-    /// Lists where clients may connect, this instance first unless it is leaving.
-    pub fn entries(&self, is_leaving: bool, now: Moment) -> Vec<SocketAddr> {
-        let own = (!is_leaving).then_some(self.seat.client);
-        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE && !p.leaving);
-        own.into_iter().chain(live.map(|p| p.seat.client)).collect()
+    /// Lists where clients may connect: instances in the client's failure domain if enough are there.
+    ///
+    /// Bytes between failure domains cost more and take longer. With few instances near by, their
+    /// common failure would leave a client without any that it knows.
+    pub fn entries(
+        &self,
+        near: Option<&DomainId>,
+        is_leaving: bool,
+        now: Moment,
+    ) -> Vec<SocketAddr> {
+        let silence = self.silence();
+        let own = (!is_leaving).then_some(&self.seat);
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= silence && !p.leaving);
+        let all: Vec<&Seat> = own.into_iter().chain(live.map(|p| &p.seat)).collect();
+        let is_near = |seat: &&&Seat| near == Some(&seat.domain);
+        let near_by: Vec<SocketAddr> = all.iter().filter(is_near).map(|s| s.client).collect();
+        if near_by.len() >= ENOUGH { near_by } else { all.iter().map(|s| s.client).collect() }
     }
 
     /// Counts the instances that limits are divided by, this one included.
@@ -208,7 +249,7 @@
 
     /// Lists where a few peers are reached that were heard lately.
     pub fn others(&self, now: Moment) -> Vec<SocketAddr> {
-        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE);
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= self.silence());
         let all: Vec<SocketAddr> = live.map(|p| p.seat.beacon).collect();
         let start = self.turn;
         (0..all.len().min(HANDED_ON)).map(|i| all[(start + i) % all.len()]).collect()
@@ -221,7 +262,7 @@
         own: u64,
         now: Moment,
     ) -> Option<(SocketAddr, u64)> {
-        let live = self.peers.values().filter(|p| now.since(p.heard) <= SILENCE);
+        let live = self.peers.values().filter(|p| now.since(p.heard) <= self.silence());
         let newest = live.max_by_key(|p| revision(&p.revisions))?;
         let theirs = revision(&newest.revisions);
         (theirs > own).then_some((newest.seat.control, theirs))
