Hand on what a listing finds gone

Four instances listed anew and knew at 2.4 s; three, whose watches ended later, at 4.2 s, and two streams were cut there without a move. Change: departures that a listing finds are told to the peers. The test passes without the change too, more slowly, since peers are asked once the silent call times out.

--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -204,8 +204,12 @@
         lock(&self.tables).registry.get(id).map(|e| e.info.clone())
     }
 
-    /// Changes the registry, and tells everybody whom it concerns.
-    pub fn change_registry(&self, change: impl FnOnce(&mut Registry, Moment) -> Vec<Change>) {
+    /// Changes the registry, and tells everybody here whom it concerns; returns the endpoints that
+    /// left.
+    pub fn change_registry(
+        &self,
+        change: impl FnOnce(&mut Registry, Moment) -> Vec<Change>,
+    ) -> Vec<EndpointId> {
         let now = self.now();
         let changes = change(&mut lock(&self.tables).registry, now);
         for change in &changes {
@@ -223,9 +227,11 @@
         if !changes.is_empty() {
             self.refresh();
         }
-        if changes.iter().any(|c| matches!(c, Change::Left(..))) {
+        let left: Vec<EndpointId> = changes.into_iter().filter_map(Change::left).collect();
+        if !left.is_empty() {
             self.departures.send_modify(|n| *n += 1);
         }
+        left
     }
 
     /// Takes over which failure domains are out.
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use nutmeggrade_core::peer::{EndpointNews, FleetNews};
+use nutmeggrade_core::peer::{EndpointNews, FleetMessage, FleetNews};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::registry::{Change, Registry};
@@ -23,7 +23,12 @@
         Kind::Config => take_config(node, &snapshot.objects),
         Kind::Endpoints => {
             let all: Vec<EndpointInfo> = snapshot.objects.iter().filter_map(read).collect();
-            node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
+            let left =
+                node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
+            // Peers whose watches heard nothing of it learn it here, and not when their own end.
+            if !left.is_empty() {
+                node.tell(FleetMessage::Leaving(left));
+            }
         }
         Kind::Evacuations => {
             let out = snapshot.objects.iter().filter_map(|o| read_out(&o.name)).collect();
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -40,6 +40,16 @@
     Left(EndpointInfo, Leaving),
 }
 
+impl Change {
+    /// Returns the endpoint that left, if one did.
+    pub fn left(self) -> Option<EndpointId> {
+        match self {
+            Self::Left(info, _) => Some(info.id),
+            Self::Joined(_) => None,
+        }
+    }
+}
+
 /// The endpoints that registered themselves and the failure domains that are out.
 ///
 /// An endpoint that leaves must get nothing new, and one that did not leave must not lose its work
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -97,3 +97,25 @@
         until("the newer version", async || Ok(metric(metrics, "config_version").await? == 3)).await
     });
 }
+
+// The store's watches hear nothing while an endpoint goes, and then its history is gone. One instance
+// finds out by a new listing; the other's watch is silent still, and must not wait for its end.
+#[test]
+fn what_a_listing_finds_is_handed_on() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let (open, silent) = (store.door().await?, store.door().await?);
+        let first = instance("i-1", &open, "").await?;
+        let other = second(&first, &silent).await?;
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        let metrics = other.addresses().metrics;
+        until("known", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
+        until_entries(&other, 2).await?;
+        silent.set(Fault::Silent);
+        store.remove("servers", "e-1");
+        store.forget();
+        until("gone", async || Ok(metric(metrics, "endpoints").await? == 0)).await
+    });
+}
