--- a/crates/nutmeggrade-core/src/failure.rs
+++ b/crates/nutmeggrade-core/src/failure.rs
@@ -9,6 +9,9 @@
 use crate::code::Code;
 use crate::run::Run;
 
+/// Header that carries the number of a failed answer's result.
+pub const CODE_HEADER: &str = "nutmeggrade-code";
+
 /// A numbered failure with what is known about the request's effect.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -19,6 +19,9 @@
 
 /// Connections that may wait to be accepted; a few hundred clients may come in the same moment.
 const BACKLOG: u32 = 1_024;
+/// Bytes of answers that the kernel keeps for a client who reads slowly. Without it the kernel lets
+/// megabytes pile up for each connection before a write finds no room.
+const SEND_BUFFER: u32 = 128 << 10;
 /// Pause after a failed accept, as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Descriptors kept for files, listeners, the store and peers.
@@ -30,6 +33,10 @@
 const CONNECTION_BYTES: usize = 24 << 10;
 
 /// Opens the socket that clients connect to.
+///
+/// # Errors
+///
+/// Fails if the address is another program's or not this machine's.
 pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
@@ -37,6 +44,7 @@
     };
     let socket = socket.context("open socket")?;
     socket.set_reuseaddr(true).context("reuse address")?;
+    socket.set_send_buffer_size(SEND_BUFFER).context("send buffer")?;
     socket.bind(address).with_context(|| format!("bind {address}"))?;
     socket.listen(BACKLOG).with_context(|| format!("listen on {address}"))
 }
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod watch;
 
 pub use clock::Clock;
+pub use front::bind;
 pub use instance::{Addresses, Instance};
 pub use logs::{LogBuffer, start_writer};
 pub use server::run;
--- a/crates/nutmeggrade-relay/src/relay/refusal.rs
+++ b/crates/nutmeggrade-relay/src/relay/refusal.rs
@@ -1,6 +1,7 @@
 //! What a client gets whose request is not answered by an endpoint.
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use nutmeggrade_core::failure::CODE_HEADER;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::invariant;
 use nutmeggrade_wire::answer;
@@ -16,9 +17,6 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
-/// Carries the number of the result.
-const CODE_HEADER: HeaderName = HeaderName::from_static("nutmeggrade-code");
-
 /// A request that was refused before it became a [`super::call::Call`].
 #[derive(Debug)]
 pub struct Refused {
@@ -65,7 +63,7 @@
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(CODE_HEADER, HeaderValue::from(failure.code.number()));
+    headers.insert(HeaderName::from_static(CODE_HEADER), HeaderValue::from(failure.code.number()));
     if let Some(wait) = failure.retry_after {
         answer::write_retry_after(headers, wait);
     }
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -18,7 +18,8 @@
 use crate::node::{Node, Phase};
 
 pub use caller::Caller;
-pub use listener::{Limits, bind, listen};
+pub use listener::{Limits, listen};
+pub use nutmeggrade_relay::bind;
 pub use reply::{Reply, failure, json, success};
 
 /// Serves callers until the planned stop is over and every connection has ended.
--- a/crates/nutmeggrade/src/front/listener.rs
+++ b/crates/nutmeggrade/src/front/listener.rs
@@ -1,11 +1,9 @@
 //! Accepts connections within limits and closes them gracefully.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use futures::FutureExt;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -14,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use nutmeggrade_core::prelude::*;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 use viz::{Body, Responder, Router, Tree};
@@ -27,14 +25,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections beyond the limit that are told so at a time; more wait in the listen queue.
 const REFUSALS: usize = 64;
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Bytes of a request's head, and of answers that wait for a caller who reads slowly.
 const BUFFER: usize = 64 << 10;
-/// Bytes of answers that the kernel keeps for a caller who reads slowly. Without it the kernel lets
-/// megabytes pile up for each connection before a write finds no room.
-const SEND_BUFFER: u32 = 128 << 10;
-
 /// Limits on connections, and how long a planned stop keeps them.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -48,19 +40,6 @@
     pub until: Phase,
 }
 
-/// Binds a listening socket.
-pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    };
-    let socket = socket.context("open socket")?;
-    socket.set_reuseaddr(true).context("reuse address")?;
-    socket.set_send_buffer_size(SEND_BUFFER).context("send buffer")?;
-    socket.bind(address).with_context(|| format!("bind {address}"))?;
-    socket.listen(BACKLOG).with_context(|| format!("listen on {address}"))
-}
-
 /// Serves a router until the phase in `limits` and until every connection has ended.
 ///
 /// The library's own `serve` sets no header timeout and no connection limit, so that a few clients
--- a/crates/nutmeggrade/src/front/reply.rs
+++ b/crates/nutmeggrade/src/front/reply.rs
@@ -1,6 +1,7 @@
 //! Answers to callers.
 
 use http::{HeaderName, HeaderValue, StatusCode, header};
+use nutmeggrade_core::failure::CODE_HEADER;
 use nutmeggrade_core::prelude::*;
 use serde::Serialize;
 use viz::{Request, Response, ResponseExt};
@@ -10,8 +11,6 @@
 
 /// Code that metrics and logs show for success.
 const SUCCESS: u16 = 0;
-/// Header that names the result code.
-const CODE_HEADER: HeaderName = HeaderName::from_static("nutmeggrade-code");
 
 /// Makes the answer of a failure: JSON body, HTTP status and Retry-After to match.
 pub fn failure(failure: &Failure) -> Response {
@@ -19,7 +18,7 @@
     let status = StatusCode::from_u16(failure.code.status());
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
-    headers.insert(CODE_HEADER, HeaderValue::from(failure.code.number()));
+    headers.insert(HeaderName::from_static(CODE_HEADER), HeaderValue::from(failure.code.number()));
     if let Some(wait) = failure.retry_after {
         let seconds = wait.as_millis().div_ceil(1_000);
         let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
