Draw again when two copies begin together, and give the last copy a second

Ruled out: an engine that was gone; it answered the other copy. Change: whoever hears of another copy within 8 ms of beginning its own draws again, and the last copy gets at least a second. Test: generations take turns.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -15,6 +15,8 @@
 use super::message::Message;
 use super::seen::Seen;
 
+/// Time that a first copy takes.
+const COPY_TIME: Duration = Duration::from_millis(40);
 const SIGNATURE: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -127,6 +129,9 @@
         let order: Value = serde_json::from_slice(&request.body).context("order")?;
         let id = order["id"].as_str().unwrap_or_default();
         let last = order["final"].as_bool().unwrap_or_default();
+        if !last {
+            self.generations.take_time(COPY_TIME).await;
+        }
         match self.generations.copy(self.address, id, last) {
             Some(made) => {
                 send_json(stream, 200, &json!({ "cache_handle": id, "created": made })).await
--- a/crates/nutmeggrade-fakes/src/site/generation.rs
+++ b/crates/nutmeggrade-fakes/src/site/generation.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::watch;
+use tokio::time::{Duration, sleep};
 
 /// A generation that runs at an engine.
 #[derive(Debug, Clone)]
@@ -20,6 +21,14 @@
 pub struct Generations {
     running: Arc<Mutex<BTreeMap<(SocketAddr, String), Running>>>,
     copies: Arc<Mutex<BTreeMap<(SocketAddr, String), u64>>>,
+    copying: Arc<Mutex<Copying>>,
+}
+
+/// First copies that are under way at a time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Copying {
+    now: usize,
+    most: usize,
 }
 
 impl Generations {
@@ -53,6 +62,24 @@
         Some(running.made)
     }
 
+    /// Takes the time of a first copy.
+    pub async fn take_time(&self, time: Duration) {
+        self.begin_copy();
+        sleep(time).await;
+        guard(&self.copying).now -= 1;
+    }
+
+    fn begin_copy(&self) {
+        let mut copying = guard(&self.copying);
+        copying.now += 1;
+        copying.most = copying.most.max(copying.now);
+    }
+
+    /// Returns how many first copies were under way at the same time.
+    pub fn most_copying(&self) -> usize {
+        guard(&self.copying).most
+    }
+
     /// Takes up a copy; each can be taken up once.
     pub fn take_up(&self, source: SocketAddr, handle: &str) -> Option<u64> {
         guard(&self.copies).remove(&(source, handle.to_owned()))
--- a/crates/nutmeggrade-relay/src/relay/escape.rs
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -29,6 +29,11 @@
 /// Shortest and longest wait before a look whether the engine's link is free. Instances hear of each
 /// other's copies within a few milliseconds, so that two seldom begin in the same moment.
 const TURN: Range<u64> = 2..40;
+/// Time in which others hear that a copy begins. Whoever hears of another one in it draws again.
+const SETTLE: Duration = Duration::from_millis(8);
+/// Least time that an engine gets for the last copy, even if it should be gone by then. The generation
+/// is stopped, so there is nothing to go back to.
+const LAST_COPY: Duration = Duration::from_secs(1);
 /// Wait of generations that will probably end before their engine does; the others go first.
 const LET_PASS: Duration = Duration::from_millis(250);
 /// Engines that are tried as the copy's place.
@@ -122,7 +127,8 @@
 /// How a first copy ended.
 enum Copy {
     Done((Place, Moving)),
-    Again,
+    Failed,
+    Collided,
     Over,
 }
 
@@ -161,14 +167,13 @@
         if self.ends_before(end) {
             sleep(LET_PASS).await;
         }
-        for _ in 0..TRIES {
-            if !self.turn(end).await {
-                return Escaped::Stays;
-            }
+        let mut failed = 0;
+        while failed < TRIES && self.turn(end).await {
             match self.copy(end).await {
-                Copy::Done(place) => return self.stop(place, end).await,
+                Copy::Done(copied) => return self.stop(copied, end).await,
                 Copy::Over => return Escaped::Stays,
-                Copy::Again => {}
+                Copy::Failed => failed += 1,
+                Copy::Collided => {}
             }
         }
         Escaped::Stays
@@ -210,6 +215,10 @@
     async fn copy(&mut self, end: Moment) -> Copy {
         let Some(place) = self.target() else { return Copy::Over };
         let moving = Moving::new(&self.node, [self.ticket, place.ticket], self.memory);
+        sleep(SETTLE).await;
+        if lock(&self.node.tables).dispatcher.book.at(&self.source.id).moving > self.memory {
+            return Copy::Collided;
+        }
         let ended = self.order(&place.endpoint, false, end).await;
         tracing::info!(event = "copied", request = %self.id, from = %self.source.id,
             to = %place.endpoint.id, tokens = self.memory, end = ?ended);
@@ -218,11 +227,11 @@
             MoveEnd::NoSuchRun => Copy::Over,
             MoveEnd::Busy => {
                 sleep(BUSY_WAIT).await;
-                Copy::Again
+                Copy::Failed
             }
             MoveEnd::NoRoom(_) | MoveEnd::Failed(_) => {
                 self.need.avoid.insert(place.endpoint.id.clone());
-                Copy::Again
+                Copy::Failed
             }
         }
     }
@@ -258,7 +267,8 @@
 
     async fn order(&self, to: &EndpointInfo, last: bool, end: Moment) -> MoveEnd {
         let body = engine::write_move(&self.id, to.address, last);
-        let left = self.node.clock.left(end).max(CONNECT);
+        let patience = if last { LAST_COPY } else { CONNECT };
+        let left = self.node.clock.left(end).max(patience);
         let answer = engine_call::ask(
             self.source.address,
             engine::MOVE_METHOD,
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -72,3 +72,32 @@
         Ok(())
     });
 }
+
+// Four generations run on an engine that is reclaimed. Copies queue on its link, and a generation
+// that is stopped while another is copied stands still behind it, as its client sees. They are
+// copied one after another, and all arrive.
+#[test]
+fn generations_take_turns() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 150, pause: PAUSE };
+        let first = site.endpoint("writers", "e-1", stream).await?;
+        let mut clients = Vec::new();
+        for id in ["a1", "a2", "a3", "a4"] {
+            let mut client = RawClient::connect(site.client()).await?;
+            client.send(&request("draft", id, "key-1", PROMPT)).await?;
+            until("the generation runs", async || Ok(first.runs(id) == 1)).await?;
+            clients.push(client);
+        }
+        site.endpoint("writers", "e-2", stream).await?;
+        first.leave_in(Duration::from_secs(2));
+        drain(&site, &first);
+        for client in &mut clients {
+            let answer = client.answer().await?;
+            assert!(answer.is_whole);
+            assert_eq!(events(&answer.message.body), (1..=150).collect::<Vec<u64>>());
+        }
+        assert_eq!(site.generations.most_copying(), 1);
+        Ok(())
+    });
+}
