Hold back a request under which three endpoints died

Change: whoever loses a request looks whether the endpoint still accepts connections, and tells all instances if it does not; a request with three such endpoints is refused as not run for two minutes after the last. Tests: state::crash_log, relay::crashers (without the change all eight endpoints die).

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -103,6 +103,8 @@
     GenerationGone = 3007, "generation_gone", 410;
     /// The call ran, but its answer was too large to be kept for a retry.
     AnswerNotKept = 3008, "answer_not_kept", 502;
+    /// Endpoints died under the request again and again; it is not sent for a while.
+    CrashHeld = 3009, "crash_held", 503;
     /// The platform could not be asked, so the call was not started.
     PlatformDown = 4001, "platform_down", 503;
     /// This instance is leaving; use another entry.
--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -41,6 +41,20 @@
     pub placed: BTreeMap<EndpointId, Placed>,
 }
 
+/// Tells requests with the same content apart from others, whoever sends them.
+pub type Fingerprint = [u8; 16];
+
+/// An endpoint's life that ended under a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashed {
+    /// The request.
+    pub request: Fingerprint,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When that life of the endpoint began, in Unix milliseconds.
+    pub born: u64,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -50,6 +64,8 @@
     News(FleetNews),
     /// What the sender has just placed.
     Placed(FleetPlaced),
+    /// An endpoint died under a request of the sender.
+    Crashed(Crashed),
     /// Endpoints that told the sender themselves that they leave.
     Leaving(Vec<EndpointId>),
 }
--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -31,6 +31,8 @@
     Early,
     /// Says that another endpoint has the address.
     Misdirect,
+    /// Dies as it begins to run it: closes the connection and accepts no other.
+    Crash,
     /// Runs it and never answers.
     Hang,
     /// Sends events with a pause between them.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::behaviour::Behaviour;
@@ -35,6 +36,7 @@
     id: String,
     state: Arc<Mutex<State>>,
     generations: Generations,
+    dead: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -51,10 +53,17 @@
             id: id.to_owned(),
             state: Arc::new(Mutex::new(state)),
             generations: generations.clone(),
+            dead: watch::Sender::new(false),
         };
         let serving = endpoint.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut dead = serving.dead.subscribe();
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = dead.wait_for(|d| *d) => return,
+                };
+                let Ok((stream, _)) = stream else { return };
                 let endpoint = serving.clone();
                 tokio::spawn(async move {
                     endpoint.state().open += 1;
@@ -82,6 +91,11 @@
         self.state().seen.clone()
     }
 
+    /// Says whether it has crashed.
+    pub fn is_dead(&self) -> bool {
+        *self.dead.borrow()
+    }
+
     /// Returns how many connections it has.
     pub fn open(&self) -> usize {
         self.state().open
@@ -191,6 +205,10 @@
                 send(stream, &self.answer(500, id, "Content-Length: 4\r\n", "oops")).await
             }
             Behaviour::Close => anyhow::bail!("closed"),
+            Behaviour::Crash => {
+                self.dead.send_replace(true);
+                anyhow::bail!("crashed")
+            }
             Behaviour::Truncate => {
                 send(stream, &whole[..whole.len() - 3]).await?;
                 anyhow::bail!("truncated")
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -145,6 +145,9 @@
                     Ok(FleetMessage::Beacon(beacon)) => take(node, &beacon),
                     Ok(FleetMessage::News(news)) => take_news(node, &news),
                     Ok(FleetMessage::Leaving(endpoints)) => node.note_leaving(&endpoints),
+                    Ok(FleetMessage::Crashed(crashed)) => {
+                        lock(&node.tables).crashes.note(&crashed, node.now());
+                    }
                     Ok(FleetMessage::Placed(FleetPlaced { instance, placed })) => {
                         lock(&node.tables).dispatcher.book.change_peer(&instance, &placed);
                     }
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! One request of a client, from its head to the end of its answer.
 
 mod call;
+mod crash;
 mod escape;
 mod exchange;
 mod framing;
--- a/crates/nutmeggrade-relay/src/relay/call.rs
+++ b/crates/nutmeggrade-relay/src/relay/call.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use nutmeggrade_core::peer::Fingerprint;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EventPosition, Prompt, Route};
 use nutmeggrade_policy::Ticket;
@@ -38,6 +39,8 @@
     pub workspace: Option<WorkspaceId>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// Tells requests with the same content apart from others.
+    pub fingerprint: Fingerprint,
     /// Its prompt.
     pub prompt: Option<Prompt>,
     /// The last event that the client has.
--- a/crates/nutmeggrade-relay/src/relay/intake.rs
+++ b/crates/nutmeggrade-relay/src/relay/intake.rs
@@ -13,6 +13,7 @@
 use nutmeggrade_wire::request::{self, Asked};
 
 use super::call::Call;
+use super::crash;
 use super::framing;
 use super::refusal::Refused;
 use crate::node::Node;
@@ -24,6 +25,9 @@
 /// Time after which a client may come back that needs only another instance.
 const OTHER_ENTRY: Duration = Duration::from_millis(20);
 
+/// Time after which a client may come back whose request is held back.
+const HELD_RETURN: Duration = Duration::from_secs(10);
+
 /// Reads a request and finds its route, its workspace and its service.
 pub async fn read(
     node: &Arc<Node>,
@@ -48,6 +52,11 @@
         check_end(node, &route, &asked, stays).map_err(refuse)?;
     }
     let body = whole(node, body, &map, deadline).await.map_err(refuse)?;
+    let fingerprint = crash::fingerprint(holder.as_ref(), &head.uri, asked.prompt.as_ref(), &body);
+    if lock(&node.tables).crashes.holds(&fingerprint, arrived) {
+        let why = "endpoints died under this request again and again";
+        return Err(refuse(Failure::new(Code::CrashHeld, why).with_retry_after(HELD_RETURN)));
+    }
     let priority = holder.as_ref().and_then(|h| h.priority).unwrap_or(route.priority);
     Ok(Call {
         id: asked.id,
@@ -59,6 +68,7 @@
         workspace: holder.map(|h| h.workspace),
         priority,
         prompt: asked.prompt,
+        fingerprint,
         position: asked.position,
         arrived,
         deadline,
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -13,6 +13,7 @@
 use nutmeggrade_wire::answer;
 
 use super::call::Call;
+use super::crash;
 use super::exchange::{Answer, Extra, NoAnswer, exchange};
 use super::place::{self, Place};
 use super::{plain, refusal, stream};
@@ -178,6 +179,7 @@
             }
             Err(NoAnswer::Lost(why)) => {
                 self.attempt.lost();
+                crash::look(&self.node, &self.call, &endpoint);
                 self.note("lost", &endpoint.id);
                 lock(&self.node.tables)
                     .dispatcher
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::call::Call;
+use super::crash;
 use super::escape::{Escape, Escaped};
 use super::place::Place;
 use super::plain;
@@ -246,6 +247,7 @@
         tracing::info!(event = "stream_broke", request = %self.call.id, endpoint = %endpoint,
             events = self.splitter.passed(), why);
         self.attempt.lost();
+        crash::look(&self.node, &self.call, &self.place.endpoint);
         self.splitter.cut();
         match splice::run_again(self).await {
             Some((upstream, place)) => {
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -10,6 +10,7 @@
 use nutmeggrade_policy::dispatch::{Candidate, Dispatcher, Need, Offer};
 use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
 use nutmeggrade_policy::pace::Pace;
+use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Registered, Registry};
 use tokio::sync::oneshot;
@@ -36,6 +37,8 @@
     pub fleet: FleetView,
     /// How long answers take.
     pub pace: Pace,
+    /// Requests under which endpoints died.
+    pub crashes: CrashLog,
     resends: BTreeMap<ServiceId, ResendBudget>,
     cold: BTreeMap<EndpointId, ColdShare>,
     waiting: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -49,6 +52,7 @@
             dispatcher,
             fleet,
             pace: Pace::new(),
+            crashes: CrashLog::new(),
             resends: BTreeMap::new(),
             cold: BTreeMap::new(),
             waiting: BTreeMap::new(),
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cold_load;
 pub mod cold_rights;
 pub mod config_table;
+pub mod crash_log;
 pub mod delivery;
 pub mod endpoint_table;
 pub mod event_splitter;
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod config;
+mod crashers;
 mod endpoints;
 mod fleet;
 mod framing;
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -1,6 +1,7 @@
 //! Tables and state machines, each by itself.
 
 mod cold_rights;
+mod crash_log;
 mod endpoint_table;
 mod fleet_view;
 mod intent;
