--- a/crates/nutmeggrade-policy/src/pace.rs
+++ b/crates/nutmeggrade-policy/src/pace.rs
@@ -7,8 +7,8 @@
 const FIRST: Duration = Duration::from_millis(10);
 /// Weight of each further answer; some tens of answers are remembered.
 const WEIGHT: f64 = 0.05;
-/// Times the expected length that an answer gets. A client's estimate is right for half of the
-/// answers; three in four are within this.
+/// Times the expected length that an answer gets. A client's estimate is right at the median only, so
+/// that without a margin half of the answers would take longer.
 const MARGIN: f64 = 1.5;
 
 /// Pace at which answers are made, from the request to the last token.
--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -28,8 +28,8 @@
 const RESERVED: usize = 300;
 /// Descriptors of a client with a request: its connection and the endpoint's.
 const PER_CLIENT: usize = 2;
-/// Memory of an open connection with its buffers, in bytes; measured as growth of the resident
-/// size with 2,000 connections that had sent half a head each.
+/// Memory of an open connection with its buffers, in bytes: eight kilobytes that the library reads
+/// into, as much again for a whole head, and the tasks and states beside them. An estimate.
 const CONNECTION_BYTES: usize = 24 << 10;
 
 /// Opens the socket that clients connect to.
