--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -20,8 +20,6 @@
 /// All changes of endpoints between two revisions of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetNews {
-    /// The sender.
-    pub instance: InstanceId,
     /// Revision up to which a receiver must have read for the changes to be complete.
     pub since: u64,
     /// Revision that the changes lead to.
--- a/crates/nutmeggrade-core/src/routing/engine_spec.rs
+++ b/crates/nutmeggrade-core/src/routing/engine_spec.rs
@@ -22,12 +22,3 @@
     /// How long a copy is kept that nobody takes up.
     pub copy_keep: Duration,
 }
-
-impl EngineSpec {
-    /// Returns how long the memory of this many tokens takes between engines of one failure domain.
-    pub fn copy_time(&self, tokens: u64) -> Duration {
-        let bits = tokens as f64 * self.token_bytes as f64 * 8.0;
-        let rate = (self.link_mbps * 1e6).max(1.0);
-        Duration::try_from_secs_f64(bits / rate).unwrap_or(Duration::MAX)
-    }
-}
--- a/crates/nutmeggrade-core/src/routing/route_map.rs
+++ b/crates/nutmeggrade-core/src/routing/route_map.rs
@@ -86,11 +86,6 @@
         self.services.get(name)
     }
 
-    /// Lists the services.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
-        self.services.values()
-    }
-
     /// Counts the routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -154,11 +154,6 @@
         self.lanes.values().map(Lane::len).sum()
     }
 
-    /// Counts the endpoints of a service.
-    pub fn candidates(&self, service: &ServiceId) -> usize {
-        self.candidates.get(service).map_or(0, Vec::len)
-    }
-
     /// Notes that a request goes to an endpoint.
     pub fn place(&mut self, need: &Need, endpoint: &EndpointId) {
         let placed = Placed { requests: 1, memory: need.memory, reading: need.prompt, moving: 0 };
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -152,11 +152,6 @@
         &self.own_sum
     }
 
-    /// Returns the tickets of this instance at an endpoint.
-    pub fn tickets(&self, endpoint: &EndpointId) -> impl Iterator<Item = Ticket> {
-        self.own.iter().filter(move |(_, o)| o.endpoint == *endpoint).map(|(t, _)| *t)
-    }
-
     /// Returns what an endpoint's own answers say of it.
     pub fn health(&self, endpoint: &EndpointId) -> Option<&Health> {
         self.health.get(endpoint)
--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -3,13 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
-use http_body_util::Full;
-use nutmeggrade_platform::{body_bytes, call};
+use http::{Method, StatusCode};
 use nutmeggrade_wire::engine::{self, EngineReport};
-use tokio::time::timeout;
+
+use crate::short_call::{Bounds, short_call};
 
 /// Longest wait for a connection to an engine, and for its report; both take milliseconds.
 pub const CONNECT: Duration = Duration::from_millis(300);
@@ -40,17 +38,6 @@
     body: Vec<u8>,
     patience: Duration,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)))
-        .context("build request")?;
-    let exchange = async {
-        let response = call(address, request, CONNECT).await?;
-        let status = response.status();
-        Ok((status, body_bytes(response.into_body(), MAX_ANSWER).await?))
-    };
-    timeout(patience, exchange).await.context("no answer in time")?
+    let bounds = Bounds { connect: CONNECT, patience, answer: MAX_ANSWER };
+    short_call(address, method, path, body, bounds).await
 }
--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use nutmeggrade_core::peer::FleetMessage;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::time::sleep;
 
@@ -33,8 +33,7 @@
         let asked = engines.iter().map(|engine| leaves(&node, engine));
         let leaving: Vec<EndpointId> = join_all(asked).await.into_iter().flatten().collect();
         if !leaving.is_empty() {
-            node.note_leaving(&leaving);
-            node.tell(FleetMessage::Leaving(leaving));
+            node.announce_leaving(leaving);
         }
     }
 }
@@ -55,8 +54,7 @@
         Ok(_) => None,
         Err(error) => {
             tracing::info!(event = "no_report", endpoint = %engine.id, error = format!("{error:#}"));
-            let now = node.now();
-            lock(&node.tables).dispatcher.book.health_mut(&engine.id).lost(now);
+            node.note_health(&engine.id, Health::lost);
             None
         }
     }
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -5,18 +5,15 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
-use http::{Request, StatusCode, header};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
-use nutmeggrade_platform::{body_bytes, call};
 use nutmeggrade_wire::kinds::Kind;
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
 
 use crate::node::Node;
+use crate::short_call::{Bounds, short_call};
 use crate::tables::lock;
 use crate::watch::apply_known;
 
@@ -68,15 +65,8 @@
 }
 
 async fn ask(peer: SocketAddr) -> anyhow::Result<Known> {
-    let request = Request::get(KNOWN_PATH)
-        .header(header::HOST, peer.to_string())
-        .body(Full::<Bytes>::default())
-        .context("build request")?;
-    let exchange = async {
-        let response = call(peer, request, PATIENCE).await?;
-        anyhow::ensure!(response.status() == StatusCode::OK, "{}", response.status());
-        body_bytes(response.into_body(), MAX_ANSWER).await
-    };
-    let body = timeout(PATIENCE, exchange).await.context("no answer in time")??;
+    let bounds = Bounds { connect: PATIENCE, patience: PATIENCE, answer: MAX_ANSWER };
+    let (status, body) = short_call(peer, Method::GET, KNOWN_PATH, Vec::new(), bounds).await?;
+    anyhow::ensure!(status == StatusCode::OK, "{status}");
     serde_json::from_slice(&body).context("decode what a peer knows")
 }
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod reload;
 mod server;
 mod settings;
+mod short_call;
 mod tables;
 mod ticker;
 mod watch;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -10,7 +10,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, RouteMap};
 use nutmeggrade_policy::Ticket;
-use nutmeggrade_policy::dispatch::Dispatcher;
+use nutmeggrade_policy::dispatch::{Dispatcher, Health};
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Change, Registry};
 use nutmeggrade_wire::store::Store;
@@ -272,6 +272,28 @@
         });
     }
 
+    /// Notes that endpoints leave that told or showed it here, and tells the peers.
+    pub fn announce_leaving(&self, endpoints: Vec<EndpointId>) {
+        self.note_leaving(&endpoints);
+        self.tell(FleetMessage::Leaving(endpoints));
+    }
+
+    /// Notes what an answer, or its absence, says of an endpoint.
+    pub fn note_health(&self, endpoint: &EndpointId, note: impl FnOnce(&mut Health, Moment)) {
+        let now = self.now();
+        note(lock(&self.tables).dispatcher.book.health_mut(endpoint), now);
+    }
+
+    /// Takes a further send to a service out of the fleet's budget, if one is left.
+    pub fn take_resend(&self, service: &ServiceId) -> bool {
+        let settings = self.settings();
+        let taken = lock(&self.tables).take_resend(service, &settings, self.now());
+        if !taken {
+            self.metrics.over_budget.inc();
+        }
+        taken
+    }
+
     /// Takes the receiving end of what is handed on; there is one.
     pub fn outgoing_news(&self) -> Option<mpsc::Receiver<FleetMessage>> {
         lock(&self.outgoing).take()
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -132,7 +132,6 @@
         priority: call.engine_rank(),
         position: extra.position,
         resume: extra.resume.as_ref(),
-        replica: None,
     };
     let mut request = Request::builder()
         .method(call.method.clone())
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -6,10 +6,9 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Response, header};
-use nutmeggrade_core::peer::FleetMessage;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RouteKind;
-use nutmeggrade_policy::dispatch::Need;
+use nutmeggrade_policy::dispatch::{Health, Need};
 use nutmeggrade_state::attempt::Attempt;
 
 use super::call::Call;
@@ -146,10 +145,8 @@
                 self.attempt.misdirected();
                 self.note("misdirected", &endpoint.id);
                 // The endpoint that was meant is gone, whatever the registry still says of it.
-                let gone = vec![endpoint.id.clone()];
-                self.node.note_leaving(&gone);
-                self.node.tell(FleetMessage::Leaving(gone));
-                if !self.take_resend() {
+                self.node.announce_leaving(vec![endpoint.id.clone()]);
+                if !self.node.take_resend(&self.call.service) {
                     return Err(self.failure(Code::NoRoom, "another endpoint has the address"));
                 }
                 self.next_unsent(&endpoint.id, "another endpoint has the address")
@@ -163,11 +160,7 @@
             Err(NoAnswer::NotSent(why)) => {
                 self.attempt.not_sent();
                 self.note("not_sent", &endpoint.id);
-                lock(&self.node.tables)
-                    .dispatcher
-                    .book
-                    .health_mut(&endpoint.id)
-                    .lost(self.node.now());
+                self.node.note_health(&endpoint.id, Health::lost);
                 self.next_unsent(&endpoint.id, &why)
             }
             Err(NoAnswer::Leaving) => {
@@ -177,22 +170,14 @@
             Err(NoAnswer::Silent) => {
                 self.attempt.lost();
                 self.note("silent", &endpoint.id);
-                lock(&self.node.tables)
-                    .dispatcher
-                    .book
-                    .health_mut(&endpoint.id)
-                    .failed(self.node.now());
+                self.node.note_health(&endpoint.id, Health::failed);
                 self.next(&endpoint.id, "no answer in time", Code::DeadlinePassed)
             }
             Err(NoAnswer::Lost(why)) => {
                 self.attempt.lost();
                 crash::look(&self.node, &self.call, &endpoint);
                 self.note("lost", &endpoint.id);
-                lock(&self.node.tables)
-                    .dispatcher
-                    .book
-                    .health_mut(&endpoint.id)
-                    .lost(self.node.now());
+                self.node.note_health(&endpoint.id, Health::lost);
                 self.next(&endpoint.id, &why, Code::OutcomeUnknown)
             }
         }
@@ -214,18 +199,14 @@
             Err(why) => {
                 self.attempt.lost();
                 self.note("broken", &endpoint);
-                lock(&self.node.tables)
-                    .dispatcher
-                    .book
-                    .health_mut(&endpoint)
-                    .failed(self.node.now());
+                self.node.note_health(&endpoint, Health::failed);
                 return self.next(&endpoint, &why, Code::OutcomeUnknown);
             }
         };
         if said.is_failure() {
             self.attempt.failed();
             self.note("failed", &endpoint);
-            lock(&self.node.tables).dispatcher.book.health_mut(&endpoint).failed(self.node.now());
+            self.node.note_health(&endpoint, Health::failed);
             if self.may_repeat() {
                 self.last = Some((head, body));
                 self.need.avoid.insert(endpoint);
@@ -234,11 +215,7 @@
         } else {
             self.attempt.answer();
             self.note("answered", &endpoint);
-            lock(&self.node.tables)
-                .dispatcher
-                .book
-                .health_mut(&endpoint)
-                .succeeded(self.node.now());
+            self.node.note_health(&endpoint, Health::succeeded);
         }
         Ok(Step::Done(Found::Whole(head, body)))
     }
@@ -267,19 +244,8 @@
 
     /// Says whether the request may be handed to a further endpoint, and takes that out of the
     /// fleet's budget.
-    fn may_repeat(&mut self) -> bool {
-        self.attempt.may_send() && self.take_resend()
-    }
-
-    /// Takes a further send out of the fleet's budget, if one is left.
-    fn take_resend(&self) -> bool {
-        let settings = self.node.settings();
-        let now = self.node.now();
-        let taken = lock(&self.node.tables).take_resend(&self.call.service, &settings, now);
-        if !taken {
-            self.node.metrics.over_budget.inc();
-        }
-        taken
+    fn may_repeat(&self) -> bool {
+        self.attempt.may_send() && self.node.take_resend(&self.call.service)
     }
 
     /// Returns how long the next endpoint gets to answer.
--- a/crates/nutmeggrade-relay/src/relay/splice.rs
+++ b/crates/nutmeggrade-relay/src/relay/splice.rs
@@ -7,7 +7,6 @@
 use super::place::{self, Place};
 use super::stream::Stream;
 use super::upstream::Upstream;
-use crate::tables::lock;
 
 /// Goes on with a generation whose memory was copied.
 pub async fn go_on(stream: &mut Stream, moved: Moved) -> Option<(Upstream, Place)> {
@@ -25,13 +24,7 @@
 
 /// Starts another run behind the last event, where the route allows it.
 pub async fn run_again(stream: &mut Stream) -> Option<(Upstream, Place)> {
-    if !stream.attempt.may_send() {
-        return None;
-    }
-    let now = stream.node.now();
-    let settings = stream.node.settings();
-    if !lock(&stream.node.tables).take_resend(&stream.call.service, &settings, now) {
-        stream.node.metrics.over_budget.inc();
+    if !stream.attempt.may_send() || !stream.node.take_resend(&stream.call.service) {
         return None;
     }
     let mut need = stream.call.need(stream.node.ticket(), &stream.node.anybody);
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EngineSpec, Prompt};
+use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
 use nutmeggrade_state::event_splitter::EventSplitter;
 use nutmeggrade_wire::answer::Answered;
@@ -251,9 +252,8 @@
 
     /// Looks for another way after the endpoint broke the stream off; says whether it goes on.
     async fn recover(&mut self, error: Option<hyper::Error>) -> bool {
-        let now = self.node.now();
         let endpoint = self.place.endpoint.id.clone();
-        lock(&self.node.tables).dispatcher.book.health_mut(&endpoint).lost(now);
+        self.node.note_health(&endpoint, Health::lost);
         let why = error.map_or_else(|| "ended".to_owned(), |e| e.to_string());
         tracing::info!(event = "stream_broke", request = %self.call.id, endpoint = %endpoint,
             events = self.splitter.passed(), why);
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -91,8 +91,7 @@
     if changes.is_empty() {
         return;
     }
-    let instance = node.settings().instance.clone();
-    let news = FleetNews { instance, since, revision: snapshot.revision, lapses, changes };
+    let news = FleetNews { since, revision: snapshot.revision, lapses, changes };
     endpoint_news(node, &news);
     node.hand_on(news);
 }
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -165,8 +165,8 @@
     ///
     /// Each call to the store is paid for and counted, and in a large fleet one watch an instance uses
     /// up what all together may call. A few instances read and hand on; which ones follows from
-    /// hashes of their names, so that they are mostly in different failure domains, among those that were heard lately and whom the store answers. An instance that hears
-    /// nobody reads for itself.
+    /// hashes of their names, so that they are mostly in different failure domains, among those that
+    /// were heard lately and whom the store answers. An instance that hears nobody reads for itself.
     pub fn is_reader(&self, now: Moment) -> bool {
         self.is_among_first(now, |p| p.reads && !p.leaving)
     }
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -1,7 +1,7 @@
 //! Several instances.
 
 use nutmeggrade_fakes::site::{
-    Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
+    Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
 };
 use nutmeggrade_relay::{Instance, LogBuffer};
 
@@ -21,16 +21,31 @@
 
 /// Starts an instance whose heartbeats come in at the same port as the first one's, at another
 /// address of the loopback network.
-async fn second(
-    first: &Instance,
-    door: &nutmeggrade_fakes::site::Door,
-) -> anyhow::Result<Instance> {
+async fn second(first: &Instance, door: &Door) -> anyhow::Result<Instance> {
     let beacon = first.addresses().beacon;
     let own = format!("127.0.0.2:{}", beacon.port());
     let settings = settings("i-2", door, &first.addresses().control.to_string(), &own)?;
     Instance::start(&settings, &LogBuffer::new(), 1).await
 }
 
+/// Two instances that hear each other, each with its own way into the store.
+struct Pair {
+    store: Store,
+    first: Instance,
+    other: Instance,
+    other_door: Door,
+}
+
+async fn pair() -> anyhow::Result<Pair> {
+    let store = Store::new();
+    store.put("config", "main", RoutingPlan::default().content());
+    let (door, other_door) = (store.door().await?, store.door().await?);
+    let first = instance("i-1", &door, "").await?;
+    let other = second(&first, &other_door).await?;
+    until_entries(&other, 2).await?;
+    Ok(Pair { store, first, other, other_door })
+}
+
 // Instances find each other by one address. One that is stopped is no longer named at once, and one
 // that dies is no longer named after some heartbeats.
 #[test]
@@ -54,18 +69,13 @@
     });
 }
 
-// The store turns one instance away and serves the other. A new version, a new endpoint and the end
-// of another reach the first one by the second.
+// The store turns one instance away and serves the other. A new version and a new endpoint reach the
+// first one by the second.
 #[test]
 fn instance_that_is_turned_away_learns_from_its_peer() {
     run(async {
-        let store = Store::new();
-        store.put("config", "main", RoutingPlan::default().content());
-        let (open, shut) = (store.door().await?, store.door().await?);
-        let first = instance("i-1", &open, "").await?;
-        let other = second(&first, &shut).await?;
-        until_entries(&other, 2).await?;
-        shut.set(Fault::Refuse);
+        let Pair { store, other, other_door, first: _first } = pair().await?;
+        other_door.set(Fault::Refuse);
         let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
         let plan = RoutingPlan { version: 5, has_late: true, ..RoutingPlan::default() };
         store.put("config", "main", plan.content());
@@ -85,13 +95,8 @@
 #[test]
 fn silent_watch_is_noticed_by_a_peers_news() {
     run(async {
-        let store = Store::new();
-        store.put("config", "main", RoutingPlan::default().content());
-        let (open, silent) = (store.door().await?, store.door().await?);
-        let first = instance("i-1", &open, "").await?;
-        let other = second(&first, &silent).await?;
-        until_entries(&other, 2).await?;
-        silent.set(Fault::Silent);
+        let Pair { store, other, other_door, first: _first } = pair().await?;
+        other_door.set(Fault::Silent);
         store.put("config", "main", RoutingPlan { version: 3, ..Default::default() }.content());
         let metrics = other.addresses().metrics;
         until("the newer version", async || Ok(metric(metrics, "config_version").await? == 3)).await
@@ -103,17 +108,12 @@
 #[test]
 fn what_a_listing_finds_is_handed_on() {
     run(async {
-        let store = Store::new();
-        store.put("config", "main", RoutingPlan::default().content());
-        let (open, silent) = (store.door().await?, store.door().await?);
-        let first = instance("i-1", &open, "").await?;
-        let other = second(&first, &silent).await?;
+        let Pair { store, other, other_door, first: _first } = pair().await?;
         let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
         store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
         let metrics = other.addresses().metrics;
         until("known", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
-        until_entries(&other, 2).await?;
-        silent.set(Fault::Silent);
+        other_door.set(Fault::Silent);
         store.remove("servers", "e-1");
         store.forget();
         until("gone", async || Ok(metric(metrics, "endpoints").await? == 0)).await
