Join no two runs of a request that is merely idempotent, and no body to events

Cause: when an endpoint broke a stream of events off, the search for another way asked only whether the request may be sent again. On an idempotent route a second endpoint runs it from its beginning, and its answer was passed on behind the first one's events; on a resumable route an answer without events was. The client took both for one whole answer.

Ruled out: the splitter and the stand-in; the body that came last was the second endpoint's own.

Change: only a resumable route goes on behind the last event, and only with events.

--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
 use http::response::Parts;
+use http::{Request, header};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -40,6 +40,14 @@
     pub upstream: Upstream,
 }
 
+impl Answer {
+    /// Says whether it is a stream of events that the endpoint makes.
+    pub fn is_events(&self) -> bool {
+        let kind = self.head.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        self.said.status.is_success() && kind.is_some_and(|k| k.starts_with("text/event-stream"))
+    }
+}
+
 /// Why a send brought no answer.
 #[derive(Debug)]
 pub enum NoAnswer {
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
 use http::response::Parts;
-use http::{HeaderMap, Response, header};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RouteKind;
 use nutmeggrade_policy::dispatch::{Health, Need};
@@ -79,7 +79,7 @@
         }
         Ok(Found::Begun(begun)) => {
             search.log_answer(&begun.answer.head);
-            if is_events(&begun.answer.head.headers) {
+            if begun.answer.is_events() {
                 stream::start(node, search, *begun)
             } else {
                 plain::forward(node, search.call.deadline, *begun)
@@ -92,11 +92,6 @@
     }
 }
 
-fn is_events(headers: &HeaderMap) -> bool {
-    let kind = headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    kind.is_some_and(|k| k.starts_with("text/event-stream"))
-}
-
 impl Search {
     fn new(node: &Arc<Node>, call: Call) -> Self {
         let settings = node.settings();
@@ -185,7 +180,7 @@
 
     /// Takes an answer whose head has come.
     async fn take(&mut self, answer: Answer, place: Place) -> Result<Step, Failure> {
-        let is_stream = answer.said.status.is_success() && is_events(&answer.head.headers);
+        let is_stream = answer.is_events();
         let is_large = answer.said.length.is_some_and(|l| l > plain::MOST_KEPT as u64);
         if is_stream || is_large {
             self.attempt.answer();
--- a/crates/nutmeggrade-relay/src/relay/splice.rs
+++ b/crates/nutmeggrade-relay/src/relay/splice.rs
@@ -1,5 +1,6 @@
 //! Takes a stream up again at another endpoint.
 
+use nutmeggrade_core::routing::RouteKind;
 use nutmeggrade_wire::request::ResumeFrom;
 
 use super::escape::Moved;
@@ -23,7 +24,14 @@
 }
 
 /// Starts another run behind the last event, where the route allows it.
+///
+/// Only a resumable route's endpoints begin behind that event. Another run of a request that is merely
+/// idempotent would be joined to the first one's beginning, and the client would take both for one
+/// answer.
 pub async fn run_again(stream: &mut Stream) -> Option<(Upstream, Place)> {
+    if stream.call.route.kind != RouteKind::Resumable {
+        return None;
+    }
     if !stream.attempt.may_send() || !stream.node.take_resend(&stream.call.service) {
         return None;
     }
@@ -41,7 +49,8 @@
     let left = stream.call.left(stream.node.now());
     let endpoint = &place.endpoint;
     match exchange(&stream.node, &stream.call, endpoint, extra, left).await {
-        Ok(Answer { said, upstream, .. }) if said.status.is_success() => Some(upstream),
+        // A body without events behind the events that the client has would pass for their end.
+        Ok(answer) if answer.is_events() => Some(answer.upstream),
         Ok(Answer { said, .. }) => {
             tracing::info!(event = "go_on_refused", request = %stream.call.id,
                 endpoint = %endpoint.id, status = said.status.as_u16(), not_run = said.not_run);
--- a/tests/suite/relay/streams.rs
+++ b/tests/suite/relay/streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan, request};
+use nutmeggrade_fakes::site::{Answer, Behaviour, RawClient, RoutingPlan, request};
 
 use super::PROMPT;
 use super::site::Site;
@@ -83,3 +83,37 @@
         Ok(())
     });
 }
+
+/// Asks on a route whose first endpoint breaks off after five events, and whose second one, which
+/// comes only then, answers without events. Returns what the client got.
+async fn broken_off_before_a_plain_answer(route: &str) -> anyhow::Result<Answer> {
+    let site = Site::start(&RoutingPlan::default()).await?;
+    let service = if route == "sort" { "writers" } else { "desk" };
+    let first = site.endpoint(service, "e-1", Behaviour::StreamCut { events: 5 }).await?;
+    let mut client = RawClient::connect(site.client()).await?;
+    client.send(&request(route, "a1", "key-1", PROMPT)).await?;
+    until("the first runs it", async || Ok(first.runs("a1") == 1)).await?;
+    let second = site.endpoint(service, "e-2", Behaviour::Answer).await?;
+    let answer = client.answer().await?;
+    drop(second);
+    Ok(answer)
+}
+
+// An endpoint breaks off in the middle of an event stream, and the one that the request is sent to
+// next answers with a plain body. Joined behind the events that body would pass for their end; the
+// client gets an answer that shows that it broke off.
+fn answers_are_not_joined(route: &str) {
+    run(async {
+        let answer = broken_off_before_a_plain_answer(route).await?;
+        let body = String::from_utf8_lossy(&answer.message.body).into_owned();
+        assert!(!answer.is_whole, "{body}");
+        assert!(!body.contains("done"), "{body}");
+        assert_eq!(events(&answer.message.body), [1, 2, 3, 4, 5]);
+        Ok(())
+    });
+}
+
+cases! {answers_are_not_joined {
+    repeatable: "read";
+    resumable: "sort";
+}}
