Catch signals before anything else is done

Cause: handlers were set once the settings were read and the log was set up. A SIGHUP before that ended the process, as if it had crashed; a SIGTERM ended it with a signal instead of as planned.

Ruled out: a crash of its own; nothing was logged, and the end was the signal's.

Change: the runtime is made and signals are caught first; they are seen to once the instance stands.

--- a/crates/nutmeggrade-fakes/src/fleet.rs
+++ b/crates/nutmeggrade-fakes/src/fleet.rs
@@ -12,6 +12,6 @@
 pub use client::Client;
 pub use deployment::{Deployment, MODEL, SERVICE, preset};
 pub use plan::Plan;
-pub use process::Process;
+pub use process::{Process, logs, programs};
 pub use running::{Fleet, NodeAddresses};
 pub use usage::Usage;
--- a/crates/nutmeggrade-fakes/src/fleet/process.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/process.rs
@@ -26,9 +26,8 @@
         variables: &[(&str, &str)],
     ) -> anyhow::Result<(Self, String)> {
         let log = File::create(logs()?.join(format!("{name}.log"))).context("create log")?;
-        let mut command = Command::new(program);
-        command.args(args).envs(variables.iter().copied());
-        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+        let mut command = command(program, args, variables);
+        command.stdout(Stdio::piped()).stderr(log);
         let mut child = command.spawn().with_context(|| format!("start {}", program.display()))?;
         let stdout = child.stdout.take().context("no stdout")?;
         let process = Self { child, name: name.to_owned() };
@@ -39,6 +38,21 @@
         Ok((process, listening.to_owned()))
     }
 
+    /// Starts a program that adds everything it prints to a log file.
+    pub fn start_logged(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        variables: &[(&str, &str)],
+        log: &Path,
+    ) -> anyhow::Result<Self> {
+        let log = File::options().create(true).append(true).open(log).context("open log")?;
+        let mut command = command(program, args, variables);
+        command.stdout(log.try_clone().context("share log")?).stderr(log);
+        let child = command.spawn().with_context(|| format!("start {}", program.display()))?;
+        Ok(Self { child, name: name.to_owned() })
+    }
+
     /// Returns the process's id.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -63,6 +77,12 @@
     }
 }
 
+fn command(program: &Path, args: &[String], variables: &[(&str, &str)]) -> Command {
+    let mut command = Command::new(program);
+    command.args(args).envs(variables.iter().copied()).stdin(Stdio::null());
+    command
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // A process that already ended is what the drop wants.
@@ -80,7 +100,8 @@
     Ok(folder.to_owned())
 }
 
-fn logs() -> anyhow::Result<PathBuf> {
+/// Returns the folder for logs of the running process's children.
+pub fn logs() -> anyhow::Result<PathBuf> {
     let folder = programs()?.join("fleet-logs").join(std::process::id().to_string());
     std::fs::create_dir_all(&folder).context("create log folder")?;
     Ok(folder)
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -31,5 +31,5 @@
 pub use front::bind;
 pub use instance::{Addresses, Instance};
 pub use logs::{LogBuffer, start_writer};
-pub use server::run;
+pub use server::{Signals, run};
 pub use settings::Settings;
--- a/crates/nutmeggrade/src/cmd/relay.rs
+++ b/crates/nutmeggrade/src/cmd/relay.rs
@@ -3,13 +3,18 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use nutmeggrade_relay::{LogBuffer, Settings, start_writer};
+use nutmeggrade_relay::{LogBuffer, Settings, Signals, start_writer};
+use tokio::runtime::Runtime;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
 /// Runs the subcommand.
+///
+/// One thread serves: an instance has a part of one processor, and a second thread would only take
+/// turns with the first.
 pub fn run(args: &[String]) -> ExitCode {
+    let caught = catch_signals();
     let path = nutmeggrade_wire::settings::path();
     let settings = match load(args, path.as_ref()) {
         Ok(settings) => settings,
@@ -21,9 +26,10 @@
     let lines = tracing_logfmt::builder().with_target(false).layer();
     let lines = lines.with_writer(move || writer.clone());
     tracing_subscriber::registry().with(filter).with(lines).init();
-    let served = start_writer(&logs, std::io::stdout())
-        .map_err(anyhow::Error::from)
-        .and_then(|()| serve(&settings, args, path, &logs));
+    let served = caught.and_then(|(runtime, signals)| {
+        start_writer(&logs, std::io::stdout())?;
+        runtime.block_on(nutmeggrade_relay::run(&settings, args, path, &logs, signals))
+    });
     let code = match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -53,14 +59,11 @@
     Settings::load(args, path).map_err(|mistakes| super::report(&mistakes))
 }
 
-/// One thread serves: an instance has a part of one processor, and a second thread would only take
-/// turns with the first.
-fn serve(
-    settings: &Settings,
-    args: &[String],
-    path: Option<PathBuf>,
-    logs: &LogBuffer,
-) -> anyhow::Result<()> {
+/// Catches signals in the runtime that is to serve.
+fn catch_signals() -> anyhow::Result<(Runtime, Signals)> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(nutmeggrade_relay::run(settings, args, path, logs))
+    let entered = runtime.enter();
+    let signals = Signals::catch()?;
+    drop(entered);
+    Ok((runtime, signals))
 }
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -6,6 +6,7 @@
 mod config_size;
 mod crashers;
 mod cuts;
+mod early_signals;
 mod endpoint_list;
 mod intents;
 mod limits;
