Tell peers of endpoints that are gone, and notice an outage of the store within a second

Instances noticed it at 20 to 21 s, so that the seven engines that got their notice at 18.0 s were gone before anybody asked one. Their entries stayed, and all that they had was lost, so to every instance they looked like the emptiest: of 125 copies at 22 to 24 s, 124 failed, since they were sent to those seven.

Ruled out: copies queueing behind each other (they failed within milliseconds, NoRoom); time left (1.4 s when the first were ordered).

Change: a refused connection is told to all instances, who leave the endpoint alone for half a second; the first reader's watch of endpoints is held for one second in place of four; engines are asked as soon as any peer can't read the store.

Tests: policy::dispatch::engine_that_a_peer_found_gone_is_left_alone, relay::fleet::endpoint_that_is_gone_is_told_to_peers, state::fleet_view::store_is_away_for_all_when_it_is_for_one.

Also: a search that found no room after a first endpoint may have run the request ended with the code of a refusal. The status was mended to 502 on the way out, and the instance's own check not_run_is_true broke. The search now ends with what is known. Test relay::outcomes::no_room_after_a_lost_answer_is_no_promise failed before (the check broke).

--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -66,4 +66,6 @@
     Crashed(Crashed),
     /// Endpoints that told the sender themselves that they leave.
     Leaving(Vec<EndpointId>),
+    /// Endpoints at whose address nobody listened any more when the sender connected.
+    Gone(Vec<EndpointId>),
 }
--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -1,6 +1,7 @@
 //! One HTTP request over one fresh connection.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +28,13 @@
     pub const fn not_sent(&self) -> bool {
         matches!(self, Self::NotSent(_))
     }
+
+    /// Says whether the other machine answered that nobody listens at the address.
+    pub fn is_refused(&self) -> bool {
+        let Self::NotSent(error) = self else { return false };
+        let is_refusal = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+        error.chain().filter_map(|e| e.downcast_ref()).any(is_refusal)
+    }
 }
 
 impl fmt::Display for CallError {
--- a/crates/nutmeggrade-policy/src/dispatch/health.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/health.rs
@@ -53,6 +53,13 @@
         self.until = Some(now.after(pause.min(LONGEST_PAUSE)));
     }
 
+    /// Notes that nobody listened at the endpoint's address when another instance connected. Whoever
+    /// goes on looking says so again; the endpoint may have started anew, so the pause is short.
+    pub fn gone(&mut self, now: Moment) {
+        let until = now.after(PAUSE);
+        self.until = Some(self.until.map_or(until, |old| old.max(until)));
+    }
+
     /// Returns the recent failures, older ones with less weight.
     pub fn trouble(&self, now: Moment) -> f64 {
         let age = now.since(self.at).as_secs_f64() / FADE.as_secs_f64();
--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -6,6 +6,7 @@
 use futures::future::join_all;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_platform::CallError;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::time::sleep;
@@ -26,7 +27,7 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         sleep(PERIOD).await;
-        if !node.follow.track(Kind::Endpoints).is_away() {
+        if !is_store_away(&node) {
             continue;
         }
         let engines = own_engines(&node);
@@ -38,6 +39,14 @@
     }
 }
 
+/// Says whether the store is away for this instance, or was just now found to be by a peer. Most
+/// instances ask the store seldom; waiting until each has found out for itself takes longer than an
+/// engine's notice.
+fn is_store_away(node: &Node) -> bool {
+    node.follow.track(Kind::Endpoints).is_away()
+        || lock(&node.tables).fleet.is_store_away(node.now())
+}
+
 /// Lists the engines that this instance asks.
 fn own_engines(node: &Node) -> Vec<EndpointInfo> {
     let map = node.map();
@@ -54,7 +63,11 @@
         Ok(_) => None,
         Err(error) => {
             tracing::info!(event = "no_report", endpoint = %engine.id, error = format!("{error:#}"));
-            node.note_health(&engine.id, Health::lost);
+            if error.downcast_ref().is_some_and(CallError::is_refused) {
+                node.announce_gone(&engine.id);
+            } else {
+                node.note_health(&engine.id, Health::lost);
+            }
             None
         }
     }
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -27,6 +27,8 @@
     pub sends: IntCounterVec,
     /// Second sends that the budget did not allow.
     pub over_budget: IntCounter,
+    /// Endpoints of which peers said that nobody listens there.
+    pub told_gone: IntCounter,
     /// Generations taken along from an endpoint that leaves, by how it ended.
     pub moves: IntCounterVec,
     /// Open connections of clients.
@@ -51,6 +53,7 @@
         let counters = |name, help, labels: &[&str]| {
             add(&registry, IntCounterVec::new(Opts::new(name, help), labels))
         };
+        let counter = |name: &str, help: &str| add(&registry, IntCounter::new(name, help));
         let gauge = |name: &str, help: &str| add(&registry, IntGauge::new(name, help));
         let times = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(TIMES.to_vec());
@@ -62,10 +65,8 @@
             waits: times("wait_seconds", "time that requests waited for room")?,
             first: times("first_seconds", "time to an answer's head or first event")?,
             sends: counters("sends_total", "requests handed to endpoints", &["end"])?,
-            over_budget: add(
-                &registry,
-                IntCounter::new("over_budget_total", "second sends that were not allowed"),
-            )?,
+            over_budget: counter("over_budget_total", "second sends that were not allowed")?,
+            told_gone: counter("told_gone_total", "endpoints that peers found gone")?,
             moves: counters("moves_total", "generations taken along", &["end"])?,
             connections: gauge("connections", "open connections of clients")?,
             config: gauge("config_version", "routing configuration in force")?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -278,6 +278,40 @@
         self.tell(FleetMessage::Leaving(endpoints));
     }
 
+    /// Notes that nobody listens at an endpoint's address any more, and tells the peers.
+    ///
+    /// An endpoint that died keeps its entry until that lapses, and for as long as the store is away.
+    /// All that it had is lost, so to every instance it looks like the emptiest: each sends requests
+    /// and copies of generations there. One notices copies that fail one after another (`event=copied`)
+    /// while engines with room are left alone. Once told, all leave it alone.
+    pub fn announce_gone(&self, endpoint: &EndpointId) {
+        let now = self.now();
+        let is_new = {
+            let mut tables = lock(&self.tables);
+            let health = tables.dispatcher.book.health_mut(endpoint);
+            let is_new = !health.is_paused(now);
+            health.lost(now);
+            is_new
+        };
+        // Whoever finds it during the pause is not the first to find it.
+        if is_new {
+            tracing::info!(event = "endpoint_gone", %endpoint);
+            self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
+        }
+    }
+
+    /// Takes a peer's word that nobody listens at an endpoint's address any more.
+    pub fn note_gone(&self, endpoints: &[EndpointId]) {
+        let now = self.now();
+        self.metrics.told_gone.inc_by(endpoints.len() as u64);
+        let mut tables = lock(&self.tables);
+        for endpoint in endpoints {
+            if tables.registry.get(endpoint).is_some() {
+                tables.dispatcher.book.health_mut(endpoint).gone(now);
+            }
+        }
+    }
+
     /// Notes what an answer, or its absence, says of an endpoint.
     pub fn note_health(&self, endpoint: &EndpointId, note: impl FnOnce(&mut Health, Moment)) {
         let now = self.now();
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -145,6 +145,7 @@
                     Ok(FleetMessage::Beacon(beacon)) => take(node, &beacon),
                     Ok(FleetMessage::News(news)) => take_news(node, &news),
                     Ok(FleetMessage::Leaving(endpoints)) => node.note_leaving(&endpoints),
+                    Ok(FleetMessage::Gone(endpoints)) => node.note_gone(&endpoints),
                     Ok(FleetMessage::Crashed(crashed)) => {
                         lock(&node.tables).crashes.note(&crashed, node.now());
                     }
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -1,5 +1,6 @@
 //! Whether an endpoint died under a request.
 
+use std::io;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -49,8 +50,9 @@
     let crashed =
         Crashed { request: call.fingerprint, endpoint: endpoint.id.clone(), born: endpoint.born };
     tokio::spawn(async move {
-        if dial(address).await.is_ok() {
-            return;
+        let Err(error) = dial(address).await else { return };
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            node.announce_gone(&crashed.endpoint);
         }
         tracing::info!(event = "endpoint_crashed", request = %id, endpoint = %crashed.endpoint);
         lock(&node.tables).crashes.note(&crashed, node.now());
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -1,6 +1,7 @@
 //! Hands a request to an endpoint and reads the head of its answer.
 
 use std::fmt;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,6 +54,8 @@
 pub enum NoAnswer {
     /// Not a byte of the request went out.
     NotSent(String),
+    /// Nobody listens at the endpoint's address; not a byte went out.
+    Gone,
     /// The endpoint may get nothing new any more; not a byte went out.
     Leaving,
     /// The request went out, and nothing that belongs to it came back.
@@ -65,6 +68,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
+            Self::Gone => f.write_str("not sent: nobody listens at the endpoint's address"),
             Self::Leaving => f.write_str("not sent: the endpoint leaves"),
             Self::Lost(why) => write!(f, "lost: {why}"),
             Self::Silent => f.write_str("no answer in time"),
@@ -86,7 +90,10 @@
     extra: &Extra,
     patience: Duration,
 ) -> Result<Answer, NoAnswer> {
-    let stream = dial(endpoint.address).await.map_err(|e| NoAnswer::NotSent(e.to_string()))?;
+    let stream = dial(endpoint.address).await.map_err(|e| match e.kind() {
+        io::ErrorKind::ConnectionRefused => NoAnswer::Gone,
+        _ => NoAnswer::NotSent(e.to_string()),
+    })?;
     let (mut sender, connection) = http1::handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
         .await
         .map_err(|e| NoAnswer::NotSent(e.to_string()))?;
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -125,7 +125,8 @@
     fn without_place(&mut self, failure: Failure) -> Result<Found, Failure> {
         match self.last.take() {
             Some((head, body)) => Ok(Found::Whole(head, body)),
-            None => Err(failure.with_run(self.attempt.run())),
+            None if self.attempt.run() == Run::NotRun => Err(failure),
+            None => Err(self.failure(Code::OutcomeUnknown, &failure.detail)),
         }
     }
 
@@ -158,6 +159,12 @@
                 self.node.note_health(&endpoint.id, Health::lost);
                 self.next_unsent(&endpoint.id, &why)
             }
+            Err(NoAnswer::Gone) => {
+                self.attempt.not_sent();
+                self.note("not_sent", &endpoint.id);
+                self.node.announce_gone(&endpoint.id);
+                self.next_unsent(&endpoint.id, "nobody listens at the endpoint's address")
+            }
             Err(NoAnswer::Leaving) => {
                 self.attempt.not_sent();
                 self.next_unsent(&endpoint.id, "the endpoint leaves")
@@ -253,11 +260,15 @@
         left
     }
 
+    /// Makes the final answer of a search that ends with `code`, or with what is true instead: only
+    /// while nothing ran is a client told that, and when to come back.
     fn failure(&self, code: Code, why: &str) -> Failure {
         let run = self.attempt.run();
-        let failure = Failure::new(if run == Run::NotRun { Code::NoRoom } else { code }, why);
-        let failure = failure.with_run(run);
-        if run == Run::NotRun { failure.with_retry_after(RETURN) } else { failure }
+        if run == Run::NotRun {
+            return Failure::new(Code::NoRoom, why).with_retry_after(RETURN);
+        }
+        let code = if code == Code::NoRoom { Code::OutcomeUnknown } else { code };
+        Failure::new(code, why).with_run(run)
     }
 
     /// Returns the final answer at the end of the time that the request had.
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -20,6 +20,10 @@
 /// How long the store holds a watch back. A connection that has gone silent is noticed only when
 /// its answer is overdue; peers' heartbeats tell earlier if there was news.
 const HELD: Duration = Duration::from_secs(4);
+/// The same for endpoints at the first of those that read for all. While the store is away engines
+/// that leave are asked themselves, and their notice of two seconds has to be enough to find out that
+/// it is away, to ask them and to copy what runs there.
+const HELD_FIRST: Duration = Duration::from_secs(1);
 /// The same for instances that don't read for all, of objects that seldom change. Each call is paid
 /// for, and those that read for all notice what these miss.
 const HELD_LONG: Duration = Duration::from_secs(29);
@@ -137,10 +141,15 @@
     /// Returns how long the store may hold a watch back.
     fn held(&self) -> Duration {
         let track = self.node.follow.track(self.kind);
-        let is_reader = lock(&self.node.tables).fleet.is_reader(self.node.now());
+        let (is_reader, is_first) = {
+            let now = self.node.now();
+            let fleet = &lock(&self.node.tables).fleet;
+            (fleet.is_reader(now), fleet.is_first_reader(now))
+        };
         // After an outage the first answer is wanted at once: it says that the store is back.
         match (track.is_behind() || track.is_away(), is_reader) {
             (true, _) => Duration::ZERO,
+            (false, true) if is_first && self.kind == Kind::Endpoints => HELD_FIRST,
             (false, true) => HELD,
             (false, false) => HELD_LONG,
         }
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -183,6 +183,12 @@
         self.is_among_first(now, |p| !p.leaving)
     }
 
+    /// Says whether a peer that was heard lately can't read the store.
+    pub fn is_store_away(&self, now: Moment) -> bool {
+        let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
+        self.peers.values().any(|p| heard(p) && !p.reads && !p.leaving)
+    }
+
     /// Says whether this instance is the first of those that live, in an order that differs between
     /// endpoints.
     pub fn is_first_for(&self, endpoint: &EndpointId, now: Moment) -> bool {
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -251,3 +251,22 @@
     dispatcher.book.end(Ticket(1));
     assert_eq!(dispatcher.release(at(960)), [(Ticket(10), endpoint(0))]);
 }
+
+// An engine dies while the store is away, so that its entry stays. All that it had is lost, and it
+// looks like the emptiest to everybody. A peer has found that nobody listens there; neither requests
+// nor copies go there until its next word is due, and then it is tried again.
+#[test]
+fn engine_that_a_peer_found_gone_is_left_alone() {
+    let mut dispatcher = dispatcher((0..2).map(engine).collect());
+    let full = Placed { requests: 7, memory: 20_000, reading: 0, moving: 0 };
+    let peer = InstanceId::new("i-2").expect("an id");
+    dispatcher.book.change_peer(&peer, &BTreeMap::from([(endpoint(1), full)]));
+    assert_eq!(dispatcher.choose_move(&need(0, 0, 1, 3_500), at(0)), Some(endpoint(0)));
+    dispatcher.book.health_mut(&endpoint(0)).gone(at(0));
+    assert_eq!(dispatcher.choose_move(&need(1, 0, 1, 3_500), at(400)), Some(endpoint(1)));
+    assert_eq!(
+        place(&dispatcher.offer(&need(2, 0, 1, 3_500), PATIENCE, at(400))),
+        Some(endpoint(1))
+    );
+    assert_eq!(dispatcher.choose_move(&need(3, 0, 1, 3_500), at(600)), Some(endpoint(0)));
+}
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -119,3 +119,25 @@
         until("gone", async || Ok(metric(metrics, "endpoints").await? == 0)).await
     });
 }
+
+// An endpoint died and its entry stays. One instance finds that nobody listens there; the other is
+// told, before it sends anything there itself.
+#[test]
+fn endpoint_that_is_gone_is_told_to_peers() {
+    run(async {
+        let Pair { store, first, other, other_door: _door } = pair().await?;
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        for instance in [&first, &other] {
+            let metrics = instance.addresses().metrics;
+            until("known", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
+        }
+        endpoint.kill();
+        let gone = async || Ok(tokio::net::TcpStream::connect(endpoint.address).await.is_err());
+        until("nobody listens", gone).await?;
+        let answer = RawClient::ask(first.addresses().client, "once", "a1", "").await?;
+        assert_eq!(answer.status, 503);
+        let metrics = other.addresses().metrics;
+        until("told", async || Ok(metric(metrics, "told_gone_total").await? >= 1)).await
+    });
+}
--- a/tests/suite/relay/outcomes.rs
+++ b/tests/suite/relay/outcomes.rs
@@ -1,10 +1,12 @@
 //! What clients are told, and how often requests run.
 
-use nutmeggrade_fakes::site::{Behaviour, RoutingPlan};
+use nutmeggrade_core::failure::CODE_HEADER;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan, request};
 
 use super::ask;
 use super::site::Site;
-use crate::support::run;
+use crate::support::{run, until};
 
 /// Checks what a client gets of an endpoint that behaves in one way, and how often its request ran.
 fn told(route: &str, behaviour: Behaviour, status: u16, runs: usize) {
@@ -62,6 +64,27 @@
     });
 }
 
+// A lookup's first endpoint closes the connection, and the second one, which comes only then, has no
+// room. The first may have run it, so the client is told neither that nothing ran nor when to come
+// back, and the code says what is known.
+#[test]
+fn no_room_after_a_lost_answer_is_no_promise() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let first = site.endpoint("desk", "e-1", Behaviour::Close).await?;
+        let mut client = RawClient::connect(site.client()).await?;
+        client.send(&request("read", "a1", "key-1", "")).await?;
+        until("the first runs it", async || Ok(first.runs("a1") == 1)).await?;
+        site.endpoint("desk", "e-2", Behaviour::Shed).await?;
+        let answer = client.answer().await?;
+        let header = |name| answer.message.header(name);
+        assert_eq!(answer.status, 502);
+        assert_eq!(header("retry-after"), None);
+        assert_eq!(header(CODE_HEADER), Some(Code::OutcomeUnknown.number().to_string().as_str()));
+        Ok(())
+    });
+}
+
 // The endpoint has a request that may not run twice and says nothing. When the route's time is over
 // the client gets its final answer, and that does not claim that nothing ran.
 #[test]
--- a/tests/suite/state/fleet_view.rs
+++ b/tests/suite/state/fleet_view.rs
@@ -185,3 +185,18 @@
     assert_eq!(view.entries(Some(&far), false, NOW).len(), 5);
     assert_eq!(view.entries(Some(&near), true, NOW).len(), 4);
 }
+
+// One instance finds that the store is away. The others, who ask the store seldom, know it by its next
+// heartbeat, and forget it when the store answers that one again or it falls silent.
+#[test]
+fn store_is_away_for_all_when_it_is_for_one() {
+    let mut view = view(1);
+    view.hear(&beacon(2, 1), NOW);
+    assert!(!view.is_store_away(NOW));
+    view.hear(&FleetBeacon { reads: false, ..beacon(2, 2) }, NOW);
+    assert!(view.is_store_away(later(100)));
+    assert!(!view.is_store_away(later(1_000)));
+    view.hear(&FleetBeacon { reads: false, ..beacon(2, 3) }, later(1_000));
+    view.hear(&beacon(2, 4), later(1_100));
+    assert!(!view.is_store_away(later(1_100)));
+}
