--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod relay;
 pub mod service;
 pub mod site;
+pub mod soak;
--- a/crates/nutmeggrade-fakes/src/relay.rs
+++ b/crates/nutmeggrade-fakes/src/relay.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use anyhow::Context;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 const CHUNK: usize = 16 << 10;
 
@@ -20,6 +23,12 @@
     Open,
     /// Keeps connections open and hands nothing on, in neither direction.
     Stalled,
+    /// Hands requests on and keeps connections open, but no answer comes through.
+    OneWay,
+    /// Hands everything on after a while.
+    Delayed(Duration),
+    /// Resets connections at once, also new ones.
+    Reset,
     /// Closes each connection after this many bytes of the request.
     CutRequest(u64),
     /// Closes each connection after this many bytes of the answer.
@@ -79,16 +88,18 @@
     link: watch::Receiver<Link>,
     carried: Arc<AtomicU64>,
 ) {
-    if *link.borrow() == Link::Closed {
-        return;
+    match *link.borrow() {
+        Link::Closed => return,
+        Link::Reset => return reset(&inward),
+        _ => {}
     }
     let Ok(outward) = TcpStream::connect(target).await else { return };
     drop(inward.set_nodelay(true));
     drop(outward.set_nodelay(true));
     let (request_in, answer_out) = inward.into_split();
     let (answer_in, request_out) = outward.into_split();
-    let up = pump(request_in, request_out, link.clone(), Arc::clone(&carried), request_cut);
-    let down = pump(answer_in, answer_out, link, carried, answer_cut);
+    let up = pump(request_in, request_out, link.clone(), Arc::clone(&carried), request_part);
+    let down = pump(answer_in, answer_out, link.clone(), carried, answer_part);
     tokio::pin!(up, down);
     // A cut in either direction ends both; a side that only closed its half lets the other go on.
     let both = async {
@@ -100,12 +111,59 @@
     both.await;
 }
 
-fn request_cut(link: Link) -> Option<u64> {
-    if let Link::CutRequest(n) = link { Some(n) } else { None }
+/// Has a connection end by a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    // A connection that is gone already needs none.
+    drop(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
 }
 
-fn answer_cut(link: Link) -> Option<u64> {
-    if let Link::CutAnswer(n) = link { Some(n) } else { None }
+/// Has a connection end by a reset, whose writing half would end it as complete when it is dropped.
+fn reset_half(half: OwnedWriteHalf) {
+    reset(half.as_ref());
+    half.forget();
+}
+
+/// What becomes of the bytes of one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// They go on after this time.
+    Pass(Duration),
+    /// They wait.
+    Hold,
+    /// So many go on, then the connection is closed.
+    Cut(u64),
+    /// So many go on, then the connection is reset: a plain end would complete an answer without a
+    /// length.
+    Break(u64),
+    /// The connection is reset.
+    Reset,
+}
+
+fn request_part(link: Link) -> Part {
+    match link {
+        Link::CutRequest(n) => Part::Cut(n),
+        other => either_part(other),
+    }
+}
+
+fn answer_part(link: Link) -> Part {
+    match link {
+        Link::CutAnswer(n) => Part::Break(n),
+        Link::OneWay => Part::Hold,
+        other => either_part(other),
+    }
+}
+
+fn either_part(link: Link) -> Part {
+    match link {
+        Link::Open | Link::OneWay | Link::CutRequest(_) | Link::CutAnswer(_) => {
+            Part::Pass(Duration::ZERO)
+        }
+        Link::Delayed(time) => Part::Pass(time),
+        Link::Stalled => Part::Hold,
+        Link::Closed => Part::Cut(0),
+        Link::Reset => Part::Reset,
+    }
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -119,21 +177,26 @@
     mut to: OwnedWriteHalf,
     mut link: watch::Receiver<Link>,
     carried: Arc<AtomicU64>,
-    cut: fn(Link) -> Option<u64>,
+    part: fn(Link) -> Part,
 ) -> Ended {
     let mut buffer = vec![0; CHUNK];
     let mut passed = 0;
     loop {
-        let now = *link.borrow_and_update();
+        let now = part(*link.borrow_and_update());
         let read = match now {
-            Link::Closed => return Ended::Cut,
-            Link::Stalled => {
+            Part::Cut(0) | Part::Break(0) => return Ended::Cut,
+            Part::Reset => {
+                reset(from.as_ref());
+                reset_half(to);
+                return Ended::Cut;
+            }
+            Part::Hold => {
                 if link.changed().await.is_err() {
                     return Ended::Cut;
                 }
                 continue;
             }
-            _ => tokio::select! {
+            Part::Pass(_) | Part::Cut(_) | Part::Break(_) => tokio::select! {
                 read = from.read(&mut buffer) => read,
                 changed = link.changed() => match changed {
                     Ok(()) => continue,
@@ -141,11 +204,27 @@
                 },
             },
         };
-        let Ok(read @ 1..) = read else {
-            drop(to.shutdown().await);
-            return Ended::Closed;
+        let read = match read {
+            Ok(0) => {
+                drop(to.shutdown().await);
+                return Ended::Closed;
+            }
+            Ok(read) => read,
+            // A reset goes on as one: as a plain end it would complete an answer without a length.
+            Err(_) => {
+                reset_half(to);
+                return Ended::Cut;
+            }
+        };
+        if let Part::Pass(time) = now
+            && !time.is_zero()
+        {
+            sleep(time).await;
+        }
+        let left = match now {
+            Part::Cut(n) | Part::Break(n) => Some(n.saturating_sub(passed)),
+            _ => None,
         };
-        let left = cut(now).map(|n| n.saturating_sub(passed));
         let part = left.map_or(read, |n| read.min(usize::try_from(n).unwrap_or(read)));
         if to.write_all(&buffer[..part]).await.is_err() {
             return Ended::Cut;
@@ -153,6 +232,9 @@
         passed += part as u64;
         carried.fetch_add(part as u64, Ordering::Relaxed);
         if left.is_some_and(|n| n <= read as u64) {
+            if matches!(now, Part::Break(_)) {
+                reset_half(to);
+            }
             return Ended::Cut;
         }
     }
--- a/crates/nutmeggrade-fakes/src/site/door.rs
+++ b/crates/nutmeggrade-fakes/src/site/door.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// What a door does with calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -13,6 +14,10 @@
     Refuse,
     /// Never answers, and lets waiting watches wait for ever.
     Silent,
+    /// Answers after this time.
+    Slow(Duration),
+    /// Does what is asked and closes the connection without an answer.
+    Lost,
 }
 
 /// One way into the store: an address of its own with a fault of its own, so that the store can turn
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::behaviour::Behaviour;
 use super::generation::Generations;
@@ -26,6 +26,7 @@
     seen: Vec<Seen>,
     leaves_ms: Option<u64>,
     open: usize,
+    shown: SocketAddr,
 }
 
 /// An endpoint that does what a test wants.
@@ -47,9 +48,10 @@
         generations: &Generations,
     ) -> anyhow::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.context("bind an endpoint")?;
-        let state = State { behaviour, seen: Vec::new(), leaves_ms: None, open: 0 };
+        let address = listener.local_addr()?;
+        let state = State { behaviour, seen: Vec::new(), leaves_ms: None, open: 0, shown: address };
         let endpoint = Self {
-            address: listener.local_addr()?,
+            address,
             id: id.to_owned(),
             state: Arc::new(Mutex::new(state)),
             generations: generations.clone(),
@@ -76,11 +78,21 @@
         Ok(endpoint)
     }
 
+    /// Returns its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Sets what it does from now on.
     pub fn set(&self, behaviour: Behaviour) {
         self.state().behaviour = behaviour;
     }
 
+    /// Sets the address by which others know it, where that is not the one at which it listens.
+    pub fn show_as(&self, address: SocketAddr) {
+        self.state().shown = address;
+    }
+
     /// Has its report say how long it stays.
     pub fn leave_in(&self, time: Duration) {
         self.state().leaves_ms = u64::try_from(time.as_millis()).ok();
@@ -111,6 +123,10 @@
         self.state().seen.iter().filter(|s| s.ran && s.id() == id).count()
     }
 
+    fn shown(&self) -> SocketAddr {
+        self.state().shown
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -151,7 +167,7 @@
         if !last {
             self.generations.take_time(COPY_TIME).await;
         }
-        match self.generations.copy(self.address, id, last) {
+        match self.generations.copy(self.shown(), id, last) {
             Some(made) => {
                 send_json(stream, 200, &json!({ "cache_handle": id, "created": made })).await
             }
@@ -174,7 +190,7 @@
             && !matches!(behaviour, Behaviour::Shed | Behaviour::Misdirect);
         let id = request.header("x-nutmeggrade-attempt-id").unwrap_or_default().to_owned();
         let position = request.header("last-event-id").and_then(|p| p.parse().ok()).unwrap_or(0);
-        self.state().seen.push(Seen { message: request, ran });
+        self.state().seen.push(Seen { message: request, ran, at: Instant::now() });
         if is_other {
             return self.refuse(stream, 421, "").await;
         }
@@ -266,21 +282,21 @@
         pause: Duration,
     ) -> anyhow::Result<()> {
         self.open_stream(stream, id).await?;
-        let mut stopped = self.generations.begin(self.address, id);
+        let mut stopped = self.generations.begin(self.shown(), id);
         let mut dead = self.dead.subscribe();
         for event in position + 1..=events {
             tokio::select! {
                 () = sleep(pause) => {}
                 _ = dead.wait_for(|d| *d) => return reset(stream),
                 _ = stopped.wait_for(|s| *s) => {
-                    self.generations.end(self.address, id);
+                    self.generations.end(self.shown(), id);
                     anyhow::bail!("stopped");
                 }
             }
             send_event(stream, id, event).await?;
-            self.generations.made(self.address, id, event);
+            self.generations.made(self.shown(), id, event);
         }
-        self.generations.end(self.address, id);
+        self.generations.end(self.shown(), id);
         send(stream, "0\r\n\r\n").await
     }
 
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -9,7 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::door::{Door, Fault};
 use super::message::Message;
@@ -118,6 +118,11 @@
             Fault::None => self.answer(&request, door).await,
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
+            Fault::Slow(time) => {
+                sleep(time).await;
+                self.answer(&request, door).await
+            }
+            Fault::Lost => return,
         };
         let body = body.to_string();
         let head = format!(
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -13,5 +13,6 @@
 mod process;
 mod random;
 mod relay;
+mod soak;
 mod stand_ins;
 mod state;
