Ask the store again after an outage, and hand on by who was heard last

A relay between failure domains was drawn from all that count as live, also those that died seconds ago or have only just started and know nobody to hand on to.

Change: whoever found the store away asks until it answers; the relay is the peer heard last that has run for two seconds; where there is none, everybody is told directly.

Tests: relay::fleet::outage_ends_for_those_that_do_not_watch failed before (never told that there is no such route), state::fleet_view::message_for_everybody_is_handed_on.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -79,7 +79,9 @@
             if track.is_known() {
                 self.settle().await;
             }
-            if track.is_known() && self.is_told() && !track.is_behind() {
+            // Whoever could not read the store asks it again, or would take it for away for ever.
+            let is_current = track.is_known() && !track.is_behind() && !track.is_away();
+            if is_current && self.is_told() {
                 self.wait_for_news().await;
                 continue;
             }
@@ -219,13 +221,14 @@
             tracing::warn!(event = "store_away", kind = self.kind.name(), error = %error);
         }
         fleet_sync::catch_up(&self.node).await;
-        let most =
-            FIRST_WAIT.saturating_mul(1 << self.failures.min(MOST_DOUBLED)).min(self.longest());
+        let longest = self.longest();
+        let is_told_later = longest == LONGEST_OUTAGE;
+        let most = FIRST_WAIT.saturating_mul(1 << self.failures.min(MOST_DOUBLED)).min(longest);
         // Spread, or all instances call in the same moment when the store is back.
         let wait = most.mul_f64(rand::rng().random_range(0.5..1.0));
         tokio::select! {
             () = sleep(wait) => {}
-            () = self.until_back(), if wait > LONGEST_TOLD => {}
+            () = self.until_back(), if is_told_later => {}
             () = self.node.follow.track(self.kind).nudge.notified() => {
                 fleet_sync::catch_up(&self.node).await;
                 sleep(FIRST_WAIT).await;
--- a/crates/nutmeggrade-state/src/fleet_view/reach.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/reach.rs
@@ -28,6 +28,9 @@
 /// Peers of another failure domain from which on one of them hands on to the others.
 const FEW: usize = 3;
 
+/// Heartbeats of an instance after which it has heard its neighbours: two seconds' worth.
+const FRESH: u64 = 8;
+
 /// Who gets a message that is for everybody.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Audience {
@@ -56,21 +59,26 @@
     ///
     /// What instances tell each other at once goes to all of them. Sent to each by itself it crosses
     /// the lines between failure domains as often as there are instances; at 88 of them that was a
-    /// quarter of all bytes there. One of each domain, another one each time, hands it on to the rest. If
-    /// that one has just died, its domain misses the message, and the next heartbeats make it good.
-    pub fn everybody(&mut self, now: Moment) -> Audience {
-        let mut domains: BTreeMap<DomainId, Vec<SocketAddr>> = BTreeMap::new();
+    /// quarter of all bytes there. One of each domain hands it on to the rest: the one that was heard
+    /// last, which most surely lives, and not one that has only just started and knows few neighbours.
+    /// If it dies in that moment its domain misses the message, and heartbeats make it good.
+    pub fn everybody(&self, now: Moment) -> Audience {
+        let mut domains: BTreeMap<&DomainId, Vec<&Peer>> = BTreeMap::new();
         for peer in self.peers.values().filter(|p| self.is_heard(p, now)) {
             if peer.seat.domain != self.seat.domain {
-                domains.entry(peer.seat.domain.clone()).or_default().push(peer.seat.beacon);
+                domains.entry(&peer.seat.domain).or_default().push(peer);
+            }
+        }
+        let mut relays = Vec::new();
+        let mut told = BTreeSet::new();
+        for all in domains.values().filter(|all| all.len() > FEW) {
+            let settled = all.iter().filter(|p| !p.leaving && p.sequence > FRESH);
+            if let Some(relay) = settled.max_by_key(|p| p.heard) {
+                relays.push(relay.seat.beacon);
+                told.extend(all.iter().map(|p| p.seat.beacon));
             }
         }
-        domains.retain(|_, all| all.len() > FEW);
-        let told: BTreeSet<SocketAddr> = domains.values().flatten().copied().collect();
         let direct = self.addresses.iter().copied().filter(|a| !told.contains(a)).collect();
-        self.far_turn = self.far_turn.wrapping_add(1);
-        let turn = self.far_turn;
-        let relays = domains.values().map(|all| all[turn % all.len()]).collect();
         Audience { direct, relays }
     }
 
