--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -1,4 +1,5 @@
-//! Runs soaks: `soak [--seeds N] [--first SEED] [--seconds S] [--instances N] [--jobs N] [--acts]`.
+//! Runs soaks: `soak [--seeds N] [--first SEED] [--seconds S] [--instances N] [--jobs N] [--acts]`, or
+//! one thing of each kind that operators do: `soak --show`.
 //!
 //! Each seed starts instances as processes of their own, has things go wrong around them and checks
 //! the promises. Ends with an error if a promise was broken. Seeds are drawn unless `--first` names one.
@@ -8,7 +9,7 @@
 use anyhow::Context;
 use futures::StreamExt;
 use getopts::Options;
-use nutmeggrade_fakes::soak::{Plan, Verdict, run};
+use nutmeggrade_fakes::soak::{Plan, Verdict, run, show};
 use tokio::signal::unix::{SignalKind, signal};
 
 #[tokio::main]
@@ -29,9 +30,13 @@
     options.optopt("", "seconds", "time in which faults begin", "S");
     options.optopt("", "instances", "instances of each soak, fifteen at most", "N");
     options.optopt("", "jobs", "soaks at a time", "N");
+    options.optflag("", "show", "show a planned series of changes, without drawn faults");
     options.optflag("", "acts", "print what was done, also where nothing broke");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let given = options.parse(&args).with_context(|| options.usage("usage: soak [options]"))?;
+    if given.opt_present("show") {
+        return show_all().await;
+    }
     let first = given.opt_get("first")?.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let count = given.opt_get_default("seeds", 1_u64)?;
     let seconds = given.opt_get_default("seconds", 12)?;
@@ -58,6 +63,19 @@
     Ok(())
 }
 
+async fn show_all() -> anyhow::Result<()> {
+    println!("store, 4 engines, 2 services, 4 instances; clients ask all the while\n");
+    let verdict = show(&Plan::new(0)).await?;
+    for act in &verdict.acts {
+        println!("  {act}");
+    }
+    let (asked, served) = verdict.asked;
+    println!("\ndemo: {asked} requests, {served} served, by answer {:?}", verdict.outcomes);
+    println!("demo: {} promises broken {:?}", verdict.breaks.len(), verdict.breaks);
+    anyhow::ensure!(verdict.breaks.is_empty(), "the demo did not end as it must");
+    Ok(())
+}
+
 fn print(seed: u64, verdict: &Verdict, shows_acts: bool) {
     let (asked, served) = verdict.asked;
     println!("seed {seed}: {asked} asked, {served} served, {:?}", verdict.outcomes);
--- a/crates/nutmeggrade-fakes/src/soak.rs
+++ b/crates/nutmeggrade-fakes/src/soak.rs
@@ -14,6 +14,6 @@
 mod operator;
 mod plan;
 
-pub use director::run;
+pub use director::{run, show};
 pub use judge::Verdict;
 pub use plan::Plan;
--- a/crates/nutmeggrade-fakes/src/soak/director.rs
+++ b/crates/nutmeggrade-fakes/src/soak/director.rs
@@ -34,10 +34,27 @@
     ledger: Arc<Ledger>,
 }
 
-/// Runs a soak and judges what was seen.
+/// Runs a soak with what its seed draws, and judges what was seen.
 pub async fn run(plan: &Plan) -> anyhow::Result<Verdict> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
-    let acts = act::draw(plan, &mut rng);
+    play(plan, &act::draw(plan, &mut rng)).await
+}
+
+/// Shows one thing of each kind that operators do and engines meet: an engine leaves, the configuration
+/// changes, an instance is stopped as planned, another one is killed, a failure domain is out.
+pub async fn show(plan: &Plan) -> anyhow::Result<Verdict> {
+    let second = Duration::from_secs;
+    let acts = [
+        (second(1), Act::Drain(0)),
+        (second(2), Act::Change),
+        (second(3), Act::Stop(0)),
+        (second(6), Act::Kill(1, second(1))),
+        (second(8), Act::Out(2, second(2))),
+    ];
+    play(plan, &acts).await
+}
+
+async fn play(plan: &Plan, acts: &[(Duration, Act)]) -> anyhow::Result<Verdict> {
     let store = Store::new();
     let ledger = Arc::new(Ledger::new());
     let operator = Operator::start(&store, &ledger);
