Undo three import circles: Caller, the operators' platform, who takes heartbeats

front and generation both wanted Caller, which has a file of its own now; admin, change and versioned of nutmegctl wanted each other for opening the platform, which is platform.rs; node holds peers, and what a heartbeat changes at a node is tasks/hearing. Code moved only; the suite is as it was.

--- a/crates/nutmegctl/src/admin.rs
+++ b/crates/nutmegctl/src/admin.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 use tokio::time::timeout;
 
-use crate::change::{down, platform};
 use crate::line::Line;
+use crate::platform::{down, platform};
 use crate::settings::Settings;
 
 const PATIENCE: Duration = Duration::from_secs(2);
--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -1,34 +1,24 @@
 //! Making a change: write version n+1, then see it in force everywhere.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use http::Method;
 use nutmeggrade_core::config::{CONFIG_PREFIX, Change, Known};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{
-    HttpPlatform, Platform, PlatformError, newest_config, raise_head, thin_out,
-};
+use nutmeggrade_platform::{HttpPlatform, Platform, newest_config, raise_head, thin_out};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::admin;
 use crate::line::Line;
+use crate::platform::{POLL, down, platform};
 use crate::settings::Settings;
 use crate::versioned::write;
 
-const PATIENCE: Duration = Duration::from_secs(2);
-/// Pause between looks.
-pub const POLL: Duration = Duration::from_millis(100);
-/// Attempts to read back a write whose answer was lost.
 /// Versions that one call of a listing returns; each may be as large as a value can be.
 const PAGE: usize = 32;
 
-/// Opens the platform.
-pub fn platform(settings: &Settings) -> HttpPlatform {
-    HttpPlatform::new(settings.platform, PATIENCE)
-}
-
 /// Reads the newest configuration; `None` before the first.
 pub async fn current(platform: &HttpPlatform) -> anyhow::Result<Option<Configuration>> {
     let newest = newest_config(platform).await.map_err(|e| down(&e))?;
@@ -153,11 +143,6 @@
     }
 }
 
-/// Says that the platform could not be asked.
-pub fn down(error: &PlatformError) -> anyhow::Error {
-    Failure::new(Code::PlatformDown, &error.to_string()).into()
-}
-
 /// Returns the wall time, milliseconds since 1970, for people only.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/nutmegctl/src/cmd/audit.rs
+++ b/crates/nutmegctl/src/cmd/audit.rs
@@ -8,8 +8,9 @@
 use serde_json::Value;
 
 use crate::admin;
-use crate::change::{down, history, platform};
+use crate::change::history;
 use crate::line::Line;
+use crate::platform::{down, platform};
 use crate::settings::Settings;
 use crate::trail::{Row, Trail};
 
--- a/crates/nutmegctl/src/cmd/order.rs
+++ b/crates/nutmegctl/src/cmd/order.rs
@@ -4,9 +4,9 @@
 use nutmeggrade_core::prelude::*;
 use serde_json::Value;
 
-use crate::change::platform;
 use crate::line::Line;
 use crate::order_change::{effect, give, history, print};
+use crate::platform::platform;
 use crate::settings::Settings;
 
 /// Lists the orders to an engine and what came of them.
--- a/crates/nutmegctl/src/cmd/preset.rs
+++ b/crates/nutmegctl/src/cmd/preset.rs
@@ -4,8 +4,9 @@
 use nutmeggrade_core::config::Change;
 use nutmeggrade_core::prelude::*;
 
-use crate::change::{current, make, platform};
+use crate::change::{current, make};
 use crate::line::{Line, say};
+use crate::platform::platform;
 use crate::settings::Settings;
 
 /// Lists the presets; the one in force has a star.
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -7,6 +7,7 @@
 mod cmd;
 mod line;
 mod order_change;
+mod platform;
 mod settings;
 mod trail;
 mod versioned;
--- a/crates/nutmegctl/src/order_change.rs
+++ b/crates/nutmegctl/src/order_change.rs
@@ -7,8 +7,9 @@
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-use crate::change::{POLL, down, platform, wall_ms};
+use crate::change::wall_ms;
 use crate::line::Line;
+use crate::platform::{POLL, down, platform};
 use crate::settings::Settings;
 use crate::versioned::write;
 
--- a/crates/nutmegctl/src/versioned.rs
+++ b/crates/nutmegctl/src/versioned.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
-use crate::change::{POLL, down};
+use crate::platform::{POLL, down};
 
 const READ_BACKS: u32 = 5;
 
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -1,7 +1,6 @@
 //! The callers' side: HTTP listener, paths and answers.
 
 mod body;
-mod caller;
 mod completions;
 mod entries;
 mod listener;
@@ -17,7 +16,6 @@
 
 use crate::node::{Node, Phase};
 
-pub use caller::Caller;
 pub use listener::{Limits, listen};
 pub use nutmeggrade_relay::bind;
 pub use reply::{Reply, failure, json, success};
--- a/crates/nutmeggrade/src/front/completions.rs
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -10,8 +10,8 @@
 use viz::types::{Event, Sse};
 use viz::{IntoResponse, Request, Response};
 
-use super::caller::{self, Caller};
 use super::{body, entries, reply};
+use crate::caller::{self, Caller};
 use crate::generation::{Chunk, Completion, Item, Session, resume, start, whole};
 use crate::node::{Node, Phase};
 use crate::tables::lock;
--- a/crates/nutmeggrade/src/front/reply.rs
+++ b/crates/nutmeggrade/src/front/reply.rs
@@ -36,7 +36,7 @@
 pub fn with_request(mut response: Response, request: Option<&RequestId>) -> Response {
     let value = request.and_then(|r| HeaderValue::from_str(r.as_str()).ok());
     if let Some(value) = value {
-        response.headers_mut().insert(super::caller::REQUEST, value);
+        response.headers_mut().insert(crate::caller::REQUEST, value);
     }
     response
 }
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -8,8 +8,8 @@
 use nutmeggrade_platform::Platform;
 use viz::{Body, Request, RequestExt, Response};
 
-use super::caller::{self, Caller};
 use super::{body, reply};
+use crate::caller::{self, Caller};
 use crate::node::Node;
 use crate::service::{Answer, Call, run_idempotent, run_once, unlearned};
 use crate::tables::lock;
--- a/crates/nutmeggrade/src/generation/attempt.rs
+++ b/crates/nutmeggrade/src/generation/attempt.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use super::{Completion, Placement, Session, Trial, cancel};
+use crate::caller::Caller;
 use crate::engine_client::{StartError, Tokens};
-use crate::front::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
--- a/crates/nutmeggrade/src/generation/session/opening.rs
+++ b/crates/nutmeggrade/src/generation/session/opening.rs
@@ -8,8 +8,8 @@
 use nutmeggrade_state::delivery::Delivery;
 
 use super::Session;
+use crate::caller::Caller;
 use crate::engine_client::Tokens;
-use crate::front::Caller;
 use crate::generation::{Placement, Trial};
 use crate::node::Node;
 
--- a/crates/nutmeggrade/src/generation/start.rs
+++ b/crates/nutmeggrade/src/generation/start.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{Broken, attempt};
 use super::{Completion, Lost, SLOT_PAUSE, Session, Trial, admit, reconnect};
-use crate::front::Caller;
+use crate::caller::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
--- a/crates/nutmeggrade/src/generation/trial.rs
+++ b/crates/nutmeggrade/src/generation/trial.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use super::Completion;
-use crate::front::Caller;
+use crate::caller::Caller;
 use crate::node::Node;
 use crate::tables::lock;
 
--- a/crates/nutmeggrade/src/lib.rs
+++ b/crates/nutmeggrade/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod admin;
 pub mod audit;
+pub mod caller;
 pub mod engine_client;
 pub mod explain;
 pub mod front;
--- a/crates/nutmeggrade/src/peers.rs
+++ b/crates/nutmeggrade/src/peers.rs
@@ -14,11 +14,9 @@
     LocalAddr, Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendTimeout,
 };
 use nng::{Dialer, Listener, Pipe, PipeEvent, Protocol, Socket, SocketAddr as NngAddr};
-use nutmeggrade_core::peer::{Beacon, Entry, MAX_MESSAGE, open, seal};
+use nutmeggrade_core::peer::{BadEnvelope, Beacon, Entry, MAX_MESSAGE, open, seal};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::Platform;
 
-use crate::node::Node;
 use crate::tables::lock;
 
 /// Most subscribers: a few times the instances that a full mesh is made for.
@@ -98,18 +96,11 @@
         Ok((frame.len() * lock(&self.subscribers).len()) as u64)
     }
 
-    /// Receives heartbeats for as long as the socket is open; runs on a thread of its own.
-    pub fn receive<P: Platform>(&self, node: &Arc<Node<P>>) {
-        while let Ok(message) = self.inward.recv() {
-            node.metrics.peer_bytes.with_label_values(&["in"]).inc_by(message.len() as u64);
-            match open::<Beacon>(&message, &self.key) {
-                Ok(beacon) => take(node, &beacon),
-                Err(reason) => {
-                    let reason = reason.to_string();
-                    node.metrics.dropped.with_label_values(&[reason.as_str()]).inc();
-                }
-            }
-        }
+    /// Waits for the next message and returns its size and its heartbeat; `None` once the sockets are
+    /// closed. Blocks its thread.
+    pub fn next(&self) -> Option<(usize, Result<Beacon, BadEnvelope>)> {
+        let message = self.inward.recv().ok()?;
+        Some((message.len(), open::<Beacon>(&message, &self.key)))
     }
 
     /// Closes both sockets.
@@ -142,26 +133,3 @@
         _ => {}
     }
 }
-
-fn take<P: Platform>(node: &Node<P>, beacon: &Beacon) {
-    let now = node.now();
-    if let Some(entry) = &beacon.entry {
-        node.meet(entry);
-    }
-    let size = lock(&node.tables.rights).assignment().map_or(0, |a| a.members.len());
-    let (fresh, together) = {
-        let mut members = lock(&node.tables.members);
-        let fresh = members.hear(beacon, now);
-        // Without an assignment all instances that are known count.
-        let size = if size == 0 { members.known() } else { size };
-        (fresh, members.together_since(size))
-    };
-    if fresh {
-        lock(&node.tables.suspects).hear(&beacon.instance, &beacon.suspects, now);
-        lock(&node.tables.orphans).hear(&beacon.resumed);
-        let is_behind = lock(&node.tables.config).note(beacon.config);
-        if !is_behind {
-            lock(&node.tables.fence).hear_peers(together);
-        }
-    }
-}
--- a/crates/nutmeggrade/src/service/call.rs
+++ b/crates/nutmeggrade/src/service/call.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use nutmeggrade_core::prelude::*;
 
-use crate::front::Caller;
+use crate::caller::Caller;
 
 /// One call of a plain service.
 #[derive(Debug, Clone)]
--- a/crates/nutmeggrade/src/tasks.rs
+++ b/crates/nutmeggrade/src/tasks.rs
@@ -5,6 +5,7 @@
 mod cleanup;
 mod config_watch;
 mod endpoint_refresh;
+mod hearing;
 mod load_poll;
 mod orphans;
 mod registration;
@@ -36,6 +37,5 @@
     tokio::spawn(release::run(Arc::clone(node)));
     tokio::spawn(beacon::run(Arc::clone(node), Arc::clone(peers)));
     let node = Arc::clone(node);
-    let peers = Arc::clone(peers);
-    std::thread::spawn(move || peers.receive(&node));
+    std::thread::spawn(move || hearing::run(&node));
 }
