Let the soak's endpoints stay beyond their notice, and set its pace

With a registry that goes on using endpoints that leave, the soak found nothing: endpoints went just when they may get nothing new any more, and with a fault every 350 ms instances were never calm for as long as the check needs. What is drawn for a seed is as before. An instance that never becomes ready again is a broken promise, and does not end the run.

--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -1,5 +1,5 @@
-//! Runs soaks: `soak [--seeds N] [--first SEED] [--seconds S] [--instances N] [--jobs N] [--acts]`, or
-//! one thing of each kind that operators do: `soak --show`.
+//! Runs soaks: `soak [--seeds N] [--first SEED] [--seconds S] [--gap MS] [--instances N]
+//! [--jobs N] [--acts]`, or one thing of each kind that operators do: `soak --show`.
 //!
 //! Each seed starts instances as processes of their own, has things go wrong around them and checks
 //! the promises. Ends with an error if a promise was broken. Seeds are drawn unless `--first` names one.
@@ -29,6 +29,7 @@
     options.optopt("", "first", "first seed; the next ones follow it", "SEED");
     options.optopt("", "seconds", "time in which faults begin", "S");
     options.optopt("", "instances", "instances of each soak, fifteen at most", "N");
+    options.optopt("", "gap", "mean time between two faults, in milliseconds", "MS");
     options.optopt("", "jobs", "soaks at a time", "N");
     options.optflag("", "show", "show a planned series of changes, without drawn faults");
     options.optflag("", "acts", "print what was done, also where nothing broke");
@@ -41,11 +42,12 @@
     let count = given.opt_get_default("seeds", 1_u64)?;
     let seconds = given.opt_get_default("seconds", 12)?;
     let instances = given.opt_get_default("instances", 4)?;
+    let gap = given.opt_get_default("gap", 350)?;
     let jobs = given.opt_get_default("jobs", 1)?;
     let shows_acts = given.opt_present("acts");
     let plans = (0..count).map(|n| {
         let length = Duration::from_secs(seconds);
-        Plan::new(first + n).with_instances(instances).with_length(length)
+        Plan::new(first + n).with_instances(instances).with_length(length).with_gap(gap)
     });
     let runs =
         futures::stream::iter(plans.map(|plan| async move { (plan.seed, run(&plan).await) }));
--- a/crates/nutmeggrade-fakes/src/soak/act.rs
+++ b/crates/nutmeggrade-fakes/src/soak/act.rs
@@ -9,8 +9,8 @@
 use crate::relay::Link;
 use crate::site::{Behaviour, Fault};
 
-/// Mean time between two acts. They last up to four seconds, so that several overlap.
-const MEAN_GAP_MS: u64 = 350;
+/// Least time that an endpoint stays after it said that it leaves.
+const LEAST_STAY: Duration = Duration::from_secs(2);
 
 /// One thing that goes wrong, or that operators do.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,10 +31,10 @@
     Link(usize, Link, Duration),
     /// An endpoint does this with what it gets.
     Misbehave(usize, Behaviour, Duration),
-    /// An endpoint says that it leaves, goes, and another one comes.
-    Drain(usize),
-    /// An endpoint's entry goes without a word before it does.
-    Vanish(usize),
+    /// An endpoint says that it leaves, goes after a while, and another one comes.
+    Drain(usize, Duration),
+    /// An endpoint's entry goes without a word, and a while after it the endpoint.
+    Vanish(usize, Duration),
     /// An endpoint crashes, and comes back as another one or under its old id.
     Crash(usize, bool),
     /// Operators write a new configuration.
@@ -49,7 +49,7 @@
     let mut acts = Vec::new();
     while at < plan.length {
         acts.push((at, one(plan, rng)));
-        at += Duration::from_millis(rng.random_range(0..2 * MEAN_GAP_MS));
+        at += Duration::from_millis(rng.random_range(0..2 * plan.gap_ms));
     }
     acts
 }
@@ -58,6 +58,8 @@
     let instance = rng.random_range(0..plan.instances);
     let endpoint = rng.random_range(0..plan.engines + plan.services);
     let time = Duration::from_millis(rng.random_range(100..4_000));
+    // Some stay for much longer than the time after which they get nothing new.
+    let stay = LEAST_STAY + time;
     match rng.random_range(0..100) {
         0..8 => Act::Kill(instance, time.min(Duration::from_secs(1))),
         8..16 => Act::Pause(instance, time),
@@ -67,8 +69,8 @@
         42..46 => Act::Forget,
         46..56 => Act::Link(endpoint, link(rng), time),
         56..68 => Act::Misbehave(endpoint, behaviour(rng), time),
-        68..77 => Act::Drain(endpoint),
-        77..81 => Act::Vanish(endpoint),
+        68..77 => Act::Drain(endpoint, stay),
+        77..81 => Act::Vanish(endpoint, stay),
         81..88 => Act::Crash(endpoint, rng.random_bool(0.3)),
         88..96 => Act::Change,
         _ => Act::Out(rng.random_range(0..super::lives::DOMAINS.len()), time),
--- a/crates/nutmeggrade-fakes/src/soak/director.rs
+++ b/crates/nutmeggrade-fakes/src/soak/director.rs
@@ -45,7 +45,7 @@
 pub async fn show(plan: &Plan) -> anyhow::Result<Verdict> {
     let second = Duration::from_secs;
     let acts = [
-        (second(1), Act::Drain(0)),
+        (second(1), Act::Drain(0, second(4))),
         (second(2), Act::Change),
         (second(3), Act::Stop(0)),
         (second(6), Act::Kill(1, second(1))),
@@ -100,8 +100,8 @@
             Act::Misbehave(slot, behaviour, time) => {
                 self.lives.misbehave(slot, behaviour, time).await;
             }
-            Act::Drain(slot) => self.lives.leave(slot, true).await?,
-            Act::Vanish(slot) => self.lives.leave(slot, false).await?,
+            Act::Drain(slot, stay) => self.lives.leave(slot, true, stay).await?,
+            Act::Vanish(slot, stay) => self.lives.leave(slot, false, stay).await?,
             Act::Crash(slot, is_reborn) => self.lives.crash(slot, is_reborn).await?,
             Act::Change => self.operator.change(ledger),
             Act::Out(domain, time) => self.operator.take_out(domain, time, ledger).await,
@@ -112,7 +112,10 @@
     /// Checks that every kind of request is served again by instances that are all ready.
     async fn check_recovery(&self, plan: &Plan) -> anyhow::Result<()> {
         for n in 0..self.instances.count() {
-            self.instances.ready(n).await?;
+            if let Err(error) = self.instances.ready(n).await {
+                self.ledger.broken(format!("after the last fault: {error:#}"));
+                continue;
+            }
             let metrics = self.instances.metrics(n).await?;
             let name = "nutmeggrade_relay_invariants_broken";
             for line in metrics.lines().filter(|l| l.starts_with(name)) {
--- a/crates/nutmeggrade-fakes/src/soak/lives.rs
+++ b/crates/nutmeggrade-fakes/src/soak/lives.rs
@@ -12,10 +12,8 @@
 pub const DOMAINS: [&str; 3] = ["veluwe", "utrechtse-heuvelrug", "gooi"];
 /// Events of each stream.
 pub const EVENTS: u64 = 120;
-/// Pause before each event: a stream takes nearly two seconds, as long as an engine's notice.
+/// Pause before each event: a stream takes nearly two seconds, as long as the shortest notice.
 const PAUSE: Duration = Duration::from_millis(15);
-/// Time that an engine stays after it said that it leaves.
-const NOTICE: Duration = Duration::from_millis(2_500);
 /// Time after which a dead endpoint's entry lapses.
 const LAPSE: Duration = Duration::from_millis(1_200);
 /// Time until another endpoint comes.
@@ -110,19 +108,19 @@
         endpoint.set(usual(service));
     }
 
-    /// Has an endpoint leave, having said so or not, and another one come.
-    pub async fn leave(&self, slot: usize, is_told: bool) -> anyhow::Result<()> {
+    /// Has an endpoint leave, having said so or not, go after a while, and another one come.
+    pub async fn leave(&self, slot: usize, is_told: bool, stay: Duration) -> anyhow::Result<()> {
         let Some(life) = self.take(slot) else { return Ok(()) };
         let (id, entry) = self.entry(slot);
         let endpoint = guard(&self.all)[life].endpoint.clone();
         if is_told {
-            endpoint.leave_in(NOTICE);
+            endpoint.leave_in(stay);
             self.store.put("servers", &id, entry.with_leaving(true).content());
         } else {
             self.store.remove("servers", &id);
         }
         guard(&self.all)[life].left = Some(Instant::now());
-        sleep(NOTICE).await;
+        sleep(stay).await;
         self.end(life, &endpoint);
         self.store.remove("servers", &id);
         sleep(NEXT).await;
--- a/crates/nutmeggrade-fakes/src/soak/plan.rs
+++ b/crates/nutmeggrade-fakes/src/soak/plan.rs
@@ -17,6 +17,9 @@
     pub services: usize,
     /// Clients.
     pub clients: usize,
+    /// Mean time between two faults, in milliseconds. They last up to four seconds: by default several
+    /// overlap, and with long gaps instances are calm for long enough to be held to times.
+    pub gap_ms: u64,
     /// Whether promises that name a time are checked. They say nothing on a machine that is too
     /// busy to run everybody in time.
     pub is_timed: bool,
@@ -32,6 +35,7 @@
             engines: 4,
             services: 2,
             clients: 16,
+            gap_ms: 350,
             is_timed: true,
         }
     }
@@ -51,6 +55,13 @@
         self
     }
 
+    /// Sets the mean time between two faults, in milliseconds.
+    #[must_use]
+    pub const fn with_gap(mut self, gap_ms: u64) -> Self {
+        self.gap_ms = gap_ms;
+        self
+    }
+
     /// Leaves out promises that name a time.
     #[must_use]
     pub const fn untimed(mut self) -> Self {
