Say once which peers can read, what a whole success is, and what a pause tells

Read through as a newcomer: the same look at heartbeats stood three times and the same condition four times in the view of the fleet; the soak judged a whole success in two places; a heartbeat came as a pair with something that is asked elsewhere; an export nothing used; a comment left behind by moved code.

Corrected words: an endpoint that is gone was said to be told again by whoever goes on looking. It is not: an instance that leaves the endpoint alone already, since it lost an answer there or has just asked in vain, tells nobody.

--- a/crates/nutmegctl/src/versioned.rs
+++ b/crates/nutmegctl/src/versioned.rs
@@ -11,6 +11,7 @@
 
 use crate::platform::{POLL, down};
 
+/// Attempts to read back a write whose answer was lost.
 const READ_BACKS: u32 = 5;
 
 /// One version of something that only one operator at a time may change.
--- a/crates/nutmeggrade-fakes/src/relay.rs
+++ b/crates/nutmeggrade-fakes/src/relay.rs
@@ -99,7 +99,7 @@
     let (request_in, answer_out) = inward.into_split();
     let (answer_in, request_out) = outward.into_split();
     let up = pump(request_in, request_out, link.clone(), Arc::clone(&carried), request_part);
-    let down = pump(answer_in, answer_out, link.clone(), carried, answer_part);
+    let down = pump(answer_in, answer_out, link, carried, answer_part);
     tokio::pin!(up, down);
     // A cut in either direction ends both; a side that only closed its half lets the other go on.
     let both = async {
--- a/crates/nutmeggrade-fakes/src/soak/clients.rs
+++ b/crates/nutmeggrade-fakes/src/soak/clients.rs
@@ -74,7 +74,7 @@
         while begun.elapsed() < most {
             if let Some((instance, mut connection)) = self.connect().await {
                 let outcome = self.ask(route, "key-1", instance, &mut connection, None).await;
-                if matches!(&outcome, Outcome::Answer(a) if a.status == 200 && a.is_whole) {
+                if outcome.is_served() {
                     return true;
                 }
             }
--- a/crates/nutmeggrade-fakes/src/soak/judge.rs
+++ b/crates/nutmeggrade-fakes/src/soak/judge.rs
@@ -83,14 +83,10 @@
     for one in &all {
         *outcomes.entry(name(&one.outcome)).or_default() += 1;
     }
-    let served = all.iter().filter(|a| is_served(&a.outcome)).count();
+    let served = all.iter().filter(|a| a.outcome.is_served()).count();
     Ok(Verdict { breaks: judge.breaks, asked: (all.len(), served), outcomes, acts })
 }
 
-fn is_served(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Answer(a) if a.status == 200 && a.is_whole)
-}
-
 fn name(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answer(a) if a.is_whole => a.status.to_string(),
--- a/crates/nutmeggrade-fakes/src/soak/ledger.rs
+++ b/crates/nutmeggrade-fakes/src/soak/ledger.rs
@@ -19,6 +19,13 @@
     Left,
 }
 
+impl Outcome {
+    /// Says whether the client got a whole success.
+    pub fn is_served(&self) -> bool {
+        matches!(self, Self::Answer(a) if a.status == 200 && a.is_whole)
+    }
+}
+
 /// One request of a client.
 #[derive(Debug, Clone)]
 pub struct Asked {
--- a/crates/nutmeggrade-policy/src/dispatch/health.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/health.rs
@@ -53,8 +53,8 @@
         self.until = Some(now.after(pause.min(LONGEST_PAUSE)));
     }
 
-    /// Notes that nobody listened at the endpoint's address when another instance connected. Whoever
-    /// goes on looking says so again; the endpoint may have started anew, so the pause is short.
+    /// Notes that nobody listened at the endpoint's address when another instance connected. The pause
+    /// is short and does not double: the endpoint may have started anew.
     pub fn gone(&mut self, now: Moment) {
         let until = now.after(PAUSE);
         self.until = Some(self.until.map_or(until, |old| old.max(until)));
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -283,7 +283,8 @@
     /// An endpoint that died keeps its entry until that lapses, and for as long as the store is away.
     /// All that it had is lost, so to every instance it looks like the emptiest: each sends requests
     /// and copies of generations there. One notices copies that fail one after another (`event=copied`)
-    /// while engines with room are left alone. Once told, all leave it alone.
+    /// while engines with room are left alone. Whoever is told leaves it alone for a moment. An instance
+    /// that leaves the endpoint alone already, for whatever reason, tells nobody.
     pub fn announce_gone(&self, endpoint: &EndpointId) {
         let now = self.now();
         let is_new = {
@@ -293,7 +294,6 @@
             health.lost(now);
             is_new
         };
-        // Whoever finds it during the pause is not the first to find it.
         if is_new {
             tracing::info!(event = "endpoint_gone", %endpoint);
             self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -66,8 +66,8 @@
 
     /// Sends one heartbeat.
     pub async fn send_one(&self, node: &Arc<Node>) {
-        let (beacon, is_reader) = self.beacon(node);
-        let message = FleetMessage::Beacon(beacon);
+        let message = FleetMessage::Beacon(self.beacon(node));
+        let is_reader = lock(&node.tables).fleet.is_config_reader(node.now());
         // Whoever reads the store for all has to be heard by all, and its silence noticed soon: those
         // who don't hear it take its place.
         if is_reader {
@@ -134,14 +134,13 @@
         }
     }
 
-    /// Makes the next heartbeat; says whether this instance reads for all.
-    fn beacon(&self, node: &Arc<Node>) -> (FleetBeacon, bool) {
+    fn beacon(&self, node: &Node) -> FleetBeacon {
         let now = node.now();
         let tables = lock(&node.tables);
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let intro = FleetBeacon::introduces(sequence, rand::random::<f64>())
             .then(|| Introduction { seat: node.seat.clone(), others: tables.fleet.others(now) });
-        let beacon = FleetBeacon {
+        FleetBeacon {
             instance: node.settings().instance.clone(),
             incarnation: node.incarnation,
             sequence,
@@ -150,8 +149,7 @@
             reads: node.follow.is_answered(),
             revisions: node.revisions(),
             placed: tables.dispatcher.book.own().clone(),
-        };
-        (beacon, tables.fleet.is_config_reader(now))
+        }
     }
 
     /// Takes heartbeats for as long as the process runs.
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -9,7 +9,7 @@
 use nutmeggrade_core::peer::{FleetBeacon, Introduction, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
 
-pub use reach::{Audience, FANOUT};
+pub use reach::Audience;
 
 /// Instances in a client's failure domain from which on it is told of no others.
 const ENOUGH: usize = 3;
@@ -172,36 +172,34 @@
     /// hashes of their names, so that they are mostly in different failure domains, among those that
     /// were heard lately and whom the store answers. An instance that hears nobody reads for itself.
     pub fn is_reader(&self, now: Moment) -> bool {
-        self.is_among_first(now, |p| p.reads && !p.leaving)
+        self.before(now, can_read) < READERS
     }
 
     /// Says whether this instance follows the configuration and the failure domains that are out for all.
     pub fn is_config_reader(&self, now: Moment) -> bool {
-        self.before(now, |p| p.reads && !p.leaving) < CONFIG_READERS
+        self.before(now, can_read) < CONFIG_READERS
     }
 
     /// Says whether a peer that was heard lately can read the store.
     pub fn is_read(&self, now: Moment) -> bool {
-        let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
-        self.peers.values().any(|p| heard(p) && p.reads && !p.leaving)
+        self.just_heard(now).any(|(_, p)| can_read(p))
     }
 
     /// Says whether this instance is the first of those that read for all, whose news the others
     /// only have to repeat where they were lost.
     pub fn is_first_reader(&self, now: Moment) -> bool {
-        self.before(now, |p| p.reads && !p.leaving) == 0
+        self.before(now, can_read) == 0
     }
 
     /// Says whether this instance would read for all if the store answered everybody alike. While it
     /// answers nobody, these ask it again and again, and the others seldom.
     pub fn leads(&self, now: Moment) -> bool {
-        self.is_among_first(now, |p| !p.leaving)
+        self.before(now, |p| !p.leaving) < READERS
     }
 
     /// Says whether a peer that was heard lately can't read the store.
     pub fn is_store_away(&self, now: Moment) -> bool {
-        let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
-        self.peers.values().any(|p| heard(p) && !p.reads && !p.leaving)
+        self.just_heard(now).any(|(_, p)| !p.reads && !p.leaving)
     }
 
     /// Says whether this instance is the first of those that live, in an order that differs between
@@ -211,18 +209,18 @@
         self.live(now).all(|peer| place_for(peer, endpoint) > own)
     }
 
-    fn is_among_first(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> bool {
-        self.before(now, counts) < READERS
-    }
-
     /// Counts the peers before this instance in the order in which instances read for all.
     fn before(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> usize {
         let own = (self.turn_key, &self.own);
-        let heard = |p: &Peer| now.since(p.heard) <= READER_SILENCE;
-        let peers = self.peers.iter().filter(|(_, p)| heard(p) && counts(p));
+        let peers = self.just_heard(now).filter(|(_, p)| counts(p));
         peers.filter(|(name, p)| (p.turn_key, *name) < own).count()
     }
 
+    /// Lists the peers whose silence would be noticed if they read for all.
+    fn just_heard(&self, now: Moment) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= READER_SILENCE)
+    }
+
     /// Lists where clients may connect: instances in the client's failure domain if enough are there.
     ///
     /// Bytes between failure domains cost more and take longer. With few instances near by, their
@@ -275,6 +273,11 @@
     }
 }
 
+/// Says whether a peer stays and the store answers it.
+const fn can_read(peer: &Peer) -> bool {
+    peer.reads && !peer.leaving
+}
+
 /// Returns the place of an instance in the order in which instances read for all.
 fn turn_key(instance: &InstanceId) -> u64 {
     let hash = blake3::hash(instance.as_str().as_bytes());
--- a/crates/nutmeggrade-state/src/fleet_view/reach.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/reach.rs
@@ -15,7 +15,7 @@
 /// Turns that may pass without a heartbeat.
 const TURNS: u32 = 3;
 /// Peers that a heartbeat goes to as long as there are no more.
-pub const FANOUT: usize = 16;
+const FANOUT: usize = 16;
 /// Peers of its own failure domain that a heartbeat goes to in a larger fleet, in turn. The cost of an
 /// instance does not grow with the fleet.
 const NEAR: usize = 8;
@@ -27,7 +27,6 @@
 const WELCOMED: usize = 128;
 /// Peers of another failure domain from which on one of them hands on to the others.
 const FEW: usize = 3;
-
 /// Heartbeats of an instance after which it has heard its neighbours: two seconds' worth.
 const FRESH: u64 = 8;
 
