Let a stand-in engine be down as soon as it crashes

The engines own log of one shows cold_peak 3 and both crashes on one engine, and the instances saw one crash there: its four generations were lost in the same 5 ms. The stand-in applied a crash only when the step ended, 12 ms after it had happened; until then the engine, empty and cold, took requests, fell over under the third and counted a second crash.

Ruled out: a second run of the crashing request (it ran on two engines only), a trial that condemned a neighbour (no code 3004 for one), a heartbeat that was lost.

Change: a crash takes effect when the step begins. Taking a generation in moved from the handler to the engine.

--- a/crates/nutmeggrade-fakes/src/engine/server.rs
+++ b/crates/nutmeggrade-fakes/src/engine/server.rs
@@ -18,8 +18,7 @@
 };
 
 use super::follow::follow;
-use super::state::Answer;
-use super::{Engine, Faults, Job};
+use super::{Engine, Faults, Refusal};
 use crate::http::{serve as serve_http, status};
 
 /// Largest request body, in bytes.
@@ -68,31 +67,18 @@
     let Ok(order) = serde_json::from_slice::<Generate>(&body) else {
         return Ok(status(StatusCode::BAD_REQUEST));
     };
-    let (hang, refused) = {
+    let hangs = {
         let inner = app.lock();
-        let refused = inner.down() || inner.faults.refuse == Some(true);
-        (inner.faults.hang == Some(true), refused)
+        inner.faults.hang == Some(true) && !inner.refuses()
     };
-    if refused {
-        return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
-    }
-    if hang {
+    if hangs {
         futures::future::pending::<()>().await;
     }
-    let id = order.generation;
-    {
-        let mut inner = app.lock();
-        if inner.runs.contains_key(&id) {
-            return Ok(status(StatusCode::CONFLICT));
-        }
-        inner.runs.insert(id, order.prompt.chars().take(64).collect());
-        inner.answers.insert(id, Answer::default());
-        let events = inner.model.submit(Job::read(&order), app.now());
-        for event in events {
-            inner.take(event);
-        }
+    match app.submit(&order) {
+        Ok(()) => Ok(Sse::new(follow(app, order.generation, 0)).into_response()),
+        Err(Refusal::Down) => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+        Err(Refusal::Known) => Ok(status(StatusCode::CONFLICT)),
     }
-    Ok(Sse::new(follow(app, id, 0)).into_response())
 }
 
 async fn resume(req: Request) -> Result<Response> {
@@ -120,7 +106,7 @@
 async fn load(req: Request) -> Result<Response> {
     let app = app(&req)?;
     let inner = app.lock();
-    if inner.down() {
+    if inner.is_down() {
         return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
     }
     let Some((at, report)) = inner.reports.front() else {
--- a/crates/nutmeggrade-fakes/src/engine/state.rs
+++ b/crates/nutmeggrade-fakes/src/engine/state.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use nutmeggrade_core::engine::{Finish, LoadReport, Token};
+use nutmeggrade_core::engine::{Finish, Generate, LoadReport, Token};
 use nutmeggrade_core::id::GenerationId;
 use nutmeggrade_core::moment::Moment;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
-use super::{CacheLog, Event, Faults, Model, Orders, Spec};
+use super::{CacheLog, Event, Faults, Job, Model, Orders, Refusal, Spec};
 
 /// How long a crashed engine refuses work.
 const RESTART: Duration = Duration::from_millis(500);
@@ -70,19 +70,56 @@
         Moment::new(self.start.elapsed())
     }
 
+    /// Takes a generation in, unless the engine refuses it.
+    pub fn submit(&self, order: &Generate) -> Result<(), Refusal> {
+        let mut inner = self.lock();
+        if inner.refuses() {
+            return Err(Refusal::Down);
+        }
+        let id = order.generation;
+        if inner.runs.contains_key(&id) {
+            return Err(Refusal::Known);
+        }
+        inner.runs.insert(id, order.prompt.chars().take(64).collect());
+        inner.answers.insert(id, Answer::default());
+        let events = inner.model.submit(Job::read(order), self.now());
+        for event in events {
+            inner.take(event);
+        }
+        Ok(())
+    }
+
+    /// Returns how often it crashed.
+    pub fn crashes(&self) -> u64 {
+        self.lock().model.crashes()
+    }
+
+    /// Begins a step of the batch; returns how long it takes and what comes out at its end.
+    pub fn begin_step(&self) -> (Duration, Vec<Event>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let load = inner.model.load(now);
+        inner.reports.push_back((Instant::now(), load));
+        while inner.reports.get(1).is_some_and(|(at, _)| at.elapsed() >= self.lag) {
+            inner.reports.pop_front();
+        }
+        if inner.model.is_idle() {
+            return (IDLE, Vec::new());
+        }
+        let (wait, mut events) = inner.model.step(now);
+        // A crash takes effect when the step begins: an engine that still took requests until its end
+        // would lose them as well and seem to crash twice.
+        if events.contains(&Event::Crashed) {
+            for event in events.drain(..) {
+                inner.take(event);
+            }
+        }
+        (wait, events)
+    }
+
     pub(super) async fn run(self: Arc<Self>) {
         loop {
-            let now = self.now();
-            let (wait, events) = {
-                let mut inner = self.lock();
-                let load = inner.model.load(now);
-                inner.reports.push_back((Instant::now(), load));
-                let lag = self.lag;
-                while inner.reports.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
-                    inner.reports.pop_front();
-                }
-                if inner.model.is_idle() { (IDLE, Vec::new()) } else { inner.model.step(now) }
-            };
+            let (wait, events) = self.begin_step();
             sleep(wait).await;
             let mut inner = self.lock();
             let now = self.now();
@@ -119,7 +156,11 @@
         }
     }
 
-    pub fn down(&self) -> bool {
+    pub fn is_down(&self) -> bool {
         self.down_until.is_some_and(|at| Instant::now() < at)
     }
+
+    pub fn refuses(&self) -> bool {
+        self.is_down() || self.faults.refuse == Some(true)
+    }
 }
--- a/tests/suite/stand_ins.rs
+++ b/tests/suite/stand_ins.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_core::engine::{CacheEvent, Generate};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_fakes::engine::{CacheChange, CacheLog, Job, Model, Spec};
+use nutmeggrade_fakes::engine::{CacheChange, CacheLog, Engine, Job, Model, Refusal, Spec};
 use rstest::rstest;
 
 const LAG: Duration = Duration::from_millis(300);
@@ -38,17 +38,34 @@
     assert_eq!(rest, [CacheEvent { number: EVENTS, prefix: EVENTS, kept: true }]);
 }
 
+fn order(n: u8, prompt: &str) -> Generate {
+    Generate {
+        generation: GenerationId::new([n; 16]),
+        model: ModelId::new("m").expect("id"),
+        prompt: prompt.to_owned(),
+        max_tokens: 8,
+        priority: 0,
+    }
+}
+
+// An engine crashes when a step begins. Requests that reach it before the step would have ended must not
+// be taken by an engine that is down, be lost at once and count as a second crash.
+#[rstest]
+fn crashed_engine_takes_nothing() {
+    let engine = Engine::new(&Spec::default(), LAG);
+    assert_eq!(engine.submit(&order(0, "a crash=now")), Ok(()));
+    engine.begin_step();
+    for n in 1..=4 {
+        assert_eq!(engine.submit(&order(n, "a len=1")), Err(Refusal::Down));
+    }
+    assert_eq!(engine.crashes(), 1);
+}
+
 #[rstest]
 fn cache_keeps_and_drops_prefixes() {
     let mut model = Model::new(&Spec { prefixes: 1, ..Spec::default() });
     for prefix in [1, 2] {
-        let order = Generate {
-            generation: GenerationId::new([prefix; 16]),
-            model: ModelId::new("m").expect("id"),
-            prompt: format!("a b c d prefix={prefix} len=1"),
-            max_tokens: 8,
-            priority: 0,
-        };
+        let order = order(prefix, &format!("a b c d prefix={prefix} len=1"));
         model.submit(Job::read(&order), Moment::ZERO);
         model.step(Moment::ZERO);
     }
