Tell peers of an endpoint that is gone whatever else is known of it here

Cause: announce_gone took the instance's own pause for proof that the endpoint is known to be gone. A lost answer or a broken stream begins such a pause before anybody connects again, so nobody was told; and the engine watch, whose polls renew the pause, told once, for half a second, however long the engine stayed dead.

Change: Health remembers when the word went round, apart from the pause. It is given again once half of the pause that it brings has passed. Callers note the lost endpoint themselves, once.

Ruled out: telling at each failed connection, which is a datagram to everybody for each of hundreds of requests.

--- a/crates/nutmeggrade-policy/src/dispatch/health.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/health.rs
@@ -12,6 +12,9 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause; by then the registry knows.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Age at which the word that an endpoint is gone is given again, if it still is: half of the pause that
+/// it brings, so that whoever heard it does not try the endpoint in between.
+const RENEWAL: Duration = Duration::from_millis(250);
 /// Part of the old weight that each success leaves.
 const FORGIVEN: f64 = 0.7;
 
@@ -28,6 +31,7 @@
     at: Moment,
     row: u32,
     until: Option<Moment>,
+    told: Option<Moment>,
 }
 
 impl Health {
@@ -37,6 +41,7 @@
         self.at = now;
         self.row = 0;
         self.until = None;
+        self.told = None;
     }
 
     /// Notes that the endpoint answered with a failure.
@@ -53,13 +58,20 @@
         self.until = Some(now.after(pause.min(LONGEST_PAUSE)));
     }
 
-    /// Notes that nobody listened at the endpoint's address when another instance connected. The pause
-    /// is short and does not double: the endpoint may have started anew.
+    /// Notes that all instances are told that nobody listens at the endpoint's address, by this one or
+    /// another. The pause is short and does not double: the endpoint may have started anew.
     pub fn gone(&mut self, now: Moment) {
+        self.told = Some(now);
         let until = now.after(PAUSE);
         self.until = Some(self.until.map_or(until, |old| old.max(until)));
     }
 
+    /// Says whether all instances were told so lately that it need not be said again. An own pause says
+    /// nothing of that: it also follows a lost answer, of which nobody else hears.
+    pub fn is_told_gone(&self, now: Moment) -> bool {
+        self.told.is_some_and(|at| now.since(at) < RENEWAL)
+    }
+
     /// Returns the recent failures, older ones with less weight.
     pub fn trouble(&self, now: Moment) -> f64 {
         let age = now.since(self.at).as_secs_f64() / FADE.as_secs_f64();
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -283,21 +283,20 @@
     /// An endpoint that died keeps its entry until that lapses, and for as long as the store is away.
     /// All that it had is lost, so to every instance it looks like the emptiest: each sends requests
     /// and copies of generations there. One notices copies that fail one after another (`event=copied`)
-    /// while engines with room are left alone. Whoever is told leaves it alone for a moment. An instance
-    /// that leaves the endpoint alone already, for whatever reason, tells nobody.
+    /// while engines with room are left alone. Whoever is told leaves it alone for a moment, and is told
+    /// again for as long as nobody listens there.
     pub fn announce_gone(&self, endpoint: &EndpointId) {
         let now = self.now();
-        let is_new = {
+        {
             let mut tables = lock(&self.tables);
             let health = tables.dispatcher.book.health_mut(endpoint);
-            let is_new = !health.is_paused(now);
-            health.lost(now);
-            is_new
-        };
-        if is_new {
-            tracing::info!(event = "endpoint_gone", %endpoint);
-            self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
+            if health.is_told_gone(now) {
+                return;
+            }
+            health.gone(now);
         }
+        tracing::info!(event = "endpoint_gone", %endpoint);
+        self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
     }
 
     /// Takes a peer's word that nobody listens at an endpoint's address any more.
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -162,6 +162,7 @@
             Err(NoAnswer::Gone) => {
                 self.attempt.not_sent();
                 self.note("not_sent", &endpoint.id);
+                self.node.note_health(&endpoint.id, Health::lost);
                 self.node.announce_gone(&endpoint.id);
                 self.next_unsent(&endpoint.id, "nobody listens at the endpoint's address")
             }
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -1,10 +1,13 @@
 //! Several instances.
 
+use std::time::Duration;
+
 use nutmeggrade_fakes::site::{
-    Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
+    Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store, request,
 };
 use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
 
+use super::PROMPT;
 use super::site::{get, instance, metric, settings};
 use crate::support::{run, until};
 
@@ -32,6 +35,7 @@
 struct Pair {
     store: Store,
     first: Instance,
+    first_door: Door,
     other: Instance,
     other_door: Door,
 }
@@ -39,11 +43,11 @@
 async fn pair() -> anyhow::Result<Pair> {
     let store = Store::new();
     store.put("config", "main", RoutingPlan::default().content());
-    let (door, other_door) = (store.door().await?, store.door().await?);
-    let first = instance("i-1", &door, "").await?;
+    let (first_door, other_door) = (store.door().await?, store.door().await?);
+    let first = instance("i-1", &first_door, "").await?;
     let other = second(&first, &other_door).await?;
     until_entries(&other, 2).await?;
-    Ok(Pair { store, first, other, other_door })
+    Ok(Pair { store, first, first_door, other, other_door })
 }
 
 // Instances find each other by one address. One that is stopped is no longer named at once, and one
@@ -74,7 +78,7 @@
 #[test]
 fn instance_that_is_turned_away_learns_from_its_peer() {
     run(async {
-        let Pair { store, other, other_door, first: _first } = pair().await?;
+        let Pair { store, other, other_door, first: _first, .. } = pair().await?;
         other_door.set(Fault::Refuse);
         let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
         let plan = RoutingPlan { version: 5, has_late: true, ..RoutingPlan::default() };
@@ -95,7 +99,7 @@
 #[test]
 fn silent_watch_is_noticed_by_a_peers_news() {
     run(async {
-        let Pair { store, other, other_door, first: _first } = pair().await?;
+        let Pair { store, other, other_door, first: _first, .. } = pair().await?;
         other_door.set(Fault::Silent);
         store.put("config", "main", RoutingPlan { version: 3, ..Default::default() }.content());
         let metrics = other.addresses().metrics;
@@ -108,7 +112,7 @@
 #[test]
 fn what_a_listing_finds_is_handed_on() {
     run(async {
-        let Pair { store, other, other_door, first: _first } = pair().await?;
+        let Pair { store, other, other_door, first: _first, .. } = pair().await?;
         let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
         store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
         let metrics = other.addresses().metrics;
@@ -193,24 +197,89 @@
     });
 }
 
+/// Puts an endpoint before both instances and waits until they know it.
+async fn known(pair: &Pair, service: &str, behaviour: Behaviour) -> anyhow::Result<Endpoint> {
+    let endpoint = Endpoint::start("e-1", behaviour, &Generations::default()).await?;
+    pair.store.put("servers", "e-1", Entry::new(service, endpoint.address).content());
+    for instance in [&pair.first, &pair.other] {
+        let metrics = instance.addresses().metrics;
+        until("known", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
+    }
+    Ok(endpoint)
+}
+
+async fn until_gone(endpoint: &Endpoint) -> anyhow::Result<()> {
+    let gone = async || Ok(tokio::net::TcpStream::connect(endpoint.address).await.is_err());
+    until("nobody listens", gone).await
+}
+
+async fn until_told(instance: &Instance, times: u64) -> anyhow::Result<()> {
+    let metrics = instance.addresses().metrics;
+    let told = async || Ok(metric(metrics, "told_gone_total").await? >= times);
+    until("told that it is gone", told).await
+}
+
 // An endpoint died and its entry stays. One instance finds that nobody listens there; the other is
 // told, before it sends anything there itself.
 #[test]
 fn endpoint_that_is_gone_is_told_to_peers() {
     run(async {
-        let Pair { store, first, other, other_door: _door } = pair().await?;
-        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
-        store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
-        for instance in [&first, &other] {
-            let metrics = instance.addresses().metrics;
-            until("known", async || Ok(metric(metrics, "endpoints").await? == 1)).await?;
-        }
+        let pair = pair().await?;
+        let endpoint = known(&pair, "desk", Behaviour::Answer).await?;
         endpoint.kill();
-        let gone = async || Ok(tokio::net::TcpStream::connect(endpoint.address).await.is_err());
-        until("nobody listens", gone).await?;
-        let answer = RawClient::ask(first.addresses().client, "once", "a1", "").await?;
+        until_gone(&endpoint).await?;
+        let answer = RawClient::ask(pair.first.addresses().client, "once", "a1", "").await?;
         assert_eq!(answer.status, 503);
-        let metrics = other.addresses().metrics;
-        until("told", async || Ok(metric(metrics, "told_gone_total").await? >= 1)).await
+        until_told(&pair.other, 1).await
+    });
+}
+
+// An endpoint dies under a request, and its connection breaks before anybody finds that nobody listens
+// there any more. The lost answer alone has this instance leave the endpoint alone; the other knows
+// nothing yet and is told.
+#[test]
+fn endpoint_that_died_under_a_request_is_told_to_peers() {
+    run(async {
+        let pair = pair().await?;
+        let _endpoint = known(&pair, "desk", Behaviour::Crash).await?;
+        let answer = RawClient::ask(pair.first.addresses().client, "once", "a1", "").await?;
+        assert_eq!(answer.status, 502);
+        until_told(&pair.other, 1).await
+    });
+}
+
+// An engine dies in the middle of a stream. The other instance is told as well.
+#[test]
+fn engine_that_died_under_a_stream_is_told_to_peers() {
+    run(async {
+        let pair = pair().await?;
+        let stream = Behaviour::Stream { events: 1_000, pause: Duration::from_millis(15) };
+        let engine = known(&pair, "writers", stream).await?;
+        let mut client = RawClient::connect(pair.first.addresses().client).await?;
+        client.send(&request("draft", "a1", "key-1", PROMPT)).await?;
+        until("the generation runs", async || Ok(engine.runs("a1") == 1)).await?;
+        engine.kill();
+        assert!(!client.answer().await.is_ok_and(|a| a.is_whole));
+        until_told(&pair.other, 1).await
+    });
+}
+
+// An engine dies while the store is away, so that its entry stays. One instance asks it again and again
+// and finds nobody. It says so again for as long as that is so: what a peer is told holds for half a
+// second, after which the engine would look like the emptiest of all.
+#[test]
+fn engine_that_stays_gone_is_told_again() {
+    run(async {
+        let pair = pair().await?;
+        let engine = known(&pair, "writers", Behaviour::Answer).await?;
+        engine.kill();
+        until_gone(&engine).await?;
+        pair.first_door.set(Fault::Refuse);
+        pair.other_door.set(Fault::Refuse);
+        let told = async |instance: &Instance| {
+            metric(instance.addresses().metrics, "told_gone_total").await
+        };
+        let both = async || Ok(told(&pair.first).await? + told(&pair.other).await? >= 3);
+        until("told again and again", both).await
     });
 }
