End only whole answers as whole

Cause: the body of an answer that is passed on as it comes ended when its channel did. A stream that broke off put the news into the channel first, if there was room. With a slow client sixteen pieces wait there, the news was dropped, and the chunked answer ended with its last chunk: a truncated answer that looks whole.

Ruled out: waiting for room for the news, which holds the place at the endpoint for a client that does not read.

Change: the last piece says that the answer is whole; a channel that just ends is an answer that broke off. What ends a task, a planned stop among it, can no longer make a whole answer of a half one. Large answers have a line at their end with the request's id, and one way to name ends serves both kinds.

--- a/crates/nutmeggrade-relay/src/answer_body.rs
+++ b/crates/nutmeggrade-relay/src/answer_body.rs
@@ -21,15 +21,25 @@
 
 impl std::error::Error for BrokenOff {}
 
-/// A piece of an answer, or the news that it broke off.
-pub type Piece = Result<Bytes, BrokenOff>;
+/// A piece of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// Bytes of it.
+    Bytes(Bytes),
+    /// The answer is whole.
+    End,
+}
 
 /// The body of an answer to a client.
 #[derive(Debug)]
 pub enum AnswerBody {
     /// All of it is here.
     Whole(Option<Bytes>),
-    /// It comes in pieces.
+    /// It comes in pieces, the last of which is [`Piece::End`].
+    ///
+    /// Whoever passes an answer on may have to stop in the middle, and find no room for a word on it
+    /// among the pieces that wait for a slow client. If the end of the channel were the end of the
+    /// answer, the client would take a truncated answer for the whole one.
     Pieces(mpsc::Receiver<Piece>),
 }
 
@@ -51,9 +61,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Pieces(pieces) => {
-                pieces.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
-            }
+            Self::Pieces(pieces) => pieces.poll_recv(cx).map(|piece| match piece {
+                Some(Piece::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Piece::End) => None,
+                None => Some(Err(BrokenOff)),
+            }),
         }
     }
 
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -287,14 +287,13 @@
     /// again for as long as nobody listens there.
     pub fn announce_gone(&self, endpoint: &EndpointId) {
         let now = self.now();
-        {
-            let mut tables = lock(&self.tables);
-            let health = tables.dispatcher.book.health_mut(endpoint);
-            if health.is_told_gone(now) {
-                return;
-            }
-            health.gone(now);
+        let mut tables = lock(&self.tables);
+        let health = tables.dispatcher.book.health_mut(endpoint);
+        if health.is_told_gone(now) {
+            return;
         }
+        health.gone(now);
+        drop(tables);
         tracing::info!(event = "endpoint_gone", %endpoint);
         self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
     }
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -3,6 +3,7 @@
 mod call;
 mod crash;
 mod escape;
+mod end;
 mod exchange;
 mod framing;
 mod intake;
--- a/crates/nutmeggrade-relay/src/relay/plain.rs
+++ b/crates/nutmeggrade-relay/src/relay/plain.rs
@@ -5,13 +5,14 @@
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http::response::Parts;
-use nutmeggrade_core::prelude::*;
 use nutmeggrade_wire::answer;
 use tokio::sync::mpsc;
 
+use super::call::Call;
+use super::end::End;
 use super::search::Begun;
 use super::upstream::Upstream;
-use crate::answer_body::{AnswerBody, BrokenOff, Piece};
+use crate::answer_body::{AnswerBody, Piece};
 use crate::node::Node;
 
 /// Largest answer that is read whole before it is passed on. An answer that breaks off on its way
@@ -43,32 +44,32 @@
 }
 
 /// Passes a large answer on as it comes.
-pub fn forward(node: &Arc<Node>, deadline: Moment, begun: Begun) -> Response<AnswerBody> {
+pub fn forward(node: &Arc<Node>, call: &Call, begun: Begun) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(PIECES);
     let Begun { answer, place } = begun;
-    let node = Arc::clone(node);
+    let (node, request, deadline) = (Arc::clone(node), call.id.clone(), call.deadline);
     tokio::spawn(async move {
-        let passed = pass(answer.upstream, &sender);
-        tokio::select! {
-            () = passed => {}
-            () = sender.closed() => {}
-            () = node.clock.until(deadline) => drop(sender.try_send(Err(BrokenOff))),
-        }
+        let end = tokio::select! {
+            end = pass(answer.upstream, &sender) => end,
+            () = sender.closed() => End::ClientGone,
+            () = node.clock.until(deadline) => End::Overdue,
+        };
+        tracing::info!(event = "answer_ended", request = %request,
+            endpoint = %place.endpoint.id, end = end.as_str());
         drop(place);
     });
     response(answer.head, AnswerBody::Pieces(receiver))
 }
 
-async fn pass(mut upstream: Upstream, sender: &mpsc::Sender<Piece>) {
+async fn pass(mut upstream: Upstream, sender: &mpsc::Sender<Piece>) -> End {
     while let Some(piece) = upstream.next().await {
-        let piece = piece.map_err(|error| {
-            tracing::info!(event = "answer_broke_off", %error);
-            BrokenOff
-        });
-        let is_over = piece.is_err();
-        // A client that has left closes the channel, which ends the task.
-        if sender.send(piece).await.is_err() || is_over {
-            return;
+        let Ok(piece) = piece else { return End::Broken };
+        // A client that has left closes the channel.
+        if sender.send(Piece::Bytes(piece)).await.is_err() {
+            return End::ClientGone;
         }
     }
+    // The channel of an answer with a length may be closed once its last byte is out.
+    drop(sender.send(Piece::End).await);
+    End::Finished
 }
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -82,7 +82,7 @@
             if begun.answer.is_events() {
                 stream::start(node, search, *begun)
             } else {
-                plain::forward(node, search.call.deadline, *begun)
+                plain::forward(node, &search.call, *begun)
             }
         }
         Err(failure) => {
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -15,13 +15,14 @@
 
 use super::call::Call;
 use super::crash;
+use super::end::End;
 use super::escape::{Escape, Escaped};
 use super::place::Place;
 use super::plain;
 use super::search::{Begun, Search};
 use super::splice;
 use super::upstream::Upstream;
-use crate::answer_body::{AnswerBody, BrokenOff, Piece};
+use crate::answer_body::{AnswerBody, Piece};
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -49,27 +50,6 @@
     moves: u32,
 }
 
-/// How a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    Finished,
-    ClientGone,
-    Overdue,
-    Broken,
-}
-
-impl End {
-    /// Returns the name used in logs and metrics.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Finished => "finished",
-            Self::ClientGone => "client_gone",
-            Self::Overdue => "overdue",
-            Self::Broken => "broken",
-        }
-    }
-}
-
 /// Begins to pass an event stream on.
 pub fn start(node: &Arc<Node>, search: Search, begun: Begun) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(PIECES);
@@ -101,11 +81,6 @@
 impl Stream {
     async fn run(mut self) {
         let end = self.pass().await;
-        if matches!(end, End::Broken | End::Overdue) {
-            // The client's connection is cut in the middle of the answer, so that it does not look
-            // complete; a client that does not read any more is cut by the end of the channel.
-            drop(self.sender.try_send(Err(BrokenOff)));
-        }
         self.attempt.end();
         let now = self.node.now();
         self.node.metrics.requests.with_label_values(&["stream", end.as_str()]).inc();
@@ -150,7 +125,10 @@
                     self.upstream = None;
                     let is_stopping = escape.as_ref().is_some_and(Escape::is_stopping);
                     if end.is_none() && (self.is_framed || !is_stopping) {
-                        return self.finish().await;
+                        return tokio::select! {
+                            end = self.finish() => end,
+                            () = clock.until(deadline) => End::Overdue,
+                        };
                     }
                     if escape.is_none() && !self.recover(end.and_then(Result::err)).await {
                         return End::Broken;
@@ -175,7 +153,7 @@
     async fn push(&mut self, bytes: &[u8]) -> bool {
         let Some(events) = self.splitter.push(bytes) else { return true };
         self.note_progress();
-        self.sender.send(Ok(events)).await.is_ok()
+        self.sender.send(Piece::Bytes(events)).await.is_ok()
     }
 
     fn note_progress(&mut self) {
@@ -209,10 +187,12 @@
 
     async fn finish(&mut self) -> End {
         if let Some(rest) = self.splitter.take_rest()
-            && self.sender.send(Ok(rest)).await.is_err()
+            && self.sender.send(Piece::Bytes(rest)).await.is_err()
         {
             return End::ClientGone;
         }
+        // The channel of an answer with a length may be closed once its last byte is out.
+        drop(self.sender.send(Piece::End).await);
         End::Finished
     }
 
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -1,5 +1,6 @@
 //! An instance that serves routes, against stand-ins of the platform, its endpoints and clients.
 
+mod answer_body;
 mod clients;
 mod config;
 mod crashers;
