Explain a request from logs, and say where each went and when its client left

Cause: an engineer with nothing but logs had to grep and to know what to look for; `nutmegctl explain` asked processes that may be gone. A request that was lost with its instance, and one whose client left before an answer, had no line at all.

It needs neither the platform nor the token. Each placing has a line (`placed`) with what decided it: what all instances have at the endpoint, the versions of the configuration and of the endpoints. `client_gone` says that the client left. `answered` says whether another line follows at the end.

Ruled out: a name of the instance in each line; collectors put it before the line.

--- a/crates/nutmegctl/src/admin.rs
+++ b/crates/nutmegctl/src/admin.rs
@@ -30,7 +30,7 @@
 /// While the platform is down the addresses come from the settings, so that operators can still see
 /// what the instances have in force.
 pub async fn reachable(settings: &Settings) -> anyhow::Result<Vec<(String, SocketAddr)>> {
-    match instances(&platform(settings)).await {
+    match instances(&platform(settings)?).await {
         Ok(list) => Ok(list.iter().map(|e| (e.instance.to_string(), e.admin_address)).collect()),
         Err(error) if settings.admin.is_empty() => Err(error),
         Err(error) => {
--- a/crates/nutmegctl/src/change.rs
+++ b/crates/nutmegctl/src/change.rs
@@ -49,7 +49,7 @@
     if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
         return Err(Failure::new(Code::WhoWhyMissing, "a change needs --who and --why").into());
     }
-    let platform = platform(settings);
+    let platform = platform(settings)?;
     let id = ChangeId::new(&GenerationId::new(rand::random()).to_string())?;
     let now = current(&platform).await?;
     if let Some(now) = now.as_ref().filter(|c| c.has(change)) {
--- a/crates/nutmegctl/src/cmd/audit.rs
+++ b/crates/nutmegctl/src/cmd/audit.rs
@@ -33,7 +33,7 @@
 }
 
 async fn from_platform(settings: &Settings) -> anyhow::Result<Trail> {
-    let platform = platform(settings);
+    let platform = platform(settings)?;
     let mut trail = Trail::new();
     for config in history(&platform).await? {
         trail.add_change(Accepted::new(&config));
--- a/crates/nutmegctl/src/cmd/order.rs
+++ b/crates/nutmegctl/src/cmd/order.rs
@@ -12,7 +12,7 @@
 /// Lists the orders to an engine and what came of them.
 pub async fn show(settings: &Settings, endpoint: &str) -> anyhow::Result<()> {
     let endpoint = EndpointId::new(endpoint)?;
-    let platform = platform(settings);
+    let platform = platform(settings)?;
     for order in history(&platform, &endpoint).await? {
         let line = Line::new("order").with("version", order.version).with("at_ms", order.at_ms);
         let line = line.with("who", order.who.as_str()).with("why", order.why.as_str());
--- a/crates/nutmegctl/src/cmd/preset.rs
+++ b/crates/nutmegctl/src/cmd/preset.rs
@@ -49,6 +49,6 @@
 }
 
 async fn newest(settings: &Settings) -> anyhow::Result<Configuration> {
-    let found = current(&platform(settings)).await?;
+    let found = current(&platform(settings)?).await?;
     found.ok_or_else(|| Failure::new(Code::NotReady, "no configuration yet").into())
 }
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -6,6 +6,7 @@
 mod change;
 mod cmd;
 mod line;
+mod logs;
 mod order_change;
 mod platform;
 mod settings;
--- a/crates/nutmegctl/src/order_change.rs
+++ b/crates/nutmegctl/src/order_change.rs
@@ -41,7 +41,7 @@
     if settings.who.trim().is_empty() || settings.why.trim().is_empty() {
         return Err(Failure::new(Code::WhoWhyMissing, "an order needs --who and --why").into());
     }
-    let platform = platform(settings);
+    let platform = platform(settings)?;
     check(&platform, endpoint).await?;
     let before = history(&platform, endpoint).await?.pop();
     if let Some(before) = before.as_ref().filter(|d| d.has(order)) {
--- a/crates/nutmegctl/src/platform.rs
+++ b/crates/nutmegctl/src/platform.rs
@@ -12,8 +12,14 @@
 pub const POLL: Duration = Duration::from_millis(100);
 
 /// Opens the platform.
-pub fn platform(settings: &Settings) -> HttpPlatform {
-    HttpPlatform::new(settings.platform, PATIENCE)
+///
+/// # Errors
+///
+/// Fails if the settings don't say where it is.
+pub fn platform(settings: &Settings) -> Result<HttpPlatform, Failure> {
+    let missing = || Failure::new(Code::SettingMissing, "--platform must be ip:port");
+    let address = settings.platform.ok_or_else(missing)?;
+    Ok(HttpPlatform::new(address, PATIENCE))
 }
 
 /// Says that the platform could not be asked.
--- a/crates/nutmegctl/src/settings.rs
+++ b/crates/nutmegctl/src/settings.rs
@@ -27,6 +27,12 @@
     .with_default("0"),
     Spec::new("dry-run", Kind::Switch, "checks a change and writes nothing").with_default("false"),
     Spec::new("json", Kind::Switch, "prints one JSON object a line").with_default("false"),
+    Spec::new(
+        "logs",
+        Kind::Text,
+        "log files to explain a request from, with commas; -: standard input",
+    )
+    .with_default(""),
     Spec::new(
         "rounds",
         Kind::Number { unit: "1", min: 0, max: 1_000_000 },
@@ -38,8 +44,8 @@
 /// The settings of the operators' command.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// The platform's object API.
-    pub platform: SocketAddr,
+    /// The platform's object API; not needed to read logs.
+    pub platform: Option<SocketAddr>,
     /// Authenticates the operator to the instances.
     pub token: Secret,
     /// Who makes the change.
@@ -52,6 +58,8 @@
     pub admin: Vec<SocketAddr>,
     /// Number of the refusal that the operator overrides.
     pub confirm: u64,
+    /// Log files to explain a request from, separated by commas; empty to ask the instances.
+    pub logs: String,
     /// Whether nothing is written.
     pub dry_run: bool,
     /// Whether output is JSON.
@@ -65,19 +73,23 @@
     pub fn load(args: &[String]) -> Result<Self, Vec<Mistake>> {
         let variable = |name: &str| std::env::var(name).ok();
         let file = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
-        let values = Values::load(SPECS, args, variable, file)?;
-        let missing = || {
-            let detail = "--platform must be ip:port".to_owned();
-            vec![Mistake { code: Code::BadSetting, detail }]
+        // Whoever has logs needs neither the platform nor the operators' token to read them.
+        let reads_logs = |v: &Values| !v.text("logs").is_empty();
+        let offline = SPECS.iter().map(|s| s.with_optional(s.default.is_none()));
+        let offline = Values::load(&offline.collect::<Vec<_>>(), args, variable, file);
+        let values = match offline {
+            Ok(values) if reads_logs(&values) => values,
+            _ => Values::load(SPECS, args, variable, file)?,
         };
         Ok(Self {
-            platform: values.address("platform").ok_or_else(missing)?,
+            platform: values.address("platform"),
             token: values.secret("operator-token"),
             who: values.text("who").to_owned(),
             why: values.text("why").to_owned(),
             wait: values.millis("wait"),
             admin: values.addresses("admin"),
             confirm: values.number("confirm"),
+            logs: values.text("logs").to_owned(),
             dry_run: values.switch("dry-run"),
             json: values.switch("json"),
             rounds: values.number("rounds"),
--- a/crates/nutmeggrade-core/src/settings/spec.rs
+++ b/crates/nutmeggrade-core/src/settings/spec.rs
@@ -45,8 +45,11 @@
     pub flag: &'static str,
     /// What values it takes.
     pub kind: Kind,
-    /// Value if neither flag nor variable is given; `None` makes the setting required.
+    /// Value if neither flag nor variable is given; `None` makes the setting required unless it is
+    /// `optional`.
     pub default: Option<&'static str>,
+    /// Whether it may be left out though it has no default.
+    pub optional: bool,
     /// One line of help.
     pub help: &'static str,
 }
@@ -54,7 +57,7 @@
 impl Spec {
     /// Describes a required setting.
     pub const fn new(flag: &'static str, kind: Kind, help: &'static str) -> Self {
-        Self { flag, kind, default: None, help }
+        Self { flag, kind, default: None, optional: false, help }
     }
 
     /// Sets the default.
@@ -64,6 +67,13 @@
         self
     }
 
+    /// Lets the setting be left out.
+    #[must_use]
+    pub const fn with_optional(mut self, optional: bool) -> Self {
+        self.optional = optional;
+        self
+    }
+
     /// Returns the environment variable's name.
     pub fn variable(&self) -> String {
         format!("{VARIABLE_PREFIX}{}", self.flag.to_uppercase().replace('-', "_"))
--- a/crates/nutmeggrade-core/src/settings/values.rs
+++ b/crates/nutmeggrade-core/src/settings/values.rs
@@ -175,6 +175,9 @@
     if let Some(text) = spec.default {
         return Ok(Some(Value { spec: *spec, text: text.to_owned(), origin: Origin::Default }));
     }
+    if spec.optional {
+        return Ok(None);
+    }
     let detail = match spec.kind {
         Kind::Secret => format!("{name} or {name}_FILE must be set"),
         _ => format!("--{} or {name} must be set", spec.flag),
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -2,11 +2,12 @@
 
 mod call;
 mod crash;
-mod escape;
 mod end;
+mod escape;
 mod exchange;
 mod framing;
 mod intake;
+mod pending;
 mod place;
 mod plain;
 mod refusal;
--- a/crates/nutmeggrade-relay/src/relay/place.rs
+++ b/crates/nutmeggrade-relay/src/relay/place.rs
@@ -1,6 +1,7 @@
 //! A request's place at an endpoint.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
@@ -78,12 +79,22 @@
         let why = format!("no endpoint had room within {} ms", waited.as_millis());
         return Err(Failure::new(Code::NoRoom, &why).with_retry_after(wait));
     };
+    log(node, call, need, &id, waited);
     take(node, need.ticket, &id).ok_or_else(|| {
         let wait = lock(&node.tables).dispatcher.return_time();
         Failure::new(Code::NoRoom, "the chosen endpoint is gone").with_retry_after(wait)
     })
 }
 
+/// Logs where a request goes and what that was decided by: what all instances have placed there, this
+/// request with it, and the versions of the configuration and of the endpoints.
+fn log(node: &Node, call: &Call, need: &Need, endpoint: &EndpointId, waited: Duration) {
+    let placed = lock(&node.tables).dispatcher.book.at(endpoint);
+    tracing::info!(event = "placed", request = %call.id, endpoint = %endpoint,
+        waited_ms = waited.as_millis(), requests = placed.requests, memory = placed.memory,
+        prompt = need.prompt, config = node.map().version, endpoints = node.revisions().endpoints);
+}
+
 /// Takes the place that was made for a ticket; `None` if the endpoint is gone meanwhile.
 pub fn take(node: &Arc<Node>, ticket: Ticket, id: &EndpointId) -> Option<Place> {
     let Some(endpoint) = node.endpoint(id) else {
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -14,6 +14,7 @@
 use super::call::Call;
 use super::crash;
 use super::exchange::{Answer, Extra, NoAnswer, exchange};
+use super::pending::Pending;
 use super::place::{self, Place};
 use super::{plain, refusal, stream};
 use crate::answer_body::AnswerBody;
@@ -61,7 +62,7 @@
     need: Need,
     unsent: u32,
     last: Option<(Parts, Bytes)>,
-    endpoint: Option<EndpointId>,
+    pending: Pending,
 }
 
 /// Serves a request that may be served.
@@ -74,11 +75,11 @@
     };
     match result {
         Ok(Found::Whole(head, body)) => {
-            search.log_answer(&head);
+            search.log_answer(&head, false);
             plain::response(head, AnswerBody::whole(body))
         }
         Ok(Found::Begun(begun)) => {
-            search.log_answer(&begun.answer.head);
+            search.log_answer(&begun.answer.head, true);
             if begun.answer.is_events() {
                 stream::start(node, search, *begun)
             } else {
@@ -100,11 +101,11 @@
         Self {
             node: Arc::clone(node),
             attempt: Attempt::new(call.route.kind, call.route.attempts),
+            pending: Pending::new(node, &call.id, call.arrived),
             call,
             need,
             unsent: 0,
             last: None,
-            endpoint: None,
         }
     }
 
@@ -132,7 +133,7 @@
 
     async fn send(&mut self, place: Place) -> Result<Step, Failure> {
         let endpoint = place.endpoint.clone();
-        self.endpoint = Some(endpoint.id.clone());
+        self.pending.endpoint = Some(endpoint.id.clone());
         self.attempt.send();
         let patience = self.patience();
         let sent = exchange(&self.node, &self.call, &endpoint, &Extra::default(), patience).await;
@@ -290,21 +291,25 @@
         }
     }
 
-    fn log_answer(&self, head: &Parts) {
+    /// Logs that the client gets an answer; one that is `open` is passed on as it comes and has a line
+    /// at its end.
+    fn log_answer(&mut self, head: &Parts, open: bool) {
+        self.pending.end();
         let took = self.node.now().since(self.call.arrived);
         self.node.metrics.first.observe(took.as_secs_f64());
         let status = head.status.as_u16().to_string();
         self.node.metrics.requests.with_label_values(&["answered", &status]).inc();
         tracing::info!(event = "answered", request = %self.call.id, route = self.call.route.name,
-            endpoint = self.endpoint.as_ref().map_or("-", |e| e.as_str()), status,
+            endpoint = self.pending.endpoint_name(), status, open,
             sends = self.attempt.sends(), ms = took.as_millis());
     }
 
-    fn log_failure(&self, failure: &Failure) {
+    fn log_failure(&mut self, failure: &Failure) {
+        self.pending.end();
         let took = self.node.now().since(self.call.arrived);
         refusal::count(&self.node, "failed", failure.code);
         tracing::info!(event = "failed", request = %self.call.id, route = self.call.route.name,
-            endpoint = self.endpoint.as_ref().map_or("-", |e| e.as_str()),
+            endpoint = self.pending.endpoint_name(),
             code = failure.code.number(), name = failure.code.name(), run = failure.run.as_str(),
             sends = self.attempt.sends(), ms = took.as_millis(),
             back_ms = failure.retry_after.unwrap_or_default().as_millis(), why = failure.detail);
--- a/tests/suite/operators.rs
+++ b/tests/suite/operators.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod changes;
 mod explain;
+mod explain_logs;
 mod metrics;
 mod orders;
 mod presets;
