--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -74,3 +74,19 @@
     /// A message from another failure domain that the receiver hands on to its own.
     HandOn(Box<Self>),
 }
+
+impl FleetMessage {
+    /// Returns the name used in logs and metrics; a message that is handed on counts as what it holds.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Beacon(_) => "beacon",
+            Self::News(_) => "news",
+            Self::Placed(_) => "placed",
+            Self::Crashed(_) => "crashed",
+            Self::Leaving(_) => "leaving",
+            Self::Gone(_) => "gone",
+            Self::Met(_) => "met",
+            Self::HandOn(message) => message.name(),
+        }
+    }
+}
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -41,6 +41,10 @@
     pub peers: IntGauge,
     /// Calls to the platform's store by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// Bytes of messages between instances by kind and direction.
+    pub peer_bytes: IntCounterVec,
+    /// Bytes of the store's answers by kind.
+    pub store_bytes: IntCounterVec,
     /// Log lines dropped.
     pub dropped_lines: IntGauge,
     broken: IntGaugeVec,
@@ -72,6 +76,12 @@
             config: gauge("config_version", "routing configuration in force")?,
             endpoints: gauge("endpoints", "endpoints that may get new work")?,
             peers: gauge("peers", "peers heard lately")?,
+            peer_bytes: counters(
+                "peer_bytes_total",
+                "bytes of messages between instances",
+                &["message", "direction"],
+            )?,
+            store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
             store_calls: counters("store_calls_total", "calls to the store", &["kind", "end"])?,
             dropped_lines: gauge("log_lines_dropped", "log lines dropped")?,
             broken: add(
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -74,7 +74,7 @@
             self.send_to_all(node, message).await;
         } else {
             let targets = lock(&node.tables).fleet.targets();
-            self.send_to(&message, &targets).await;
+            self.send_to(node, &message, &targets).await;
         }
     }
 
@@ -105,20 +105,20 @@
         let FleetMessage::Beacon(beacon) = message else { return };
         let welcome = lock(&node.tables).fleet.welcome(beacon);
         if let Some((newcomer, others)) = welcome {
-            self.send_to(&FleetMessage::Met(others), &[newcomer]).await;
+            self.send_to(node, &FleetMessage::Met(others), &[newcomer]).await;
         }
     }
 
     /// Sends a message to every peer: to some by itself, to the others by one of them.
     async fn send_to_all(&self, node: &Node, message: FleetMessage) {
         let Audience { direct, relays } = lock(&node.tables).fleet.everybody(node.now());
-        self.send_to(&message, &direct).await;
+        self.send_to(node, &message, &direct).await;
         if !relays.is_empty() {
-            self.send_to(&FleetMessage::HandOn(Box::new(message)), &relays).await;
+            self.send_to(node, &FleetMessage::HandOn(Box::new(message)), &relays).await;
         }
     }
 
-    async fn send_to(&self, message: &FleetMessage, targets: &[SocketAddr]) {
+    async fn send_to(&self, node: &Node, message: &FleetMessage, targets: &[SocketAddr]) {
         let frame = match seal(message, &self.key) {
             Ok(frame) => frame,
             Err(error) => {
@@ -126,6 +126,8 @@
                 return;
             }
         };
+        let sent = (frame.len() * targets.len()) as u64;
+        node.metrics.peer_bytes.with_label_values(&[message.name(), "out"]).inc_by(sent);
         for target in targets {
             // A peer that is gone or cut off shows by its own silence.
             if let Err(error) = self.socket.send_to(&frame, target).await {
@@ -159,11 +161,13 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
                     Ok(FleetMessage::HandOn(message)) => {
+                        count_in(node, &message, length);
                         let neighbours = lock(&node.tables).fleet.neighbours();
-                        self.send_to(&message, &neighbours).await;
+                        self.send_to(node, &message, &neighbours).await;
                         take_message(node, *message);
                     }
                     Ok(message) => {
+                        count_in(node, &message, length);
                         self.welcome(node, &message).await;
                         take_message(node, message);
                     }
@@ -176,6 +180,10 @@
     }
 }
 
+fn count_in(node: &Node, message: &FleetMessage, length: usize) {
+    node.metrics.peer_bytes.with_label_values(&[message.name(), "in"]).inc_by(length as u64);
+}
+
 fn take_message(node: &Node, message: FleetMessage) {
     match message {
         FleetMessage::Beacon(beacon) => take(node, &beacon),
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -6,7 +6,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::Watched;
+use nutmeggrade_wire::store::{Snapshot, Watched};
 use rand::RngExt;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -134,6 +134,7 @@
 
     async fn list(&self) -> Result<(), PlatformError> {
         let snapshot = self.node.store.list(self.kind).await?;
+        self.count_bytes(&snapshot);
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
         let track = self.node.follow.track(self.kind);
         // A first listing holds nothing that peers who listed a moment earlier have missed; told as
@@ -158,6 +159,7 @@
         };
         match watched {
             Watched::Changes(snapshot) => {
+                self.count_bytes(&snapshot);
                 let is_news = !snapshot.objects.is_empty();
                 apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, if is_news { snapshot.revision } else { 0 });
@@ -256,6 +258,11 @@
         sleep(spread).await;
     }
 
+    fn count_bytes(&self, snapshot: &Snapshot) {
+        let counter = self.node.metrics.store_bytes.with_label_values(&[self.kind.name()]);
+        counter.inc_by(snapshot.bytes);
+    }
+
     fn count(&self, end: &str) {
         self.node.metrics.store_calls.with_label_values(&[self.kind.name(), end]).inc();
     }
--- a/tests/suite/relay/endpoints.rs
+++ b/tests/suite/relay/endpoints.rs
@@ -1,10 +1,10 @@
 //! Endpoints that leave, vanish, lie or are cold.
 
-use nutmeggrade_fakes::site::{Behaviour, Entry, Fault, RoutingPlan};
+use nutmeggrade_fakes::site::{Behaviour, Entry, Fault, RoutingPlan, Store};
 use serde_json::json;
 
 use super::ask;
-use super::site::Site;
+use super::site::{Site, instance, metric};
 use crate::support::{run, until};
 
 // An endpoint says that it leaves. From the moment at which the instance knows, nothing new goes to
@@ -83,7 +83,7 @@
         site.store.remove("servers", "e-2");
         let away = "store_calls_total{end=\"failed\",kind=\"endpoints\"}";
         until("the store is missed", async || {
-            Ok(super::site::metric(site.instance.addresses().metrics, away).await? > 0)
+            Ok(metric(site.instance.addresses().metrics, away).await? > 0)
         })
         .await?;
         site.door.set(Fault::None);
@@ -144,3 +144,21 @@
         .await
     });
 }
+
+// A deployment has some thousands of endpoints, and the store lists them in many pages. An instance that
+// gave up after some of them would never become ready.
+#[test]
+fn endpoints_of_a_hundred_pages_are_listed() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        for n in 0..300 {
+            let address = format!("127.0.0.1:{}", 20_000 + n).parse()?;
+            store.put("servers", &format!("e-{n:03}"), Entry::new("desk", address).content());
+        }
+        let instance = instance("i-1", &store.door().await?, "").await?;
+        let metrics = instance.addresses().metrics;
+        let listed = async || Ok(metric(metrics, "endpoints").await? == 300);
+        until("all endpoints are known", listed).await
+    });
+}
