Have some of each failure domain hand messages on, to those not heard yet as well

An instance knew the failure domain only of those that it had heard, and in a fleet of 300 that takes 14 seconds: until then it sent each message for everybody to every other instance by itself. Limits were divided by those heard as well: 101 of 300 after the first seconds. Neighbours were heard so seldom that a dead one was named to clients for nine seconds. And an instance that was cut off for longer than half a minute forgot all addresses, those to begin with too.

Change: addresses are told with their failure domains, and each who welcomes a newcomer names others. A message for everybody goes to one instance for each 24 of a failure domain, also of the own one, which hands it on to its part. Limits are divided by all that are known. The addresses to begin with are kept.

Five tests of three hundred instances; on the code before all five failed: 101 sharers, 114 and 300 direct sends, a dead neighbour among 75 named after five seconds, no address left after two minutes.

Ruled out: heartbeats themselves (20 KB a second, the same at 100 and 300 instances) and the listings, which the store sends and which cross no line between failure domains.

--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -21,13 +21,16 @@
     pub control: SocketAddr,
 }
 
+/// Where heartbeats of instances go, by failure domain.
+pub type Contacts = BTreeMap<DomainId, Vec<SocketAddr>>;
+
 /// Where the sender and a few others are reached.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Introduction {
     /// Where the sender is reached.
     pub seat: Seat,
     /// Where heartbeats of a few others go that the sender heard lately.
-    pub others: Vec<SocketAddr>,
+    pub others: Contacts,
 }
 
 /// Heartbeats after a start that all carry an introduction, five seconds' worth.
--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -1,11 +1,10 @@
 //! What an instance that reads the store hands on at once.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use super::FleetBeacon;
+use super::{Contacts, FleetBeacon};
 use crate::id::{EndpointId, InstanceId};
 use crate::routing::{EndpointInfo, Placed};
 
@@ -70,9 +69,18 @@
     /// Endpoints at whose address nobody listened any more when the sender connected.
     Gone(Vec<EndpointId>),
     /// Where heartbeats of other instances go, for a newcomer that knows few.
-    Met(Vec<SocketAddr>),
-    /// A message from another failure domain that the receiver hands on to its own.
-    HandOn(Box<Self>),
+    Met(Contacts),
+    /// A message that the receiver hands on to a part of its own failure domain.
+    HandOn(Box<Self>, Share),
+}
+
+/// One of several equal parts of the instances of a failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Which part, from 0.
+    pub part: u32,
+    /// How many parts there are.
+    pub of: u32,
 }
 
 impl FleetMessage {
@@ -86,7 +94,7 @@
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
             Self::Met(_) => "met",
-            Self::HandOn(message) => message.name(),
+            Self::HandOn(message, _) => message.name(),
         }
     }
 }
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -113,8 +113,9 @@
     async fn send_to_all(&self, node: &Node, message: FleetMessage) {
         let Audience { direct, relays } = lock(&node.tables).fleet.everybody(node.now());
         self.send_to(node, &message, &direct).await;
-        if !relays.is_empty() {
-            self.send_to(node, &FleetMessage::HandOn(Box::new(message)), &relays).await;
+        for (relay, share) in relays {
+            let message = FleetMessage::HandOn(Box::new(message.clone()), share);
+            self.send_to(node, &message, &[relay]).await;
         }
     }
 
@@ -160,9 +161,9 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
-                    Ok(FleetMessage::HandOn(message)) => {
+                    Ok(FleetMessage::HandOn(message, share)) => {
                         count_in(node, &message, length);
-                        let neighbours = lock(&node.tables).fleet.neighbours();
+                        let neighbours = lock(&node.tables).fleet.part_of_neighbours(share);
                         self.send_to(node, &message, &neighbours).await;
                         take_message(node, *message);
                     }
@@ -190,13 +191,15 @@
         FleetMessage::News(news) => take_news(node, &news),
         FleetMessage::Leaving(endpoints) => node.note_leaving(&endpoints),
         FleetMessage::Gone(endpoints) => node.note_gone(&endpoints),
-        FleetMessage::Met(addresses) => lock(&node.tables).fleet.meet_all(&addresses),
+        FleetMessage::Met(others) => lock(&node.tables).fleet.meet_all(&others, node.now()),
         FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
+        // What this instance told goes round its whole failure domain.
+        FleetMessage::Placed(placed) if placed.instance == node.settings().instance => {}
         FleetMessage::Placed(FleetPlaced { instance, placed }) => {
             lock(&node.tables).dispatcher.book.change_peer(&instance, &placed);
         }
         // Handed on once is enough; who sends it twice wants it to go round for ever.
-        FleetMessage::HandOn(_) => tracing::debug!(event = "handed_on_twice"),
+        FleetMessage::HandOn(..) => tracing::debug!(event = "handed_on_twice"),
     }
 }
 
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{FleetBeacon, Introduction, Revisions, Seat};
+use nutmeggrade_core::peer::{Contacts, FleetBeacon, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
 
 pub use reach::Audience;
@@ -39,7 +39,7 @@
 /// all of them.
 const HANDED_ON: usize = 8;
 /// Most addresses that are remembered, a few times the largest deployment.
-const MOST_ADDRESSES: usize = 2_048;
+const MOST_CONTACTS: usize = 2_048;
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -53,6 +53,15 @@
     turn_key: u64,
 }
 
+/// An address that heartbeats go to, as others told it or its instance itself.
+#[derive(Debug, Clone)]
+struct Contact {
+    /// Its failure domain; only that of an address to begin with is unknown.
+    domain: Option<DomainId>,
+    /// When it was last told.
+    told: Moment,
+}
+
 /// The instances that serve routes, as this one hears them.
 ///
 /// There is no list of instances to read: each heartbeat says where its sender is reached and hands
@@ -64,26 +73,32 @@
     turn_key: u64,
     seat: Seat,
     peers: BTreeMap<InstanceId, Peer>,
-    addresses: BTreeSet<SocketAddr>,
-    /// Where heartbeats go to peers of the same failure domain.
+    contacts: BTreeMap<SocketAddr, Contact>,
+    seeds: BTreeSet<SocketAddr>,
+    /// The contacts of the same failure domain.
     near: BTreeSet<SocketAddr>,
     near_turn: usize,
     far_turn: usize,
+    told_turn: usize,
 }
 
 impl FleetView {
     /// Makes the view of an instance that knows only where to begin.
     pub fn new(own: &InstanceId, seat: &Seat, seeds: &[SocketAddr]) -> Self {
-        let addresses = seeds.iter().copied().filter(|a| *a != seat.beacon).collect();
+        let seeds: BTreeSet<SocketAddr> =
+            seeds.iter().copied().filter(|a| *a != seat.beacon).collect();
+        let seed = |a: &SocketAddr| (*a, Contact { domain: None, told: Moment::ZERO });
         Self {
             own: own.clone(),
             turn_key: turn_key(own),
             seat: seat.clone(),
             peers: BTreeMap::new(),
-            addresses,
+            contacts: seeds.iter().map(seed).collect(),
+            seeds,
             near: BTreeSet::new(),
             near_turn: 0,
             far_turn: 0,
+            told_turn: 0,
         }
     }
 
@@ -93,7 +108,7 @@
             return false;
         }
         if let Some(intro) = &beacon.intro {
-            self.meet(intro);
+            self.meet_all(&intro.others, now);
         }
         let old = self.peers.get(&beacon.instance);
         // Incarnations come from the time of day, which may have been set back before the peer's new
@@ -119,40 +134,50 @@
             revisions: beacon.revisions,
             turn_key: turn_key(&beacon.instance),
         };
-        if peer.seat.domain == self.seat.domain {
-            self.near.insert(peer.seat.beacon);
-        }
+        self.meet(peer.seat.beacon, &peer.seat.domain, now);
         self.peers.insert(beacon.instance.clone(), peer);
         true
     }
 
-    fn meet(&mut self, intro: &Introduction) {
-        for address in intro.others.iter().chain([&intro.seat.beacon]) {
-            self.add(*address);
+    /// Takes addresses that a peer told.
+    pub fn meet_all(&mut self, contacts: &Contacts, now: Moment) {
+        for (domain, addresses) in contacts {
+            for address in addresses {
+                self.meet(*address, domain, now);
+            }
         }
     }
 
-    fn add(&mut self, address: SocketAddr) {
-        if address != self.seat.beacon && self.addresses.len() < MOST_ADDRESSES {
-            self.addresses.insert(address);
+    fn meet(&mut self, address: SocketAddr, domain: &DomainId, now: Moment) {
+        let is_known = self.contacts.contains_key(&address);
+        if address != self.seat.beacon && (is_known || self.contacts.len() < MOST_CONTACTS) {
+            self.contacts.insert(address, Contact { domain: Some(domain.clone()), told: now });
+            if *domain == self.seat.domain {
+                self.near.insert(address);
+            } else {
+                self.near.remove(&address);
+            }
         }
     }
 
-    /// Forgets peers that have been silent for so long that they don't count any more, and their
-    /// addresses, which may be another program's by now.
+    /// Forgets peers that have been silent for so long that they don't count any more, and addresses
+    /// that nobody has told for as long, which may be another program's by now.
+    ///
+    /// The addresses to begin with are kept: an instance that was cut off from all others for longer
+    /// would have nobody left to send heartbeats to, nor anybody it, and stay alone for good.
     pub fn forget(&mut self, now: Moment) {
-        let gone: Vec<InstanceId> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| now.since(p.heard) > ROSTER)
-            .map(|(instance, _)| instance.clone())
-            .collect();
-        for instance in gone {
-            if let Some(peer) = self.peers.remove(&instance) {
-                self.addresses.remove(&peer.seat.beacon);
-                self.near.remove(&peer.seat.beacon);
-            }
-        }
+        let roster = self.roster();
+        self.peers.retain(|_, peer| now.since(peer.heard) <= roster);
+        let seeds = &self.seeds;
+        self.contacts.retain(|a, c| now.since(c.told) <= roster || seeds.contains(a));
+        let contacts = &self.contacts;
+        self.near.retain(|a| contacts.contains_key(a));
+    }
+
+    /// Returns the silence after which a peer no longer counts when limits are divided. In a fleet so
+    /// large that its turn comes seldom, it is the time after which it would be named to no client.
+    fn roster(&self) -> Duration {
+        ROSTER.max(self.longest_silence())
     }
 
     /// Says whether a peer was heard lately.
@@ -239,10 +264,16 @@
         if near_by.len() >= ENOUGH { near_by } else { all.iter().map(|s| s.client).collect() }
     }
 
-    /// Counts the instances that limits are divided by, this one included.
+    /// Counts the instances that limits are divided by, this one included: those that were heard, and
+    /// those that others told of.
+    ///
+    /// In a large fleet it takes many turns until everybody was heard. A fleet of three hundred that
+    /// started together had heard a hundred of them after the first seconds, and all together would have
+    /// used three times what is allowed.
     pub fn sharers(&self, now: Moment) -> usize {
-        let heard = 1 + self.peers.values().filter(|p| now.since(p.heard) <= ROSTER).count();
-        if now.since_start() < SETTLING { heard.max(UNHEARD) } else { heard }
+        let roster = self.roster();
+        let known = 1 + self.contacts.values().filter(|c| now.since(c.told) <= roster).count();
+        if now.since_start() < SETTLING { known.max(UNHEARD) } else { known }
     }
 
     /// Returns this instance's place among all for one endpoint; places differ between endpoints.
@@ -252,11 +283,15 @@
     }
 
     /// Lists where a few peers are reached that were heard lately.
-    pub fn others(&self, now: Moment) -> Vec<SocketAddr> {
+    pub fn others(&self, now: Moment) -> Contacts {
         let live = self.peers.values().filter(|p| self.is_heard(p, now));
-        let all: Vec<SocketAddr> = live.map(|p| p.seat.beacon).collect();
-        let start = self.far_turn;
-        (0..all.len().min(HANDED_ON)).map(|i| all[(start + i) % all.len()]).collect()
+        let all: Vec<&Seat> = live.map(|p| &p.seat).collect();
+        let mut others = Contacts::new();
+        for i in 0..all.len().min(HANDED_ON) {
+            let seat = all[(self.far_turn + i) % all.len()];
+            others.entry(seat.domain.clone()).or_default().push(seat.beacon);
+        }
+        others
     }
 
     /// Returns a live peer that has read a newer revision, and where to ask it.
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -5,5 +5,7 @@
 mod endpoint_table;
 mod fleet_view;
 mod intent;
+mod large_fleet;
 mod membership;
+
 mod registry;
--- a/tests/suite/state/fleet_view.rs
+++ b/tests/suite/state/fleet_view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{FleetBeacon, Introduction, Revisions, Seat};
+use nutmeggrade_core::peer::{Contacts, FleetBeacon, Introduction, Revisions, Seat, Share};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::FleetView;
 
@@ -23,7 +23,7 @@
         instance: name(number),
         incarnation: 100,
         sequence,
-        intro: Some(Introduction { seat: seat(number), others: Vec::new() }),
+        intro: Some(Introduction { seat: seat(number), others: Contacts::new() }),
         leaving: false,
         reads: true,
         revisions: Revisions::default(),
@@ -177,7 +177,7 @@
         if number > 3 {
             seat.domain = far.clone();
         }
-        let intro = Some(Introduction { seat, others: Vec::new() });
+        let intro = Some(Introduction { seat, others: Contacts::new() });
         view.hear(&FleetBeacon { intro, ..beacon(number, 1) }, NOW);
     }
     let near = DomainId::new("veluwe").expect("an id");
@@ -217,7 +217,7 @@
 }
 
 fn beacon_of(number: u8, sequence: u64) -> FleetBeacon {
-    let intro = Some(Introduction { seat: seat_of(number), others: Vec::new() });
+    let intro = Some(Introduction { seat: seat_of(number), others: Contacts::new() });
     FleetBeacon { intro, ..beacon(number, sequence) }
 }
 
@@ -261,13 +261,15 @@
 // that knows many already is told nothing.
 #[test]
 fn newcomer_is_told_whom_others_know() {
-    let views = large_fleet();
+    let mut views = large_fleet();
     let (newcomer, others) = views[0].welcome(&beacon(77, 1)).expect("a newcomer");
-    assert_eq!((newcomer, others.len()), (seat(77).beacon, 59));
+    let count = others.values().map(Vec::len).sum::<usize>();
+    assert_eq!((newcomer, count), (seat(77).beacon, 59));
     let mut fresh = view(77);
-    fresh.meet_all(&others);
+    fresh.meet_all(&others, NOW);
     assert_eq!(fresh.targets().len(), 12);
     let others = (1..=8).map(|n| seat(n).beacon).collect();
+    let others = Contacts::from([(seat(1).domain, others)]);
     let intro = Some(Introduction { seat: seat(78), others });
     assert_eq!(views[0].welcome(&FleetBeacon { intro, ..beacon(78, 1) }), None);
     assert_eq!(view(1).welcome(&beacon(77, 1)), None);
@@ -283,18 +285,19 @@
     let audience = views[0].everybody(NOW);
     assert_eq!((audience.direct.len(), audience.relays.len()), (19, 2));
     let mut got = audience.direct;
-    for relay in audience.relays {
+    for (relay, share) in audience.relays {
         got.push(relay);
-        got.extend(views[by_address[&relay]].neighbours());
+        got.extend(views[by_address[&relay]].part_of_neighbours(share));
     }
     got.sort();
     let all: Vec<SocketAddr> = (2..=60).map(|n| seat(n).beacon).collect();
     assert_eq!(got, all);
     // The one that was heard last hands it on, unless it has only just started.
     views[0].hear(&beacon_of(6, 11), later(50));
-    assert!(views[0].everybody(later(50)).relays.contains(&seat(6).beacon));
+    let whole = Share { part: 0, of: 1 };
+    assert!(views[0].everybody(later(50)).relays.contains(&(seat(6).beacon, whole)));
     views[0].hear(&FleetBeacon { incarnation: 101, ..beacon_of(9, 1) }, later(90));
-    assert!(views[0].everybody(later(90)).relays.contains(&seat(6).beacon));
+    assert!(views[0].everybody(later(90)).relays.contains(&(seat(6).beacon, whole)));
 }
 
 // One instance finds that the store is away. The others, who ask the store seldom, know it by its next
