Hand changes of endpoints on in parts

Cause: changes were handed on only if they fit into one datagram, sixteen of them.

Change: they go in parts, at most 64. A receiver takes each over as it comes, and has read as far as the sender with the last one. Names of endpoints that leave go in parts too: 400 of them made a datagram larger than is read. state::news_parts plays parts that are lost, repeated and mixed.

--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -34,7 +34,7 @@
         let asked = engines.iter().map(|engine| leaves(&node, engine));
         let leaving: Vec<EndpointId> = join_all(asked).await.into_iter().flatten().collect();
         if !leaving.is_empty() {
-            node.announce_leaving(leaving);
+            node.announce_leaving(&leaving);
         }
     }
 }
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -236,5 +236,7 @@
         return;
     }
     endpoint_news(node, news);
-    track.note(news.revision, news.revision);
+    if lock(&node.tables).news.take(news) {
+        track.note(news.revision, news.revision);
+    }
 }
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -142,7 +142,7 @@
                 self.attempt.misdirected();
                 self.note("misdirected", &endpoint.id);
                 // The endpoint that was meant is gone, whatever the registry still says of it.
-                self.node.announce_leaving(vec![endpoint.id.clone()]);
+                self.node.announce_leaving(std::slice::from_ref(&endpoint.id));
                 if !self.node.take_resend(&self.call.service) {
                     return Err(self.failure(Code::NoRoom, "another endpoint has the address"));
                 }
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use nutmeggrade_core::peer::{EndpointNews, FleetMessage, FleetNews};
+use nutmeggrade_core::peer::{EndpointNews, FleetNews};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::registry::{Change, Registry};
@@ -26,9 +26,7 @@
             let left =
                 node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
             // Peers whose watches heard nothing of it learn it here, and not when their own end.
-            if !left.is_empty() {
-                node.tell(FleetMessage::Leaving(left));
-            }
+            node.tell_leaving(&left);
         }
         Kind::Evacuations => {
             let out = snapshot.objects.iter().filter_map(|o| read_out(&o.name)).collect();
@@ -91,7 +89,8 @@
     if changes.is_empty() {
         return;
     }
-    let news = FleetNews { since, revision: snapshot.revision, lapses, changes };
+    let revision = snapshot.revision;
+    let news = FleetNews { since, revision, lapses, changes, part: 0, parts: 1 };
     endpoint_news(node, &news);
     node.hand_on(news);
 }
