Take back the changes of endpoints in parts, and keep names in parts

The try before: changes of endpoints that don't fit into one datagram were handed on in up to 64 parts.

Conclusion: entries are too large to go round at once. What must be known at once are the names of those that leave; the rest may be read later and in smaller pieces.

--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -26,21 +26,8 @@
     pub revision: u64,
     /// Whether entries that are gone may only have lapsed with the store.
     pub lapses: bool,
-    /// The changes, in order, or a part of them.
+    /// The changes, in order.
     pub changes: Vec<EndpointNews>,
-    /// Which part this is, from 0.
-    pub part: usize,
-    /// In how many parts the changes come.
-    pub parts: usize,
-}
-
-impl FleetNews {
-    /// Splits the news into parts of at most so many changes each.
-    pub fn split(self, most: usize) -> Vec<Self> {
-        let parts = self.changes.len().div_ceil(most);
-        let chunks = self.changes.chunks(most).enumerate();
-        chunks.map(|(part, c)| Self { changes: c.to_vec(), part, parts, ..self }).collect()
-    }
 }
 
 /// What the sender has at some endpoints, as of now.
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -27,13 +27,12 @@
 /// a slow one still does within this time.
 const STORE_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Messages that wait to be handed on; the socket takes each in microseconds.
-const MOST_NEWS: usize = 96;
-/// Changes of endpoints that fit into one datagram of some kilobytes.
+/// Changes of endpoints that wait to be handed on; the socket takes each in microseconds.
+const MOST_NEWS: usize = 16;
+/// Changes that fit into one datagram of some kilobytes.
 const MOST_CHANGES: usize = 16;
-/// Most parts in which changes are handed on; with more it is cheaper to ask the store.
-const MOST_PARTS: usize = 64;
-/// Names of endpoints that fit into one datagram.
+/// Names of endpoints that fit into one datagram. A listing after the store lost its history may find
+/// some hundreds gone; in one datagram their names are larger than what is read.
 const MOST_NAMES: usize = 128;
 
 /// How far a planned stop has come.
@@ -253,18 +252,12 @@
         }
     }
 
-    /// Hands changes of endpoints on to the peers, if this instance reads for all. Peers that don't get
-    /// them notice by the next heartbeat and ask the store.
-    ///
-    /// Endpoints join and leave by the dozen where many are reclaimed together. As long as only what fits
-    /// into one datagram was handed on, each of 100 instances before 1,000 endpoints read all changes from
-    /// the store itself, 50 KB a second.
+    /// Hands changes of endpoints on to the peers, if this instance reads for all and the changes fit
+    /// into a datagram. Peers that don't get them notice by the next heartbeat.
     pub fn hand_on(&self, news: FleetNews) {
         let is_reader = lock(&self.tables).fleet.is_reader(self.now());
-        if is_reader && news.changes.len() <= MOST_CHANGES * MOST_PARTS {
-            for part in news.split(MOST_CHANGES) {
-                self.tell(FleetMessage::News(part));
-            }
+        if is_reader && news.changes.len() <= MOST_CHANGES {
+            self.tell(FleetMessage::News(news));
         }
     }
 
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -236,7 +236,5 @@
         return;
     }
     endpoint_news(node, news);
-    if lock(&node.tables).news.take(news) {
-        track.note(news.revision, news.revision);
-    }
+    track.note(news.revision, news.revision);
 }
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -12,7 +12,6 @@
 use nutmeggrade_policy::pace::Pace;
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
-use nutmeggrade_state::news_parts::NewsParts;
 use nutmeggrade_state::registry::{Registered, Registry};
 use tokio::sync::oneshot;
 
@@ -40,8 +39,6 @@
     pub pace: Pace,
     /// Requests under which endpoints died.
     pub crashes: CrashLog,
-    /// Changes of endpoints that are coming in parts.
-    pub news: NewsParts,
     resends: BTreeMap<ServiceId, ResendBudget>,
     cold: BTreeMap<EndpointId, ColdShare>,
     waiting: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -56,7 +53,6 @@
             fleet,
             pace: Pace::new(),
             crashes: CrashLog::new(),
-            news: NewsParts::new(),
             resends: BTreeMap::new(),
             cold: BTreeMap::new(),
             waiting: BTreeMap::new(),
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -89,8 +89,7 @@
     if changes.is_empty() {
         return;
     }
-    let revision = snapshot.revision;
-    let news = FleetNews { since, revision, lapses, changes, part: 0, parts: 1 };
+    let news = FleetNews { since, revision: snapshot.revision, lapses, changes };
     endpoint_news(node, &news);
     node.hand_on(news);
 }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod intent;
 pub mod invariant;
 pub mod membership;
-pub mod news_parts;
 pub mod order_plan;
 pub mod order_table;
 pub mod orphans;
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -124,6 +124,28 @@
     });
 }
 
+// The same with some hundreds of endpoints. Their names together are larger than a datagram that is read.
+#[test]
+fn hundreds_that_a_listing_finds_gone_are_handed_on() {
+    run(async {
+        let Pair { store, other, other_door, first, .. } = pair().await?;
+        let name = |n: u16| format!("an-endpoint-with-a-long-name-{n:03}");
+        for n in 0..400 {
+            let address = format!("127.0.0.1:{}", 20_000 + n).parse()?;
+            store.put("servers", &name(n), Entry::new("desk", address).content());
+        }
+        for instance in [&first, &other] {
+            let metrics = instance.addresses().metrics;
+            until("known", async || Ok(metric(metrics, "endpoints").await? == 400)).await?;
+        }
+        other_door.set(Fault::Silent);
+        (0..400).for_each(|n| store.remove("servers", &name(n)));
+        store.forget();
+        let metrics = other.addresses().metrics;
+        until("gone", async || Ok(metric(metrics, "endpoints").await? == 0)).await
+    });
+}
+
 // The store turns one instance after the other away while the configuration changes, and then answers
 // it again. One that does not watch the store finds out, too: a route that does not exist is answered
 // as such, and not as one that may have come in the meantime.
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -7,5 +7,5 @@
 mod intent;
 mod large_fleet;
 mod membership;
-mod news_parts;
+
 mod registry;
