--- a/tests/suite/docs.rs
+++ b/tests/suite/docs.rs
@@ -35,12 +35,25 @@
 const PROMISES: usize = 9;
 const INVARIANT: usize = 3;
 const PROOF: usize = 4;
+const RULES: usize = 17;
+const RULE_TESTS: usize = 3;
+
+/// Returns the rows of the promises' tables as their cells: the product's, and the platform's rules.
+fn tables() -> Vec<Vec<Vec<String>>> {
+    let text = fs::read_to_string(root().join("docs/PROMISES.md")).expect("read promises");
+    let cells = |l: &str| l.split('|').map(ToOwned::to_owned).collect();
+    let mut tables = Vec::new();
+    let mut lines = text.lines();
+    while lines.by_ref().any(|l| l.starts_with("|---")) {
+        let rows = lines.by_ref().take_while(|l| l.starts_with('|'));
+        tables.push(rows.map(cells).collect());
+    }
+    tables
+}
 
 /// Returns the rows of the promises' table as their cells.
 fn promises() -> Vec<Vec<String>> {
-    let text = fs::read_to_string(root().join("docs/PROMISES.md")).expect("read promises");
-    let rows = text.lines().skip_while(|l| !l.starts_with("|---")).skip(1);
-    rows.map(|l| l.split('|').map(ToOwned::to_owned).collect()).collect()
+    tables().remove(0)
 }
 
 /// Returns what stands between backticks.
@@ -73,6 +86,19 @@
     }
 }
 
+#[rstest]
+fn every_rule_of_the_platform_has_tests() {
+    let rows = tables().remove(1);
+    assert!(rows.len() >= RULES, "{} rows", rows.len());
+    for row in rows {
+        let names = quoted(&row[RULE_TESTS]);
+        assert!(!names.is_empty(), "{} names no test", row[1]);
+        for name in names {
+            assert!(is_test(&name), "no test {name}");
+        }
+    }
+}
+
 #[rstest]
 fn every_invariant_of_a_promise_is_asserted() {
     let asserted = sources(&root().join("crates"));
