Prove that thousands of half-open connections stay within the memory

A real process with 88 MB in its settings, 2,500 strangers with seven kilobytes of a head each: it takes 1,877 and grows from 14 to 60 MB, 25 KB each (debug build). The limit counted with 24 KB by estimate; until now forty connections were tested.

--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -28,8 +28,9 @@
 const RESERVED: usize = 300;
 /// Descriptors of a client with a request: its connection and the endpoint's.
 const PER_CLIENT: usize = 2;
-/// Memory of an open connection with its buffers, in bytes: eight kilobytes that the library reads
-/// into, as much again for a whole head, and the tasks and states beside them. An estimate.
+/// Memory of an open connection with its buffers, in bytes: what the library reads into, as much again for a
+/// whole head, and the tasks and states beside them. 1,877 connections with seven kilobytes of a head each
+/// took 46 MB, 25 KB each.
 const CONNECTION_BYTES: usize = 24 << 10;
 
 /// Opens the socket that clients connect to.
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod framing;
 mod logs;
+mod memory;
 mod moves;
 mod outcomes;
 mod settings;
