--- a/tests/suite/relay/memory.rs
+++ b/tests/suite/relay/memory.rs
@@ -77,8 +77,8 @@
             drop(stream.write_all(head.as_bytes()).await);
             held.push(stream);
         }
-        let taken = async || Ok(metric(addresses["metrics"], "connections").await? >= TAKEN);
-        until("all that it may take", taken).await?;
+        let full = async || Ok(metric(addresses["metrics"], "connections").await? >= TAKEN);
+        until("all that it may take", full).await?;
         let after = resident_mb(&process)?;
         assert!(after < MEMORY_MB, "{before} MB before, {after} MB with {TAKEN} half heads");
         Ok(())
