--- a/tests/suite/relay/memory.rs
+++ b/tests/suite/relay/memory.rs
@@ -70,12 +70,12 @@
         let (process, addresses) = start(&store).await?;
         let before = resident_mb(&process)?;
         let head = format!("GET /once/x HTTP/1.1\r\nX-Long: {}", "x".repeat(HALF_A_HEAD));
-        let mut held = Vec::new();
+        let mut strangers = Vec::new();
         for _ in 0..STRANGERS {
             let mut stream = TcpStream::connect(addresses["clients"]).await?;
             // One that is turned away is closed under the write.
             drop(stream.write_all(head.as_bytes()).await);
-            held.push(stream);
+            strangers.push(stream);
         }
         let full = async || Ok(metric(addresses["metrics"], "connections").await? >= TAKEN);
         until("all that it may take", full).await?;
