Let a first listing lag behind its first page, and go on from there

A watch from the oldest page brings what has changed since, before anything is known; if the history does not reach back, all is listed anew. Deployments of one page notice nothing.

Ruled out: listings by peers, 600 KB for each instance over links of ten megabits.

relay::endpoints::listed_though_it_lags: without the watch 10 endpoints in place of 9.

--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -32,6 +32,20 @@
     changes: Vec<Change>,
     forgotten: u64,
     calls: u64,
+    lagging: Option<Listed>,
+}
+
+/// Objects at a revision, each with the revision of its last change.
+#[derive(Debug, Clone, Default)]
+struct Listed {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+}
+
+impl State {
+    fn listed(&self) -> Listed {
+        Listed { revision: self.revision, objects: self.objects.clone() }
+    }
 }
 
 /// The platform's store. Nothing in it expires by itself.
@@ -54,6 +68,12 @@
         Self { state: Arc::new(Mutex::new(state)), news: watch::Sender::new(1) }
     }
 
+    /// Answers listings that may lag as of now, whatever changes later.
+    pub fn lag(&self) {
+        let mut state = self.state();
+        state.lagging = Some(state.listed());
+    }
+
     /// Opens a way into the store.
     pub async fn door(&self) -> anyhow::Result<Door> {
         let listener = TcpListener::bind("127.0.0.1:0").await.context("bind a door")?;
@@ -139,23 +159,24 @@
         let kind = path.strip_prefix("/nutmeggrade/objects/").unwrap_or_default();
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
-        match query.get("watcher").and_then(|w| w.parse().ok()) {
-            Some(since) => {
-                let wait = query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
-                self.watch(kind, since, Duration::from_millis(wait), door).await
-            }
-            None => self.list(kind, query.get("after").copied().unwrap_or_default()),
+        if let Some(since) = query.get("watcher").and_then(|w| w.parse().ok()) {
+            let wait = query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+            return self.watch(kind, since, Duration::from_millis(wait), door).await;
         }
+        let after = query.get("after").copied().unwrap_or_default();
+        self.list(kind, after, query.contains_key("allow_stale"))
     }
 
-    fn list(&self, kind: &str, after: &str) -> (u16, Value) {
+    fn list(&self, kind: &str, after: &str, may_lag: bool) -> (u16, Value) {
         let state = self.state();
-        let of_kind = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+        let lagging = state.lagging.clone().filter(|_| may_lag);
+        let listed = lagging.unwrap_or_else(|| state.listed());
+        let of_kind = listed.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
         let mut entries: Vec<Value> =
             of_kind.map(|((_, name), (at, content))| object(name, *at, content)).collect();
         let has_more = entries.len() > PAGE;
         entries.truncate(PAGE);
-        (200, json!({ "entries": entries, "has_more": has_more, "at": state.revision }))
+        (200, json!({ "entries": entries, "has_more": has_more, "at": listed.revision }))
     }
 
     async fn watch(&self, kind: &str, since: u64, wait: Duration, door: &Door) -> (u16, Value) {
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// Takes over what has changed since a listing that lagged. Peers have it by their own listings.
+pub fn rest(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
+    if kind != Kind::Endpoints {
+        changes(node, kind, snapshot, 0, after_outage);
+        return;
+    }
+    let all = snapshot.objects.iter().filter_map(to_news).collect();
+    endpoint_news(node, &news(snapshot, 0, after_outage, all));
+}
+
 /// Takes over changes of endpoints that a peer has read.
 pub fn endpoint_news(node: &Node, news: &FleetNews) {
     node.change_registry(|registry, now| {
@@ -89,11 +99,15 @@
     if changes.is_empty() {
         return;
     }
-    let news = FleetNews { since, revision: snapshot.revision, lapses, changes };
+    let news = news(snapshot, since, lapses, changes);
     endpoint_news(node, &news);
     node.hand_on(news);
 }
 
+fn news(snapshot: &Snapshot, since: u64, lapses: bool, changes: Vec<EndpointNews>) -> FleetNews {
+    FleetNews { since, revision: snapshot.revision, lapses, changes }
+}
+
 fn take_config(node: &Node, objects: &[StoredObject]) {
     let newest = objects.iter().rfind(|o| o.name == CONFIG_NAME && !o.is_gone);
     let Some(object) = newest else { return };
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -133,15 +133,31 @@
     }
 
     async fn list(&self) -> Result<(), PlatformError> {
-        let snapshot = self.node.store.list(self.kind).await?;
+        let (store, track) = (&self.node.store, self.node.follow.track(self.kind));
+        // All instances of a fleet may start together. Three hundred before three thousand endpoints ask
+        // for three seconds' worth of all that the store may be asked, and were turned away for longer.
+        // Later listings come after the history is gone, when no watch goes on from an older page.
+        let is_first = !track.is_known();
+        let mut snapshot = store.list(self.kind, is_first).await?;
         self.count_bytes(&snapshot);
+        let mut rest = None;
+        if snapshot.revision < snapshot.newest {
+            match store.watch(self.kind, snapshot.revision, Duration::ZERO).await? {
+                Watched::Changes(changes) => rest = Some(changes),
+                Watched::HistoryGone => snapshot = store.list(self.kind, false).await?,
+            }
+        }
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
-        let track = self.node.follow.track(self.kind);
+        let mut read = snapshot.revision;
+        if let Some(rest) = &rest {
+            self.count_bytes(rest);
+            apply::rest(&self.node, self.kind, rest, self.is_after_outage());
+            read = rest.revision;
+        }
         // A first listing holds nothing that peers who listed a moment earlier have missed; told as
         // news it would have each of them ask the store again. A later one may stand for removals.
-        let is_first = !track.is_known();
         let news = if is_first { snapshot.last_change() } else { snapshot.revision };
-        track.note(snapshot.revision, news);
+        track.note(read, news);
         Ok(())
     }
 
--- a/tests/suite/relay/endpoints.rs
+++ b/tests/suite/relay/endpoints.rs
@@ -162,3 +162,38 @@
         until("all endpoints are known", listed).await
     });
 }
+
+/// Starts an instance before a store whose further pages are as they were before the last changes: one
+/// endpoint of ten said that it leaves, one is gone and one has come. Waits until it knows all that.
+fn listed_though_it_lags(is_history_gone: bool) {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let entry = |n: u16| {
+            let address = format!("127.0.0.1:{}", 20_000 + n).parse().expect("an address");
+            Entry::new("desk", address)
+        };
+        for n in 0..10 {
+            store.put("servers", &format!("e-{n:02}"), entry(n).content());
+        }
+        store.lag();
+        store.put("servers", "e-08", entry(8).with_leaving(true).content());
+        store.remove("servers", "e-09");
+        store.put("servers", "e-10", entry(10).content());
+        if is_history_gone {
+            store.forget();
+        }
+        let instance = instance("i-1", &store.door().await?, "").await?;
+        let metrics = instance.addresses().metrics;
+        until("listed", async || Ok(metric(metrics, "endpoints").await? > 0)).await?;
+        assert_eq!(metric(metrics, "endpoints").await?, 9);
+        Ok(())
+    });
+}
+
+// An instance starts, and the store's further pages lag. What has changed since then is known as soon as
+// anything is: nothing goes to an endpoint that left before the start.
+cases! {listed_though_it_lags {
+    with_history: false;
+    history_gone: true;
+}}
