Take turns at cold endpoints by addresses, which are known of those not heard yet

Cause: found on the read-through. Where a cold endpoint bears fewer requests a second than there are instances, those whose names come first for it send one each. The place was counted among the instances that were heard: of 300 that have heard twenty each, all 300 took themselves for one of the first 57 (state::large_fleet::turns_at_a_cold_endpoint_are_not_taken_twice; 57 now).

Change: the place goes by addresses of all that are known, as the number of sharers does.

--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -133,7 +133,7 @@
             let Some(spec) = map.service(&entry.info.service) else { continue };
             let mut candidate = warm(entry, spec);
             if let Some(bound) = cold_bound(entry, spec, settings, now) {
-                let rank = self.fleet.rank(&entry.info.id);
+                let rank = self.fleet.rank(&entry.info.id, now);
                 let share = self.cold.entry(entry.info.id.clone()).or_default();
                 candidate.cold_left = Some(share.left(bound, rank, sharers, now));
                 cold.insert(entry.info.id.clone());
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -230,8 +230,8 @@
     /// Says whether this instance is the first of those that live, in an order that differs between
     /// endpoints.
     pub fn is_first_for(&self, endpoint: &EndpointId, now: Moment) -> bool {
-        let own = place_for(&self.own, endpoint);
-        self.live(now).all(|peer| place_for(peer, endpoint) > own)
+        let own = place_for(self.own.as_str(), endpoint);
+        self.live(now).all(|peer| place_for(peer.as_str(), endpoint) > own)
     }
 
     /// Counts the peers before this instance in the order in which instances read for all.
@@ -271,15 +271,23 @@
     /// started together had heard a hundred of them after the first seconds, and all together would have
     /// used three times what is allowed.
     pub fn sharers(&self, now: Moment) -> usize {
-        let roster = self.roster();
-        let known = 1 + self.contacts.values().filter(|c| now.since(c.told) <= roster).count();
+        let known = 1 + self.known(now).count();
         if now.since_start() < SETTLING { known.max(UNHEARD) } else { known }
     }
 
-    /// Returns this instance's place among all for one endpoint; places differ between endpoints.
-    pub fn rank(&self, endpoint: &EndpointId) -> usize {
-        let own = place_for(&self.own, endpoint);
-        self.peers.keys().filter(|peer| place_for(peer, endpoint) < own).count()
+    /// Lists the addresses of those that were heard or told of lately.
+    fn known(&self, now: Moment) -> impl Iterator<Item = &SocketAddr> {
+        let roster = self.roster();
+        let is_known = move |c: &Contact| now.since(c.told) <= roster;
+        self.contacts.iter().filter(move |(_, c)| is_known(c)).map(|(address, _)| address)
+    }
+
+    /// Returns this instance's place among all that are known for one endpoint; places differ between
+    /// endpoints. It goes by addresses, which are known of those not heard yet too.
+    pub fn rank(&self, endpoint: &EndpointId, now: Moment) -> usize {
+        let own = place_for(&self.seat.beacon.to_string(), endpoint);
+        let before = |a: &SocketAddr| place_for(&a.to_string(), endpoint) < own;
+        self.known(now).filter(|a| before(a)).count()
     }
 
     /// Lists where a few peers are reached that were heard lately.
@@ -321,7 +329,7 @@
 }
 
 /// Returns the place of an instance for an endpoint, in an order that differs between endpoints.
-fn place_for(instance: &InstanceId, endpoint: &EndpointId) -> [u8; 32] {
-    let text = [instance.as_str(), endpoint.as_str()].join("\0");
+fn place_for(instance: &str, endpoint: &EndpointId) -> [u8; 32] {
+    let text = [instance, endpoint.as_str()].join("\0");
     *blake3::hash(text.as_bytes()).as_bytes()
 }
--- a/tests/suite/state/large_fleet.rs
+++ b/tests/suite/state/large_fleet.rs
@@ -69,6 +69,24 @@
     assert_eq!(fresh.sharers(NOW), usize::from(ALL));
 }
 
+// A cold endpoint bears 57 requests a second, fewer than there are instances, so that 57 of them may send one
+// each. Each has heard only a few of the others, and still no more than 57 take themselves for one of them.
+#[test]
+fn turns_at_a_cold_endpoint_are_not_taken_twice() {
+    const BOUND: usize = 57;
+    let mut all = Contacts::new();
+    for n in 0..ALL {
+        all.entry(seat(n).domain).or_default().push(seat(n).beacon);
+    }
+    let endpoint = EndpointId::new("e-1").expect("an id");
+    let takes_turn = |own: &u16| {
+        let mut view = view(*own, 20, &[]);
+        view.meet_all(&all, NOW);
+        view.rank(&endpoint, NOW) < BOUND
+    };
+    assert_eq!((0..ALL).filter(takes_turn).count(), BOUND);
+}
+
 // An instance that has heard few sends a message for everybody. It knows from others which failure domain
 // each instance is in, so that it does not send to each by itself, most of them far away.
 #[test]
