--- a/crates/nutmegctl/src/logs/cause.rs
+++ b/crates/nutmegctl/src/logs/cause.rs
@@ -1,5 +1,6 @@
 //! Why a request went as it did.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
@@ -82,8 +83,7 @@
         return Cause::new("served", format!("the endpoint answered {status}"));
     }
     let failed = own.iter().filter(|r| r.event == "send").map(|r| r.field("endpoint"));
-    let endpoints: std::collections::BTreeSet<&str> =
-        failed.chain([last.field("endpoint")]).collect();
+    let endpoints: BTreeSet<&str> = failed.chain([last.field("endpoint")]).collect();
     let endpoints: Vec<&str> = endpoints.into_iter().collect();
     let detail =
         format!("answered {status} by the endpoint itself, tried: {}", endpoints.join(", "));
@@ -152,16 +152,15 @@
         recent.iter().rev().find(|r| matches!(r.event.as_str(), "store_away" | "store_back"));
     let away = away.copied().filter(|r| r.event == "store_away");
     let out = recent.iter().rev().find(|r| r.event == "domains_out").copied();
-    let full = own.iter().filter(|r| r.event == "send" && r.field("end") == "refused").count();
-    let unreached =
-        own.iter().filter(|r| r.event == "send" && r.field("end") == "not_sent").count();
+    let (full, unreached) = (sends(own, "refused"), sends(own, "not_sent"));
+    let away_text = if away.is_some() { ", the store was away" } else { "" };
+    let out_text =
+        out.map_or(String::new(), |r| format!(", failure domains out: {:?}", r.field("domains")));
     let detail = format!(
         "{}; {full} endpoints said that they are full, {unreached} were not reached; in the {} s before, \
-         {left} endpoints left and {joined} came{}{}",
+         {left} endpoints left and {joined} came{away_text}{out_text}",
         last.field("why"),
         LOOK_BACK.as_secs(),
-        if away.is_some() { ", the store was away" } else { "" },
-        out.map_or(String::new(), |r| format!(", failure domains out: {:?}", r.field("domains"))),
     );
     Cause::new("no_room", detail).with_evidence(away.into_iter().chain(out))
 }
@@ -178,13 +177,11 @@
         },
     );
     let detail = format!("version {}: {}; {later}", last.field("config"), last.field("why"));
-    Cause::new(
-        if last.field("code") == Code::Outdated.number().to_string() {
-            "outdated"
-        } else {
-            "not_allowed"
-        },
-        detail,
-    )
-    .with_evidence(next)
+    let is_outdated = last.field("code") == Code::Outdated.number().to_string();
+    Cause::new(if is_outdated { "outdated" } else { "not_allowed" }, detail).with_evidence(next)
+}
+
+/// Counts the sends of a request that ended so.
+fn sends(own: &[&Record], end: &str) -> usize {
+    own.iter().filter(|r| r.event == "send" && r.field("end") == end).count()
 }
