--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -4,8 +4,8 @@
 mod crash_log;
 mod endpoint_table;
 mod fleet_view;
+mod heartbeat;
 mod intent;
 mod large_fleet;
 mod membership;
-
 mod registry;
--- a/tests/suite/state/fleet_view.rs
+++ b/tests/suite/state/fleet_view.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{Contacts, FleetBeacon, Introduction, Revisions, Seat, Share};
+use nutmeggrade_core::peer::{Contacts, FleetBeacon, Introduction, Seat, Share};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::FleetView;
 
+use super::heartbeat::heartbeat;
+
 fn name(number: u8) -> InstanceId {
     InstanceId::new(&format!("i-{number}")).expect("an id")
 }
@@ -19,16 +21,7 @@
 }
 
 fn beacon(number: u8, sequence: u64) -> FleetBeacon {
-    FleetBeacon {
-        instance: name(number),
-        incarnation: 100,
-        sequence,
-        intro: Some(Introduction { seat: seat(number), others: Contacts::new() }),
-        leaving: false,
-        reads: true,
-        revisions: Revisions::default(),
-        placed: BTreeMap::new(),
-    }
+    heartbeat(&name(number), &seat(number), sequence)
 }
 
 fn view(number: u8) -> FleetView {
--- /dev/null
+++ b/tests/suite/state/heartbeat.rs
@@ -0,0 +1,20 @@
+//! A heartbeat as instances mostly send it.
+
+use std::collections::BTreeMap;
+
+use nutmeggrade_core::peer::{Contacts, FleetBeacon, Introduction, Revisions, Seat};
+use nutmeggrade_core::prelude::*;
+
+/// Returns a heartbeat of an instance that introduces itself and has placed nothing.
+pub fn heartbeat(instance: &InstanceId, seat: &Seat, sequence: u64) -> FleetBeacon {
+    FleetBeacon {
+        instance: instance.clone(),
+        incarnation: 100,
+        sequence,
+        intro: Some(Introduction { seat: seat.clone(), others: Contacts::new() }),
+        leaving: false,
+        reads: true,
+        revisions: Revisions::default(),
+        placed: BTreeMap::new(),
+    }
+}
--- a/tests/suite/state/large_fleet.rs
+++ b/tests/suite/state/large_fleet.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{Contacts, FleetBeacon, Introduction, Revisions, Seat};
+use nutmeggrade_core::peer::{Contacts, FleetBeacon, Seat};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::FleetView;
 
+use super::heartbeat::heartbeat;
+
 const DOMAINS: u16 = 4;
 const ALL: u16 = 300;
 const NOW: Moment = Moment::from_millis(60_000);
@@ -27,16 +29,7 @@
 }
 
 fn beacon(number: u16, sequence: u64) -> FleetBeacon {
-    FleetBeacon {
-        instance: name(number),
-        incarnation: 100,
-        sequence,
-        intro: Some(Introduction { seat: seat(number), others: Contacts::new() }),
-        leaving: false,
-        reads: true,
-        revisions: Revisions::default(),
-        placed: BTreeMap::new(),
-    }
+    heartbeat(&name(number), &seat(number), sequence)
 }
 
 /// Returns the view of an instance that has heard the first few of all instances.
