--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -135,9 +135,9 @@
     async fn list(&self) -> Result<(), PlatformError> {
         let (store, track) = (&self.node.store, self.node.follow.track(self.kind));
         // All instances of a fleet may start together: three hundred before three thousand endpoints ask
-        // for three seconds' worth of all that the store may be asked. Pages that may lag are not held
-        // against that and cost a tenth; at a hundred instances that was worth 0.02 of a day. Later listings
-        // come after the history is gone, when no watch goes on from an older page.
+        // for 18,300 pages, three seconds' worth of all that the store may be asked. Pages that may lag are
+        // not held against that. Later listings come after the history is gone, when no watch goes on
+        // from an older page.
         let is_first = !track.is_known();
         let mut snapshot = store.list(self.kind, is_first).await?;
         self.count_bytes(&snapshot);
