Take over changes of endpoints in one way, and drop what nothing uses

Read-through; behaviour as it was. What has changed since a lagging listing was wrapped into news with a revision that nothing read; both ways now pass the changes themselves.

--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -21,7 +21,7 @@
 
 use crate::node::{Node, Phase};
 use crate::tables::lock;
-use crate::watch::endpoint_news;
+use crate::watch::endpoint_changes;
 
 /// Least time between two messages of what is placed; changes in between are gathered. It is a tenth
 /// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
@@ -235,6 +235,6 @@
         track.hint(news.revision);
         return;
     }
-    endpoint_news(node, news);
+    endpoint_changes(node, &news.changes, news.lapses);
     track.note(news.revision, news.revision);
 }
--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -4,6 +4,6 @@
 mod follow;
 mod follower;
 
-pub use apply::{apply_known, endpoint_news, known};
+pub use apply::{apply_known, endpoint_changes, known};
 pub use follow::Follow;
 pub use follower::start;
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -61,15 +61,15 @@
         changes(node, kind, snapshot, 0, after_outage);
         return;
     }
-    let all = snapshot.objects.iter().filter_map(to_news).collect();
-    endpoint_news(node, &news(snapshot, 0, after_outage, all));
+    let all: Vec<EndpointNews> = snapshot.objects.iter().filter_map(to_news).collect();
+    endpoint_changes(node, &all, after_outage);
 }
 
-/// Takes over changes of endpoints that a peer has read.
-pub fn endpoint_news(node: &Node, news: &FleetNews) {
+/// Takes over changes of endpoints, read here or by a peer. `lapses` says that entries that are gone may
+/// only have lapsed with the store.
+pub fn endpoint_changes(node: &Node, changes: &[EndpointNews], lapses: bool) {
     node.change_registry(|registry, now| {
-        let each = news.changes.iter();
-        each.filter_map(|c| change(registry, c, news.lapses, now)).collect()
+        changes.iter().filter_map(|c| change(registry, c, lapses, now)).collect()
     });
 }
 
@@ -99,13 +99,8 @@
     if changes.is_empty() {
         return;
     }
-    let news = news(snapshot, since, lapses, changes);
-    endpoint_news(node, &news);
-    node.hand_on(news);
-}
-
-fn news(snapshot: &Snapshot, since: u64, lapses: bool, changes: Vec<EndpointNews>) -> FleetNews {
-    FleetNews { since, revision: snapshot.revision, lapses, changes }
+    endpoint_changes(node, &changes, lapses);
+    node.hand_on(FleetNews { since, revision: snapshot.revision, lapses, changes });
 }
 
 fn take_config(node: &Node, objects: &[StoredObject]) {
--- a/crates/nutmeggrade-state/src/fleet_view/reach.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/reach.rs
@@ -127,11 +127,6 @@
         Some((newcomer, others))
     }
 
-    /// Lists where heartbeats of the peers of the same failure domain go.
-    pub fn neighbours(&self) -> Vec<SocketAddr> {
-        self.near.iter().copied().collect()
-    }
-
     /// Lists the peers of the same failure domain that are in a part of it, to hand a message on to.
     pub fn part_of_neighbours(&self, share: Share) -> Vec<SocketAddr> {
         let is_in = |address: &SocketAddr| lot(address) % share.of.max(1) == share.part;
