Move what runs at a few engines that are missing after an outage

The store had just come back, after a compaction or an outage; an engine that leaves without a word only has its entry removed, which was taken for one that lapsed with the store and waited for. The engine was dropped in the very moment at which it went.

Ruled out: lost changes (the removal was read at once), the engine's report (it says that it leaves).

Change: while most engines of a service are there, a missing one counts as leaving for what runs there, and takes no copies. It may still get new work, as before; where most are missing nothing moves.

Test state::registry::missing_after_an_outage_has_time expected no change where an entry is missed; it now expects just this one, says that it is not told twice, and that the endpoint still gets work: as strict. relay::moves::generation_leaves_an_engine_that_is_missing_after_an_outage failed first (moved after the entry was dropped), state::registry::what_runs_at_few_missing_endpoints_moves is new.

--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -199,9 +199,8 @@
     /// Begins to take the generation along if its endpoint leaves.
     fn escape_if_leaving(&self) -> Option<Escape> {
         self.engine.filter(|e| e.moves)?;
-        let id = &self.place.endpoint.id;
-        let is_staying = lock(&self.node.tables).registry.get(id).is_some_and(|e| !e.info.leaving);
-        (!is_staying).then(|| Escape::start(self))
+        let is_parting = lock(&self.node.tables).registry.is_parting(&self.place.endpoint.id);
+        is_parting.then(|| Escape::start(self))
     }
 
     /// Goes on where the generation was taken; says whether the stream goes on.
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -122,11 +122,8 @@
 ) -> Option<Change> {
     match &news.info {
         Some(info) => registry.put(info, now),
-        None if lapses => {
-            // Its entry lapsed with the store; it is written anew at its next heartbeat if it lives.
-            registry.miss(&news.id, now);
-            None
-        }
+        // Its entry may have lapsed with the store; it is written anew at its next heartbeat if it lives.
+        None if lapses => registry.miss(&news.id, now),
         None => registry.remove(&news.id),
     }
 }
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -11,11 +11,17 @@
 /// less leaves room for the way of the last request.
 const RETURN_WAIT: Duration = Duration::from_millis(1_800);
 
+/// Part of a service's endpoints, as one in so many, that may be missing at most if those are taken for
+/// leaving. Where more are, the store has lost the entries of endpoints that live.
+const FEW: usize = 3;
+
 /// Why an endpoint gets nothing new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Leaving {
     /// It said that it will end.
     Draining,
+    /// Its entry was missing after an outage of the store, and may come back.
+    Missing,
     /// Its entry is gone.
     Removed,
 }
@@ -79,11 +85,8 @@
             self.endpoints.keys().filter(|id| !listed.contains(id)).cloned().collect();
         let mut changes: Vec<Change> = all.iter().filter_map(|e| self.put(e, now)).collect();
         for id in missing {
-            if after_outage {
-                self.miss(&id, now);
-            } else {
-                changes.extend(self.remove(&id));
-            }
+            let change = if after_outage { self.miss(&id, now) } else { self.remove(&id) };
+            changes.extend(change);
         }
         changes
     }
@@ -124,10 +127,10 @@
     }
 
     /// Notes that an entry was missing after an outage; it is dropped unless it comes back in time.
-    pub fn miss(&mut self, id: &EndpointId, now: Moment) {
-        if let Some(entry) = self.endpoints.get_mut(id) {
-            entry.missing_until.get_or_insert(now.after(RETURN_WAIT));
-        }
+    pub fn miss(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
+        let entry = self.endpoints.get_mut(id).filter(|e| e.missing_until.is_none())?;
+        entry.missing_until = Some(now.after(RETURN_WAIT));
+        Some(Change::Left(entry.info.clone(), Leaving::Missing))
     }
 
     /// Drops entries that did not come back in time.
@@ -153,6 +156,30 @@
         self.endpoints.get(id).is_some_and(|e| self.in_service(e))
     }
 
+    /// Says whether what runs at an endpoint should go on elsewhere.
+    ///
+    /// An endpoint may leave without a word just after an outage. Its entry then vanishes like those that
+    /// lapsed with the store, and whoever waits until it could have come back has no time left to take
+    /// along what runs there; one notices streams that break off in the moment at which the endpoint is
+    /// dropped. A few missing ones therefore count as leaving for what runs there.
+    pub fn is_parting(&self, id: &EndpointId) -> bool {
+        let Some(entry) = self.endpoints.get(id) else { return true };
+        let is_missing = entry.missing_until.is_some();
+        entry.info.leaving || (is_missing && self.is_mostly_there(&entry.info.service))
+    }
+
+    /// Lists those whose entries are missing and may come back.
+    pub fn missing(&self) -> impl Iterator<Item = &EndpointId> {
+        let missing = self.endpoints.iter().filter(|(_, e)| e.missing_until.is_some());
+        missing.map(|(id, _)| id)
+    }
+
+    fn is_mostly_there(&self, service: &ServiceId) -> bool {
+        let of_service = self.endpoints.values().filter(|e| e.info.service == *service);
+        let missing = of_service.clone().filter(|e| e.missing_until.is_some()).count();
+        missing * FEW <= of_service.count()
+    }
+
     /// Returns an endpoint that is registered.
     pub fn get(&self, id: &EndpointId) -> Option<&Registered> {
         self.endpoints.get(id)
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, RawClient, RoutingPlan, request};
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, RawClient, RoutingPlan, request};
 
 use super::PROMPT;
-use super::site::Site;
+use super::site::{Site, metric};
 use super::streams::events;
 use crate::support::{run, until};
 
@@ -130,3 +130,61 @@
         Ok(())
     });
 }
+
+/// Failed calls to the store for endpoints.
+const FAILED: &str = "store_calls_total{end=\"failed\",kind=\"endpoints\"}";
+
+/// Begins a generation at the first of three engines.
+async fn begin_of_three(site: &Site) -> anyhow::Result<(RawClient, [Endpoint; 3])> {
+    let stream = Behaviour::Stream { events: 400, pause: PAUSE };
+    let first = site.endpoint("writers", "e-1", stream).await?;
+    let mut client = RawClient::connect(site.client()).await?;
+    client.send(&request("draft", "a1", "key-1", PROMPT)).await?;
+    until("the generation runs", async || Ok(first.runs("a1") == 1)).await?;
+    let second = site.endpoint("writers", "e-2", stream).await?;
+    let third = site.endpoint("writers", "e-3", stream).await?;
+    Ok((client, [first, second, third]))
+}
+
+async fn until_moved(engines: &[Endpoint; 3]) -> anyhow::Result<()> {
+    let is_there = |engine: &Endpoint| !engine.seen().is_empty();
+    until("the generation moved", async || Ok(engines[1..].iter().any(is_there))).await
+}
+
+// The store is back after an outage, and an engine leaves without a word. Its entry could have lapsed
+// with the store and may come back for two seconds, by when the engine is gone. The generation moves
+// while the entry is still waited for.
+#[test]
+fn generation_leaves_an_engine_that_is_missing_after_an_outage() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let (mut client, engines) = begin_of_three(&site).await?;
+        let metrics = site.instance.addresses().metrics;
+        site.door.set(Fault::Refuse);
+        until("the store is missed", async || Ok(metric(metrics, FAILED).await? > 0)).await?;
+        site.store.remove("servers", "e-1");
+        site.door.set(Fault::None);
+        until_moved(&engines).await?;
+        assert_eq!(metric(metrics, "endpoints").await?, 3);
+        assert!(client.answer().await?.is_whole);
+        Ok(())
+    });
+}
+
+// The store falls silent in the moment at which an engine is told that it is reclaimed. A call is given
+// up after more than two seconds, and the engine is gone by then. It is asked itself as soon as the
+// store's answer is overdue.
+#[test]
+fn generation_leaves_an_engine_while_the_store_falls_silent() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let (mut client, engines) = begin_of_three(&site).await?;
+        let metrics = site.instance.addresses().metrics;
+        site.door.set(Fault::Silent);
+        engines[0].leave_in(Duration::from_secs(2));
+        until_moved(&engines).await?;
+        assert_eq!(metric(metrics, FAILED).await?, 0);
+        assert!(client.answer().await?.is_whole);
+        Ok(())
+    });
+}
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -51,6 +51,8 @@
     let mut registry = Registry::new();
     registry.replace(&[info(1), info(2), info(3)], false, NOW);
     assert_eq!(registry.replace(&[info(1), info(2)], false, NOW).len(), 1);
+    let missing = [Change::Left(info(1), Leaving::Missing)];
+    assert_eq!(registry.replace(&[info(2)], true, NOW), missing);
     assert!(registry.replace(&[info(2)], true, NOW).is_empty());
     assert!(registry.may_send(&id(1)));
     let later = NOW.after(Duration::from_millis(1_700));
@@ -72,6 +74,25 @@
     assert!(registry.may_send(&id(1)));
 }
 
+// An endpoint leaves without a word just after an outage, and its entry vanishes as a lapsed one would.
+// What runs there goes elsewhere at once: whoever waits until the entry could have come back has no time
+// left for it. Where most are missing the store has lost them, and nothing moves.
+#[test]
+fn what_runs_at_few_missing_endpoints_moves() {
+    let mut registry = Registry::new();
+    registry.replace(&[info(1), info(2), info(3)], false, NOW);
+    registry.miss(&id(1), NOW);
+    assert!(registry.is_parting(&id(1)));
+    assert!(!registry.is_parting(&id(2)));
+    registry.miss(&id(2), NOW);
+    assert!(!registry.is_parting(&id(1)));
+    assert!(registry.may_send(&id(1)));
+    registry.put(&info(2), NOW);
+    assert!(registry.is_parting(&id(1)));
+    registry.put(&info(1), NOW);
+    assert!(!registry.is_parting(&id(1)));
+}
+
 // A failure domain is out. Its endpoints get nothing, and are back as soon as it is.
 #[test]
 fn domain_that_is_out_is_out() {
