Ask engines as soon as an answer of the store is overdue

Ruled out: shorter watches (each call is paid for by the platform; half a second would double them), giving the call up sooner (a slow store answers after 330 ms, and each failed call begins a listing).

Change: a watch whose answer is 250 ms overdue raises a doubt. The reader then asks every engine itself, and its heartbeats say that it can't read, so that the others take their share. The call goes on.

Test: relay::moves::generation_leaves_an_engine_while_the_store_falls_silent failed first.

--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -23,14 +23,19 @@
 ///
 /// Engines are reclaimed while the store is away too. Nobody hears of it then, and all that they run
 /// is lost, as one sees by streams that break off without a departure in the logs. An engine's own
-/// report says that it leaves; one instance asks each engine and tells the others.
+/// report says that it leaves; one instance asks each engine and tells the others. Whoever is the first
+/// to find an answer of the store overdue asks all of them at once: until the others have heard of it,
+/// engines that left in the same moment would be gone.
 pub async fn run(node: Arc<Node>) {
     loop {
-        sleep(PERIOD).await;
+        tokio::select! {
+            () = sleep(PERIOD) => {}
+            () = node.follow.doubt.notified() => {}
+        }
         if !is_store_away(&node) {
             continue;
         }
-        let engines = own_engines(&node);
+        let engines = engines_to_ask(&node);
         let asked = engines.iter().map(|engine| leaves(&node, engine));
         let leaving: Vec<EndpointId> = join_all(asked).await.into_iter().flatten().collect();
         if !leaving.is_empty() {
@@ -43,18 +48,19 @@
 /// instances ask the store seldom; waiting until each has found out for itself takes longer than an
 /// engine's notice.
 fn is_store_away(node: &Node) -> bool {
-    node.follow.track(Kind::Endpoints).is_away()
-        || lock(&node.tables).fleet.is_store_away(node.now())
+    let track = node.follow.track(Kind::Endpoints);
+    track.is_away() || track.is_overdue() || lock(&node.tables).fleet.is_store_away(node.now())
 }
 
 /// Lists the engines that this instance asks.
-fn own_engines(node: &Node) -> Vec<EndpointInfo> {
+fn engines_to_ask(node: &Node) -> Vec<EndpointInfo> {
     let map = node.map();
     let now = node.now();
     let tables = lock(&node.tables);
     let is_engine = |e: &EndpointInfo| map.service(&e.service).is_some_and(|s| s.engine.is_some());
     let all = tables.registry.all().map(|e| &e.info).filter(|e| !e.leaving && is_engine(e));
-    all.filter(|e| tables.fleet.is_first_for(&e.id, now)).cloned().collect()
+    let asks_all = node.follow.track(Kind::Endpoints).is_overdue();
+    all.filter(|e| asks_all || tables.fleet.is_first_for(&e.id, now)).cloned().collect()
 }
 
 async fn leaves(node: &Node, engine: &EndpointInfo) -> Option<EndpointId> {
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -19,6 +19,7 @@
     hint: AtomicU64,
     known: AtomicBool,
     away: AtomicBool,
+    overdue: AtomicBool,
 }
 
 impl Track {
@@ -62,11 +63,23 @@
     pub fn is_away(&self) -> bool {
         self.away.load(Ordering::Relaxed)
     }
+
+    /// Notes whether an answer is overdue.
+    pub fn set_overdue(&self, is_overdue: bool) {
+        self.overdue.store(is_overdue, Ordering::Relaxed);
+    }
+
+    /// Says whether an answer is overdue, so that the store is probably away.
+    pub fn is_overdue(&self) -> bool {
+        self.overdue.load(Ordering::Relaxed)
+    }
 }
 
 /// How far each kind of object is read.
 #[derive(Debug, Default)]
 pub struct Follow {
+    /// Wakes whoever asks engines themselves, because an answer of the store is overdue.
+    pub doubt: Notify,
     config: Track,
     endpoints: Track,
     out: Track,
@@ -104,7 +117,8 @@
 
     /// Says whether the store answers every kind of question.
     pub fn is_answered(&self) -> bool {
-        ![&self.config, &self.endpoints, &self.out].into_iter().any(Track::is_away)
+        let is_away = |track: &Track| track.is_away() || track.is_overdue();
+        ![&self.config, &self.endpoints, &self.out].into_iter().any(is_away)
     }
 
     /// Says whether the configuration can't be read now.
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -33,6 +33,10 @@
 /// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
 /// store tells all watches within milliseconds.
 const OVERTAKEN: Duration = Duration::from_millis(60);
+/// Time after which the answer to a watch that is no longer held back is overdue. The store answers in
+/// milliseconds, and waiting for its answer as long as for that of a slow one would use up the notice
+/// of engines that leave meanwhile.
+const OVERDUE: Duration = Duration::from_millis(250);
 /// Time in which changes of endpoints gather before the first reader asks for more. It is a small part
 /// of the two seconds for which an endpoint that leaves may still get work.
 const GATHER: Duration = Duration::from_millis(50);
@@ -166,7 +170,7 @@
         let track = self.node.follow.track(self.kind);
         let since = track.read();
         let held = tokio::select! {
-            result = self.node.store.watch(self.kind, since, self.held()) => Some(result?),
+            result = self.watch_held(since) => Some(result?),
             () = overtaken(track) => None,
         };
         // A peer has read further, so the watch is late or silent: ask for what there is.
@@ -192,6 +196,22 @@
         }
     }
 
+    /// Watches from `since`, and raises doubts about the store if its answer is overdue.
+    async fn watch_held(&self, since: u64) -> Result<Watched, PlatformError> {
+        let held = self.held();
+        let answer = self.node.store.watch(self.kind, since, held);
+        tokio::pin!(answer);
+        if held.is_zero() {
+            return answer.await;
+        }
+        tokio::select! {
+            result = &mut answer => return result,
+            () = sleep(held + OVERDUE) => {}
+        }
+        let _doubt = Doubt::raise(&self.node, self.kind);
+        answer.await
+    }
+
     /// Waits until further changes have gathered: endpoints that join or leave together change their
     /// entries one after another, and each answer is paid for.
     async fn gather(&self) {
@@ -285,6 +305,25 @@
     }
 }
 
+/// Shows that an answer of the store is overdue, until it is dropped.
+struct Doubt<'a>(&'a Track);
+
+impl<'a> Doubt<'a> {
+    fn raise(node: &'a Node, kind: Kind) -> Self {
+        let track = node.follow.track(kind);
+        track.set_overdue(true);
+        tracing::info!(event = "store_overdue", kind = kind.name());
+        node.follow.doubt.notify_one();
+        Self(track)
+    }
+}
+
+impl Drop for Doubt<'_> {
+    fn drop(&mut self) {
+        self.0.set_overdue(false);
+    }
+}
+
 /// Waits until a peer has read further than this instance for a while.
 async fn overtaken(track: &Track) {
     loop {
