--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -1,18 +1,18 @@
 //! One instance: its settings, tables, clients and counters.
 
-use std::collections::BTreeSet;
+mod endpoints;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use nutmeggrade_core::peer::{FleetMessage, FleetNews, Revisions, Seat};
+use nutmeggrade_core::peer::{FleetMessage, Revisions, Seat};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EndpointInfo, RouteMap};
+use nutmeggrade_core::routing::RouteMap;
 use nutmeggrade_policy::Ticket;
-use nutmeggrade_policy::dispatch::{Dispatcher, Health};
+use nutmeggrade_policy::dispatch::Dispatcher;
 use nutmeggrade_state::fleet_view::FleetView;
-use nutmeggrade_state::registry::{Change, Registry};
 use nutmeggrade_wire::store::Store;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -29,11 +29,6 @@
 
 /// Changes of endpoints that wait to be handed on; the socket takes each in microseconds.
 const MOST_NEWS: usize = 16;
-/// Changes that fit into one datagram of some kilobytes.
-const MOST_CHANGES: usize = 16;
-/// Names of endpoints that fit into one datagram. A listing after the store lost its history may find
-/// some hundreds gone; in one datagram their names are larger than what is read.
-const MOST_NAMES: usize = 128;
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -202,130 +197,6 @@
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// Returns an endpoint that is registered.
-    pub fn endpoint(&self, id: &EndpointId) -> Option<EndpointInfo> {
-        lock(&self.tables).registry.get(id).map(|e| e.info.clone())
-    }
-
-    /// Changes the registry, and tells everybody here whom it concerns; returns the endpoints that
-    /// left.
-    pub fn change_registry(
-        &self,
-        change: impl FnOnce(&mut Registry, Moment) -> Vec<Change>,
-    ) -> Vec<EndpointId> {
-        let now = self.now();
-        let changes = change(&mut lock(&self.tables).registry, now);
-        for change in &changes {
-            match change {
-                Change::Joined(e) => {
-                    tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
-                        domain = %e.domain, cold_ms = e.cold_left.as_millis());
-                }
-                Change::Left(e, why) => {
-                    tracing::info!(event = "endpoint_left", endpoint = %e.id, service = %e.service,
-                        domain = %e.domain, why = ?why);
-                }
-            }
-        }
-        if !changes.is_empty() {
-            self.refresh();
-        }
-        let left: Vec<EndpointId> = changes.into_iter().filter_map(Change::left).collect();
-        if !left.is_empty() {
-            self.departures.send_modify(|n| *n += 1);
-        }
-        left
-    }
-
-    /// Takes over which failure domains are out.
-    pub fn set_out(&self, out: &BTreeSet<DomainId>) {
-        let changed = {
-            let mut tables = lock(&self.tables);
-            let changed = tables.registry.out() != out;
-            tables.registry.set_out(out);
-            changed
-        };
-        if changed {
-            let names: Vec<&str> = out.iter().map(DomainId::as_str).collect();
-            tracing::info!(event = "domains_out", domains = names.join(","));
-            self.refresh();
-        }
-    }
-
-    /// Hands changes of endpoints on to the peers, if this instance reads for all and the changes fit
-    /// into a datagram. Peers that don't get them notice by the next heartbeat.
-    pub fn hand_on(&self, news: FleetNews) {
-        let is_reader = lock(&self.tables).fleet.is_reader(self.now());
-        if is_reader && news.changes.len() <= MOST_CHANGES {
-            self.tell(FleetMessage::News(news));
-        }
-    }
-
-    /// Tells all peers that endpoints leave.
-    pub fn tell_leaving(&self, endpoints: &[EndpointId]) {
-        for part in endpoints.chunks(MOST_NAMES) {
-            self.tell(FleetMessage::Leaving(part.to_vec()));
-        }
-    }
-
-    /// Sends a message to all peers.
-    pub fn tell(&self, message: FleetMessage) {
-        if self.news.try_send(message).is_err() {
-            tracing::warn!(event = "news_not_handed_on");
-        }
-    }
-
-    /// Takes the word of endpoints that they leave, which comes before the store's.
-    pub fn note_leaving(&self, endpoints: &[EndpointId]) {
-        self.change_registry(|registry, _| {
-            endpoints.iter().filter_map(|id| registry.leave(id)).collect()
-        });
-    }
-
-    /// Notes that endpoints leave that told or showed it here, and tells the peers.
-    pub fn announce_leaving(&self, endpoints: &[EndpointId]) {
-        self.note_leaving(endpoints);
-        self.tell_leaving(endpoints);
-    }
-
-    /// Notes that nobody listens at an endpoint's address any more, and tells the peers.
-    ///
-    /// An endpoint that died keeps its entry until that lapses, and for as long as the store is away.
-    /// All that it had is lost, so to every instance it looks like the emptiest: each sends requests
-    /// and copies of generations there. One notices copies that fail one after another (`event=copied`)
-    /// while engines with room are left alone. Whoever is told leaves it alone for a moment, and is told
-    /// again for as long as nobody listens there.
-    pub fn announce_gone(&self, endpoint: &EndpointId) {
-        let now = self.now();
-        let mut tables = lock(&self.tables);
-        let health = tables.dispatcher.book.health_mut(endpoint);
-        if health.is_told_gone(now) {
-            return;
-        }
-        health.gone(now);
-        drop(tables);
-        tracing::info!(event = "endpoint_gone", %endpoint);
-        self.tell(FleetMessage::Gone(vec![endpoint.clone()]));
-    }
-
-    /// Takes a peer's word that nobody listens at an endpoint's address any more.
-    pub fn note_gone(&self, endpoints: &[EndpointId]) {
-        let now = self.now();
-        self.metrics.told_gone.inc_by(endpoints.len() as u64);
-        let mut tables = lock(&self.tables);
-        for endpoint in endpoints {
-            if tables.registry.get(endpoint).is_some() {
-                tables.dispatcher.book.health_mut(endpoint).gone(now);
-            }
-        }
-    }
-
-    /// Notes what an answer, or its absence, says of an endpoint.
-    pub fn note_health(&self, endpoint: &EndpointId, note: impl FnOnce(&mut Health, Moment)) {
-        let now = self.now();
-        note(lock(&self.tables).dispatcher.book.health_mut(endpoint), now);
-    }
-
     /// Takes a further send to a service out of the fleet's budget, if one is left.
     pub fn take_resend(&self, service: &ServiceId) -> bool {
         let settings = self.settings();
--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps what is known of the platform's store up to date.
 
 mod apply;
+mod doubt;
 mod follow;
 mod follower;
 
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -1,10 +1,16 @@
 //! How far each kind of object is read.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
+/// store tells all watches within milliseconds.
+const OVERTAKEN: Duration = Duration::from_millis(60);
 
 /// How far one kind of object is read.
 #[derive(Debug, Default)]
@@ -41,6 +47,17 @@
         self.hint.load(Ordering::Relaxed) > self.read()
     }
 
+    /// Waits until a peer has read further than this instance for a while.
+    pub async fn overtaken(&self) {
+        loop {
+            self.nudge.notified().await;
+            sleep(OVERTAKEN).await;
+            if self.is_behind() {
+                return;
+            }
+        }
+    }
+
     /// Notes an answer that leads up to `read`; `news` is the revision of what was new in it, 0 if
     /// nothing was.
     pub fn note(&self, read: u64, news: u64) {
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::tables::lock;
 use crate::watch::apply;
-use crate::watch::follow::Track;
+use crate::watch::doubt::Doubt;
 
 /// How long the store holds a watch back. A connection that has gone silent is noticed only when
 /// its answer is overdue; peers' heartbeats tell earlier if there was news.
@@ -30,9 +30,6 @@
 /// Time that the news of a peer get to come before the store is asked. They are sent together with
 /// the heartbeat that tells of them.
 const NEWS_WAIT: Duration = Duration::from_millis(60);
-/// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
-/// store tells all watches within milliseconds.
-const OVERTAKEN: Duration = Duration::from_millis(60);
 /// Time after which the answer to a watch that is no longer held back is overdue. The store answers in
 /// milliseconds, and waiting for its answer as long as for that of a slow one would use up the notice
 /// of engines that leave meanwhile.
@@ -171,7 +168,7 @@
         let since = track.read();
         let held = tokio::select! {
             result = self.watch_held(since) => Some(result?),
-            () = overtaken(track) => None,
+            () = track.overtaken() => None,
         };
         // A peer has read further, so the watch is late or silent: ask for what there is.
         let watched = match held {
@@ -304,33 +301,3 @@
         self.node.metrics.store_calls.with_label_values(&[self.kind.name(), end]).inc();
     }
 }
-
-/// Shows that an answer of the store is overdue, until it is dropped.
-struct Doubt<'a>(&'a Track);
-
-impl<'a> Doubt<'a> {
-    fn raise(node: &'a Node, kind: Kind) -> Self {
-        let track = node.follow.track(kind);
-        track.set_overdue(true);
-        tracing::info!(event = "store_overdue", kind = kind.name());
-        node.follow.doubt.notify_one();
-        Self(track)
-    }
-}
-
-impl Drop for Doubt<'_> {
-    fn drop(&mut self) {
-        self.0.set_overdue(false);
-    }
-}
-
-/// Waits until a peer has read further than this instance for a while.
-async fn overtaken(track: &Track) {
-    loop {
-        track.nudge.notified().await;
-        sleep(OVERTAKEN).await;
-        if track.is_behind() {
-            return;
-        }
-    }
-}
