Move generations that may end before their engine like all others

An engine that leaves was asked for its time, and generations that would probably end by then waited a quarter of a second for the others.

Change: the wait, the question and the estimate are gone; a move is one probe cheaper.

--- a/crates/nutmeggrade-relay/src/relay/escape.rs
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -22,8 +22,6 @@
 use crate::node::Node;
 use crate::tables::lock;
 
-/// Time that an endpoint has left which does not say: two seconds' notice less the news' way here.
-const NOTICE: Duration = Duration::from_millis(1_400);
 /// Shortest and longest wait before a look whether the engine's link is free. Instances hear of each
 /// other's copies within a few milliseconds, so that two seldom begin in the same moment.
 const TURN: Range<u64> = 2..40;
@@ -32,8 +30,6 @@
 /// Longest time for a copy: the largest generation's, behind a few others on the link of the engine
 /// that it goes to.
 const COPY: Duration = Duration::from_secs(3);
-/// Wait of generations that will probably end before their engine does; the others go first.
-const LET_PASS: Duration = Duration::from_millis(250);
 /// Engines that are tried as the copy's place.
 const TRIES: u32 = 3;
 /// Wait while another copy of the generation is under way.
@@ -95,7 +91,6 @@
             need,
             ticket: stream.place.ticket,
             memory,
-            remaining: stream.remaining(),
             is_stopping: Arc::clone(&is_stopping),
         };
         Self { task: EndOnDrop(tokio::spawn(run.run())), is_stopping }
@@ -119,7 +114,6 @@
     need: Need,
     ticket: Ticket,
     memory: u64,
-    remaining: u64,
     is_stopping: Arc<AtomicBool>,
 }
 
@@ -161,11 +155,6 @@
 
 impl Run {
     async fn run(mut self) -> Escaped {
-        let noticed = self.node.now();
-        let end = noticed.after(self.time_left().await);
-        if self.ends_before(end) {
-            sleep(LET_PASS).await;
-        }
         let mut failed = 0;
         while failed < TRIES {
             self.turn().await;
@@ -179,11 +168,6 @@
         Escaped::Stays
     }
 
-    /// Says whether the generation will probably end before its engine.
-    fn ends_before(&self, end: Moment) -> bool {
-        lock(&self.node.tables).pace.time(self.remaining) < self.node.clock.left(end)
-    }
-
     /// Waits until nothing is copied from the engine.
     async fn turn(&self) {
         loop {
@@ -195,18 +179,6 @@
         }
     }
 
-    /// Returns how much time the endpoint has left.
-    async fn time_left(&self) -> Duration {
-        match engine_call::report(self.source.address).await {
-            Ok(report) => report.leaves_in.unwrap_or(NOTICE),
-            Err(error) => {
-                tracing::info!(event = "no_report", endpoint = %self.source.id,
-                    error = format!("{error:#}"));
-                NOTICE
-            }
-        }
-    }
-
     /// Makes the first copy, at the best engine that has room.
     async fn copy(&mut self) -> Copy {
         let Some(place) = self.target() else { return Copy::Over };
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EngineSpec, Prompt};
+use nutmeggrade_core::routing::EngineSpec;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
 use nutmeggrade_state::event_splitter::EventSplitter;
@@ -179,12 +179,6 @@
         self.call.prompt.as_ref().map_or(0, |p| p.tokens) + self.made()
     }
 
-    /// Returns how many more tokens are expected.
-    pub fn remaining(&self) -> u64 {
-        let expected = self.call.prompt.as_ref().map_or(0, Prompt::expected);
-        expected.saturating_sub(self.made())
-    }
-
     async fn finish(&mut self) -> End {
         if let Some(rest) = self.splitter.take_rest()
             && self.sender.send(Piece::Bytes(rest)).await.is_err()
