--- a/crates/nutmeggrade-relay/src/relay/escape.rs
+++ b/crates/nutmeggrade-relay/src/relay/escape.rs
@@ -208,6 +208,7 @@
         self.need.ticket = self.node.ticket();
         let id = {
             let mut tables = lock(&self.node.tables);
+            // Those that may be gone are no place to go on.
             self.need.avoid.extend(tables.registry.missing().cloned());
             let id = tables.dispatcher.choose_move(&self.need, self.node.now())?;
             tables.dispatcher.place(&self.need, &id);
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -15,12 +15,12 @@
 /// leaving. Where more are, the store has lost the entries of endpoints that live.
 const FEW: usize = 3;
 
-/// Why an endpoint gets nothing new.
+/// Why an endpoint counts as leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Leaving {
     /// It said that it will end.
     Draining,
-    /// Its entry was missing after an outage of the store, and may come back.
+    /// Its entry was missing after an outage of the store, and may come back. Until then it still gets work.
     Missing,
     /// Its entry is gone.
     Removed,
@@ -42,7 +42,7 @@
 pub enum Change {
     /// It may get work.
     Joined(EndpointInfo),
-    /// It gets nothing new; what runs there has little time left.
+    /// It gets nothing new, unless it is only missing; what runs there has little time left.
     Left(EndpointInfo, Leaving),
 }
 
@@ -126,7 +126,8 @@
         Some(Change::Left(old.info, Leaving::Removed))
     }
 
-    /// Notes that an entry was missing after an outage; it is dropped unless it comes back in time.
+    /// Notes that an entry was missing after an outage; it is dropped unless it comes back in time. Says so
+    /// once.
     pub fn miss(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id).filter(|e| e.missing_until.is_none())?;
         entry.missing_until = Some(now.after(RETURN_WAIT));
