Tell no peer that an endpoint leaves which is only missing

Ruled out: the news of watches, which say whether entries may only have lapsed.

Change: Change::Missing is a change of its own, not a kind of Change::Left. It wakes streams and has its own line endpoint_missing; nobody is told, and explain does not take it for a departure.

Test: relay::fleet::endpoint_that_is_missing_is_not_told_to_leave failed 3 of 3 times before (the endpoint never came back), passed 3 of 3 after. state::registry::missing_after_an_outage_has_time expects the same one change by its new name.

--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -187,7 +187,7 @@
         self.phase.subscribe()
     }
 
-    /// Follows departures: the number changes whenever an endpoint leaves.
+    /// Follows departures: the number changes whenever an endpoint leaves or is missing.
     pub fn departures(&self) -> watch::Receiver<u64> {
         self.departures.subscribe()
     }
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -37,6 +37,10 @@
                     tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
                         domain = %e.domain, cold_ms = e.cold_left.as_millis());
                 }
+                Change::Missing(e) => {
+                    tracing::info!(event = "endpoint_missing", endpoint = %e.id,
+                        service = %e.service, domain = %e.domain);
+                }
                 Change::Left(e, why) => {
                     tracing::info!(event = "endpoint_left", endpoint = %e.id, service = %e.service,
                         domain = %e.domain, why = ?why);
@@ -46,11 +50,10 @@
         if !changes.is_empty() {
             self.refresh();
         }
-        let left: Vec<EndpointId> = changes.into_iter().filter_map(Change::left).collect();
-        if !left.is_empty() {
+        if !changes.iter().all(|change| matches!(change, Change::Joined(_))) {
             self.departures.send_modify(|n| *n += 1);
         }
-        left
+        changes.into_iter().filter_map(Change::left).collect()
     }
 
     /// Takes over which failure domains are out.
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -15,13 +15,11 @@
 /// leaving. Where more are, the store has lost the entries of endpoints that live.
 const FEW: usize = 3;
 
-/// Why an endpoint counts as leaving.
+/// Why an endpoint gets nothing new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Leaving {
     /// It said that it will end.
     Draining,
-    /// Its entry was missing after an outage of the store, and may come back. Until then it still gets work.
-    Missing,
     /// Its entry is gone.
     Removed,
 }
@@ -42,7 +40,10 @@
 pub enum Change {
     /// It may get work.
     Joined(EndpointInfo),
-    /// It gets nothing new, unless it is only missing; what runs there has little time left.
+    /// Its entry is missing after an outage of the store and may come back. It still gets work, and nobody
+    /// is told that it leaves; what runs there may have little time left.
+    Missing(EndpointInfo),
+    /// It gets nothing new; what runs there has little time left.
     Left(EndpointInfo, Leaving),
 }
 
@@ -51,7 +52,7 @@
     pub fn left(self) -> Option<EndpointId> {
         match self {
             Self::Left(info, _) => Some(info.id),
-            Self::Joined(_) => None,
+            Self::Joined(_) | Self::Missing(_) => None,
         }
     }
 }
@@ -131,7 +132,7 @@
     pub fn miss(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id).filter(|e| e.missing_until.is_none())?;
         entry.missing_until = Some(now.after(RETURN_WAIT));
-        Some(Change::Left(entry.info.clone(), Leaving::Missing))
+        Some(Change::Missing(entry.info.clone()))
     }
 
     /// Drops entries that did not come back in time.
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -305,3 +305,41 @@
         until("told again and again", both).await
     });
 }
+
+// Entries lapse while the store is away, and its history is gone when it is back, so that instances list
+// anew. An entry that is missing from a listing may come back; told to the peers as leaving it would be out
+// of service there for good, though the endpoint lives and writes its entry again.
+#[test]
+fn endpoint_that_is_missing_is_not_told_to_leave() {
+    run(async {
+        let pair = pair().await?;
+        let endpoint = known(&pair, "desk", Behaviour::Answer).await?;
+        let both = [&pair.first, &pair.other];
+        let calls = async |instance: &Instance, end: &str| {
+            let name = format!("store_calls_total{{end=\"{end}\",kind=\"endpoints\"}}");
+            metric(instance.addresses().metrics, &name).await
+        };
+        pair.first_door.set(Fault::Refuse);
+        pair.other_door.set(Fault::Refuse);
+        let mut answered = Vec::new();
+        for instance in both {
+            until("the store is missed", async || Ok(calls(instance, "failed").await? > 0)).await?;
+            answered.push(calls(instance, "ok").await?);
+        }
+        pair.store.remove("servers", "e-1");
+        pair.store.forget();
+        pair.first_door.set(Fault::None);
+        pair.other_door.set(Fault::None);
+        for (instance, before) in both.into_iter().zip(answered) {
+            until("it lists", async || Ok(calls(instance, "ok").await? > before)).await?;
+        }
+        pair.store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        for instance in both {
+            let client = instance.addresses().client;
+            let is_served =
+                async || Ok(RawClient::ask(client, "once", "a1", "").await?.status == 200);
+            until("the endpoint is back", is_served).await?;
+        }
+        Ok(())
+    });
+}
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -51,8 +51,7 @@
     let mut registry = Registry::new();
     registry.replace(&[info(1), info(2), info(3)], false, NOW);
     assert_eq!(registry.replace(&[info(1), info(2)], false, NOW).len(), 1);
-    let missing = [Change::Left(info(1), Leaving::Missing)];
-    assert_eq!(registry.replace(&[info(2)], true, NOW), missing);
+    assert_eq!(registry.replace(&[info(2)], true, NOW), [Change::Missing(info(1))]);
     assert!(registry.replace(&[info(2)], true, NOW).is_empty());
     assert!(registry.may_send(&id(1)));
     let later = NOW.after(Duration::from_millis(1_700));
