Begin a generation of the tests in one place, and ask one function whether the store answers

Read-through, behaviour as it was: four tests of moves and one of fleets connect, ask and wait through site::generation, three check whole answers through comes_whole (assertions as before). Track::is_answered stands where two places joined away and overdue by themselves.

--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -48,8 +48,8 @@
 /// instances ask the store seldom; waiting until each has found out for itself takes longer than an
 /// engine's notice.
 fn is_store_away(node: &Node) -> bool {
-    let track = node.follow.track(Kind::Endpoints);
-    track.is_away() || track.is_overdue() || lock(&node.tables).fleet.is_store_away(node.now())
+    !node.follow.track(Kind::Endpoints).is_answered()
+        || lock(&node.tables).fleet.is_store_away(node.now())
 }
 
 /// Lists the engines that this instance asks.
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -90,6 +90,11 @@
     pub fn is_overdue(&self) -> bool {
         self.overdue.load(Ordering::Relaxed)
     }
+
+    /// Says whether the store answers, as far as is known.
+    pub fn is_answered(&self) -> bool {
+        !self.is_away() && !self.is_overdue()
+    }
 }
 
 /// How far each kind of object is read.
@@ -134,8 +139,7 @@
 
     /// Says whether the store answers every kind of question.
     pub fn is_answered(&self) -> bool {
-        let is_away = |track: &Track| track.is_away() || track.is_overdue();
-        ![&self.config, &self.endpoints, &self.out].into_iter().any(is_away)
+        [&self.config, &self.endpoints, &self.out].into_iter().all(Track::is_answered)
     }
 
     /// Says whether the configuration can't be read now.
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use nutmeggrade_fakes::site::{
-    Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store, request,
+    Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
 };
 use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
 
-use super::PROMPT;
-use super::site::{get, instance, metric, settings};
+use super::site::{generation, get, instance, metric, settings};
 use crate::support::{run, until};
 
 async fn entries(instance: &Instance) -> anyhow::Result<usize> {
@@ -277,9 +276,7 @@
         let pair = pair().await?;
         let stream = Behaviour::Stream { events: 1_000, pause: Duration::from_millis(15) };
         let engine = known(&pair, "writers", stream).await?;
-        let mut client = RawClient::connect(pair.first.addresses().client).await?;
-        client.send(&request("draft", "a1", "key-1", PROMPT)).await?;
-        until("the generation runs", async || Ok(engine.runs("a1") == 1)).await?;
+        let mut client = generation(pair.first.addresses().client, "draft", "a1", &engine).await?;
         engine.kill();
         assert!(!client.answer().await.is_ok_and(|a| a.is_whole));
         until_told(&pair.other, 1).await
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, RawClient, RoutingPlan, request};
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, RawClient, RoutingPlan};
 
-use super::PROMPT;
-use super::site::{Site, metric};
+use super::site::{Site, generation, metric};
 use super::streams::events;
 use crate::support::{run, until};
 
@@ -13,13 +12,19 @@
 
 /// Asks for a stream and waits until the engine runs it.
 async fn begin(site: &Site, route: &str, engine: &Endpoint) -> anyhow::Result<RawClient> {
-    let mut client = RawClient::connect(site.client()).await?;
-    client.send(&request(route, "a1", "key-1", PROMPT)).await?;
-    until("the generation runs", async || Ok(engine.runs("a1") == 1)).await?;
+    let client = generation(site.client(), route, "a1", engine).await?;
     engine.leave_in(Duration::from_millis(600));
     Ok(client)
 }
 
+/// Checks that a client gets a whole answer of so many events, in order and each once.
+async fn comes_whole(client: &mut RawClient, count: u64) -> anyhow::Result<()> {
+    let answer = client.answer().await?;
+    assert!(answer.is_whole);
+    assert_eq!(events(&answer.message.body), (1..=count).collect::<Vec<u64>>());
+    Ok(())
+}
+
 fn drain(site: &Site, first: &Endpoint) {
     let entry = Entry::new("writers", first.address).with_leaving(true);
     site.store.put("servers", "e-1", entry.content());
@@ -38,9 +43,7 @@
         let mut client = begin(&site, route, &first).await?;
         let second = site.endpoint("writers", "e-2", stream).await?;
         how(&site, &first);
-        let answer = client.answer().await?;
-        assert!(answer.is_whole);
-        assert_eq!(events(&answer.message.body), (1..=120).collect::<Vec<u64>>());
+        comes_whole(&mut client, 120).await?;
         let resumed = second.seen().into_iter().find(|s| s.id() == "a1");
         let resumed = resumed.expect("the second engine went on");
         let from = resumed.message.header("kv-from").unwrap_or_default();
@@ -84,18 +87,13 @@
         let first = site.endpoint("writers", "e-1", stream).await?;
         let mut clients = Vec::new();
         for id in ["a1", "a2", "a3", "a4"] {
-            let mut client = RawClient::connect(site.client()).await?;
-            client.send(&request("draft", id, "key-1", PROMPT)).await?;
-            until("the generation runs", async || Ok(first.runs(id) == 1)).await?;
-            clients.push(client);
+            clients.push(generation(site.client(), "draft", id, &first).await?);
         }
         site.endpoint("writers", "e-2", stream).await?;
         first.leave_in(Duration::from_secs(2));
         drain(&site, &first);
         for client in &mut clients {
-            let answer = client.answer().await?;
-            assert!(answer.is_whole);
-            assert_eq!(events(&answer.message.body), (1..=150).collect::<Vec<u64>>());
+            comes_whole(client, 150).await?;
         }
         assert_eq!(site.generations.most_copying(), 1);
         Ok(())
@@ -113,18 +111,13 @@
         let first = site.endpoint("writers", "e-1", stream).await?;
         let mut clients = Vec::new();
         for id in ["a1", "a2", "a3"] {
-            let mut client = RawClient::connect(site.client()).await?;
-            client.send(&request("draft", id, "key-1", PROMPT)).await?;
-            until("the generation runs", async || Ok(first.runs(id) == 1)).await?;
-            clients.push(client);
+            clients.push(generation(site.client(), "draft", id, &first).await?);
         }
         let second = site.endpoint("writers", "e-2", stream).await?;
         first.leave_in(Duration::from_millis(100));
         drain(&site, &first);
         for client in &mut clients {
-            let answer = client.answer().await?;
-            assert!(answer.is_whole);
-            assert_eq!(events(&answer.message.body), (1..=150).collect::<Vec<u64>>());
+            comes_whole(client, 150).await?;
         }
         assert_eq!(second.seen().len(), 3);
         Ok(())
@@ -138,9 +131,7 @@
 async fn begin_of_three(site: &Site) -> anyhow::Result<(RawClient, [Endpoint; 3])> {
     let stream = Behaviour::Stream { events: 400, pause: PAUSE };
     let first = site.endpoint("writers", "e-1", stream).await?;
-    let mut client = RawClient::connect(site.client()).await?;
-    client.send(&request("draft", "a1", "key-1", PROMPT)).await?;
-    until("the generation runs", async || Ok(first.runs("a1") == 1)).await?;
+    let client = generation(site.client(), "draft", "a1", &first).await?;
     let second = site.endpoint("writers", "e-2", stream).await?;
     let third = site.endpoint("writers", "e-3", stream).await?;
     Ok((client, [first, second, third]))
--- a/tests/suite/relay/site.rs
+++ b/tests/suite/relay/site.rs
@@ -4,10 +4,11 @@
 
 use anyhow::Context;
 use nutmeggrade_fakes::site::{
-    Behaviour, Door, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store,
+    Behaviour, Door, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, request,
 };
 use nutmeggrade_relay::{Instance, LogBuffer, Settings};
 
+use super::PROMPT;
 use crate::support::until;
 
 /// The platform, its endpoints and one instance.
@@ -57,6 +58,19 @@
     }
 }
 
+/// Asks an instance for a generation and waits until the engine runs it.
+pub async fn generation(
+    client: SocketAddr,
+    route: &str,
+    id: &str,
+    engine: &Endpoint,
+) -> anyhow::Result<RawClient> {
+    let mut client = RawClient::connect(client).await?;
+    client.send(&request(route, id, "key-1", PROMPT)).await?;
+    until("the generation runs", async || Ok(engine.runs(id) == 1)).await?;
+    Ok(client)
+}
+
 /// Starts an instance that reads the store through a door.
 pub async fn instance(name: &str, door: &Door, seeds: &str) -> anyhow::Result<Instance> {
     let settings = settings(name, door, seeds, "127.0.0.1:0")?;
