Account for each call to the store by kind and reason

Change: all calls go through one reader, which counts them (store_call_reasons_total) and logs event=store_call.

--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -41,6 +41,8 @@
     pub peers: IntGauge,
     /// Calls to the platform's store by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// Calls to the platform's store by kind and reason.
+    pub store_call_reasons: IntCounterVec,
     /// Bytes of messages between instances by kind and direction.
     pub peer_bytes: IntCounterVec,
     /// Bytes of the store's answers by kind.
@@ -83,6 +85,11 @@
             )?,
             store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
             store_calls: counters("store_calls_total", "calls to the store", &["kind", "end"])?,
+            store_call_reasons: counters(
+                "store_call_reasons_total",
+                "calls to the store by reason",
+                &["kind", "reason"],
+            )?,
             dropped_lines: gauge("log_lines_dropped", "log lines dropped")?,
             broken: add(
                 &registry,
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -6,7 +6,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::{Snapshot, Watched};
+use nutmeggrade_wire::store::Watched;
 use rand::RngExt;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -16,6 +16,7 @@
 use crate::tables::lock;
 use crate::watch::apply;
 use crate::watch::doubt::Doubt;
+use crate::watch::store_reader::{CallReason, StoreReader};
 
 /// How long the store holds a watch back. A connection that has gone silent is noticed only when
 /// its answer is overdue; peers' heartbeats tell earlier if there was news.
@@ -134,25 +135,27 @@
     }
 
     async fn list(&self) -> Result<(), PlatformError> {
-        let (store, track) = (&self.node.store, self.node.follow.track(self.kind));
+        let (store, track) = (StoreReader::new(&self.node), self.node.follow.track(self.kind));
         // All instances of a fleet may start together: three hundred before three thousand endpoints ask
         // for 18,300 pages, three seconds' worth of all that the store may be asked. Pages that may lag are
         // not held against that. Later listings come after the history is gone, when no watch goes on
         // from an older page.
         let is_first = !track.is_known();
-        let mut snapshot = store.list(self.kind, is_first).await?;
-        self.count_bytes(&snapshot);
+        let reason = if is_first { CallReason::First } else { CallReason::Relist };
+        let mut snapshot = store.list(self.kind, is_first, reason).await?;
         let mut rest = None;
         if snapshot.revision < snapshot.newest {
-            match store.watch(self.kind, snapshot.revision, Duration::ZERO).await? {
+            let since = snapshot.revision;
+            match store.watch(self.kind, since, Duration::ZERO, CallReason::Rest).await? {
                 Watched::Changes(changes) => rest = Some(changes),
-                Watched::HistoryGone => snapshot = store.list(self.kind, false).await?,
+                Watched::HistoryGone => {
+                    snapshot = store.list(self.kind, false, CallReason::Relist).await?;
+                }
             }
         }
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
         let mut read = snapshot.revision;
         if let Some(rest) = &rest {
-            self.count_bytes(rest);
             apply::rest(&self.node, self.kind, rest, self.is_after_outage());
             read = rest.revision;
         }
@@ -173,11 +176,13 @@
         // A peer has read further, so the watch is late or silent: ask for what there is.
         let watched = match held {
             Some(watched) => watched,
-            None => self.node.store.watch(self.kind, since, Duration::ZERO).await?,
+            None => {
+                let store = StoreReader::new(&self.node);
+                store.watch(self.kind, since, Duration::ZERO, CallReason::Behind).await?
+            }
         };
         match watched {
             Watched::Changes(snapshot) => {
-                self.count_bytes(&snapshot);
                 let is_news = !snapshot.objects.is_empty();
                 apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, if is_news { snapshot.revision } else { 0 });
@@ -196,7 +201,8 @@
     /// Watches from `since`, and raises doubts about the store if its answer is overdue.
     async fn watch_held(&self, since: u64) -> Result<Watched, PlatformError> {
         let held = self.held();
-        let answer = self.node.store.watch(self.kind, since, held);
+        let store = StoreReader::new(&self.node);
+        let answer = store.watch(self.kind, since, held, self.watch_reason());
         tokio::pin!(answer);
         if held.is_zero() {
             return answer.await;
@@ -209,6 +215,15 @@
         answer.await
     }
 
+    fn watch_reason(&self) -> CallReason {
+        let track = self.node.follow.track(self.kind);
+        match (track.is_away(), track.is_behind()) {
+            (true, _) => CallReason::Retry,
+            (false, true) => CallReason::Behind,
+            (false, false) => CallReason::Watch,
+        }
+    }
+
     /// Waits until further changes have gathered: endpoints that join or leave together change their
     /// entries one after another, and each answer is paid for.
     async fn gather(&self) {
@@ -292,11 +307,6 @@
         sleep(spread).await;
     }
 
-    fn count_bytes(&self, snapshot: &Snapshot) {
-        let counter = self.node.metrics.store_bytes.with_label_values(&[self.kind.name()]);
-        counter.inc_by(snapshot.bytes);
-    }
-
     fn count(&self, end: &str) {
         self.node.metrics.store_calls.with_label_values(&[self.kind.name(), end]).inc();
     }
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/watch/store_reader.rs
@@ -0,0 +1,106 @@
+//! Reads the platform's store and accounts for each call.
+
+use std::time::Duration;
+
+use nutmeggrade_platform::PlatformError;
+use nutmeggrade_wire::kinds::Kind;
+use nutmeggrade_wire::store::{Snapshot, Watched};
+
+use crate::node::Node;
+
+/// Why a call is made to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallReason {
+    /// Nothing was read yet.
+    First,
+    /// A first listing lagged; what changed since is fetched.
+    Rest,
+    /// The history since the last revision is gone.
+    Relist,
+    /// Waits for changes.
+    Watch,
+    /// A peer has read further.
+    Behind,
+    /// The store did not answer the last call.
+    Retry,
+}
+
+impl CallReason {
+    /// Returns the name used in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Rest => "rest",
+            Self::Relist => "relist",
+            Self::Watch => "watch",
+            Self::Behind => "behind",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// Reads the platform's store and accounts for each call.
+#[derive(Debug)]
+pub struct StoreReader<'a>(&'a Node);
+
+impl<'a> StoreReader<'a> {
+    /// Makes the reader of an instance.
+    pub const fn new(node: &'a Node) -> Self {
+        Self(node)
+    }
+
+    /// Lists all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store's client does.
+    pub async fn list(
+        &self,
+        kind: Kind,
+        may_lag: bool,
+        reason: CallReason,
+    ) -> Result<Snapshot, PlatformError> {
+        let result = self.0.store.list(kind, may_lag).await;
+        self.note(kind, reason, result.as_ref().ok());
+        result
+    }
+
+    /// Waits for changes of a kind since a revision, at most `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store's client does.
+    pub async fn watch(
+        &self,
+        kind: Kind,
+        since: u64,
+        wait: Duration,
+        reason: CallReason,
+    ) -> Result<Watched, PlatformError> {
+        let result = self.0.store.watch(kind, since, wait).await;
+        let changes = match &result {
+            Ok(Watched::Changes(snapshot)) => Some(snapshot),
+            _ => None,
+        };
+        self.note(kind, reason, changes);
+        result
+    }
+
+    fn note(&self, kind: Kind, reason: CallReason, read: Option<&Snapshot>) {
+        let (kind, reason) = (kind.name(), reason.name());
+        let metrics = &self.0.metrics;
+        metrics.store_call_reasons.with_label_values(&[kind, reason]).inc();
+        let Some(read) = read else {
+            tracing::info!(event = "store_call", kind, reason, read = "nothing");
+            return;
+        };
+        metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
+        tracing::info!(
+            event = "store_call",
+            kind,
+            reason,
+            objects = read.objects.len(),
+            revision = read.revision
+        );
+    }
+}
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -93,6 +93,26 @@
     });
 }
 
+// An operator asks what the calls to the store are for. Each is counted by kind and reason.
+#[test]
+fn store_calls_are_counted_by_reason() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let instance = instance("i-1", &store.door().await?, "").await?;
+        let metrics = instance.addresses().metrics;
+        let calls = async |kind: &str, reason: &str| {
+            let labels = format!("kind=\"{kind}\",reason=\"{reason}\"");
+            metric(metrics, &format!("store_call_reasons_total{{{labels}}}")).await
+        };
+        for kind in ["config", "endpoints", "evacuations"] {
+            until("first listing", async || Ok(calls(kind, "first").await? == 1)).await?;
+        }
+        store.put("config", "main", RoutingPlan { version: 2, ..Default::default() }.content());
+        until("a watch", async || Ok(calls("config", "watch").await? > 0)).await
+    });
+}
+
 // A connection to the store goes silent without an end. The peer's heartbeats tell that there was
 // news, so the instance asks again instead of waiting.
 #[test]
