Ask peers for a change that they have read, and the store only if none hands it on

Ruled out: handing configurations on in datagrams, as they may hold a megabyte.

Change: an instance that does not read for all asks a neighbour that has read the change; while no neighbour has, the first instance of the failure domain asks one far away and tells its neighbours at once; after 0.3 s anybody asks far away, after 0.6 s the store. Peers answer for one kind of object in place of all three.

--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::{directory, names};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -112,8 +113,12 @@
     respond(StatusCode::OK, directory::write(&addresses, keep))
 }
 
-fn knowledge(node: &Node, _: &str) -> Response {
-    match serde_json::to_vec(&known(node)) {
+fn knowledge(node: &Node, query: &str) -> Response {
+    let name = query.strip_prefix("kind=").unwrap_or_default();
+    let Some(kind) = Kind::ALL.into_iter().find(|kind| kind.name() == name) else {
+        return respond(StatusCode::NOT_FOUND, Vec::new());
+    };
+    match serde_json::to_vec(&known(node, kind)) {
         Ok(body) => respond(StatusCode::OK, body),
         Err(error) => {
             tracing::error!(event = "knowledge_unsendable", %error);
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -24,49 +24,76 @@
 /// Largest answer that is read: a configuration of a megabyte and some thousand endpoints.
 const MAX_ANSWER: usize = 4 << 20;
 
-/// What an instance has read of the platform's store.
+/// All objects of one kind, as an instance has read them.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Known {
-    /// The revisions of the last news.
-    pub revisions: Revisions,
+pub enum Known {
     /// The routing configuration as the platform wrote it; empty if none came.
-    pub config: String,
+    Config(String),
     /// The endpoints.
-    pub endpoints: Vec<EndpointInfo>,
+    Endpoints(Vec<EndpointInfo>),
     /// Failure domains that are out.
-    pub out: BTreeSet<DomainId>,
+    Out(BTreeSet<DomainId>),
 }
 
-/// Asks a peer that has read further, if there is one.
+/// What an instance has read of one kind of object.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KnownAt {
+    /// The revision of the last news.
+    pub revision: u64,
+    /// The objects.
+    pub known: Known,
+}
+
+/// Which peers may be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the same failure domain, and others if nobody there is to ask them first.
+    Near,
+    /// All.
+    Everywhere,
+}
+
+/// Asks a peer that has read further, if there is one; says whether this instance has caught up.
 ///
 /// The store may turn away some instances and serve the others. Those would go on with routes, keys
 /// and endpoints that are gone, and one would notice requests that are refused or run by the
 /// instances that are turned away only.
-pub async fn catch_up(node: &Node) {
-    let Some(peer) = ahead(node) else { return };
-    match ask(peer).await.and_then(|known| apply_known(node, &known)) {
-        Ok(()) => tracing::info!(event = "caught_up", peer = %peer),
-        Err(error) => {
-            tracing::warn!(event = "catch_up_failed", peer = %peer, error = format!("{error:#}"));
-        }
+pub async fn catch_up(node: &Node, kind: Kind, reach: Reach) -> bool {
+    let Some((peer, is_near)) = source(node, kind, reach) else { return false };
+    let read = ask(peer, kind).await.and_then(|known| apply_known(node, kind, &known));
+    if let Err(error) = read {
+        tracing::warn!(event = "catch_up_failed", kind = kind.name(), %peer,
+            error = format!("{error:#}"));
+        return false;
     }
+    tracing::info!(event = "caught_up", kind = kind.name(), %peer);
+    if !is_near {
+        node.announce.notify_one();
+    }
+    !node.follow.track(kind).is_behind()
+}
+
+/// Returns a live peer that has read a kind further, and whether it is in the same failure domain.
+fn source(node: &Node, kind: Kind, reach: Reach) -> Option<(SocketAddr, bool)> {
+    let read = node.follow.track(kind).read();
+    let is_ahead = |revisions: &Revisions| revision(revisions, kind) > read;
+    let lot = usize::from(rand::random::<u16>());
+    let (now, fleet) = (node.now(), &lock(&node.tables).fleet);
+    fleet.source(is_ahead, reach == Reach::Everywhere, lot, now)
 }
 
-/// Returns a live peer that has read any kind of object further.
-fn ahead(node: &Node) -> Option<SocketAddr> {
-    let now = node.now();
-    let read = |kind| node.follow.track(kind).read();
-    let tables = lock(&node.tables);
-    let fleet = &tables.fleet;
-    let config = fleet.ahead(|r| r.config, read(Kind::Config), now);
-    let endpoints = fleet.ahead(|r| r.endpoints, read(Kind::Endpoints), now);
-    let out = fleet.ahead(|r| r.out, read(Kind::Evacuations), now);
-    config.or(endpoints).or(out).map(|(peer, _)| peer)
+const fn revision(revisions: &Revisions, kind: Kind) -> u64 {
+    match kind {
+        Kind::Config => revisions.config,
+        Kind::Endpoints => revisions.endpoints,
+        Kind::Evacuations => revisions.out,
+    }
 }
 
-async fn ask(peer: SocketAddr) -> anyhow::Result<Known> {
+async fn ask(peer: SocketAddr, kind: Kind) -> anyhow::Result<KnownAt> {
     let bounds = Bounds { connect: PATIENCE, patience: PATIENCE, answer: MAX_ANSWER };
-    let (status, body) = short_call(peer, Method::GET, KNOWN_PATH, Vec::new(), bounds).await?;
+    let path = format!("{KNOWN_PATH}?kind={}", kind.name());
+    let (status, body) = short_call(peer, Method::GET, &path, Vec::new(), bounds).await?;
     anyhow::ensure!(status == StatusCode::OK, "{status}");
     serde_json::from_slice(&body).context("decode what a peer knows")
 }
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -62,6 +62,8 @@
     pub incarnation: u64,
     /// Wakes whoever tells the peers what is placed.
     pub placed: Notify,
+    /// Sends a heartbeat at once, because this instance has read what its neighbours wait for.
+    pub announce: Notify,
     /// Whoever needs no key shares one place among the workspaces.
     pub anybody: WorkspaceId,
     settings: RwLock<Arc<Settings>>,
@@ -96,6 +98,7 @@
             seat: seat.clone(),
             incarnation,
             placed: Notify::new(),
+            announce: Notify::new(),
             anybody: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
             map: RwLock::default(),
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -60,10 +60,26 @@
         loop {
             self.send_one(node).await;
             let wait = PERIOD.mul_f64(rand::rng().random_range(0.85..1.15));
-            sleep(wait).await;
+            tokio::select! {
+                () = sleep(wait) => {}
+                () = node.announce.notified() => self.announce(node).await,
+            }
         }
     }
 
+    /// Tells all neighbours at once what this instance has read, so that they ask it.
+    async fn announce(&self, node: &Arc<Node>) {
+        let neighbours = {
+            let fleet = &lock(&node.tables).fleet;
+            // The next heartbeat of whoever reads for all goes to everybody anyway.
+            if fleet.is_config_reader(node.now()) {
+                return;
+            }
+            fleet.neighbours()
+        };
+        self.send_to(node, &FleetMessage::Beacon(self.beacon(node)), &neighbours).await;
+    }
+
     /// Sends one heartbeat.
     pub async fn send_one(&self, node: &Arc<Node>) {
         let message = FleetMessage::Beacon(self.beacon(node));
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -1,7 +1,5 @@
 //! Takes over what was read.
 
-use std::collections::BTreeSet;
-
 use anyhow::Context;
 use bytes::Bytes;
 use nutmeggrade_core::peer::{EndpointNews, FleetNews};
@@ -13,7 +11,7 @@
 use nutmeggrade_wire::{config, endpoint};
 use serde_json::Value;
 
-use crate::fleet_sync::Known;
+use crate::fleet_sync::{Known, KnownAt};
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -74,23 +72,23 @@
 }
 
 /// Takes over what a peer has read further; says whether it could be read.
-pub fn apply_known(node: &Node, known: &Known) -> anyhow::Result<()> {
-    let follow = &node.follow;
-    if known.revisions.config > follow.track(Kind::Config).read() && !known.config.is_empty() {
-        let raw = Bytes::from(known.config.clone().into_bytes());
-        let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
-        node.set_map(config::read(&value)?, raw);
-        follow.track(Kind::Config).note(known.revisions.config, known.revisions.config);
-    }
-    if known.revisions.endpoints > follow.track(Kind::Endpoints).read() {
-        let all = &known.endpoints;
-        node.change_registry(|registry, now| registry.replace(all, true, now));
-        follow.track(Kind::Endpoints).note(known.revisions.endpoints, known.revisions.endpoints);
+pub fn apply_known(node: &Node, kind: Kind, known: &KnownAt) -> anyhow::Result<()> {
+    let track = node.follow.track(kind);
+    if known.revision <= track.read() {
+        return Ok(());
     }
-    if known.revisions.out > follow.track(Kind::Evacuations).read() {
-        node.set_out(&known.out);
-        follow.track(Kind::Evacuations).note(known.revisions.out, known.revisions.out);
+    match &known.known {
+        Known::Config(config) => {
+            let raw = Bytes::from(config.clone().into_bytes());
+            let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
+            node.set_map(config::read(&value)?, raw);
+        }
+        Known::Endpoints(all) => {
+            node.change_registry(|registry, now| registry.replace(all, true, now));
+        }
+        Known::Out(out) => node.set_out(out),
     }
+    track.note(known.revision, known.revision);
     Ok(())
 }
 
@@ -160,14 +158,17 @@
     }
 }
 
-/// Returns what a peer may want to know.
-pub fn known(node: &Node) -> Known {
-    let tables = lock(&node.tables);
-    let out: BTreeSet<DomainId> = tables.registry.out().clone();
-    Known {
-        revisions: node.revisions(),
-        config: String::from_utf8_lossy(&node.raw_map()).into_owned(),
-        endpoints: tables.registry.all().map(|e| e.info.clone()).collect(),
-        out,
-    }
+/// Returns what a peer may want to know of a kind.
+pub fn known(node: &Node, kind: Kind) -> KnownAt {
+    // Read before the objects, which may already be newer than it says but never older.
+    let revision = node.follow.track(kind).news();
+    let known = match kind {
+        Kind::Config => Known::Config(String::from_utf8_lossy(&node.raw_map()).into_owned()),
+        Kind::Endpoints => {
+            let tables = lock(&node.tables);
+            Known::Endpoints(tables.registry.all().map(|e| e.info.clone()).collect())
+        }
+        Kind::Evacuations => Known::Out(lock(&node.tables).registry.out().clone()),
+    };
+    KnownAt { revision, known }
 }
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -34,6 +34,11 @@
         self.read.load(Ordering::Relaxed)
     }
 
+    /// Returns the revision of the last answer that held news.
+    pub fn news(&self) -> u64 {
+        self.news.load(Ordering::Relaxed)
+    }
+
     /// Notes that a peer has read so far, and wakes the follower if that is further.
     pub fn hint(&self, theirs: u64) {
         self.hint.fetch_max(theirs, Ordering::Relaxed);
@@ -124,11 +129,10 @@
 
     /// Returns the revisions of the last news, for peers.
     pub fn news(&self) -> Revisions {
-        let news = |track: &Track| track.news.load(Ordering::Relaxed);
         Revisions {
-            config: news(&self.config),
-            endpoints: news(&self.endpoints),
-            out: news(&self.out),
+            config: self.config.news(),
+            endpoints: self.endpoints.news(),
+            out: self.out.news(),
         }
     }
 
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::fleet_sync;
+use crate::fleet_sync::{self, Reach};
 use crate::node::Node;
 use crate::tables::lock;
 use crate::watch::apply;
@@ -35,6 +35,12 @@
 /// milliseconds, and waiting for its answer as long as for that of a slow one would use up the notice
 /// of engines that leave meanwhile.
 const OVERDUE: Duration = Duration::from_millis(250);
+/// Time after which peers of other failure domains are asked by all.
+const FAR_AFTER: Duration = Duration::from_millis(300);
+/// Time after which the store is asked for what no peer has handed on.
+const PEERS_FIRST: Duration = Duration::from_millis(600);
+/// Time between two questions to peers.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
 /// Time in which changes of endpoints gather before the first reader asks for more. It is a small part
 /// of the two seconds for which an endpoint that leaves may still get work.
 const GATHER: Duration = Duration::from_millis(50);
@@ -82,10 +88,14 @@
                 self.settle().await;
             }
             // Whoever could not read the store asks it again, or would take it for away for ever.
-            let is_current = track.is_known() && !track.is_behind() && !track.is_away();
-            if is_current && self.is_told() {
-                self.wait_for_news().await;
-                continue;
+            if track.is_known() && !track.is_away() && self.is_told() {
+                if !track.is_behind() {
+                    self.wait_for_news().await;
+                    continue;
+                }
+                if self.catch_up().await {
+                    continue;
+                }
             }
             let result = if track.is_known() { self.watch().await } else { self.list().await };
             match result {
@@ -134,6 +144,26 @@
         }
     }
 
+    /// Asks peers for what they have read further; says whether this instance has caught up.
+    async fn catch_up(&self) -> bool {
+        let begun = self.node.now();
+        loop {
+            let waited = self.node.now().since(begun);
+            let reach = if waited < FAR_AFTER { Reach::Near } else { Reach::Everywhere };
+            if fleet_sync::catch_up(&self.node, self.kind, reach).await {
+                return true;
+            }
+            if waited > PEERS_FIRST {
+                return false;
+            }
+            let pause = ASK_AGAIN.mul_f64(rand::rng().random_range(0.5..1.5));
+            sleep(pause).await;
+            if !self.node.follow.track(self.kind).is_behind() {
+                return true;
+            }
+        }
+    }
+
     async fn list(&self) -> Result<(), PlatformError> {
         let (store, track) = (StoreReader::new(&self.node), self.node.follow.track(self.kind));
         // All instances of a fleet may start together: three hundred before three thousand endpoints ask
@@ -174,20 +204,21 @@
             () = track.overtaken() => None,
         };
         // A peer has read further, so the watch is late or silent: ask for what there is.
-        let watched = match held {
-            Some(watched) => watched,
-            None => {
-                let store = StoreReader::new(&self.node);
-                store.watch(self.kind, since, Duration::ZERO, CallReason::Behind).await?
-            }
+        let watched = if let Some(watched) = held {
+            watched
+        } else {
+            let store = StoreReader::new(&self.node);
+            store.watch(self.kind, since, Duration::ZERO, CallReason::Behind).await?
         };
         match watched {
             Watched::Changes(snapshot) => {
                 let is_news = !snapshot.objects.is_empty();
                 apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, if is_news { snapshot.revision } else { 0 });
-                if is_news && self.kind == Kind::Endpoints {
-                    self.gather().await;
+                match (is_news, self.kind) {
+                    (true, Kind::Endpoints) => self.gather().await,
+                    (true, Kind::Config | Kind::Evacuations) => self.node.announce.notify_one(),
+                    (false, _) => {}
                 }
                 Ok(())
             }
@@ -271,7 +302,7 @@
         if self.node.follow.track(self.kind).set_away(true) {
             tracing::warn!(event = "store_away", kind = self.kind.name(), error = %error);
         }
-        fleet_sync::catch_up(&self.node).await;
+        fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
         let longest = self.longest();
         let is_told_later = longest == LONGEST_OUTAGE;
         let most = FIRST_WAIT.saturating_mul(1 << self.failures.min(MOST_DOUBLED)).min(longest);
@@ -281,7 +312,7 @@
             () = sleep(wait) => {}
             () = self.until_back(), if is_told_later => {}
             () = self.node.follow.track(self.kind).nudge.notified() => {
-                fleet_sync::catch_up(&self.node).await;
+                fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
                 sleep(FIRST_WAIT).await;
             }
         }
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! The instances that serve routes, as this one hears them.
 
 mod reach;
+mod sources;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -318,19 +319,6 @@
         }
         others
     }
-
-    /// Returns a live peer that has read a newer revision, and where to ask it.
-    pub fn ahead(
-        &self,
-        revision: impl Fn(&Revisions) -> u64,
-        own: u64,
-        now: Moment,
-    ) -> Option<(SocketAddr, u64)> {
-        let live = self.peers.values().filter(|p| self.is_heard(p, now));
-        let newest = live.max_by_key(|p| revision(&p.revisions))?;
-        let theirs = revision(&newest.revisions);
-        (theirs > own).then_some((newest.seat.control, theirs))
-    }
 }
 
 /// Says whether a peer stays and the store answers it.
--- /dev/null
+++ b/crates/nutmeggrade-state/src/fleet_view/sources.rs
@@ -0,0 +1,49 @@
+//! Which peer an instance asks for what it has missed.
+
+use std::net::SocketAddr;
+
+use nutmeggrade_core::peer::Revisions;
+use nutmeggrade_core::prelude::*;
+
+use super::{FleetView, Peer};
+
+impl FleetView {
+    /// Chooses a live peer that `is_ahead`, and says whether it is in the same failure domain.
+    ///
+    /// Answers all instances of a large fleet that hear of the same change in the same moment. Neighbours
+    /// are asked first, and while none of them has it, only the first instance of a failure domain asks
+    /// another one: a change then crosses the lines between failure domains once for each. `asks_far`
+    /// lifts that for whoever has waited. `lot` is drawn, and spreads the calls over those that have it.
+    pub fn source(
+        &self,
+        is_ahead: impl Fn(&Revisions) -> bool,
+        asks_far: bool,
+        lot: usize,
+        now: Moment,
+    ) -> Option<(SocketAddr, bool)> {
+        let is_source = |p: &&Peer| self.is_heard(p, now) && !p.leaving && is_ahead(&p.revisions);
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            self.peers.values().filter(is_source).partition(|p| p.seat.domain == self.seat.domain);
+        let is_near = !near.is_empty();
+        if !is_near && !asks_far && !self.is_first_near(now) {
+            return None;
+        }
+        let all = if is_near { near } else { far };
+        let peer = all.get(lot.checked_rem(all.len())?)?;
+        Some((peer.seat.control, is_near))
+    }
+
+    /// Lists where heartbeats of the instances of the same failure domain go.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        self.near.iter().copied().collect()
+    }
+
+    /// Says whether this instance is the first of its failure domain in the order in which instances
+    /// read for all.
+    fn is_first_near(&self, now: Moment) -> bool {
+        let own = (self.turn_key, &self.own);
+        let is_near = |p: &Peer| p.seat.domain == self.seat.domain && !p.leaving;
+        let live = self.peers.iter().filter(|(_, p)| is_near(p) && self.is_heard(p, now));
+        live.map(|(name, p)| (p.turn_key, name)).all(|other| other > own)
+    }
+}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -9,3 +9,4 @@
 mod large_fleet;
 mod membership;
 mod registry;
+mod sources;
