Read the endpoints by two instances and the configuration by three

Ruled out: a single reader. Its death would be noticed after 0.8 s, most of an engine's notice.

Change: two read the endpoints, three the configuration; only the first asks again at once, the others gather changes for 0.4 s and have watches held back longest. The six that come first in turn are still heard by everybody, so that a reader's silence is noticed as soon as before.

--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -71,8 +71,8 @@
     async fn announce(&self, node: &Arc<Node>) {
         let neighbours = {
             let fleet = &lock(&node.tables).fleet;
-            // The next heartbeat of whoever reads for all goes to everybody anyway.
-            if fleet.is_config_reader(node.now()) {
+            // The next heartbeat of such an instance goes to everybody anyway.
+            if fleet.stands_by(node.now()) {
                 return;
             }
             fleet.neighbours()
@@ -83,10 +83,10 @@
     /// Sends one heartbeat.
     pub async fn send_one(&self, node: &Arc<Node>) {
         let message = FleetMessage::Beacon(self.beacon(node));
-        let is_reader = lock(&node.tables).fleet.is_config_reader(node.now());
+        let stands_by = lock(&node.tables).fleet.stands_by(node.now());
         // Whoever reads the store for all has to be heard by all, and its silence noticed soon: those
         // who don't hear it take its place.
-        if is_reader {
+        if stands_by {
             self.send_to_all(node, message).await;
         } else {
             let targets = lock(&node.tables).fleet.targets();
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -25,8 +25,8 @@
 /// that leave are asked themselves, and their notice of two seconds has to be enough to find out that
 /// it is away, to ask them and to copy what runs there.
 const HELD_FIRST: Duration = Duration::from_secs(1);
-/// The same for those that follow the configuration beside the three that follow the endpoints too. They
-/// are there for news that those miss, and each time that a watch is held back in vain is paid for.
+/// The same for the configuration and the failure domains that are out at the other readers. They are there
+/// for news that the first one misses, and each time that a watch is held back in vain is paid for.
 const HELD_LONG: Duration = Duration::from_secs(29);
 /// Time that the news of a peer get to come before the store is asked. They are sent together with
 /// the heartbeat that tells of them.
@@ -215,10 +215,11 @@
                 let is_news = !snapshot.objects.is_empty();
                 apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
                 track.note(snapshot.revision, if is_news { snapshot.revision } else { 0 });
-                match (is_news, self.kind) {
-                    (true, Kind::Endpoints) => self.gather().await,
-                    (true, Kind::Config | Kind::Evacuations) => self.node.announce.notify_one(),
-                    (false, _) => {}
+                if is_news && self.kind != Kind::Endpoints {
+                    self.node.announce.notify_one();
+                }
+                if is_news {
+                    self.gather().await;
                 }
                 Ok(())
             }
@@ -256,26 +257,26 @@
     }
 
     /// Waits until further changes have gathered: endpoints that join or leave together change their
-    /// entries one after another, and each answer is paid for.
+    /// entries one after another, configurations come in quick succession, and each answer is paid for.
     async fn gather(&self) {
         let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
-        sleep(if is_first { GATHER } else { GATHER_LONG }).await;
+        match (is_first, self.kind) {
+            (true, Kind::Endpoints) => sleep(GATHER).await,
+            (true, _) => {}
+            (false, _) => sleep(GATHER_LONG).await,
+        }
     }
 
     /// Returns how long the store may hold a watch back.
     fn held(&self) -> Duration {
         let track = self.node.follow.track(self.kind);
-        let (is_reader, is_first) = {
-            let now = self.node.now();
-            let fleet = &lock(&self.node.tables).fleet;
-            (fleet.is_reader(now), fleet.is_first_reader(now))
-        };
+        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
         // After an outage the first answer is wanted at once: it says that the store is back.
-        match (track.is_behind() || track.is_away(), is_reader) {
-            (true, _) => Duration::ZERO,
-            (false, true) if is_first && self.kind == Kind::Endpoints => HELD_FIRST,
-            (false, true) => HELD,
-            (false, false) => HELD_LONG,
+        match (is_first, self.kind) {
+            _ if track.is_behind() || track.is_away() => Duration::ZERO,
+            (true, Kind::Endpoints) => HELD_FIRST,
+            (true, _) | (false, Kind::Endpoints) => HELD,
+            (false, _) => HELD_LONG,
         }
     }
 
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -17,13 +17,13 @@
 /// Time between two heartbeats of an instance. What peers have placed is told at once, so that this
 /// only bounds how soon silence is noticed.
 pub const PERIOD: Duration = Duration::from_millis(250);
-/// Instances that follow the endpoints in the store for all; two may be killed or cut off together
-/// without a gap.
-const READERS: usize = 3;
-/// Instances that follow the configuration and the failure domains that are out. They change seldom,
-/// so that more can be afforded; an instance that is turned away by the store notices late, and with six
-/// it is unlikely that all are while others are served.
-const CONFIG_READERS: usize = 6;
+/// Instances that follow the endpoints in the store for all; one may be killed or cut off without a gap.
+const READERS: usize = 2;
+/// Instances that follow the configuration and the failure domains that are out. They change seldom, so
+/// that one more can be afforded for the case that the store turns some away.
+const CONFIG_READERS: usize = 3;
+/// Instances whose heartbeats go to everybody: those that read for all and the next ones in turn.
+const STANDBY: usize = 6;
 /// Silence after which an instance that followed the endpoints for others is taken for gone: three
 /// of its heartbeats. Whoever takes over still has most of the time in which a leaving endpoint may
 /// get its last request.
@@ -220,6 +220,12 @@
         self.before(now, can_read) < CONFIG_READERS
     }
 
+    /// Says whether this instance reads for all or is among the next to do so. Its silence has to be noticed
+    /// by everybody soon.
+    pub fn stands_by(&self, now: Moment) -> bool {
+        self.before(now, can_read) < STANDBY
+    }
+
     /// Says whether a peer that was heard lately can read the store.
     pub fn is_read(&self, now: Moment) -> bool {
         self.just_heard(now).any(|(_, p)| can_read(p))
