Ask the store for one kind of object while it is away

Change: followers of the configuration and of the domains that are out wait until the store answers for endpoints, and take what peers have read meanwhile. relay::fleet::store_that_is_away_is_asked_for_one_kind failed before.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -317,6 +317,24 @@
                 sleep(FIRST_WAIT).await;
             }
         }
+        self.wait_for_endpoints().await;
+    }
+
+    /// Waits for as long as the store does not answer for endpoints: one question says as much as three
+    /// whether it is away.
+    async fn wait_for_endpoints(&self) {
+        if self.kind == Kind::Endpoints {
+            return;
+        }
+        let follow = &self.node.follow;
+        while follow.track(Kind::Endpoints).is_away() {
+            tokio::select! {
+                () = sleep(TURN) => {}
+                () = follow.track(self.kind).nudge.notified() => {
+                    fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
+                }
+            }
+        }
     }
 
     /// Returns the longest wait until the next call while the store can't be read.
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -113,6 +113,30 @@
     });
 }
 
+// The store is away for a while. Each call counts against what all instances may call, and one kind of object
+// says as much as three whether it is back.
+#[test]
+fn store_that_is_away_is_asked_for_one_kind() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let door = store.door().await?;
+        let instance = instance("i-1", &door, "").await?;
+        let metrics = instance.addresses().metrics;
+        until("ready", async || Ok(metric(metrics, "config_version").await? > 0)).await?;
+        door.set(Fault::Refuse);
+        let failed = async |kind: &str| {
+            metric(metrics, &format!("store_calls_total{{end=\"failed\",kind=\"{kind}\"}}")).await
+        };
+        until("asked often", async || Ok(failed("endpoints").await? >= 10)).await?;
+        assert!(failed("config").await? + failed("evacuations").await? <= 5);
+        let newest = RoutingPlan { version: 4, ..RoutingPlan::default() };
+        store.put("config", "main", newest.content());
+        door.set(Fault::None);
+        until("read again", async || Ok(metric(metrics, "config_version").await? == 4)).await
+    });
+}
+
 // A connection to the store goes silent without an end. The peer's heartbeats tell that there was
 // news, so the instance asks again instead of waiting.
 #[test]
