Bound the datagrams that a forwarder sends a second in place of a fixed delay

Change: a forwarder sends at once and pauses one millisecond for each datagram that it sent: 3 ms in a failure domain of four, 20 ms in one of sixty.

--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -29,9 +29,10 @@
 /// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
 /// each other.
 const GATHER: Duration = Duration::from_millis(15);
-/// Time in which changes from other instances gather before they are forwarded together. In a large fleet
-/// most of what an instance does with its processor is to take and send datagrams.
-const FORWARD_AFTER: Duration = Duration::from_millis(40);
+/// Pause for each datagram in which this instance forwards what others have placed; changes that come
+/// meanwhile are forwarded together. It bounds the datagrams a second, on which an instance of a large
+/// fleet would spend most of its processor time.
+const FORWARD_PAUSE: Duration = Duration::from_millis(1);
 /// Largest datagram that is read; heartbeats stay far below.
 const MAX_DATAGRAM: usize = 8 << 10;
 /// Key of the checksum. The platform gives instances no secret, so it guards against damage and
@@ -135,12 +136,14 @@
     pub async fn forward_placed(&self, node: &Arc<Node>) {
         loop {
             self.forwards.notified().await;
-            sleep(FORWARD_AFTER).await;
             let messages = lock(&self.queue).take();
+            let mut sent = 0;
             for (share, placed) in messages {
                 let neighbours = lock(&node.tables).fleet.part_of_neighbours(share);
                 self.send_to(node, &FleetMessage::Placed(placed), &neighbours).await;
+                sent += u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
             }
+            sleep(FORWARD_PAUSE.saturating_mul(sent)).await;
         }
     }
 
