Let instances take over reading one after another while the store answers nobody

Change: the six that stand by ask at once, the others half a second after each other, for the case that the store answers only some. state::large_fleet::outage_is_found_out_by_few replays it with 300 instances.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -68,7 +68,13 @@
 
 /// Starts to follow every kind of object.
 pub fn start(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
-    let follower = |kind| Follower { node: Arc::clone(node), kind, failures: 0, back: None };
+    let follower = |kind| Follower {
+        node: Arc::clone(node),
+        kind,
+        failures: 0,
+        back: None,
+        reader_since: None,
+    };
     Kind::ALL.into_iter().map(|kind| tokio::spawn(follower(kind).run())).collect()
 }
 
@@ -78,12 +84,15 @@
     kind: Kind,
     failures: u32,
     back: Option<Moment>,
+    /// Since when it is this instance's turn to read for all.
+    reader_since: Option<Moment>,
 }
 
 impl Follower {
     async fn run(mut self) {
         loop {
-            let track = self.node.follow.track(self.kind);
+            let node = Arc::clone(&self.node);
+            let track = node.follow.track(self.kind);
             if track.is_known() {
                 self.settle().await;
             }
@@ -106,8 +115,14 @@
     }
 
     /// Says whether others read this kind of object for this instance.
-    fn is_told(&self) -> bool {
-        !self.is_reader(self.node.now())
+    fn is_told(&mut self) -> bool {
+        let now = self.node.now();
+        if !self.is_reader(now) {
+            self.reader_since = None;
+            return true;
+        }
+        let since = *self.reader_since.get_or_insert(now);
+        now.since(since) < lock(&self.node.tables).fleet.takeover_wait(now)
     }
 
     /// Says whether this instance reads this kind of object for all. Where the news of a few readers
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -24,6 +24,8 @@
 const CONFIG_READERS: usize = 3;
 /// Instances whose heartbeats go to everybody: those that read for all and the next ones in turn.
 const STANDBY: usize = 6;
+/// Time between two instances that read in place of others whom the store does not answer.
+const TAKEOVER_STEP: Duration = Duration::from_millis(500);
 /// Silence after which an instance that followed the endpoints for others is taken for gone: three
 /// of its heartbeats. Whoever takes over still has most of the time in which a leaving endpoint may
 /// get its last request.
@@ -226,6 +228,18 @@
         self.before(now, can_read) < STANDBY
     }
 
+    /// Returns how long this instance waits before it reads for all in place of others whom the store does
+    /// not answer.
+    ///
+    /// Answers an outage of the store. Each instance that finds it away is passed over, and without a wait
+    /// the whole fleet would ask in turn within seconds. Those that stand by ask at once, the others one
+    /// after another, for the case that the store answers only some.
+    pub fn takeover_wait(&self, now: Moment) -> Duration {
+        let rank = self.before(now, |p| !p.leaving);
+        let behind = (rank + 1).saturating_sub(STANDBY);
+        TAKEOVER_STEP.saturating_mul(u32::try_from(behind).unwrap_or(u32::MAX))
+    }
+
     /// Says whether a peer that was heard lately can read the store.
     pub fn is_read(&self, now: Moment) -> bool {
         self.just_heard(now).any(|(_, p)| can_read(p))
--- a/tests/suite/state/large_fleet.rs
+++ b/tests/suite/state/large_fleet.rs
@@ -123,6 +123,23 @@
     assert!(forwarders.len() <= usize::from(DOMAINS) * 5, "{}", forwarders.len());
 }
 
+// The store answers nobody. Whoever finds that out is passed over, and the next one asks: all three hundred would
+// within seconds, each several times.
+#[test]
+fn outage_is_found_out_by_few() {
+    let asks_within = |own: u16, wait: Duration| {
+        let mut view = FleetView::new(&name(own), &seat(own), &[]);
+        for other in (0..ALL).filter(|other| *other != own) {
+            view.hear(&FleetBeacon { reads: false, ..beacon(other, 10) }, NOW);
+        }
+        view.is_reader(NOW) && view.takeover_wait(NOW) <= wait
+    };
+    let count = |ms| (0..ALL).filter(|n| asks_within(*n, Duration::from_millis(ms))).count();
+    assert_eq!(count(0), 6);
+    assert!(count(4_000) <= 20, "{}", count(4_000));
+    assert_eq!(count(600_000), usize::from(ALL));
+}
+
 // An instance dies. Clients of its failure domain hear of it for no longer than in a small fleet, though
 // each instance hears each of its seventy-four neighbours only now and then.
 #[test]
