Tell copies at once, and neighbours directly

Cause: instances take turns at copying generations from an engine that leaves by what they hear of each other within 8 ms.

Change: a change with a copy in it is a message of its own, forwarded at once, and overtakes what waits. policy::load_book::copies_are_urgent_and_other_changes_are_not and state::forward_queue::urgent_change_is_not_undone replay it. Senders tell up to 96 neighbours themselves, as most work is placed in the own failure domain. News of endpoints fit into a datagram up to 32 changes in place of 16: sixteen engines of a hundred leave together.

--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -60,8 +60,11 @@
     Beacon(FleetBeacon),
     /// Changes of endpoints.
     News(FleetNews),
-    /// What instances have just placed.
+    /// What instances have just placed. It is forwarded together with what others have.
     Placed(Vec<FleetPlaced>),
+    /// The same where the sender begins or ends to copy a generation. It is forwarded at once, as instances
+    /// take turns by it.
+    Moving(FleetPlaced),
     /// An endpoint died under a request of the sender.
     Crashed(Crashed),
     /// Endpoints that told the sender themselves that they leave.
@@ -90,6 +93,7 @@
             Self::Beacon(_) => "beacon",
             Self::News(_) => "news",
             Self::Placed(_) => "placed",
+            Self::Moving(_) => "moving",
             Self::Crashed(_) => "crashed",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -11,7 +11,7 @@
 pub use candidate::Candidate;
 pub use dispatcher::{Dispatcher, Offer};
 pub use health::Health;
-pub use load_book::LoadBook;
+pub use load_book::{Changes, LoadBook};
 pub use need::Need;
 pub use nutmeggrade_core::routing::Placed;
 pub use room::{fits, score};
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -26,6 +26,16 @@
     peer_sum: BTreeMap<EndpointId, Placed>,
     health: BTreeMap<EndpointId, Health>,
     changed: BTreeSet<EndpointId>,
+    is_urgent: bool,
+}
+
+/// What an instance has at the endpoints where that has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// All that it has at each of them.
+    pub placed: BTreeMap<EndpointId, Placed>,
+    /// Whether a copy of a generation began or ended, by which instances take turns.
+    pub is_urgent: bool,
 }
 
 impl LoadBook {
@@ -60,6 +70,7 @@
         let new = Placed { moving: tokens, ..Placed::default() };
         own.placed -= old;
         own.placed += new;
+        self.is_urgent = true;
         self.changed.insert(own.endpoint.clone());
         if let Some(sum) = self.own_sum.get_mut(&own.endpoint) {
             *sum -= old;
@@ -120,13 +131,14 @@
     }
 
     /// Returns what this instance has at the endpoints where that has changed since the last call.
-    pub fn take_changes(&mut self) -> BTreeMap<EndpointId, Placed> {
+    pub fn take_changes(&mut self) -> Changes {
         let changed = std::mem::take(&mut self.changed);
         let now = |id: EndpointId| {
             let placed = self.own_sum.get(&id).copied().unwrap_or_default();
             (id, placed)
         };
-        changed.into_iter().map(now).collect()
+        let placed = changed.into_iter().map(now).collect();
+        Changes { placed, is_urgent: std::mem::take(&mut self.is_urgent) }
     }
 
     /// Forgets peers that are gone.
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -11,8 +11,8 @@
 use super::Node;
 use crate::tables::lock;
 
-/// Changes that fit into one datagram of some kilobytes.
-const MOST_CHANGES: usize = 16;
+/// Changes that fit into one datagram of some kilobytes, at two hundred bytes each.
+const MOST_CHANGES: usize = 32;
 /// Names of endpoints that fit into one datagram. A listing after the store lost its history may find
 /// some hundreds gone; in one datagram their names are larger than what is read.
 const MOST_NAMES: usize = 128;
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -3,6 +3,8 @@
 //! Single datagrams: a lost one is made good by the next, nothing waits for a slow peer, and there
 //! is no connection that can go silent.
 
+mod inbox;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,20 +12,19 @@
 
 use anyhow::Context;
 use nutmeggrade_core::peer::{
-    FleetBeacon, FleetMessage, FleetNews, FleetPlaced, Introduction, open, seal,
+    FleetBeacon, FleetMessage, FleetPlaced, Introduction, Share, open, seal,
 };
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::{Audience, Forwarders, PERIOD};
 use nutmeggrade_state::forward_queue::ForwardQueue;
-use nutmeggrade_wire::kinds::Kind;
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use self::inbox::{count_in, take_message};
 use crate::node::{Node, Phase};
 use crate::tables::lock;
-use crate::watch::endpoint_changes;
 
 /// Least time between two messages of what is placed; changes in between are gathered. It is a tenth
 /// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
@@ -121,12 +122,17 @@
     pub async fn tell_placed(&self, node: &Arc<Node>) {
         loop {
             node.placed.notified().await;
-            let placed = lock(&node.tables).dispatcher.book.take_changes();
-            if placed.is_empty() {
+            let changes = lock(&node.tables).dispatcher.book.take_changes();
+            if changes.placed.is_empty() {
                 continue;
             }
             let instance = node.settings().instance.clone();
-            let message = FleetMessage::Placed(vec![FleetPlaced { instance, placed }]);
+            let placed = FleetPlaced { instance, placed: changes.placed };
+            let message = if changes.is_urgent {
+                FleetMessage::Moving(placed)
+            } else {
+                FleetMessage::Placed(vec![placed])
+            };
             self.send_through(node, message, Forwarders::Common).await;
             sleep(GATHER).await;
         }
@@ -189,6 +195,23 @@
         }
     }
 
+    /// Says whether a message is forwarded later together with others.
+    fn gathers(&self, share: Share, message: &FleetMessage) -> bool {
+        match message {
+            FleetMessage::Placed(placed) => {
+                if lock(&self.queue).add(share, placed) {
+                    self.forwards.notify_one();
+                }
+                true
+            }
+            FleetMessage::Moving(placed) => {
+                lock(&self.queue).overtake(placed);
+                false
+            }
+            _ => false,
+        }
+    }
+
     fn beacon(&self, node: &Node) -> FleetBeacon {
         let now = node.now();
         let tables = lock(&node.tables);
@@ -215,10 +238,7 @@
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
                     Ok(FleetMessage::HandOn(message, share)) => {
                         count_in(node, &message, length);
-                        if let FleetMessage::Placed(placed) = &*message {
-                            if lock(&self.queue).add(share, placed) {
-                                self.forwards.notify_one();
-                            }
+                        if self.gathers(share, &message) {
                             take_message(node, *message);
                             continue;
                         }
@@ -239,66 +259,3 @@
         }
     }
 }
-
-fn count_in(node: &Node, message: &FleetMessage, length: usize) {
-    node.metrics.peer_bytes.with_label_values(&[message.name(), "in"]).inc_by(length as u64);
-}
-
-fn take_message(node: &Node, message: FleetMessage) {
-    match message {
-        FleetMessage::Beacon(beacon) => take(node, &beacon),
-        FleetMessage::News(news) => take_news(node, &news),
-        FleetMessage::Leaving(endpoints) => node.note_leaving(&endpoints),
-        FleetMessage::Gone(endpoints) => node.note_gone(&endpoints),
-        FleetMessage::Met(others) => lock(&node.tables).fleet.meet_all(&others, node.now()),
-        FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
-        FleetMessage::Placed(placed) => take_placed(node, &placed),
-        // Handed on once is enough; who sends it twice wants it to go round for ever.
-        FleetMessage::HandOn(..) => tracing::debug!(event = "handed_on_twice"),
-    }
-}
-
-fn take_placed(node: &Node, all: &[FleetPlaced]) {
-    let own = &node.settings().instance;
-    let mut tables = lock(&node.tables);
-    // What this instance told goes round its whole failure domain.
-    for FleetPlaced { instance, placed } in all.iter().filter(|p| p.instance != *own) {
-        tables.dispatcher.book.change_peer(instance, placed);
-    }
-}
-
-fn take(node: &Node, beacon: &FleetBeacon) {
-    let now = node.now();
-    {
-        let mut tables = lock(&node.tables);
-        let was_live = tables.fleet.is_live(&beacon.instance, now);
-        if !tables.fleet.hear(beacon, now) {
-            return;
-        }
-        tables.dispatcher.book.set_peer(&beacon.instance, &beacon.placed);
-        if !was_live {
-            tracing::info!(event = "peer_heard", peer = %beacon.instance,
-                incarnation = beacon.incarnation);
-        }
-    }
-    node.follow.track(Kind::Config).hint(beacon.revisions.config);
-    node.follow.track(Kind::Endpoints).hint(beacon.revisions.endpoints);
-    node.follow.track(Kind::Evacuations).hint(beacon.revisions.out);
-}
-
-/// Takes changes of endpoints that a peer has read.
-///
-/// Whoever has not read up to their beginning would miss what was before, so it asks the store.
-fn take_news(node: &Node, news: &FleetNews) {
-    let track = node.follow.track(Kind::Endpoints);
-    let read = track.read();
-    if read >= news.revision {
-        return;
-    }
-    if read < news.since || !track.is_known() {
-        track.hint(news.revision);
-        return;
-    }
-    endpoint_changes(node, &news.changes, news.lapses);
-    track.note(news.revision, news.revision);
-}
--- a/crates/nutmeggrade-state/src/fleet_view/reach.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/reach.rs
@@ -29,6 +29,9 @@
 /// Instances that one hands a message on to. At 300 instances a reader's news of 400 endpoints, sent to each
 /// neighbour by itself, took its link of ten megabits four seconds.
 const PART: usize = 24;
+/// Neighbours that are told by each sender itself what it has placed. Work is mostly placed in its own failure
+/// domain, and a choice that does not know of others a few milliseconds old costs time where memory is short.
+const MOST_DIRECT: usize = 96;
 /// Addresses that a newcomer is told at once; with twenty bytes each they fit into a datagram.
 const WELCOMED: usize = 128;
 /// Peers of another failure domain from which on one of them hands on to the others.
@@ -85,7 +88,11 @@
         let mut audience = Audience { direct: Vec::new(), relays: Vec::new() };
         for (domain, all) in domains {
             let is_near = domain == Some(&self.seat.domain);
-            let most = if is_near { PART } else { FEW };
+            let most = match (is_near, forwarders) {
+                (true, Forwarders::LastHeard) => PART,
+                (true, Forwarders::Common) => MOST_DIRECT,
+                (false, _) => FEW,
+            };
             if domain.is_none() || all.len() <= most {
                 audience.direct.extend(all);
                 continue;
--- a/crates/nutmeggrade-state/src/forward_queue.rs
+++ b/crates/nutmeggrade-state/src/forward_queue.rs
@@ -38,11 +38,20 @@
         was_empty
     }
 
+    /// Drops what waits of an instance at the endpoints of a change that overtakes it.
+    pub fn overtake(&mut self, change: &FleetPlaced) {
+        for instances in self.waiting.values_mut() {
+            if let Some(of_instance) = instances.get_mut(&change.instance) {
+                of_instance.retain(|endpoint, _| !change.placed.contains_key(endpoint));
+            }
+        }
+    }
+
     /// Takes all that waits, in messages that fit into a datagram each.
     pub fn take(&mut self) -> Vec<(Share, Vec<FleetPlaced>)> {
         let mut messages = Vec::new();
         for (share, instances) in std::mem::take(&mut self.waiting) {
-            let placed = instances.into_iter();
+            let placed = instances.into_iter().filter(|(_, placed)| !placed.is_empty());
             let all: Vec<FleetPlaced> =
                 placed.map(|(instance, placed)| FleetPlaced { instance, placed }).collect();
             messages.extend(all.chunks(MOST_INSTANCES).map(|part| (share, part.to_vec())));
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod gaps;
 mod lengths;
+mod load_book;
 mod memory;
 mod patterns;
 mod properties;
--- a/tests/suite/state/forward_queue.rs
+++ b/tests/suite/state/forward_queue.rs
@@ -27,6 +27,20 @@
     assert!(queue.take().is_empty());
 }
 
+// A copy begins while an earlier change of the same instance still waits. Forwarded after it, that one would
+// hide the copy, and two generations would be copied from one engine at a time.
+#[test]
+fn urgent_change_is_not_undone() {
+    let mut queue = ForwardQueue::new();
+    queue.add(WHOLE, &[change(1, "e-1", 1)]);
+    queue.add(WHOLE, &[change(1, "e-2", 1)]);
+    queue.add(HALF, &[change(1, "e-1", 1)]);
+    queue.add(WHOLE, &[change(2, "e-1", 1)]);
+    queue.overtake(&change(1, "e-1", 2));
+    let left: Vec<FleetPlaced> = queue.take().into_iter().flat_map(|(_, all)| all).collect();
+    assert_eq!(left, [change(1, "e-2", 1), change(2, "e-1", 1)]);
+}
+
 // Changes of one instance at several endpoints go out as one; those for different parts stay apart.
 #[test]
 fn parts_stay_apart() {
--- a/tests/suite/state/large_fleet.rs
+++ b/tests/suite/state/large_fleet.rs
@@ -119,8 +119,9 @@
         .flat_map(|own| view(own, ALL, &[]).everybody(Forwarders::Common, NOW).relays)
         .map(|(address, _)| address)
         .collect();
-    // Four for each failure domain of 75, and one more that a forwarder among the senders takes.
-    assert!(forwarders.len() <= usize::from(DOMAINS) * 5, "{}", forwarders.len());
+    // Four for each failure domain of 75. Neighbours hear of it from the sender.
+    assert!(forwarders.len() <= usize::from(DOMAINS) * 4, "{}", forwarders.len());
+    assert_eq!(view(0, ALL, &[]).everybody(Forwarders::Common, NOW).direct.len(), 74);
 }
 
 // The store answers nobody. Whoever finds that out is passed over, and the next one asks: all three hundred would
