--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -4,6 +4,7 @@
 mod doubt;
 mod follow;
 mod follower;
+mod pacing;
 mod store_reader;
 
 pub use apply::{apply_known, endpoint_changes, known};
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -16,18 +16,9 @@
 use crate::tables::lock;
 use crate::watch::apply;
 use crate::watch::doubt::Doubt;
+use crate::watch::pacing::{self, Asker};
 use crate::watch::store_reader::{CallReason, StoreReader};
 
-/// How long the store holds a watch back. A connection that has gone silent is noticed only when
-/// its answer is overdue; peers' heartbeats tell earlier if there was news.
-const HELD: Duration = Duration::from_secs(4);
-/// The same for endpoints at the first of those that read for all. While the store is away engines
-/// that leave are asked themselves, and their notice of two seconds has to be enough to find out that
-/// it is away, to ask them and to copy what runs there.
-const HELD_FIRST: Duration = Duration::from_secs(1);
-/// The same for the configuration and the failure domains that are out at the other readers. They are there
-/// for news that the first one misses, and each time that a watch is held back in vain is paid for.
-const HELD_LONG: Duration = Duration::from_secs(29);
 /// Time that the news of a peer get to come before the store is asked. They are sent together with
 /// the heartbeat that tells of them.
 const NEWS_WAIT: Duration = Duration::from_millis(60);
@@ -41,26 +32,8 @@
 const PEERS_FIRST: Duration = Duration::from_millis(600);
 /// Time between two questions to peers.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
-/// Time in which changes of endpoints gather before the first reader asks for more. It is a small part
-/// of the two seconds for which an endpoint that leaves may still get work.
-const GATHER: Duration = Duration::from_millis(50);
-/// The same for the other readers, whose news count only when the first one's are lost.
-const GATHER_LONG: Duration = Duration::from_millis(400);
 /// Time between looks whether it is this instance's turn to read.
 const TURN: Duration = Duration::from_millis(200);
-/// First wait after a call that failed.
-const FIRST_WAIT: Duration = Duration::from_millis(150);
-/// Longest wait between two calls while the store can't be read. Calls are counted by the platform,
-/// and a second is within every time in which changes have to be in force.
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
-/// Longest wait of an instance that does not read for all. Those that do find out that the store is
-/// back, and their heartbeats tell of news.
-const LONGEST_TOLD: Duration = Duration::from_secs(4);
-/// The same while no peer can read the store either. Those that lead go on calling, and their
-/// heartbeats tell when it is back; this is for the case that they don't.
-const LONGEST_OUTAGE: Duration = Duration::from_secs(10);
-/// Failures up to which the wait doubles; it is longer than any bound by then.
-const MOST_DOUBLED: u32 = 7;
 /// Time after the start by which the peers that read for all have been heard: eight of their heartbeats.
 const SETTLED: Duration = Duration::from_secs(2);
 /// Time after an outage in which entries that vanish may have lapsed with the store.
@@ -275,24 +248,18 @@
     /// entries one after another, configurations come in quick succession, and each answer is paid for.
     async fn gather(&self) {
         let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
-        match (is_first, self.kind) {
-            (true, Kind::Endpoints) => sleep(GATHER).await,
-            (true, _) => {}
-            (false, _) => sleep(GATHER_LONG).await,
-        }
+        sleep(pacing::gather(self.kind, is_first)).await;
     }
 
     /// Returns how long the store may hold a watch back.
     fn held(&self) -> Duration {
         let track = self.node.follow.track(self.kind);
-        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
         // After an outage the first answer is wanted at once: it says that the store is back.
-        match (is_first, self.kind) {
-            _ if track.is_behind() || track.is_away() => Duration::ZERO,
-            (true, Kind::Endpoints) => HELD_FIRST,
-            (true, _) | (false, Kind::Endpoints) => HELD,
-            (false, _) => HELD_LONG,
+        if track.is_behind() || track.is_away() {
+            return Duration::ZERO;
         }
+        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
+        pacing::held(self.kind, is_first)
     }
 
     /// Says whether entries that vanish may have lapsed with the store.
@@ -319,17 +286,16 @@
             tracing::warn!(event = "store_away", kind = self.kind.name(), error = %error);
         }
         fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
-        let longest = self.longest();
-        let is_told_later = longest == LONGEST_OUTAGE;
-        let most = FIRST_WAIT.saturating_mul(1 << self.failures.min(MOST_DOUBLED)).min(longest);
+        let asker = self.asker();
+        let most = pacing::retry(self.failures, asker);
         // Spread, or all instances call in the same moment when the store is back.
         let wait = most.mul_f64(rand::rng().random_range(0.5..1.0));
         tokio::select! {
             () = sleep(wait) => {}
-            () = self.until_back(), if is_told_later => {}
+            () = self.until_back(), if asker == Asker::ToldLater => {}
             () = self.node.follow.track(self.kind).nudge.notified() => {
                 fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
-                sleep(FIRST_WAIT).await;
+                sleep(pacing::FIRST_WAIT).await;
             }
         }
         self.wait_for_endpoints().await;
@@ -352,14 +318,13 @@
         }
     }
 
-    /// Returns the longest wait until the next call while the store can't be read.
-    fn longest(&self) -> Duration {
+    fn asker(&self) -> Asker {
         let now = self.node.now();
         let fleet = &lock(&self.node.tables).fleet;
         match (fleet.leads(now), fleet.is_read(now)) {
-            (true, _) => LONGEST_WAIT,
-            (false, true) => LONGEST_TOLD,
-            (false, false) => LONGEST_OUTAGE,
+            (true, _) => Asker::Leader,
+            (false, true) => Asker::Told,
+            (false, false) => Asker::ToldLater,
         }
     }
 
