Say how endpoints are now when a peer asks, and whether others may have lapsed

Cause (found by reading): an instance that misses news of endpoints now asks a peer, whose answer held entries as they had been read. An endpoint that was removed then counted as lapsed for 1.8 s and got work, and one that had been cold long ago counted as cold anew.

Change: the answer says how long an endpoint stays cold from now, and whether the store was just away; else what is not in it is gone. relay::fleet::peer_says_whether_endpoints_may_have_lapsed, peer_says_how_cold_endpoints_are_now.

--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -30,7 +30,12 @@
     /// The routing configuration as the platform wrote it; empty if none came.
     Config(String),
     /// The endpoints.
-    Endpoints(Vec<EndpointInfo>),
+    Endpoints {
+        /// All that are registered.
+        all: Vec<EndpointInfo>,
+        /// Whether others may only have lapsed with the store.
+        lapses: bool,
+    },
     /// Failure domains that are out.
     Out(BTreeSet<DomainId>),
 }
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -1,11 +1,13 @@
 //! Takes over what was read.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use bytes::Bytes;
 use nutmeggrade_core::peer::{EndpointNews, FleetNews};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
-use nutmeggrade_state::registry::{Change, Registry};
+use nutmeggrade_state::registry::{Change, Registered, Registry};
 use nutmeggrade_wire::kinds::{CONFIG_NAME, Kind};
 use nutmeggrade_wire::store::{Snapshot, StoredObject};
 use nutmeggrade_wire::{config, endpoint};
@@ -15,6 +17,9 @@
 use crate::node::Node;
 use crate::tables::lock;
 
+/// Time after a start in which it is not known whether the store was just away.
+const FRESH: Duration = Duration::from_secs(5);
+
 /// Takes over a whole listing.
 pub fn listing(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
     match kind {
@@ -66,6 +71,9 @@
 /// Takes over changes of endpoints, read here or by a peer. `lapses` says that entries that are gone may
 /// only have lapsed with the store.
 pub fn endpoint_changes(node: &Node, changes: &[EndpointNews], lapses: bool) {
+    if lapses {
+        node.follow.note_lapses(node.now());
+    }
     node.change_registry(|registry, now| {
         changes.iter().filter_map(|c| change(registry, c, lapses, now)).collect()
     });
@@ -83,8 +91,8 @@
             let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
             node.set_map(config::read(&value)?, raw);
         }
-        Known::Endpoints(all) => {
-            node.change_registry(|registry, now| registry.replace(all, true, now));
+        Known::Endpoints { all, lapses } => {
+            node.change_registry(|registry, now| registry.replace(all, *lapses, now));
         }
         Known::Out(out) => node.set_out(out),
     }
@@ -165,8 +173,16 @@
     let known = match kind {
         Kind::Config => Known::Config(String::from_utf8_lossy(&node.raw_map()).into_owned()),
         Kind::Endpoints => {
+            let now = node.now();
+            // Who has only just started may have listed while entries were lapsed.
+            let lapses = now.since_start() < FRESH || node.follow.may_lapse(now);
             let tables = lock(&node.tables);
-            Known::Endpoints(tables.registry.all().map(|e| e.info.clone()).collect())
+            // Entries tell how long an endpoint stays cold from when they were read.
+            let as_of_now = |e: &Registered| EndpointInfo {
+                cold_left: e.cold_until.since(now),
+                ..e.info.clone()
+            };
+            Known::Endpoints { all: tables.registry.all().map(as_of_now).collect(), lapses }
         }
         Kind::Evacuations => Known::Out(lock(&node.tables).registry.out().clone()),
     };
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmeggrade_core::peer::Revisions;
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -12,6 +13,9 @@
 /// store tells all watches within milliseconds.
 const OVERTAKEN: Duration = Duration::from_millis(60);
 
+/// Time after an outage in which entries that vanish may have lapsed with the store.
+const LAPSES: Duration = Duration::from_secs(3);
+
 /// How far one kind of object is read.
 #[derive(Debug, Default)]
 pub struct Track {
@@ -110,6 +114,8 @@
     config: Track,
     endpoints: Track,
     out: Track,
+    /// In milliseconds since the start.
+    lapses_until: AtomicU64,
 }
 
 impl Follow {
@@ -136,6 +142,18 @@
         }
     }
 
+    /// Notes that the store was just away, so that entries may have lapsed with it.
+    pub fn note_lapses(&self, now: Moment) {
+        let until = now.after(LAPSES).since_start().as_millis();
+        self.lapses_until.fetch_max(u64::try_from(until).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Says whether entries of endpoints that vanish may only have lapsed with the store.
+    pub fn may_lapse(&self, now: Moment) -> bool {
+        let until = Moment::from_millis(self.lapses_until.load(Ordering::Relaxed));
+        self.endpoints.is_away() || now < until
+    }
+
     /// Says whether the endpoints were ever read.
     pub fn has_endpoints(&self) -> bool {
         self.endpoints.is_known()
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -36,18 +36,11 @@
 const TURN: Duration = Duration::from_millis(200);
 /// Time after the start by which the peers that read for all have been heard: eight of their heartbeats.
 const SETTLED: Duration = Duration::from_secs(2);
-/// Time after an outage in which entries that vanish may have lapsed with the store.
-const LAPSES: Duration = Duration::from_secs(3);
 
 /// Starts to follow every kind of object.
 pub fn start(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
-    let follower = |kind| Follower {
-        node: Arc::clone(node),
-        kind,
-        failures: 0,
-        back: None,
-        reader_since: None,
-    };
+    let follower =
+        |kind| Follower { node: Arc::clone(node), kind, failures: 0, reader_since: None };
     Kind::ALL.into_iter().map(|kind| tokio::spawn(follower(kind).run())).collect()
 }
 
@@ -56,7 +49,6 @@
     node: Arc<Node>,
     kind: Kind,
     failures: u32,
-    back: Option<Moment>,
     /// Since when it is this instance's turn to read for all.
     reader_since: Option<Moment>,
 }
@@ -264,14 +256,13 @@
 
     /// Says whether entries that vanish may have lapsed with the store.
     fn is_after_outage(&self) -> bool {
-        let is_soon = |back| self.node.now().since(back) <= LAPSES;
-        self.failures > 0 || self.back.is_some_and(is_soon)
+        self.failures > 0 || self.node.follow.may_lapse(self.node.now())
     }
 
     fn succeeded(&mut self) {
         self.count("ok");
-        if self.failures > 0 {
-            self.back = Some(self.node.now());
+        if self.failures > 0 && self.kind == Kind::Endpoints {
+            self.node.follow.note_lapses(self.node.now());
         }
         self.failures = 0;
         if self.node.follow.track(self.kind).set_away(false) {
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -7,7 +7,7 @@
 };
 use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
 
-use super::site::{generation, get, instance, metric, settings};
+use super::site::{Site, generation, get, instance, metric, settings};
 use crate::support::{run, until};
 
 async fn entries(instance: &Instance) -> anyhow::Result<usize> {
@@ -137,6 +137,48 @@
     });
 }
 
+// An endpoint was cold when its entry was read. An instance that asks a peer later must not take it for as cold as it
+// was then, and leave it nearly without work.
+#[test]
+fn peer_says_how_cold_endpoints_are_now() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        let mut content = Entry::new("desk", endpoint.address).content();
+        content["cold_remaining_ms"] = serde_json::json!(400);
+        site.store.put("servers", "e-1", content);
+        site.until_metric("endpoints", 1).await?;
+        let control = site.instance.addresses().control;
+        until("warm", async || {
+            let known: serde_json::Value =
+                serde_json::from_str(&get(control, "/known?kind=endpoints").await?)?;
+            Ok(known["known"]["Endpoints"]["all"][0]["cold_left"] == 0)
+        })
+        .await
+    });
+}
+
+// An instance that missed the news of an endpoint's removal asks a peer for all endpoints. One that is not among them
+// is gone at once, or it would get work for two seconds more; only after an outage may it have lapsed.
+#[test]
+fn peer_says_whether_endpoints_may_have_lapsed() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let door = store.door().await?;
+        let instance = instance("i-1", &door, "").await?;
+        let control = instance.addresses().control;
+        let lapses = async || {
+            let known: serde_json::Value =
+                serde_json::from_str(&get(control, "/known?kind=endpoints").await?)?;
+            Ok::<_, anyhow::Error>(known["known"]["Endpoints"]["lapses"].clone())
+        };
+        until("in steady state", async || Ok(lapses().await? == false)).await?;
+        door.set(Fault::Refuse);
+        until("the store is away", async || Ok(lapses().await? == true)).await
+    });
+}
+
 // A connection to the store goes silent without an end. The peer's heartbeats tell that there was
 // news, so the instance asks again instead of waiting.
 #[test]
