--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -1,14 +1,18 @@
 //! How far each kind of object is read.
 
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_state::read_range::ReadRange;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::tables::lock;
+
 /// Time after which a watch that a peer's heartbeat has overtaken counts as late or silent; the
 /// store tells all watches within milliseconds.
 const OVERTAKEN: Duration = Duration::from_millis(60);
@@ -21,10 +25,7 @@
 pub struct Track {
     /// Wakes the follower because a peer has read further.
     pub nudge: Notify,
-    /// Revision of the last answer.
-    read: AtomicU64,
-    /// Revision of the last answer that held news, which is what peers compare.
-    news: AtomicU64,
+    range: Mutex<ReadRange>,
     /// Revision that a peer is known to have read.
     hint: AtomicU64,
     known: AtomicBool,
@@ -35,12 +36,17 @@
 impl Track {
     /// Returns the revision up to which everything is read.
     pub fn read(&self) -> u64 {
-        self.read.load(Ordering::Relaxed)
+        lock(&self.range).read()
     }
 
-    /// Returns the revision of the last answer that held news.
+    /// Returns the revision of the last answer that held news, which is what peers compare.
     pub fn news(&self) -> u64 {
-        self.news.load(Ordering::Relaxed)
+        lock(&self.range).news()
+    }
+
+    /// Returns the revision from which on peers lack nothing but the next news.
+    pub fn since(&self) -> u64 {
+        lock(&self.range).since()
     }
 
     /// Notes that a peer has read so far, and wakes the follower if that is further.
@@ -70,8 +76,13 @@
     /// Notes an answer that leads up to `read`; `news` is the revision of what was new in it, 0 if
     /// nothing was.
     pub fn note(&self, read: u64, news: u64) {
-        self.read.fetch_max(read, Ordering::Relaxed);
-        self.news.fetch_max(news, Ordering::Relaxed);
+        lock(&self.range).note(read, news);
+        self.known.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes a whole listing.
+    pub fn note_listing(&self, read: u64, news: u64) {
+        lock(&self.range).note_listing(read, news);
         self.known.store(true, Ordering::Relaxed);
     }
 
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -172,7 +172,7 @@
         // A first listing holds nothing that peers who listed a moment earlier have missed; told as
         // news it would have each of them ask the store again. A later one may stand for removals.
         let news = if is_first { snapshot.last_change() } else { snapshot.revision };
-        track.note(read, news);
+        track.note_listing(read, news);
         Ok(())
     }
 
@@ -193,7 +193,8 @@
         match watched {
             Watched::Changes(snapshot) => {
                 let is_news = !snapshot.objects.is_empty();
-                apply::changes(&self.node, self.kind, &snapshot, since, self.is_after_outage());
+                let lapses = self.is_after_outage();
+                apply::changes(&self.node, self.kind, &snapshot, track.since(), lapses);
                 track.note(snapshot.revision, if is_news { snapshot.revision } else { 0 });
                 if is_news && self.kind != Kind::Endpoints {
                     self.node.announce.notify_one();
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod order_table;
 pub mod orphans;
 pub mod own_intents;
+pub mod read_range;
 pub mod recent_changes;
 pub mod recorded;
 pub mod registry;
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -9,5 +9,6 @@
 mod intent;
 mod large_fleet;
 mod membership;
+mod read_range;
 mod registry;
 mod sources;
