Let only a reader's own outage say that endpoints may have lapsed

Ruled out: news larger than what is read of a datagram, as the entries did come.

Change: readers go by the end of their own outage again, and what is noted is for peers' questions alone. relay::store::outage_is_over_while_endpoints_change failed before.

--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -18,7 +18,7 @@
 const OVERTAKEN: Duration = Duration::from_millis(60);
 
 /// Time after an outage in which entries that vanish may have lapsed with the store.
-const LAPSES: Duration = Duration::from_secs(3);
+pub const LAPSES: Duration = Duration::from_secs(3);
 
 /// How far one kind of object is read.
 #[derive(Debug, Default)]
@@ -153,7 +153,10 @@
         }
     }
 
-    /// Notes that the store was just away, so that entries may have lapsed with it.
+    /// Notes that changes were read just after an outage, so that entries may have lapsed with the store.
+    ///
+    /// It is for what peers are told. Whoever reads must not go by it: two readers would keep each other's
+    /// outage alive for as long as endpoints change.
     pub fn note_lapses(&self, now: Moment) {
         let until = now.after(LAPSES).since_start().as_millis();
         self.lapses_until.fetch_max(u64::try_from(until).unwrap_or(u64::MAX), Ordering::Relaxed);
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -16,6 +16,7 @@
 use crate::tables::lock;
 use crate::watch::apply;
 use crate::watch::doubt::Doubt;
+use crate::watch::follow::LAPSES;
 use crate::watch::pacing::{self, Asker};
 use crate::watch::store_reader::{CallReason, StoreReader};
 
@@ -39,8 +40,13 @@
 
 /// Starts to follow every kind of object.
 pub fn start(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
-    let follower =
-        |kind| Follower { node: Arc::clone(node), kind, failures: 0, reader_since: None };
+    let follower = |kind| Follower {
+        node: Arc::clone(node),
+        kind,
+        failures: 0,
+        back: None,
+        reader_since: None,
+    };
     Kind::ALL.into_iter().map(|kind| tokio::spawn(follower(kind).run())).collect()
 }
 
@@ -49,6 +55,7 @@
     node: Arc<Node>,
     kind: Kind,
     failures: u32,
+    back: Option<Moment>,
     /// Since when it is this instance's turn to read for all.
     reader_since: Option<Moment>,
 }
@@ -257,13 +264,14 @@
 
     /// Says whether entries that vanish may have lapsed with the store.
     fn is_after_outage(&self) -> bool {
-        self.failures > 0 || self.node.follow.may_lapse(self.node.now())
+        let is_soon = |back| self.node.now().since(back) <= LAPSES;
+        self.failures > 0 || self.back.is_some_and(is_soon)
     }
 
     fn succeeded(&mut self) {
         self.count("ok");
-        if self.failures > 0 && self.kind == Kind::Endpoints {
-            self.node.follow.note_lapses(self.node.now());
+        if self.failures > 0 {
+            self.back = Some(self.node.now());
         }
         self.failures = 0;
         if self.node.follow.track(self.kind).set_away(false) {
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -31,15 +31,16 @@
 }
 
 /// Two instances that hear each other, each with its own way into the store.
-struct Pair {
-    store: Store,
-    first: Instance,
+pub struct Pair {
+    pub store: Store,
+    pub first: Instance,
     first_door: Door,
-    other: Instance,
-    other_door: Door,
+    pub other: Instance,
+    pub other_door: Door,
 }
 
-async fn pair() -> anyhow::Result<Pair> {
+/// Starts two instances and waits until they hear each other.
+pub async fn pair() -> anyhow::Result<Pair> {
     let store = Store::new();
     store.put("config", "main", RoutingPlan::default().content());
     let (first_door, other_door) = (store.door().await?, store.door().await?);
--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -2,6 +2,9 @@
 
 use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, Generations, RoutingPlan, Store};
 
+use nutmeggrade_relay::Instance;
+
+use super::fleet::{Pair, pair};
 use super::site::{Site, get, instance, metric};
 use crate::support::{run, until};
 
@@ -49,6 +52,41 @@
     });
 }
 
+// The store was away for one of two readers, and endpoints change all the time afterwards. What one reads so soon after
+// the outage must not make the other one, or itself, take it for as fresh again and again: endpoints that are gone would
+// get work for two seconds more, for ever.
+#[test]
+fn outage_is_over_while_endpoints_change() {
+    run(async {
+        let Pair { store, first, other, other_door, .. } = pair().await?;
+        let lapses = async |instance: &Instance| {
+            let path = "/known?kind=endpoints";
+            let text = get(instance.addresses().control, path).await?;
+            let known: serde_json::Value = serde_json::from_str(&text)?;
+            Ok::<_, anyhow::Error>(known["known"]["Endpoints"]["lapses"].clone())
+        };
+        until("in steady state", async || Ok(lapses(&other).await? == false)).await?;
+        other_door.set(Fault::Refuse);
+        until("the store is away", async || Ok(lapses(&other).await? == true)).await?;
+        let address = "127.0.0.1:9".parse()?;
+        let mut number = 0;
+        let mut change = || {
+            number += 1;
+            store.put("servers", &format!("e-{number}"), Entry::new("desk", address).content());
+        };
+        change();
+        other_door.set(Fault::None);
+        for instance in [&first, &other] {
+            until("the outage is over", async || {
+                change();
+                Ok(lapses(instance).await? == false)
+            })
+            .await?;
+        }
+        Ok(())
+    });
+}
+
 // An endpoint was cold when its entry was read. An instance that asks a peer later must not take it for as cold as it
 // was then, and leave it nearly without work.
 #[test]
