--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -231,9 +231,8 @@
     /// Returns how long this instance waits before it reads for all in place of others whom the store does
     /// not answer.
     ///
-    /// Answers an outage of the store. Each instance that finds it away is passed over, and without a wait
-    /// the whole fleet would ask in turn within seconds. Those that stand by ask at once, the others one
-    /// after another, for the case that the store answers only some.
+    /// Each instance that finds the store away is passed over. Without a wait the whole fleet would ask it
+    /// within seconds of an outage.
     pub fn takeover_wait(&self, now: Moment) -> Duration {
         let rank = self.before(now, |p| !p.leaving);
         let behind = (rank + 1).saturating_sub(STANDBY);
--- a/crates/nutmeggrade-state/src/fleet_view/sources.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/sources.rs
@@ -10,10 +10,9 @@
 impl FleetView {
     /// Chooses a live peer that `is_ahead`, and says whether it is in the same failure domain.
     ///
-    /// Answers all instances of a large fleet that hear of the same change in the same moment. Neighbours
-    /// are asked first, and while none of them has it, only the first instance of a failure domain asks
-    /// another one: a change then crosses the lines between failure domains once for each. `asks_far`
-    /// lifts that for whoever has waited. `lot` is drawn, and spreads the calls over those that have it.
+    /// Neighbours are asked first. While none of them is ahead, only the first instance of a failure domain
+    /// asks another domain's, so that a change crosses between two domains once; `asks_far` lifts that.
+    /// `lot` is drawn, and spreads the calls.
     pub fn source(
         &self,
         is_ahead: impl Fn(&Revisions) -> bool,
--- a/crates/nutmeggrade-state/src/forward_queue.rs
+++ b/crates/nutmeggrade-state/src/forward_queue.rs
@@ -14,8 +14,8 @@
 /// Changes of placed work that wait to be forwarded together, by the part of the failure domain that
 /// they go to.
 ///
-/// Answers a fleet in which every change is for everybody: with hundreds of instances each would get
-/// and forward hundreds of datagrams a second, and spend most of its processor time on them.
+/// Every change is for everybody. Forwarded one by one they cost an instance of a large fleet hundreds of
+/// datagrams a second.
 #[derive(Debug, Default)]
 pub struct ForwardQueue {
     waiting: BTreeMap<Share, BTreeMap<InstanceId, ByEndpoint>>,
--- a/crates/nutmeggrade-state/src/read_range.rs
+++ b/crates/nutmeggrade-state/src/read_range.rs
@@ -2,9 +2,8 @@
 
 /// How far one kind of object is read in a store whose revision counts the changes of all kinds.
 ///
-/// A watch that brings nothing advances the revision of whoever watches, and of nobody else. What is told to
-/// others therefore begins at the last change, not at the last answer; else each of them would take it for
-/// incomplete and ask for all.
+/// A watch that brings nothing advances the revision of its reader alone. What is told to others therefore
+/// begins at the last change; they would take it for incomplete if it began at the last answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReadRange {
     listed: u64,
--- a/tests/suite/policy/load_book.rs
+++ b/tests/suite/policy/load_book.rs
@@ -9,8 +9,7 @@
     Placed { requests: 1, memory: 3_000, reading: 2_000, moving: 0 }
 }
 
-// Instances take turns at copying generations from an engine that leaves, by what they hear within
-// milliseconds. Told as late as other changes, two copies begin together and both clients see a pause.
+// The begin of a copy is told as late as other changes, and two generations are copied at a time.
 #[test]
 fn copies_are_urgent_and_other_changes_are_not() {
     let engine = EndpointId::new("e-1").expect("an id");
@@ -29,7 +28,7 @@
     assert!(!book.take_changes().is_urgent);
 }
 
-// A peer's heartbeat replaces what it had told before, whatever came in between.
+// What a peer had placed before its heartbeat goes on counting.
 #[test]
 fn heartbeat_replaces_what_a_peer_had() {
     let ids = ["e-1", "e-2"].map(|id| EndpointId::new(id).expect("an id"));
--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -8,7 +8,7 @@
 use super::site::{Site, get, instance, metric};
 use crate::support::{run, until};
 
-// An operator asks what the calls to the store are for. Each is counted by kind and reason.
+// Operators see how many calls the store gets and not what for.
 #[test]
 fn store_calls_are_counted_by_reason() {
     run(async {
@@ -28,8 +28,7 @@
     });
 }
 
-// The store is away for a while. Each call counts against what all instances may call, and one kind of object
-// says as much as three whether it is back.
+// A store that is away is asked for all kinds of objects, three times as often as needed.
 #[test]
 fn store_that_is_away_is_asked_for_one_kind() {
     run(async {
@@ -52,9 +51,7 @@
     });
 }
 
-// The store was away for one of two readers, and endpoints change all the time afterwards. What one reads so soon after
-// the outage must not make the other one, or itself, take it for as fresh again and again: endpoints that are gone would
-// get work for two seconds more, for ever.
+// Two readers renew the end of an outage with each change, and endpoints that are gone get work for two seconds more.
 #[test]
 fn outage_is_over_while_endpoints_change() {
     run(async {
@@ -87,8 +84,7 @@
     });
 }
 
-// An endpoint was cold when its entry was read. An instance that asks a peer later must not take it for as cold as it
-// was then, and leave it nearly without work.
+// Endpoints that have been warm for long count as cold anew at an instance that asks a peer.
 #[test]
 fn peer_says_how_cold_endpoints_are_now() {
     run(async {
@@ -108,8 +104,7 @@
     });
 }
 
-// An instance that missed the news of an endpoint's removal asks a peer for all endpoints. One that is not among them
-// is gone at once, or it would get work for two seconds more; only after an outage may it have lapsed.
+// An endpoint that a peer does not know any more gets work for two seconds more, as if its entry had lapsed.
 #[test]
 fn peer_says_whether_endpoints_may_have_lapsed() {
     run(async {
--- a/tests/suite/state/forward_queue.rs
+++ b/tests/suite/state/forward_queue.rs
@@ -17,7 +17,7 @@
     FleetPlaced { instance, placed: BTreeMap::from([(endpoint, placed)]) }
 }
 
-// A request is placed and ends while changes gather. Told in another order it would count for good.
+// A request that ended while changes gathered counts at its endpoint for good.
 #[test]
 fn later_change_replaces_the_earlier() {
     let mut queue = ForwardQueue::new();
@@ -27,8 +27,7 @@
     assert!(queue.take().is_empty());
 }
 
-// A copy begins while an earlier change of the same instance still waits. Forwarded after it, that one would
-// hide the copy, and two generations would be copied from one engine at a time.
+// An older change is forwarded after a copy began and hides it, so that two generations are copied at a time.
 #[test]
 fn urgent_change_is_not_undone() {
     let mut queue = ForwardQueue::new();
@@ -41,7 +40,7 @@
     assert_eq!(left, [change(1, "e-2", 1), change(2, "e-1", 1)]);
 }
 
-// Changes of one instance at several endpoints go out as one; those for different parts stay apart.
+// Changes for one part of a failure domain go to another part.
 #[test]
 fn parts_stay_apart() {
     let mut queue = ForwardQueue::new();
@@ -54,8 +53,7 @@
     assert_eq!(messages[0].1[0].placed.len(), 2);
 }
 
-// Three hundred instances change something in one moment. Their changes together are larger than what
-// is read of a datagram.
+// Changes of three hundred instances in one moment are larger than what is read of a datagram.
 #[test]
 fn messages_fit_into_datagrams() {
     const READ: usize = 8 << 10;
--- a/tests/suite/state/large_fleet.rs
+++ b/tests/suite/state/large_fleet.rs
@@ -110,8 +110,7 @@
     assert_eq!(got.len(), usize::from(ALL) - 1);
 }
 
-// Every change of placed work is for everybody. Through other forwarders for each sender, each of three
-// hundred instances would get and forward hundreds of datagrams a second.
+// Each change of placed work takes its own way through the fleet, hundreds of datagrams a second for each instance.
 #[test]
 fn senders_share_their_forwarders() {
     let forwarders: BTreeSet<SocketAddr> = (0..ALL)
@@ -124,8 +123,7 @@
     assert_eq!(view(0, ALL, &[]).everybody(Forwarders::Common, NOW).direct.len(), 74);
 }
 
-// The store answers nobody. Whoever finds that out is passed over, and the next one asks: all three hundred would
-// within seconds, each several times.
+// In an outage each instance that finds the store away is passed over, until the whole fleet has asked.
 #[test]
 fn outage_is_found_out_by_few() {
     let asks_within = |own: u16, wait: Duration| {
--- a/tests/suite/state/read_range.rs
+++ b/tests/suite/state/read_range.rs
@@ -2,8 +2,7 @@
 
 use nutmeggrade_state::read_range::ReadRange;
 
-// Objects of other kinds change, and the watches of whoever reads for all end with nothing new. Peers have read less
-// than that, and yet lack nothing: taken for incomplete, the next news would have each of them ask for all.
+// Objects of other kinds change, and peers take the next news of this kind for incomplete.
 #[test]
 fn peers_need_not_have_read_what_brought_nothing() {
     let (mut reader, mut told) = (ReadRange::default(), ReadRange::default());
@@ -17,8 +16,7 @@
     assert!(told.read() >= reader.since());
 }
 
-// An object was removed between the listings of two instances, which the later one can't see. The earlier one has to
-// ask for all.
+// An object that was removed between the listings of two instances stays known to the earlier one.
 #[test]
 fn listing_hides_what_was_removed_before() {
     let (mut reader, mut told) = (ReadRange::default(), ReadRange::default());
--- a/tests/suite/state/sources.rs
+++ b/tests/suite/state/sources.rs
@@ -54,8 +54,7 @@
     Some(asked)
 }
 
-// All instances hear in the same moment that one has read a new configuration. Asked by all at once its
-// link would be full for seconds; one of each other failure domain asks it, and all its neighbours.
+// All instances ask the one that has read a change, and its link is full for seconds.
 #[test]
 fn change_crosses_to_each_domain_once() {
     let has_read = BTreeSet::from([0]);
@@ -64,8 +63,7 @@
     assert_eq!(far.count(), usize::from(DOMAINS) - 1);
 }
 
-// Some instances of every failure domain have read it. The others ask one in their own, and not all the
-// same one.
+// All instances of a failure domain ask the same neighbour.
 #[test]
 fn neighbours_share_the_calls() {
     let has_read: BTreeSet<u16> = (0..25).collect();
@@ -79,15 +77,14 @@
     assert_eq!(asked, has_read);
 }
 
-// The first instance of a failure domain can't reach those that have read the change. Its neighbours ask
-// them after a while.
+// The first instance of a failure domain can't reach those that have the change, and its neighbours wait for it.
 #[test]
 fn whoever_has_waited_asks_far_away() {
     let has_read = BTreeSet::from([0]);
     assert!((1..ALL).all(|own| source(own, &has_read, true) == Some(0)));
 }
 
-// Nobody has read further, or only an instance that is about to end: there is nobody to ask.
+// An instance asks a peer that knows no more, or that is about to end.
 #[test]
 fn nobody_is_asked_without_need() {
     assert_eq!(source(1, &BTreeSet::new(), true), None);
