--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -8,6 +8,13 @@
 use super::site::{Site, get, instance, metric};
 use crate::support::{run, until};
 
+/// Asks an instance for all endpoints, as its peers do.
+async fn known_endpoints(instance: &Instance) -> anyhow::Result<serde_json::Value> {
+    let text = get(instance.addresses().control, "/known?kind=endpoints").await?;
+    let answer: serde_json::Value = serde_json::from_str(&text)?;
+    Ok(answer["known"]["Endpoints"].clone())
+}
+
 // Operators see how many calls the store gets and not what for.
 #[test]
 fn store_calls_are_counted_by_reason() {
@@ -57,10 +64,8 @@
     run(async {
         let Pair { store, first, other, other_door, .. } = pair().await?;
         let lapses = async |instance: &Instance| {
-            let path = "/known?kind=endpoints";
-            let text = get(instance.addresses().control, path).await?;
-            let known: serde_json::Value = serde_json::from_str(&text)?;
-            Ok::<_, anyhow::Error>(known["known"]["Endpoints"]["lapses"].clone())
+            let known = known_endpoints(instance).await?;
+            Ok::<_, anyhow::Error>(known["lapses"].clone())
         };
         until("in steady state", async || Ok(lapses(&other).await? == false)).await?;
         other_door.set(Fault::Refuse);
@@ -94,11 +99,9 @@
         content["cold_remaining_ms"] = serde_json::json!(400);
         site.store.put("servers", "e-1", content);
         site.until_metric("endpoints", 1).await?;
-        let control = site.instance.addresses().control;
         until("warm", async || {
-            let known: serde_json::Value =
-                serde_json::from_str(&get(control, "/known?kind=endpoints").await?)?;
-            Ok(known["known"]["Endpoints"]["all"][0]["cold_left"] == 0)
+            let known = known_endpoints(&site.instance).await?;
+            Ok(known["all"][0]["cold_left"] == 0)
         })
         .await
     });
@@ -112,11 +115,9 @@
         store.put("config", "main", RoutingPlan::default().content());
         let door = store.door().await?;
         let instance = instance("i-1", &door, "").await?;
-        let control = instance.addresses().control;
         let lapses = async || {
-            let known: serde_json::Value =
-                serde_json::from_str(&get(control, "/known?kind=endpoints").await?)?;
-            Ok::<_, anyhow::Error>(known["known"]["Endpoints"]["lapses"].clone())
+            let known = known_endpoints(&instance).await?;
+            Ok::<_, anyhow::Error>(known["lapses"].clone())
         };
         until("in steady state", async || Ok(lapses().await? == false)).await?;
         door.set(Fault::Refuse);
