Adjust sums of peers in one way, and state the order of instances and the reach of a question once

No behaviour changes. Found by reading the change again: sums of what peers have placed were adjusted in two ways, of which one kept zeros; the order in which instances read for all stood twice; Reach was turned into a yes or no on its way to the fleet's view; a check whether a message waits also queued it; the benchmark of what a fleet costs repeated the fleet's rule for heartbeats and now asks it; two comments still said that the store is asked where peers are.

--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -1,13 +1,13 @@
 //! Measures what knowing the fleet costs one instance at three sizes of the fleet:
 //! `cargo run --release --example fleet_cost`.
 //!
-//! The last row is the processor time of a second in which each peer's heartbeats and changes come at
+//! The last column is the processor time of a second in which each peer's heartbeats and changes come at
 //! the rates that the fleet's own rules give.
 
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use nutmeggrade_core::peer::{
     Contacts, FleetBeacon, FleetMessage, FleetPlaced, Introduction, Revisions, Seat, open, seal,
@@ -15,7 +15,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::Placed;
 use nutmeggrade_policy::dispatch::LoadBook;
-use nutmeggrade_state::fleet_view::{FleetView, Forwarders};
+use nutmeggrade_state::fleet_view::{FleetView, Forwarders, PERIOD};
 
 /// Instances of a fleet.
 const SIZES: [u32; 3] = [30, 100, 300];
@@ -134,6 +134,11 @@
         mean(began)
     }
 
+    /// Returns heartbeats that an instance sends in a second, and as many come.
+    fn heartbeats(&mut self) -> f64 {
+        self.view.targets().len() as f64 / PERIOD.as_secs_f64()
+    }
+
     /// Returns the mean time in which it is worked out who gets a message, in microseconds.
     fn audience(&self) -> f64 {
         let began = Instant::now();
@@ -148,13 +153,6 @@
     began.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
 }
 
-/// Returns heartbeats that come to an instance in a second.
-fn heartbeats(size: u32) -> f64 {
-    let period = Duration::from_millis(250).as_secs_f64();
-    let near = f64::from(size.div_ceil(DOMAINS));
-    ((near / 4.0).max(8.0) + 4.0) / period
-}
-
 fn main() -> anyhow::Result<()> {
     println!("| instances | heartbeat, µs | change, µs | look, µs | audience, µs | of a core |");
     println!("|---|---|---|---|---|---|");
@@ -162,7 +160,7 @@
         let mut known = Known::new(size)?;
         let (heartbeat, change) = (known.heartbeat()?, known.change()?);
         let (look, audience) = (known.look(), known.audience());
-        let second = heartbeat * heartbeats(size)
+        let second = heartbeat * known.heartbeats()
             + change * CHANGES * f64::from(size)
             + look * LOOKS
             + audience * CHANGES;
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -103,19 +103,11 @@
     /// Takes what a peer has placed.
     pub fn set_peer(&mut self, peer: &InstanceId, placed: &BTreeMap<EndpointId, Placed>) {
         let old = self.peers.insert(peer.clone(), placed.clone()).unwrap_or_default();
-        for (endpoint, placed) in &old {
-            self.subtract(endpoint, *placed);
+        for (endpoint, old) in &old {
+            replace(&mut self.peer_sum, endpoint, *old, Placed::default());
         }
-        for (endpoint, placed) in placed {
-            *self.peer_sum.entry(endpoint.clone()).or_default() += *placed;
-        }
-    }
-
-    fn subtract(&mut self, endpoint: &EndpointId, placed: Placed) {
-        let Some(sum) = self.peer_sum.get_mut(endpoint) else { return };
-        *sum -= placed;
-        if *sum == Placed::default() {
-            self.peer_sum.remove(endpoint);
+        for (endpoint, new) in placed {
+            replace(&mut self.peer_sum, endpoint, Placed::default(), *new);
         }
     }
 
@@ -124,9 +116,7 @@
         let all = self.peers.entry(peer.clone()).or_default();
         for (endpoint, new) in placed {
             let old = all.insert(endpoint.clone(), *new).unwrap_or_default();
-            let sum = self.peer_sum.entry(endpoint.clone()).or_default();
-            *sum -= old;
-            *sum += *new;
+            replace(&mut self.peer_sum, endpoint, old, *new);
         }
     }
 
@@ -192,3 +182,13 @@
         self.health.retain(|endpoint, _| is_there(endpoint));
     }
 }
+
+/// Replaces a part of an endpoint's sum; nothing is kept of one that becomes zero.
+fn replace(sums: &mut BTreeMap<EndpointId, Placed>, id: &EndpointId, old: Placed, new: Placed) {
+    let sum = sums.entry(id.clone()).or_default();
+    *sum -= old;
+    *sum += new;
+    if *sum == Placed::default() {
+        sums.remove(id);
+    }
+}
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -9,6 +9,7 @@
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_state::fleet_view::Reach;
 use nutmeggrade_wire::kinds::Kind;
 use serde::{Deserialize, Serialize};
 
@@ -49,15 +50,6 @@
     pub known: Known,
 }
 
-/// Which peers may be asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
-    /// Those of the same failure domain, and others if nobody there is to ask them first.
-    Near,
-    /// All.
-    Everywhere,
-}
-
 /// Asks a peer that has read further, if there is one; says whether this instance has caught up.
 ///
 /// The store may turn away some instances and serve the others. Those would go on with routes, keys
@@ -84,7 +76,7 @@
     let is_ahead = |revisions: &Revisions| revision(revisions, kind) > read;
     let lot = usize::from(rand::random::<u16>());
     let (now, fleet) = (node.now(), &lock(&node.tables).fleet);
-    fleet.source(is_ahead, reach == Reach::Everywhere, lot, now)
+    fleet.source(is_ahead, reach, lot, now)
 }
 
 const fn revision(revisions: &Revisions, kind: Kind) -> u64 {
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -195,8 +195,8 @@
         }
     }
 
-    /// Says whether a message is forwarded later together with others.
-    fn gathers(&self, share: Share, message: &FleetMessage) -> bool {
+    /// Queues a message that is forwarded together with others; says whether it did.
+    fn queue_forward(&self, share: Share, message: &FleetMessage) -> bool {
         match message {
             FleetMessage::Placed(placed) => {
                 if lock(&self.queue).add(share, placed) {
@@ -238,12 +238,10 @@
                 Ok((length, _)) => match open(&buffer[..length], &self.key) {
                     Ok(FleetMessage::HandOn(message, share)) => {
                         count_in(node, &message, length);
-                        if self.gathers(share, &message) {
-                            take_message(node, *message);
-                            continue;
+                        if !self.queue_forward(share, &message) {
+                            let neighbours = lock(&node.tables).fleet.part_of_neighbours(share);
+                            self.send_to(node, &message, &neighbours).await;
                         }
-                        let neighbours = lock(&node.tables).fleet.part_of_neighbours(share);
-                        self.send_to(node, &message, &neighbours).await;
                         take_message(node, *message);
                     }
                     Ok(message) => {
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -5,13 +5,14 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::PlatformError;
+use nutmeggrade_state::fleet_view::Reach;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::store::Watched;
 use rand::RngExt;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::fleet_sync::{self, Reach};
+use crate::fleet_sync;
 use crate::node::Node;
 use crate::tables::lock;
 use crate::watch::apply;
@@ -20,8 +21,8 @@
 use crate::watch::pacing::{self, Asker};
 use crate::watch::store_reader::{CallReason, StoreReader};
 
-/// Time that the news of a peer get to come before the store is asked. They are sent together with
-/// the heartbeat that tells of them.
+/// Time that the news of a peer get to come before they are asked for. They are sent together with the
+/// heartbeat that tells of them.
 const NEWS_WAIT: Duration = Duration::from_millis(60);
 /// Time after which the answer to a watch that is no longer held back is overdue. The store answers in
 /// milliseconds, and waiting for its answer as long as for that of a slow one would use up the notice
@@ -123,7 +124,7 @@
     }
 
     /// Waits until a peer has read further, or until it may be this instance's turn to read. What was
-    /// read by a peer mostly comes with its news; only what did not is worth a call.
+    /// read by a peer mostly comes with its news; only what did not is asked for.
     async fn wait_for_news(&self) {
         tokio::select! {
             () = self.node.follow.track(self.kind).nudge.notified() => sleep(NEWS_WAIT).await,
@@ -177,7 +178,7 @@
             read = rest.revision;
         }
         // A first listing holds nothing that peers who listed a moment earlier have missed; told as
-        // news it would have each of them ask the store again. A later one may stand for removals.
+        // news it would have each of them ask for it again. A later one may stand for removals.
         let news = if is_first { snapshot.last_change() } else { snapshot.revision };
         track.note_listing(read, news);
         Ok(())
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -11,6 +11,7 @@
 use nutmeggrade_core::prelude::*;
 
 pub use reach::{Audience, Forwarders};
+pub use sources::Reach;
 
 /// Instances in a client's failure domain from which on it is told of no others.
 const ENOUGH: usize = 3;
@@ -270,9 +271,12 @@
 
     /// Counts the peers before this instance in the order in which instances read for all.
     fn before(&self, now: Moment, counts: impl Fn(&Peer) -> bool) -> usize {
-        let own = (self.turn_key, &self.own);
-        let peers = self.just_heard(now).filter(|(_, p)| counts(p));
-        peers.filter(|(name, p)| (p.turn_key, *name) < own).count()
+        self.just_heard(now).filter(|(name, p)| counts(p) && self.is_after(name, p)).count()
+    }
+
+    /// Says whether this instance comes after a peer in that order.
+    fn is_after(&self, name: &InstanceId, peer: &Peer) -> bool {
+        (peer.turn_key, name) < (self.turn_key, &self.own)
     }
 
     /// Lists the peers whose silence would be noticed if they read for all.
--- a/crates/nutmeggrade-state/src/fleet_view/sources.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/sources.rs
@@ -7,16 +7,25 @@
 
 use super::{FleetView, Peer};
 
+/// Which peers may be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the same failure domain, and others if nobody there is to ask them first.
+    Near,
+    /// All.
+    Everywhere,
+}
+
 impl FleetView {
     /// Chooses a live peer that `is_ahead`, and says whether it is in the same failure domain.
     ///
     /// Neighbours are asked first. While none of them is ahead, only the first instance of a failure domain
-    /// asks another domain's, so that a change crosses between two domains once; `asks_far` lifts that.
-    /// `lot` is drawn, and spreads the calls.
+    /// asks another domain's, so that a change crosses between two domains once;
+    /// [`Reach::Everywhere`] lifts that. `lot` is drawn, and spreads the calls.
     pub fn source(
         &self,
         is_ahead: impl Fn(&Revisions) -> bool,
-        asks_far: bool,
+        reach: Reach,
         lot: usize,
         now: Moment,
     ) -> Option<(SocketAddr, bool)> {
@@ -24,7 +33,7 @@
         let (near, far): (Vec<&Peer>, Vec<&Peer>) =
             self.peers.values().filter(is_source).partition(|p| p.seat.domain == self.seat.domain);
         let is_near = !near.is_empty();
-        if !is_near && !asks_far && !self.is_first_near(now) {
+        if !is_near && reach == Reach::Near && !self.is_first_near(now) {
             return None;
         }
         let all = if is_near { near } else { far };
@@ -40,9 +49,8 @@
     /// Says whether this instance is the first of its failure domain in the order in which instances
     /// read for all.
     fn is_first_near(&self, now: Moment) -> bool {
-        let own = (self.turn_key, &self.own);
         let is_near = |p: &Peer| p.seat.domain == self.seat.domain && !p.leaving;
-        let live = self.peers.iter().filter(|(_, p)| is_near(p) && self.is_heard(p, now));
-        live.map(|(name, p)| (p.turn_key, name)).all(|other| other > own)
+        let mut live = self.peers.iter().filter(|(_, p)| is_near(p) && self.is_heard(p, now));
+        !live.any(|(name, p)| self.is_after(name, p))
     }
 }
--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -1,7 +1,6 @@
 //! Calls to the store, and what peers hand on of its objects.
 
 use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, Generations, RoutingPlan, Store};
-
 use nutmeggrade_relay::Instance;
 
 use super::fleet::{Pair, pair};
