--- a/crates/nutmegctl/src/cmd.rs
+++ b/crates/nutmegctl/src/cmd.rs
@@ -7,6 +7,7 @@
 mod help;
 mod order;
 mod preset;
+mod rollout;
 mod status;
 mod watch;
 
@@ -16,6 +17,11 @@
 
 pub use help::{exists, help};
 
+/// Says whether a subcommand asks instances alone, so that it needs neither the platform nor a token.
+pub fn asks_instances_only(words: &[String]) -> bool {
+    words.first().is_some_and(|word| word == "rollout")
+}
+
 /// Runs the subcommand that the words name.
 pub async fn run(settings: &Settings, words: &[&str]) -> anyhow::Result<()> {
     match words {
@@ -31,6 +37,7 @@
         ["order", "load", endpoint, load] => order::load(settings, endpoint, load).await,
         ["order", "unload", endpoint, load] => order::unload(settings, endpoint, load).await,
         ["order", "role", endpoint, role] => order::role(settings, endpoint, role).await,
+        ["rollout", "list"] => rollout::list(settings).await,
         ["status"] => status::show(settings).await,
         ["watch"] => watch::run(settings).await,
         ["explain", request] => explain::show(settings, request).await,
--- a/crates/nutmegctl/src/cmd/help.rs
+++ b/crates/nutmegctl/src/cmd/help.rs
@@ -35,6 +35,11 @@
     command("order load NAME LOAD", "orders to load MODEL[@VERSION][+ADAPTER]", CHANGE),
     command("order unload NAME LOAD", "orders to unload it", CHANGE),
     command("order role NAME ROLE", "orders the role prefill, decode or both", CHANGE),
+    command(
+        "rollout list",
+        "lists services that move to another version",
+        "--admin 10.0.1.1:8748,10.0.1.2:8748",
+    ),
     command("status", "shows what each instance has in force", LOOK),
     command("watch", "repeats status each second", "--platform 10.0.0.9:8080 --rounds 10"),
     command(
--- a/crates/nutmegctl/src/main.rs
+++ b/crates/nutmegctl/src/main.rs
@@ -39,7 +39,7 @@
         eprintln!("nutmegctl: unknown command {:?}; see nutmegctl --help", words.join(" "));
         return ExitCode::from(USAGE_EXIT);
     }
-    let settings = match Settings::load(flags) {
+    let settings = match Settings::load(flags, cmd::asks_instances_only(words)) {
         Ok(settings) => settings,
         Err(mistakes) => {
             for mistake in mistakes {
--- a/crates/nutmegctl/src/settings.rs
+++ b/crates/nutmegctl/src/settings.rs
@@ -69,8 +69,9 @@
 }
 
 impl Settings {
-    /// Reads flags and environment variables; lists every mistake at once.
-    pub fn load(args: &[String]) -> Result<Self, Vec<Mistake>> {
+    /// Reads flags and environment variables; lists every mistake at once. `is_offline` says that neither the
+    /// platform nor the operators' token is needed.
+    pub fn load(args: &[String], is_offline: bool) -> Result<Self, Vec<Mistake>> {
         let variable = |name: &str| std::env::var(name).ok();
         let file = |path: &str| std::fs::read_to_string(path).map_err(|e| e.to_string());
         // Whoever has logs needs neither the platform nor the operators' token to read them.
@@ -78,7 +79,7 @@
         let offline = SPECS.iter().map(|s| s.with_optional(s.default.is_none()));
         let offline = Values::load(&offline.collect::<Vec<_>>(), args, variable, file);
         let values = match offline {
-            Ok(values) if reads_logs(&values) => values,
+            Ok(values) if is_offline || reads_logs(&values) => values,
             _ => Values::load(SPECS, args, variable, file)?,
         };
         Ok(Self {
--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -143,6 +143,8 @@
     LastDomain = 5012, "last_domain", 409;
     /// No instance asked knows the request.
     RequestUnknown = 5013, "request_unknown", 404;
+    /// An order of a roll-out names no service or version, or another service than its object.
+    BadRollout = 5014, "bad_rollout", 400;
     /// A flag or variable is not known.
     UnknownSetting = 6001, "unknown_setting", 400;
     /// A setting that has no default is missing.
--- a/crates/nutmeggrade-core/src/id/name.rs
+++ b/crates/nutmeggrade-core/src/id/name.rs
@@ -97,7 +97,7 @@
     ServiceId,
     /// Names a task class, such as drafting or sorting.
     TaskId,
-    /// Names a version of a model.
+    /// Names a version of a model, or of the software of endpoints.
     VersionId,
     /// Names a workspace.
     WorkspaceId,
--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod order;
 pub mod peer;
 pub mod prelude;
+pub mod rollout;
 pub mod routing;
 pub mod run;
 pub mod secret;
--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DomainId, EndpointId, InstanceId};
+use crate::rollout::RolloutNotice;
 use crate::routing::Placed;
 
 /// Where an instance is reached.
@@ -51,13 +52,21 @@
     /// Of the failure domains that are out.
     #[serde(rename = "o")]
     pub out: u64,
+    /// Of the roll-outs.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub rollouts: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde hands a reference over")]
+const fn is_zero(revision: &u64) -> bool {
+    *revision == 0
 }
 
 /// Heartbeat: that an instance lives, what it knows and what it has placed where.
 ///
 /// Fields go by one letter. Each instance of a large fleet gets some seventy heartbeats a second, and their
 /// names were a third of the bytes of one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FleetBeacon {
     /// The sender.
     #[serde(rename = "i")]
@@ -83,6 +92,9 @@
     /// What the sender has placed at each endpoint.
     #[serde(rename = "p")]
     pub placed: BTreeMap<EndpointId, Placed>,
+    /// Roll-outs that the sender knows.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutNotice>,
 }
 
 impl FleetBeacon {
--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -6,6 +6,7 @@
 
 use super::{Contacts, FleetBeacon};
 use crate::id::{EndpointId, InstanceId};
+use crate::rollout::{RolloutNotice, RolloutReport};
 use crate::routing::{EndpointInfo, Placed};
 
 /// One endpoint's new entry, or the news that it is gone.
@@ -54,7 +55,7 @@
 }
 
 /// A datagram between instances.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetMessage {
     /// A heartbeat.
     Beacon(FleetBeacon),
@@ -71,6 +72,10 @@
     Leaving(Vec<EndpointId>),
     /// Endpoints at whose address nobody listened any more when the sender connected.
     Gone(Vec<EndpointId>),
+    /// A roll-out's phase has changed.
+    Rollout(RolloutNotice),
+    /// What the sender counted of a roll-out, for those who judge it.
+    RolloutReport(RolloutReport),
     /// Where heartbeats of other instances go, for a newcomer that knows few.
     Met(Contacts),
     /// A message that the receiver hands on to a part of its own failure domain.
@@ -97,6 +102,8 @@
             Self::Crashed(_) => "crashed",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
+            Self::Rollout(_) => "rollout",
+            Self::RolloutReport(_) => "rollout_report",
             Self::Met(_) => "met",
             Self::HandOn(message, _) => message.name(),
         }
--- a/crates/nutmeggrade-core/src/prelude.rs
+++ b/crates/nutmeggrade-core/src/prelude.rs
@@ -6,7 +6,7 @@
 pub use crate::failure::Failure;
 pub use crate::id::{
     ChangeId, DomainId, EndpointId, GenerationId, InstanceId, ModelId, PresetId, RequestId,
-    ServiceId, TaskId, WorkspaceId,
+    ServiceId, TaskId, VersionId, WorkspaceId,
 };
 pub use crate::moment::Moment;
 pub use crate::run::Run;
--- /dev/null
+++ b/crates/nutmeggrade-core/src/rollout/outcomes.rs
@@ -0,0 +1,77 @@
+//! Outcomes of one route's requests.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Latencies, Outcome};
+
+/// Outcomes of the requests that one version served.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcomes {
+    /// Requests that ended with a failure.
+    #[serde(rename = "f")]
+    pub failures: u32,
+    /// Time to the answer or to the first event.
+    #[serde(rename = "l")]
+    pub first: Latencies,
+    /// Time between two events of a stream.
+    #[serde(rename = "p")]
+    pub pace: Latencies,
+}
+
+impl Outcomes {
+    /// Notes one outcome.
+    pub fn add(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Failed => self.failures = self.failures.saturating_add(1),
+            Outcome::First(time) => self.first.add(time),
+            Outcome::Pace(time) => self.pace.add(time),
+        }
+    }
+
+    /// Counts the requests that were answered or failed.
+    pub fn count(&self) -> u32 {
+        self.failures.saturating_add(self.first.count())
+    }
+
+    /// Adds the counts of others.
+    pub fn merge(&mut self, other: &Self) {
+        self.failures = self.failures.saturating_add(other.failures);
+        self.first.merge(&other.first);
+        self.pace.merge(&other.pace);
+    }
+
+    /// Returns the counts since an earlier state of these.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            failures: self.failures.saturating_sub(earlier.failures),
+            first: self.first.since(&earlier.first),
+            pace: self.pace.since(&earlier.pace),
+        }
+    }
+}
+
+/// Outcomes of one route's requests by version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteOutcomes {
+    /// Those of all other versions.
+    #[serde(rename = "o")]
+    pub old: Outcomes,
+    /// Those of the version that the service moves to.
+    #[serde(rename = "n")]
+    pub new: Outcomes,
+}
+
+impl RouteOutcomes {
+    /// Adds the counts of others.
+    pub fn merge(&mut self, other: &Self) {
+        self.old.merge(&other.old);
+        self.new.merge(&other.new);
+    }
+
+    /// Returns the counts since an earlier state of these.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self { old: self.old.since(&earlier.old), new: self.new.since(&earlier.new) }
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/rollout/phase.rs
@@ -0,0 +1,78 @@
+//! How far a roll-out is.
+
+use serde::{Deserialize, Serialize};
+
+/// How far a roll-out is. Of two phases that instances tell, the later one counts, so that none goes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[repr(u8)]
+#[serde(into = "u8", try_from = "u8")]
+pub enum RolloutPhase {
+    /// The new version gets nothing yet.
+    Held,
+    /// The new version gets a small part of the requests.
+    Canary,
+    /// All new requests go to the new version; what runs at the old one ends or moves.
+    Switching,
+    /// Nothing runs at the old version any more.
+    Cleared,
+    /// All requests go to the old version again.
+    Reverting,
+    /// The store says that the new version serves; the old endpoints stop.
+    Completed,
+    /// The store says that the old version serves; the new endpoints drain.
+    Reverted,
+    /// The operator took the order back before it was decided.
+    Withdrawn,
+}
+
+impl RolloutPhase {
+    const ALL: [Self; 8] = [
+        Self::Held,
+        Self::Canary,
+        Self::Switching,
+        Self::Cleared,
+        Self::Reverting,
+        Self::Completed,
+        Self::Reverted,
+        Self::Withdrawn,
+    ];
+
+    /// Says whether the roll-out is decided and the store says so, or was taken back.
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Completed | Self::Reverted | Self::Withdrawn)
+    }
+
+    /// Says whether new requests go to the new version only.
+    pub const fn is_switched(self) -> bool {
+        matches!(self, Self::Switching | Self::Cleared | Self::Completed)
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Held => "held",
+            Self::Canary => "canary",
+            Self::Switching => "switching",
+            Self::Cleared => "cleared",
+            Self::Reverting => "reverting",
+            Self::Completed => "completed",
+            Self::Reverted => "reverted",
+            Self::Withdrawn => "withdrawn",
+        }
+    }
+}
+
+impl From<RolloutPhase> for u8 {
+    fn from(phase: RolloutPhase) -> Self {
+        phase as Self
+    }
+}
+
+impl TryFrom<u8> for RolloutPhase {
+    type Error = String;
+
+    fn try_from(number: u8) -> Result<Self, String> {
+        let found = Self::ALL.into_iter().find(|phase| u8::from(*phase) == number);
+        found.ok_or_else(|| format!("no phase {number}"))
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/rollout/state.rs
@@ -0,0 +1,23 @@
+//! The state of a roll-out that operators read.
+
+/// The state of a roll-out that operators read in the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RolloutState {
+    /// It is not decided.
+    InProgress,
+    /// The new version serves.
+    Completed,
+    /// The old version serves.
+    Reverted,
+}
+
+impl RolloutState {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InProgress => "in_progress",
+            Self::Completed => "completed",
+            Self::Reverted => "reverted",
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmeggrade-core/src/rollout/stored.rs
@@ -0,0 +1,30 @@
+//! A roll-out as it lies in the platform's store.
+
+use serde::{Deserialize, Serialize};
+
+use super::{RolloutOrder, RolloutPhase, RolloutState};
+
+/// A roll-out as it lies in the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRollout {
+    /// The order.
+    pub order: RolloutOrder,
+    /// Revision of the object's last change.
+    pub revision: u64,
+    /// The phase that its state stands for.
+    pub phase: RolloutPhase,
+    /// Whether a state of this order was written.
+    pub is_begun: bool,
+}
+
+impl StoredRollout {
+    /// Makes a roll-out with the state that was written for this order, if one was.
+    pub const fn new(order: RolloutOrder, revision: u64, state: Option<RolloutState>) -> Self {
+        let phase = match state {
+            None | Some(RolloutState::InProgress) => RolloutPhase::Held,
+            Some(RolloutState::Completed) => RolloutPhase::Completed,
+            Some(RolloutState::Reverted) => RolloutPhase::Reverted,
+        };
+        Self { order, revision, phase, is_begun: state.is_some() }
+    }
+}
--- a/crates/nutmeggrade-core/src/routing/endpoint_info.rs
+++ b/crates/nutmeggrade-core/src/routing/endpoint_info.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::id::{DomainId, EndpointId, ServiceId};
+use crate::id::{DomainId, EndpointId, ServiceId, VersionId};
 
 /// One life of an endpoint as it registers itself.
 #[serde_as]
@@ -27,6 +27,9 @@
     /// How much longer it stays cold, counted from when it said so.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub cold_left: Duration,
+    /// Version of its software, if it says one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<VersionId>,
     /// When it started, in Unix milliseconds; tells two lives under one id apart.
     pub born: u64,
 }
--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -59,6 +59,7 @@
         reads: true,
         revisions: Revisions::default(),
         placed: placed(number)?,
+        rollouts: Vec::new(),
     })
 }
 
--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod platform;
 pub mod relay;
+pub mod rollout;
 pub mod service;
 pub mod site;
 pub mod soak;
--- a/crates/nutmeggrade-fakes/src/site/routing.rs
+++ b/crates/nutmeggrade-fakes/src/site/routing.rs
@@ -95,6 +95,8 @@
     pub leaving: bool,
     /// How much longer it is cold, in milliseconds.
     pub cold_ms: u64,
+    /// Version of its software.
+    pub version: String,
     /// When it started.
     pub born: u64,
 }
@@ -103,7 +105,15 @@
     /// Makes the entry of a warm endpoint that stays.
     pub fn new(service: &str, address: SocketAddr) -> Self {
         let (service, domain) = (service.to_owned(), "veluwe".to_owned());
-        Self { service, address, domain, leaving: false, cold_ms: 0, born: 1 }
+        let version = "v1".to_owned();
+        Self { service, address, domain, leaving: false, cold_ms: 0, version, born: 1 }
+    }
+
+    /// Sets the version of its software.
+    #[must_use]
+    pub fn with_version(mut self, version: &str) -> Self {
+        version.clone_into(&mut self.version);
+        self
     }
 
     /// Sets whether it said that it will end.
@@ -117,7 +127,7 @@
     pub fn content(&self) -> Value {
         let state = if self.leaving { "draining" } else { "ready" };
         json!({ "service": self.service, "address": self.address, "zone": self.domain,
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": self.cold_ms,
+            "version": self.version, "slots": 8, "state": state, "cold_remaining_ms": self.cold_ms,
             "sequence": 1, "born": self.born })
     }
 }
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -18,28 +18,46 @@
 const PAGE: usize = 3;
 
 #[derive(Debug, Clone)]
-struct Change {
+struct Object {
     revision: u64,
+    created: u64,
+    content: Value,
+    status: Value,
+}
+
+impl Object {
+    fn written(&self, name: &str) -> Value {
+        let metadata = json!({ "name": name, "revision": self.revision, "created": self.created,
+            "finalizers": [], "deletion_time": false });
+        json!({ "metadata": metadata, "specification": self.content, "status": self.status })
+    }
+}
+
+type Objects = BTreeMap<(String, String), Object>;
+
+#[derive(Debug, Clone)]
+struct Change {
     kind: String,
     name: String,
-    content: Option<Value>,
+    object: Object,
+    is_gone: bool,
 }
 
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    objects: BTreeMap<(String, String), (u64, Value)>,
+    objects: Objects,
     changes: Vec<Change>,
     forgotten: u64,
     calls: u64,
     lagging: Option<Listed>,
 }
 
-/// Objects at a revision, each with the revision of its last change.
+/// Objects at a revision.
 #[derive(Debug, Clone, Default)]
 struct Listed {
     revision: u64,
-    objects: BTreeMap<(String, String), (u64, Value)>,
+    objects: Objects,
 }
 
 impl State {
@@ -112,27 +130,66 @@
         self.state().calls
     }
 
+    /// Returns the status of an object; null if it has none.
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map_or(Value::Null, |o| o.status.clone())
+    }
+
     fn change(&self, kind: &str, name: &str, content: Option<Value>) {
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        match &content {
-            Some(content) => drop(state.objects.insert(key, (revision, content.clone()))),
-            None => drop(state.objects.remove(&key)),
+        let is_gone = content.is_none();
+        let old = state.objects.remove(&key);
+        let object = Object {
+            revision,
+            created: old.as_ref().map_or(revision, |o| o.created),
+            content: content.unwrap_or(Value::Null),
+            status: old.map_or(Value::Null, |o| o.status),
+        };
+        if !is_gone {
+            state.objects.insert(key, object.clone());
         }
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(Change { revision, kind, name, content });
+        state.changes.push(Change { kind, name, object, is_gone });
         drop(state);
         self.news.send_replace(revision);
     }
 
+    /// Replaces an object's status if it still has the revision.
+    fn put_status(&self, kind: &str, name: &str, body: &[u8]) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let mut state = self.state();
+        let key = (kind.to_owned(), name.to_owned());
+        let newest = state.revision + 1;
+        let Some(object) = state.objects.get_mut(&key) else { return (404, Value::Null) };
+        let condition = body["metadata"]["revision"].as_u64();
+        if condition.is_some_and(|revision| revision != object.revision) {
+            return (409, object.written(name));
+        }
+        object.status = body["status"].clone();
+        object.revision = newest;
+        let object = object.clone();
+        let written = object.written(name);
+        state.revision = newest;
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        state.changes.push(Change { kind, name, object, is_gone: false });
+        drop(state);
+        self.news.send_replace(newest);
+        (200, written)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn serve(&self, mut stream: TcpStream, door: &Door) {
-        let Ok(Some(request)) = Message::read_head(&mut stream).await else { return };
+        let Ok(Some(mut request)) = Message::read_head(&mut stream).await else { return };
+        if !request.read_body(&mut stream).await {
+            return;
+        }
         self.state().calls += 1;
         let (status, body) = match door.fault() {
             Fault::None => self.answer(&request, door).await,
@@ -154,9 +211,14 @@
     }
 
     async fn answer(&self, request: &Message, door: &Door) -> (u16, Value) {
-        let (_, target) = request.request();
+        let (method, target) = request.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let kind = path.strip_prefix("/nutmeggrade/objects/").unwrap_or_default();
+        if method == "PUT"
+            && let Some((kind, name)) = kind.strip_suffix("/status").and_then(|k| k.split_once('/'))
+        {
+            return self.put_status(kind, name, &request.body);
+        }
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
         if let Some(since) = query.get("watcher").and_then(|w| w.parse().ok()) {
@@ -173,7 +235,7 @@
         let listed = lagging.unwrap_or_else(|| state.listed());
         let of_kind = listed.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
         let mut entries: Vec<Value> =
-            of_kind.map(|((_, name), (at, content))| object(name, *at, content)).collect();
+            of_kind.map(|((_, name), object)| object.written(name)).collect();
         let has_more = entries.len() > PAGE;
         entries.truncate(PAGE);
         (200, json!({ "entries": entries, "has_more": has_more, "at": listed.revision }))
@@ -204,20 +266,12 @@
         if since < state.forgotten {
             return Some((410, Value::Null));
         }
-        let later = state.changes.iter().filter(|c| c.revision > since && c.kind == kind);
-        let events: Vec<Value> = later
-            .map(|c| {
-                let content = c.content.clone().unwrap_or(Value::Null);
-                let object = object(&c.name, c.revision, &content);
-                json!({ "deleted": c.content.is_none(), "resource_object": object })
-            })
-            .collect();
+        let later = state.changes.iter().filter(|c| c.object.revision > since && c.kind == kind);
+        let event = |c: &Change| {
+            json!({ "deleted": c.is_gone,
+            "resource_object": c.object.written(&c.name) })
+        };
+        let events: Vec<Value> = later.map(event).collect();
         (!events.is_empty()).then(|| (200, json!({ "events": events, "at": state.revision })))
     }
 }
-
-fn object(name: &str, revision: u64, content: &Value) -> Value {
-    let metadata = json!({ "name": name, "revision": revision, "created": 1, "finalizers": [],
-        "deletion_time": false });
-    json!({ "metadata": metadata, "specification": content, "status": null })
-}
--- a/crates/nutmeggrade-policy/src/dispatch/candidate.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/candidate.rs
@@ -15,4 +15,6 @@
     pub memory: Option<u64>,
     /// Requests that this instance may send it in the running second, if it is cold.
     pub cold_left: Option<u32>,
+    /// Whether only requests that are drawn for a new version may go there.
+    pub is_canary: bool,
 }
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -187,7 +187,8 @@
     /// Says whether an endpoint that is there could run the request if it had nothing else.
     fn can_ever_run(&self, need: &Need) -> bool {
         let all = self.candidates.get(&need.service);
-        all.is_some_and(|a| a.iter().any(|c| c.memory.is_none_or(|m| need.memory <= m)))
+        let fits = |c: &Candidate| !c.is_canary && c.memory.is_none_or(|m| need.memory <= m);
+        all.is_some_and(|a| a.iter().any(fits))
     }
 
     fn next(&mut self, key: &LineKey, now: Moment) -> Option<(Need, EndpointId)> {
@@ -198,11 +199,18 @@
         })
     }
 
+    /// Chooses among the endpoints of a new version if the request is drawn for it, and else, or if none of
+    /// them has room, among all others.
     fn choose(&mut self, need: &Need, now: Moment) -> Option<EndpointId> {
+        let canary = if need.is_canary { self.best(need, true, now) } else { None };
+        canary.or_else(|| self.best(need, false, now))
+    }
+
+    fn best(&mut self, need: &Need, is_canary: bool, now: Moment) -> Option<EndpointId> {
         let candidates = self.candidates.get(&need.service)?;
         let rested = |c: &&Candidate| !self.book.health(&c.id).is_some_and(|h| h.is_paused(now));
-        let open: Vec<&Candidate> =
-            candidates.iter().filter(|c| !need.avoid.contains(&c.id)).collect();
+        let is_open = |c: &&Candidate| c.is_canary == is_canary && !need.avoid.contains(&c.id);
+        let open: Vec<&Candidate> = candidates.iter().filter(is_open).collect();
         let usable: Vec<&Candidate> = open.iter().copied().filter(rested).collect();
         // With nothing else left a paused endpoint is better than none.
         let usable = if usable.is_empty() { open } else { usable };
--- a/crates/nutmeggrade-policy/src/dispatch/need.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/need.rs
@@ -28,6 +28,8 @@
     pub fresh_until: Moment,
     /// The failure domain that its memory is copied from, if it goes on elsewhere.
     pub from: Option<DomainId>,
+    /// Whether the request is drawn for a new version, if that has room.
+    pub is_canary: bool,
 }
 
 impl Queued for Need {
--- a/crates/nutmeggrade-policy/src/lib.rs
+++ b/crates/nutmeggrade-policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod priority;
 pub mod queue;
 pub mod retry_budget;
+pub mod rollout;
 pub mod router;
 pub mod share;
 pub mod slow_start;
--- /dev/null
+++ b/crates/nutmeggrade-policy/src/rollout.rs
@@ -0,0 +1,15 @@
+//! How far a roll-out may go, by what its new version has shown.
+
+mod binomial;
+mod evidence;
+mod exposure;
+mod facts;
+mod judge;
+mod verdict;
+
+pub use binomial::tail;
+pub use evidence::Evidence;
+pub use exposure::{ExposureBound, watched};
+pub use facts::{Capacity, Facts};
+pub use judge::{Judge, Ruling};
+pub use verdict::{Complaint, Verdict};
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -10,6 +10,8 @@
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmeggrade_core::rollout::{ROLLOUTS_PATH, RolloutStatus};
+use nutmeggrade_state::rollout::RolloutView;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::{directory, names};
 use tokio::net::{TcpListener, TcpStream};
@@ -78,7 +80,7 @@
         vec![
             tokio::spawn(serve(self.ready, route(node, names::READY_PATH, readiness))),
             tokio::spawn(serve(self.directory, route(node, names::DIRECTORY_PATH, entries))),
-            tokio::spawn(serve(self.control, route(node, KNOWN_PATH, knowledge))),
+            tokio::spawn(serve(self.control, control(node))),
             tokio::spawn(serve(self.metrics, route(node, METRICS_PATH, metrics))),
         ]
     }
@@ -88,9 +90,22 @@
     TcpListener::bind(address).await.with_context(|| format!("bind {address}"))
 }
 
+fn control(node: &Arc<Node>) -> Router {
+    with(route(node, KNOWN_PATH, knowledge), node, ROLLOUTS_PATH, rollouts)
+}
+
 fn route(node: &Arc<Node>, path: &str, answer: fn(&Node, &str) -> Response) -> Router {
+    with(Router::new(), node, path, answer)
+}
+
+fn with(
+    router: Router,
+    node: &Arc<Node>,
+    path: &str,
+    answer: fn(&Node, &str) -> Response,
+) -> Router {
     let node = Arc::clone(node);
-    Router::new().get(path, move |request: Request| {
+    router.get(path, move |request: Request| {
         let node = Arc::clone(&node);
         async move { VizResult::Ok(answer(&node, request.uri().query().unwrap_or_default())) }
     })
@@ -127,6 +142,29 @@
     }
 }
 
+fn rollouts(node: &Node, _: &str) -> Response {
+    let views = lock(&node.tables).rollouts.views(node.now());
+    let all: Vec<RolloutStatus> = views.iter().map(status).collect();
+    match serde_json::to_vec(&all) {
+        Ok(body) => respond(StatusCode::OK, body),
+        Err(error) => {
+            tracing::error!(event = "rollouts_unsendable", %error);
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
+fn status(view: &RolloutView) -> RolloutStatus {
+    let names = (&view.service, &view.id.version);
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    RolloutStatus {
+        share: view.share,
+        age_ms: millis(view.age),
+        duration_ms: millis(view.duration),
+        ..RolloutStatus::new(names, view.phase, view.verdict, &view.tally)
+    }
+}
+
 fn metrics(node: &Node, _: &str) -> Response {
     let dropped = i64::try_from(node.logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.dropped_lines.set(dropped);
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -8,6 +8,7 @@
 use http::{Method, StatusCode};
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::StoredRollout;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::fleet_view::Reach;
 use nutmeggrade_wire::kinds::Kind;
@@ -39,6 +40,8 @@
     },
     /// Failure domains that are out.
     Out(BTreeSet<DomainId>),
+    /// Orders to move services to another version.
+    Rollouts(Vec<StoredRollout>),
 }
 
 /// What an instance has read of one kind of object.
@@ -84,6 +87,7 @@
         Kind::Config => revisions.config,
         Kind::Endpoints => revisions.endpoints,
         Kind::Evacuations => revisions.out,
+        Kind::Rollouts => revisions.rollouts,
     }
 }
 
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -14,7 +14,7 @@
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{engine_watch, front, ticker, watch};
+use crate::{engine_watch, front, rollouts, ticker, watch};
 
 /// Part of the grace after which no new connection is taken: what comes then could not end in time.
 const CLOSING: f64 = 0.8;
@@ -91,6 +91,7 @@
         tasks.push(tokio::spawn(hand_on(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(tell_placed(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(forward_placed(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         tasks.push(tokio::spawn(engine_watch::run(Arc::clone(&node))));
         let front = tokio::spawn(front::serve(Arc::clone(&node), listener));
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod relay;
 mod reload;
+mod rollouts;
 mod server;
 mod settings;
 mod short_call;
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -47,6 +47,8 @@
     pub peer_bytes: IntCounterVec,
     /// Bytes of the store's answers by kind.
     pub store_bytes: IntCounterVec,
+    /// How far each service's roll-out is, as the number of its phase.
+    pub rollout_phase: IntGaugeVec,
     /// Log lines dropped.
     pub dropped_lines: IntGauge,
     broken: IntGaugeVec,
@@ -90,6 +92,13 @@
                 "calls to the store by reason",
                 &["kind", "reason"],
             )?,
+            rollout_phase: add(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("rollout_phase", "phase of a service's roll-out"),
+                    &["service"],
+                ),
+            )?,
             dropped_lines: gauge("log_lines_dropped", "log lines dropped")?,
             broken: add(
                 &registry,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -1,6 +1,7 @@
 //! One instance: its settings, tables, clients and counters.
 
 mod endpoints;
+mod rollouts;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -34,8 +34,9 @@
         for change in &changes {
             match change {
                 Change::Joined(e) => {
+                    let version = e.version.as_ref().map_or("-", VersionId::as_str);
                     tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
-                        domain = %e.domain, cold_ms = e.cold_left.as_millis());
+                        version, domain = %e.domain, cold_ms = e.cold_left.as_millis());
                 }
                 Change::Missing(e) => {
                     tracing::info!(event = "endpoint_missing", endpoint = %e.id,
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/node/rollouts.rs
@@ -0,0 +1,57 @@
+//! What an instance learns and tells of roll-outs.
+
+use nutmeggrade_core::peer::FleetMessage;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::RolloutNotice;
+use nutmeggrade_state::rollout::RolloutTable;
+
+use super::Node;
+use crate::tables::lock;
+
+impl Node {
+    /// Says whether roll-outs are followed.
+    pub fn follows_rollouts(&self) -> bool {
+        self.settings().exposure.is_some()
+    }
+
+    /// Changes what is known of roll-outs, and tells all peers at once of the phases that change.
+    pub fn change_rollouts(
+        &self,
+        change: impl FnOnce(&mut RolloutTable, Moment) -> Vec<RolloutNotice>,
+    ) {
+        let now = self.now();
+        let changed = change(&mut lock(&self.tables).rollouts, now);
+        for notice in &changed {
+            self.tell(FleetMessage::Rollout(notice.clone()));
+        }
+        self.enter_phases(&changed);
+    }
+
+    /// Takes what a peer tells of roll-outs.
+    pub fn hear_rollouts(&self, notices: Vec<RolloutNotice>) {
+        if notices.is_empty() || !self.follows_rollouts() {
+            return;
+        }
+        let now = self.now();
+        let changed: Vec<RolloutNotice> = {
+            let rollouts = &mut lock(&self.tables).rollouts;
+            notices.into_iter().filter(|notice| rollouts.hear(notice, now)).collect()
+        };
+        self.enter_phases(&changed);
+    }
+
+    /// Has new requests, and streams that run at endpoints of a retired version, follow the phases.
+    fn enter_phases(&self, changed: &[RolloutNotice]) {
+        for RolloutNotice { order, phase, age, .. } in changed {
+            let gauge = self.metrics.rollout_phase.with_label_values(&[order.service.as_str()]);
+            gauge.set(i64::from(u8::from(*phase)));
+            let (version, phase) = (&order.id.version, phase.as_str());
+            let age_ms = age.as_millis();
+            tracing::info!(event = "rollout", service = %order.service, %version, phase, age_ms);
+        }
+        if !changed.is_empty() {
+            self.refresh();
+            self.departures.send_modify(|n| *n += 1);
+        }
+    }
+}
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -177,7 +177,8 @@
         }
     }
 
-    async fn send_to(&self, node: &Node, message: &FleetMessage, targets: &[SocketAddr]) {
+    /// Sends a message to some peers.
+    pub async fn send_to(&self, node: &Node, message: &FleetMessage, targets: &[SocketAddr]) {
         let frame = match seal(message, &self.key) {
             Ok(frame) => frame,
             Err(error) => {
@@ -227,6 +228,7 @@
             reads: node.follow.is_answered(),
             revisions: node.revisions(),
             placed: tables.dispatcher.book.own().clone(),
+            rollouts: tables.rollouts.notices(now),
         }
     }
 
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -15,12 +15,14 @@
 /// Takes over what a peer told.
 pub fn take_message(node: &Node, message: FleetMessage) {
     match message {
-        FleetMessage::Beacon(beacon) => take(node, &beacon),
+        FleetMessage::Beacon(beacon) => take(node, beacon),
         FleetMessage::News(news) => take_news(node, &news),
         FleetMessage::Leaving(endpoints) => node.note_leaving(&endpoints),
         FleetMessage::Gone(endpoints) => node.note_gone(&endpoints),
         FleetMessage::Met(others) => lock(&node.tables).fleet.meet_all(&others, node.now()),
         FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
+        FleetMessage::Rollout(notice) => node.hear_rollouts(vec![notice]),
+        FleetMessage::RolloutReport(report) => lock(&node.tables).rollouts.take_report(&report),
         FleetMessage::Placed(placed) => take_placed(node, &placed),
         FleetMessage::Moving(placed) => take_placed(node, &[placed]),
         // Handed on once is enough; who sends it twice wants it to go round for ever.
@@ -37,12 +39,12 @@
     }
 }
 
-fn take(node: &Node, beacon: &FleetBeacon) {
+fn take(node: &Node, beacon: FleetBeacon) {
     let now = node.now();
     {
         let mut tables = lock(&node.tables);
         let was_live = tables.fleet.is_live(&beacon.instance, now);
-        if !tables.fleet.hear(beacon, now) {
+        if !tables.fleet.hear(&beacon, now) {
             return;
         }
         tables.dispatcher.book.set_peer(&beacon.instance, &beacon.placed);
@@ -54,6 +56,8 @@
     node.follow.track(Kind::Config).hint(beacon.revisions.config);
     node.follow.track(Kind::Endpoints).hint(beacon.revisions.endpoints);
     node.follow.track(Kind::Evacuations).hint(beacon.revisions.out);
+    node.follow.track(Kind::Rollouts).hint(beacon.revisions.rollouts);
+    node.hear_rollouts(beacon.rollouts);
 }
 
 /// Takes changes of endpoints that a peer has read.
--- a/crates/nutmeggrade-relay/src/relay/call.rs
+++ b/crates/nutmeggrade-relay/src/relay/call.rs
@@ -65,6 +65,7 @@
             avoid: std::collections::BTreeSet::new(),
             fresh_until: self.arrived.after(self.route.target.mul_f64(FRESH)),
             from: None,
+            is_canary: false,
         }
     }
 
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -39,6 +39,8 @@
     pub said: Answered,
     /// Its body.
     pub upstream: Upstream,
+    /// When the request went out.
+    pub sent: Moment,
 }
 
 impl Answer {
@@ -103,9 +105,10 @@
         }
     }));
     let is_continued = extra.resume.is_some();
-    if !is_continued && !lock(&node.tables).registry.may_send(&endpoint.id) {
+    if !note_send(node, endpoint, is_continued) {
         return Err(NoAnswer::Leaving);
     }
+    let sent = node.now();
     let request =
         build(node, call, endpoint, extra).map_err(|e| NoAnswer::NotSent(e.to_string()))?;
     let response = tokio::select! {
@@ -116,7 +119,17 @@
     let (head, body) = response.into_parts();
     let said = answer::read(&head);
     check(&head, &said, &call.id)?;
-    Ok(Answer { head, said, upstream: Upstream::new(body, connection) })
+    Ok(Answer { head, said, upstream: Upstream::new(body, connection), sent })
+}
+
+/// Counts a request that goes out now; says whether it may. What goes on from a copy may always.
+fn note_send(node: &Node, endpoint: &EndpointInfo, is_continued: bool) -> bool {
+    let mut tables = lock(&node.tables);
+    let may = is_continued || tables.registry.may_send(&endpoint.id);
+    if may {
+        tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
+    }
+    may
 }
 
 /// Tells answers that belong to the request from all others.
--- a/crates/nutmeggrade-relay/src/relay/place.rs
+++ b/crates/nutmeggrade-relay/src/relay/place.rs
@@ -79,19 +79,28 @@
         let why = format!("no endpoint had room within {} ms", waited.as_millis());
         return Err(Failure::new(Code::NoRoom, &why).with_retry_after(wait));
     };
-    log(node, call, need, &id, waited);
-    take(node, need.ticket, &id).ok_or_else(|| {
+    let place = take(node, need.ticket, &id);
+    log(node, call, need, &id, place.as_ref(), waited);
+    place.ok_or_else(|| {
         let wait = lock(&node.tables).dispatcher.return_time();
         Failure::new(Code::NoRoom, "the chosen endpoint is gone").with_retry_after(wait)
     })
 }
 
 /// Logs where a request goes and what that was decided by: what all instances have placed there, this
-/// request with it, and the versions of the configuration and of the endpoints.
-fn log(node: &Node, call: &Call, need: &Need, endpoint: &EndpointId, waited: Duration) {
+/// request with it, the endpoint's version, and those of the configuration and of the endpoints' list.
+fn log(
+    node: &Node,
+    call: &Call,
+    need: &Need,
+    endpoint: &EndpointId,
+    place: Option<&Place>,
+    waited: Duration,
+) {
     let placed = lock(&node.tables).dispatcher.book.at(endpoint);
-    tracing::info!(event = "placed", request = %call.id, endpoint = %endpoint,
-        waited_ms = waited.as_millis(), requests = placed.requests, memory = placed.memory,
+    let version = place.and_then(|p| p.endpoint.version.as_ref()).map_or("-", VersionId::as_str);
+    tracing::info!(event = "placed", request = %call.id, endpoint = %endpoint, version,
+        canary = need.is_canary, waited_ms = waited.as_millis(), requests = placed.requests, memory = placed.memory,
         prompt = need.prompt, config = node.map().version, endpoints = node.revisions().endpoints);
 }
 
--- a/crates/nutmeggrade-relay/src/relay/search.rs
+++ b/crates/nutmeggrade-relay/src/relay/search.rs
@@ -7,7 +7,8 @@
 use http::Response;
 use http::response::Parts;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::RouteKind;
+use nutmeggrade_core::rollout::Outcome;
+use nutmeggrade_core::routing::{EndpointInfo, RouteKind};
 use nutmeggrade_policy::dispatch::{Health, Need};
 use nutmeggrade_state::attempt::Attempt;
 
@@ -96,8 +97,9 @@
 impl Search {
     fn new(node: &Arc<Node>, call: Call) -> Self {
         let settings = node.settings();
-        lock(&node.tables).count_request(&call.service, &settings, call.arrived);
-        let need = call.need(node.ticket(), &node.anybody);
+        let mut need = call.need(node.ticket(), &node.anybody);
+        let share = lock(&node.tables).count_request(&call.service, &settings, call.arrived);
+        need.is_canary = share > rand::random();
         Self {
             node: Arc::clone(node),
             attempt: Attempt::new(call.route.kind, call.route.attempts),
@@ -133,6 +135,8 @@
 
     async fn send(&mut self, place: Place) -> Result<Step, Failure> {
         let endpoint = place.endpoint.clone();
+        // A new version that fails a request gets it once.
+        self.need.is_canary = false;
         self.pending.endpoint = Some(endpoint.id.clone());
         self.attempt.send();
         let patience = self.patience();
@@ -173,12 +177,14 @@
             }
             Err(NoAnswer::Silent) => {
                 self.attempt.lost();
+                self.note_outcome(&endpoint, Outcome::Failed);
                 self.note("silent", &endpoint.id);
                 self.node.note_health(&endpoint.id, Health::failed);
                 self.next(&endpoint.id, "no answer in time", Code::DeadlinePassed)
             }
             Err(NoAnswer::Lost(why)) => {
                 self.attempt.lost();
+                self.note_outcome(&endpoint, Outcome::Failed);
                 crash::look(&self.node, &self.call, &endpoint);
                 self.note("lost", &endpoint.id);
                 self.node.note_health(&endpoint.id, Health::lost);
@@ -191,17 +197,22 @@
     async fn take(&mut self, answer: Answer, place: Place) -> Result<Step, Failure> {
         let is_stream = answer.is_events();
         let is_large = answer.said.length.is_some_and(|l| l > plain::MOST_KEPT as u64);
+        let took = self.node.now().since(answer.sent);
         if is_stream || is_large {
             self.attempt.answer();
+            if !is_stream {
+                self.note_outcome(&place.endpoint, Outcome::First(took));
+            }
             self.note("answered", &place.endpoint.id);
             return Ok(Step::Done(Found::Begun(Box::new(Begun { answer, place }))));
         }
         let endpoint = place.endpoint.id.clone();
-        let Answer { head, said, upstream } = answer;
+        let Answer { head, said, upstream, .. } = answer;
         let body = match plain::read_whole(upstream).await {
             Ok(body) => body,
             Err(why) => {
                 self.attempt.lost();
+                self.note_outcome(&place.endpoint, Outcome::Failed);
                 self.note("broken", &endpoint);
                 self.node.note_health(&endpoint, Health::failed);
                 return self.next(&endpoint, &why, Code::OutcomeUnknown);
@@ -209,6 +220,7 @@
         };
         if said.is_failure() {
             self.attempt.failed();
+            self.note_outcome(&place.endpoint, Outcome::Failed);
             self.note("failed", &endpoint);
             self.node.note_health(&endpoint, Health::failed);
             if self.may_repeat() {
@@ -218,6 +230,7 @@
             }
         } else {
             self.attempt.answer();
+            self.note_outcome(&place.endpoint, Outcome::First(took));
             self.note("answered", &endpoint);
             self.node.note_health(&endpoint, Health::succeeded);
         }
@@ -283,6 +296,12 @@
         Failure::new(Code::DeadlinePassed, "the time passed").with_run(self.attempt.run())
     }
 
+    /// Notes what the request tells of its endpoint's version.
+    fn note_outcome(&self, endpoint: &EndpointInfo, outcome: Outcome) {
+        let now = self.node.now();
+        lock(&self.node.tables).note_outcome(endpoint, &self.call.route.name, outcome, now);
+    }
+
     fn note(&self, end: &str, endpoint: &EndpointId) {
         self.node.metrics.sends.with_label_values(&[end]).inc();
         if end != "answered" {
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::Outcome;
 use nutmeggrade_core::routing::EngineSpec;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
@@ -29,6 +30,10 @@
 /// Pieces that wait for a client that reads slowly; then the engine has to wait too.
 const PIECES: usize = 16;
 
+/// Events after which their pace tells how fast an engine is, and that suffice at a stream's end.
+const PACED: u64 = 24;
+const FEWEST_PACED: u64 = 8;
+
 /// An event stream on its way to a client.
 pub struct Stream {
     /// The instance.
@@ -46,7 +51,9 @@
     upstream: Option<Upstream>,
     is_framed: bool,
     sender: mpsc::Sender<Piece>,
+    sent: Moment,
     began: Option<Moment>,
+    is_paced: bool,
     moves: u32,
 }
 
@@ -65,8 +72,10 @@
         engine,
         is_framed: is_framed(&answer.said, &answer.head.headers),
         upstream: Some(answer.upstream),
+        sent: answer.sent,
         sender,
         began: None,
+        is_paced: false,
         moves: 0,
     };
     tokio::spawn(stream.run());
@@ -89,7 +98,11 @@
             endpoint = %self.place.endpoint.id, end = end.as_str(), events = self.splitter.passed(),
             moves = self.moves, first_ms = first.as_millis(),
             ms = now.since(self.call.arrived).as_millis());
+        if end == End::Broken {
+            self.note_outcome(Outcome::Failed, now);
+        }
         if end == End::Finished {
+            self.note_pace(FEWEST_PACED, now);
             let mut tables = lock(&self.node.tables);
             tables.pace.ended(self.made(), now.since(self.call.arrived));
             tables.dispatcher.book.health_mut(&self.place.endpoint.id).succeeded(now);
@@ -161,12 +174,32 @@
         let mut tables = lock(&self.node.tables);
         if self.began.is_none() {
             self.began = Some(now);
+            let first = Outcome::First(now.since(self.sent));
+            tables.note_outcome(&self.place.endpoint, &self.call.route.name, first, now);
             tables.dispatcher.book.has_read(self.place.ticket);
             tables.release(now);
             self.node.placed.notify_one();
         }
         let prompt = self.call.prompt.as_ref().map_or(0, |p| p.tokens);
         tables.dispatcher.book.grow(self.place.ticket, prompt + self.made());
+        drop(tables);
+        self.note_pace(PACED, now);
+    }
+
+    /// Notes how fast the engine makes events, once; a stream that moved tells of two engines.
+    fn note_pace(&mut self, fewest: u64, now: Moment) {
+        let events = self.splitter.passed();
+        let Some(began) = self.began.filter(|_| events >= fewest && !self.is_paced) else { return };
+        self.is_paced = true;
+        let pace = now.since(began).div_f64(events as f64);
+        self.note_outcome(Outcome::Pace(pace), now);
+    }
+
+    fn note_outcome(&self, outcome: Outcome, now: Moment) {
+        if self.moves == 0 {
+            let route = &self.call.route.name;
+            lock(&self.node.tables).note_outcome(&self.place.endpoint, route, outcome, now);
+        }
     }
 
     /// Returns how many tokens the generation has made.
--- /dev/null
+++ b/crates/nutmeggrade-relay/src/rollouts/judging.rs
@@ -0,0 +1,99 @@
+//! Decides how far roll-outs go, on the instance whose turn it is.
+
+use std::collections::BTreeMap;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::{RolloutId, RolloutNotice};
+use nutmeggrade_core::routing::RouteMap;
+use nutmeggrade_policy::rollout::{ExposureBound, Facts, Judge, Ruling, Verdict};
+
+use super::surroundings::Surroundings;
+use crate::node::{Node, Phase};
+use crate::tables::{Tables, lock};
+
+/// The judges of the roll-outs that this instance decides.
+///
+/// The first instance in the order in which they read for all decides. For a moment two may take themselves for
+/// it; as phases only advance and the store takes a state only at the revision that its writer has read, both
+/// lead to one end.
+#[derive(Debug, Default)]
+pub struct Judges(BTreeMap<(ServiceId, RolloutId), Judge>);
+
+impl Judges {
+    /// Makes judges of nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides how far each roll-out goes, if it is this instance's turn.
+    pub fn look(&mut self, node: &Node) {
+        let Some(bound) = node.settings().exposure else { return };
+        let (now, map) = (node.now(), node.map());
+        let is_serving = node.phase() == Phase::Serving;
+        let mut changed = Vec::new();
+        {
+            let tables = &mut lock(&node.tables);
+            if !is_serving || !tables.fleet.judges_first(now) {
+                self.0.clear();
+                tables.rollouts.stop_granting();
+                return;
+            }
+            let open = tables.rollouts.open();
+            let open: Vec<_> = open.map(|(service, id, _)| (service.clone(), id.clone())).collect();
+            self.0.retain(|order, _| open.contains(order));
+            for order in open {
+                changed.extend(self.decide(&order, bound, tables, &map, now));
+            }
+        }
+        if !changed.is_empty() {
+            node.change_rollouts(|_, _| changed);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        (service, id): &(ServiceId, RolloutId),
+        bound: ExposureBound,
+        tables: &mut Tables,
+        map: &RouteMap,
+        now: Moment,
+    ) -> Option<RolloutNotice> {
+        let seen = Surroundings::new(tables, map, service, &id.version, now);
+        let view = tables.rollouts.view(service, now)?;
+        let members: Vec<InstanceId> = tables.fleet.members().cloned().collect();
+        let facts = Facts {
+            age: view.age,
+            duration: view.duration,
+            phase: Some(view.phase),
+            tally: view.tally,
+            capacity: seen.capacity,
+            movable: seen.movable,
+            has_quorum: tables.fleet.has_quorum(now),
+            is_clear: tables.rollouts.is_clear(service, seen.own_running, members.iter()),
+        };
+        let judge =
+            self.0.entry((service.clone(), id.clone())).or_insert_with(|| Judge::new(bound));
+        let ruling = judge.rule(&facts);
+        if ruling.phase != view.phase {
+            log(service, id, &facts, &ruling);
+        }
+        let Ruling { phase, share, verdict, .. } = ruling;
+        tables.rollouts.rule(service, (phase, share, verdict.as_str()), now)
+    }
+}
+
+fn log(service: &ServiceId, id: &RolloutId, facts: &Facts, ruling: &Ruling) {
+    let answers = facts.tally.all_routes();
+    let (route, complaint) = match &ruling.verdict {
+        Verdict::Bad { route, complaint } => (route.as_str(), complaint.to_string()),
+        _ => ("", String::new()),
+    };
+    tracing::info!(event = "rollout_decided", %service, version = %id.version,
+        phase = ruling.phase.as_str(), why = ruling.why, verdict = ruling.verdict.as_str(), route,
+        complaint, age_ms = facts.age.as_millis(), duration_ms = facts.duration.as_millis(),
+        requests = facts.tally.requests, exposed = facts.tally.exposed,
+        answers = answers.new.count(), failures = answers.new.failures,
+        old_answers = answers.old.count(), old_failures = answers.old.failures,
+        new_slots = facts.capacity.new_slots, old_slots = facts.capacity.old_slots,
+        running = facts.capacity.running);
+}
--- a/crates/nutmeggrade-relay/src/settings.rs
+++ b/crates/nutmeggrade-relay/src/settings.rs
@@ -10,6 +10,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::settings::{Kind, Mistake, Spec, Values};
 use nutmeggrade_policy::fleet::Allowance;
+use nutmeggrade_policy::rollout::ExposureBound;
 
 use file::SettingsFile;
 
@@ -54,6 +55,18 @@
     .with_default("1"),
     Spec::new("cold-tolerance", decimal(ONE, 0, 1_000), "requests beyond a cold endpoint's rate")
         .with_default("0"),
+    Spec::new(
+        "exposure-share",
+        decimal(ONE, 0, 1),
+        "part of a service's requests that a bad version may get; 0 follows no roll-outs",
+    )
+    .with_default("0"),
+    Spec::new(
+        "exposure-tolerance",
+        decimal(ONE, 0, 1_000_000),
+        "requests that a bad version may get beyond that part",
+    )
+    .with_default("0"),
     Spec::new("log", Kind::Text, "log level, as in info or warn,nutmeggrade_relay=debug")
         .with_default("info"),
 ];
@@ -103,6 +116,8 @@
     pub cold_overrun: f64,
     /// Requests that a cold endpoint may get beyond that.
     pub cold_tolerance: f64,
+    /// How many requests a version may get that turns out bad; none where roll-outs are not followed.
+    pub exposure: Option<ExposureBound>,
     /// Log filter.
     pub log: String,
     values: Values,
@@ -167,8 +182,15 @@
             },
             cold_overrun: values.decimal("cold-overrun"),
             cold_tolerance: values.decimal("cold-tolerance"),
+            exposure: exposure(&values),
             log: values.text("log").to_owned(),
             values,
         })
     }
 }
+
+fn exposure(values: &Values) -> Option<ExposureBound> {
+    let share = values.decimal("exposure-share");
+    let tolerance = values.decimal("exposure-tolerance");
+    (share > 0.0).then_some(ExposureBound { share, tolerance })
+}
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{RouteMap, ServiceSpec};
+use nutmeggrade_core::rollout::Outcome;
+use nutmeggrade_core::routing::{EndpointInfo, RouteMap, ServiceSpec};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{Candidate, Dispatcher, Need, Offer};
 use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
 use nutmeggrade_policy::pace::Pace;
+use nutmeggrade_policy::rollout::watched;
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Registered, Registry};
+use nutmeggrade_state::rollout::{RolloutTable, Standing};
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -39,6 +42,8 @@
     pub pace: Pace,
     /// Requests under which endpoints died.
     pub crashes: CrashLog,
+    /// Services that move to another version.
+    pub rollouts: RolloutTable,
     resends: BTreeMap<ServiceId, ResendBudget>,
     cold: BTreeMap<EndpointId, ColdShare>,
     waiting: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -53,6 +58,7 @@
             fleet,
             pace: Pace::new(),
             crashes: CrashLog::new(),
+            rollouts: RolloutTable::new(),
             resends: BTreeMap::new(),
             cold: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -101,9 +107,31 @@
         self.dispatcher.give_up(need)
     }
 
-    /// Notes a request for a service.
-    pub fn count_request(&mut self, service: &ServiceId, settings: &Settings, now: Moment) {
+    /// Notes a request for a service; returns the part of such requests that a new version gets now.
+    pub fn count_request(&mut self, service: &ServiceId, settings: &Settings, now: Moment) -> f64 {
         self.budget(service, settings).request(now);
+        self.rollouts.count_request(service);
+        self.rollouts.share(service, now)
+    }
+
+    /// Notes what a request tells of the version that served it. An endpoint that has just started or leaves
+    /// is slow or breaks off whatever its version.
+    pub fn note_outcome(
+        &mut self,
+        endpoint: &EndpointInfo,
+        route: &str,
+        outcome: Outcome,
+        now: Moment,
+    ) {
+        let is_warm = self.registry.get(&endpoint.id).is_some_and(|e| e.is_warm(now));
+        let counts = match outcome {
+            Outcome::Failed => !self.registry.is_parting(&endpoint.id),
+            Outcome::First(_) | Outcome::Pace(_) => is_warm,
+        };
+        if counts {
+            let version = endpoint.version.as_ref();
+            self.rollouts.note_outcome(&endpoint.service, version, route, outcome);
+        }
     }
 
     /// Takes a second send to a service out of the budget, if one is left.
@@ -126,7 +154,14 @@
 
     /// Works out anew which endpoints may get work.
     pub fn refresh(&mut self, map: &RouteMap, settings: &Settings, now: Moment) {
+        let is_unsure = settings.exposure.is_some() && !self.rollouts.is_known();
+        let heard = self.rollouts.rules(now);
+        let mut versions =
+            if is_unsure { self.registry.oldest_versions() } else { BTreeMap::new() };
+        versions.extend(heard);
+        self.registry.set_versions(versions);
         let mut candidates: BTreeMap<ServiceId, Vec<Candidate>> = BTreeMap::new();
+        let mut canaries: BTreeMap<&ServiceId, Vec<Candidate>> = BTreeMap::new();
         let mut cold = BTreeSet::new();
         let sharers = self.fleet.sharers(now);
         for entry in self.registry.usable() {
@@ -138,7 +173,16 @@
                 candidate.cold_left = Some(share.left(bound, rank, sharers, now));
                 cold.insert(entry.info.id.clone());
             }
-            candidates.entry(spec.name.clone()).or_default().push(candidate);
+            if self.registry.standing(&entry.info) != Standing::Canary {
+                candidates.entry(spec.name.clone()).or_default().push(candidate);
+            } else if entry.is_warm(now) {
+                candidate.is_canary = true;
+                canaries.entry(&spec.name).or_default().push(candidate);
+            }
+        }
+        for (service, all) in canaries {
+            let count = watched(all.len(), self.rollouts.share(service, now));
+            candidates.entry(service.clone()).or_default().extend(all.into_iter().take(count));
         }
         self.cold.retain(|id, _| cold.contains(id));
         let registry = &self.registry;
@@ -155,6 +199,7 @@
         slots,
         memory: spec.engine.map(|e| e.memory),
         cold_left: None,
+        is_canary: false,
     }
 }
 
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_state::registry::Registry;
+use nutmeggrade_state::registry::{Registered, Registry};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::node::Node;
@@ -24,6 +24,7 @@
         ticks.tick().await;
         node.change_registry(Registry::expire);
         look_at_peers(&node, &mut live);
+        forget_rollouts(&node);
         node.refresh();
     }
 }
@@ -44,3 +45,15 @@
     node.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
     *live = heard;
 }
+
+/// Forgets orders that were taken back and of whose version nothing is left.
+fn forget_rollouts(node: &Node) {
+    let tables = &mut *lock(&node.tables);
+    let registry = &tables.registry;
+    tables.rollouts.forget(|service, version| {
+        let is_there = |e: &Registered| {
+            e.info.service == *service && e.info.version.as_ref() == Some(version)
+        };
+        registry.all().any(is_there)
+    });
+}
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use nutmeggrade_core::peer::{EndpointNews, FleetNews};
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::{RolloutNotice, StoredRollout};
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::registry::{Change, Registered, Registry};
+use nutmeggrade_state::rollout::RolloutTable;
 use nutmeggrade_wire::kinds::{CONFIG_NAME, Kind};
 use nutmeggrade_wire::store::{Snapshot, StoredObject};
-use nutmeggrade_wire::{config, endpoint};
+use nutmeggrade_wire::{config, endpoint, rollout};
 use serde_json::Value;
 
 use crate::fleet_sync::{Known, KnownAt};
@@ -35,6 +37,11 @@
             let out = snapshot.objects.iter().filter_map(|o| read_out(&o.name)).collect();
             node.set_out(&out);
         }
+        Kind::Rollouts => {
+            let all: Vec<StoredRollout> =
+                snapshot.objects.iter().filter_map(read_rollout).collect();
+            node.change_rollouts(|rollouts, now| rollouts.replace(&all, now));
+        }
     }
 }
 
@@ -55,6 +62,9 @@
             }
             node.set_out(&out);
         }
+        Kind::Rollouts => node.change_rollouts(|rollouts, now| {
+            snapshot.objects.iter().filter_map(|o| change_rollout(rollouts, o, now)).collect()
+        }),
     }
 }
 
@@ -95,6 +105,7 @@
             node.change_registry(|registry, now| registry.replace(all, *lapses, now));
         }
         Known::Out(out) => node.set_out(out),
+        Known::Rollouts(all) => node.change_rollouts(|rollouts, now| rollouts.replace(all, now)),
     }
     track.note(known.revision, known.revision);
     Ok(())
@@ -166,6 +177,34 @@
     }
 }
 
+fn change_rollout(
+    rollouts: &mut RolloutTable,
+    object: &StoredObject,
+    now: Moment,
+) -> Option<RolloutNotice> {
+    if object.is_gone {
+        return rollouts.remove(&ServiceId::new(&object.name).ok()?, now);
+    }
+    rollouts.put(&read_rollout(object)?, now)
+}
+
+fn read_rollout(object: &StoredObject) -> Option<StoredRollout> {
+    match rollout::read(object) {
+        Ok(rollout) => Some(rollout),
+        Err(error) => {
+            let code = Code::BadRollout;
+            tracing::warn!(
+                event = "rollout_unreadable",
+                service = object.name,
+                code = code.number(),
+                name = code.name(),
+                error = format!("{error:#}")
+            );
+            None
+        }
+    }
+}
+
 /// Returns what a peer may want to know of a kind.
 pub fn known(node: &Node, kind: Kind) -> KnownAt {
     // Read before the objects, which may already be newer than it says but never older.
@@ -185,6 +224,7 @@
             Known::Endpoints { all: tables.registry.all().map(as_of_now).collect(), lapses }
         }
         Kind::Evacuations => Known::Out(lock(&node.tables).registry.out().clone()),
+        Kind::Rollouts => Known::Rollouts(lock(&node.tables).rollouts.stored()),
     };
     KnownAt { revision, known }
 }
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -125,6 +125,7 @@
     config: Track,
     endpoints: Track,
     out: Track,
+    rollouts: Track,
     /// In milliseconds since the start.
     lapses_until: AtomicU64,
 }
@@ -141,6 +142,7 @@
             Kind::Config => &self.config,
             Kind::Endpoints => &self.endpoints,
             Kind::Evacuations => &self.out,
+            Kind::Rollouts => &self.rollouts,
         }
     }
 
@@ -150,6 +152,7 @@
             config: self.config.news(),
             endpoints: self.endpoints.news(),
             out: self.out.news(),
+            rollouts: self.rollouts.news(),
         }
     }
 
@@ -175,7 +178,7 @@
 
     /// Says whether the store answers every kind of question.
     pub fn is_answered(&self) -> bool {
-        [&self.config, &self.endpoints, &self.out].into_iter().all(Track::is_answered)
+        Kind::ALL.into_iter().all(|kind| self.track(kind).is_answered())
     }
 
     /// Says whether the configuration can't be read now.
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -19,7 +19,7 @@
 use crate::watch::doubt::Doubt;
 use crate::watch::follow::LAPSES;
 use crate::watch::pacing::{self, Asker};
-use crate::watch::store_reader::{CallReason, StoreReader};
+use crate::watch::store_calls::{CallReason, StoreCalls};
 
 /// Time that the news of a peer get to come before they are asked for. They are sent together with the
 /// heartbeat that tells of them.
@@ -48,7 +48,8 @@
         back: None,
         reader_since: None,
     };
-    Kind::ALL.into_iter().map(|kind| tokio::spawn(follower(kind).run())).collect()
+    let follows = |kind: &Kind| *kind != Kind::Rollouts || node.follows_rollouts();
+    Kind::ALL.into_iter().filter(follows).map(|k| tokio::spawn(follower(k).run())).collect()
 }
 
 /// Lists and watches one kind of object.
@@ -68,6 +69,8 @@
             let track = node.follow.track(self.kind);
             if track.is_known() {
                 self.settle().await;
+            } else if self.kind == Kind::Rollouts {
+                self.learn().await;
             }
             // Whoever could not read the store asks it again, or would take it for away for ever.
             if track.is_known() && !track.is_away() && self.is_told() {
@@ -104,7 +107,7 @@
     fn is_reader(&self, now: Moment) -> bool {
         let fleet = &lock(&self.node.tables).fleet;
         match self.kind {
-            Kind::Endpoints => fleet.is_reader(now),
+            Kind::Endpoints | Kind::Rollouts => fleet.is_reader(now),
             Kind::Config | Kind::Evacuations => fleet.is_config_reader(now),
         }
     }
@@ -123,6 +126,27 @@
         }
     }
 
+    /// Waits until a peer tells which objects there are, or until it is this instance's turn to list them.
+    /// Nothing depends on an instance knowing the orders of roll-outs from its first moment.
+    async fn learn(&mut self) {
+        let node = Arc::clone(&self.node);
+        let track = node.follow.track(self.kind);
+        while !track.is_known() {
+            let (now, since_start) = (node.now(), node.now().since_start());
+            let is_turn = since_start >= SETTLED && self.is_reader(now);
+            if is_turn || since_start >= SETTLED * 2 {
+                return;
+            }
+            if track.is_behind() && self.catch_up().await {
+                return;
+            }
+            tokio::select! {
+                () = sleep(TURN) => {}
+                () = track.nudge.notified() => {}
+            }
+        }
+    }
+
     /// Waits until a peer has read further, or until it may be this instance's turn to read. What was
     /// read by a peer mostly comes with its news; only what did not is asked for.
     async fn wait_for_news(&self) {
@@ -153,7 +177,7 @@
     }
 
     async fn list(&self) -> Result<(), PlatformError> {
-        let (store, track) = (StoreReader::new(&self.node), self.node.follow.track(self.kind));
+        let (store, track) = (StoreCalls::new(&self.node), self.node.follow.track(self.kind));
         // All instances of a fleet may start together: three hundred before three thousand endpoints ask
         // for 18,300 pages, three seconds' worth of all that the store may be asked. Pages that may lag are
         // not held against that. Later listings come after the history is gone, when no watch goes on
@@ -179,7 +203,9 @@
         }
         // A first listing holds nothing that peers who listed a moment earlier have missed; told as
         // news it would have each of them ask for it again. A later one may stand for removals.
-        let news = if is_first { snapshot.last_change() } else { snapshot.revision };
+        // Of roll-outs most instances list none themselves and have to hear that there is nothing to know.
+        let is_news = !is_first || self.kind == Kind::Rollouts;
+        let news = if is_news { snapshot.revision } else { snapshot.last_change() };
         track.note_listing(read, news);
         Ok(())
     }
@@ -195,7 +221,7 @@
         let watched = if let Some(watched) = held {
             watched
         } else {
-            let store = StoreReader::new(&self.node);
+            let store = StoreCalls::new(&self.node);
             store.watch(self.kind, since, Duration::ZERO, CallReason::Behind).await?
         };
         match watched {
@@ -222,7 +248,7 @@
     /// Watches from `since`, and raises doubts about the store if its answer is overdue.
     async fn watch_held(&self, since: u64) -> Result<Watched, PlatformError> {
         let held = self.held();
-        let store = StoreReader::new(&self.node);
+        let store = StoreCalls::new(&self.node);
         let answer = store.watch(self.kind, since, held, self.watch_reason());
         tokio::pin!(answer);
         if held.is_zero() {
--- a/crates/nutmeggrade-relay/src/watch/pacing.rs
+++ b/crates/nutmeggrade-relay/src/watch/pacing.rs
@@ -14,6 +14,8 @@
 /// The same for the configuration and the failure domains that are out at the other readers. They are there
 /// for news that the first one misses, and each time that a watch is held back in vain is paid for.
 const HELD_LONG: Duration = Duration::from_secs(29);
+/// The same for roll-outs at the first reader: orders are rare, and an order gives time.
+const HELD_ROLLOUTS: Duration = Duration::from_secs(10);
 /// Time in which changes of endpoints gather before the first reader asks for more. It is a small part
 /// of the two seconds for which an endpoint that leaves may still get work.
 const GATHER: Duration = Duration::from_millis(50);
@@ -49,6 +51,7 @@
 pub const fn held(kind: Kind, is_first: bool) -> Duration {
     match (kind, is_first) {
         (Kind::Endpoints, true) => HELD_FIRST,
+        (Kind::Rollouts, true) => HELD_ROLLOUTS,
         (Kind::Endpoints, false) | (_, true) => HELD,
         (_, false) => HELD_LONG,
     }
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -1,10 +1,11 @@
-//! Reads the platform's store and accounts for each call.
+//! Calls the platform's store and accounts for each call.
 
 use std::time::Duration;
 
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::{Snapshot, Watched};
+use nutmeggrade_wire::store::{Snapshot, StatusWrite, Watched};
+use serde_json::Value;
 
 use crate::node::Node;
 
@@ -23,6 +24,8 @@
     Behind,
     /// The store did not answer the last call.
     Retry,
+    /// Writes the state of a roll-out.
+    Write,
 }
 
 impl CallReason {
@@ -35,15 +38,16 @@
             Self::Watch => "watch",
             Self::Behind => "behind",
             Self::Retry => "retry",
+            Self::Write => "write",
         }
     }
 }
 
-/// Reads the platform's store and accounts for each call.
+/// Calls the platform's store and accounts for each call.
 #[derive(Debug)]
-pub struct StoreReader<'a>(&'a Node);
+pub struct StoreCalls<'a>(&'a Node);
 
-impl<'a> StoreReader<'a> {
+impl<'a> StoreCalls<'a> {
     /// Makes the reader of an instance.
     pub const fn new(node: &'a Node) -> Self {
         Self(node)
@@ -86,6 +90,23 @@
         result
     }
 
+    /// Replaces the status of an object that still has the revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store's client does.
+    pub async fn write_status(
+        &self,
+        kind: Kind,
+        name: &str,
+        revision: u64,
+        status: &Value,
+    ) -> Result<StatusWrite, PlatformError> {
+        let result = self.0.store.write_status(kind, name, revision, status).await;
+        self.note(kind, CallReason::Write, None);
+        result
+    }
+
     fn note(&self, kind: Kind, reason: CallReason, read: Option<&Snapshot>) {
         let (kind, reason) = (kind.name(), reason.name());
         let metrics = &self.0.metrics;
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! The instances that serve routes, as this one hears them.
 
+mod judges;
 mod reach;
 mod sources;
 
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod recent_changes;
 pub mod recorded;
 pub mod registry;
+pub mod rollout;
 pub mod settling;
 pub mod suspects;
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -6,6 +6,8 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
 
+use crate::rollout::{Standing, VersionRule};
+
 /// Time for which an endpoint stays usable that lost its entry while the platform was away. Entries
 /// lapse then although the endpoints live, and are back within two seconds of its return; a little
 /// less leaves room for the way of the last request.
@@ -24,6 +26,9 @@
     Removed,
 }
 
+/// Time after which a new endpoint is no longer slow from its start.
+const WARMING: Duration = Duration::from_secs(2);
+
 /// One registered endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registered {
@@ -31,10 +36,19 @@
     pub info: EndpointInfo,
     /// Until when it is cold.
     pub cold_until: Moment,
+    /// When this instance first knew of this life of it.
+    pub joined: Moment,
     /// Set once its entry was found missing after an outage; it is dropped at that moment.
     pub missing_until: Option<Moment>,
 }
 
+impl Registered {
+    /// Says whether the endpoint has been there for long enough to be as fast as it gets.
+    pub fn is_warm(&self, now: Moment) -> bool {
+        self.cold_until <= now && now.since(self.joined) >= WARMING
+    }
+}
+
 /// A change of what is known about an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -66,6 +80,7 @@
 pub struct Registry {
     endpoints: BTreeMap<EndpointId, Registered>,
     out: BTreeSet<DomainId>,
+    versions: BTreeMap<ServiceId, VersionRule>,
 }
 
 impl Registry {
@@ -105,7 +120,8 @@
         // An older entry that arrives late must not bring back an endpoint that leaves.
         info.leaving |= was_leaving;
         let cold_until = now.after(info.cold_left);
-        let fresh = Registered { info: info.clone(), cold_until, missing_until: None };
+        let joined = old.filter(|_| was_known).map_or(now, |o| o.joined);
+        let fresh = Registered { info: info.clone(), cold_until, joined, missing_until: None };
         self.endpoints.insert(info.id.clone(), fresh);
         match (was_known, was_leaving, info.leaving) {
             (_, false, true) => Some(Change::Left(info, Leaving::Draining)),
@@ -153,6 +169,51 @@
         &self.out
     }
 
+    /// Replaces what endpoints may get by their version, for each service with a roll-out.
+    pub fn set_versions(&mut self, versions: BTreeMap<ServiceId, VersionRule>) {
+        self.versions = versions;
+    }
+
+    /// Returns rules that use the version only whose first endpoint is the oldest, for services that have
+    /// several. They are for an instance that does not know yet which orders there are.
+    pub fn oldest_versions(&self) -> BTreeMap<ServiceId, VersionRule> {
+        let mut versions: BTreeMap<&ServiceId, BTreeMap<&VersionId, u64>> = BTreeMap::new();
+        for EndpointInfo { service, version, born, .. } in self.endpoints.values().map(|e| &e.info)
+        {
+            let Some(version) = version else { continue };
+            let first = versions.entry(service).or_default().entry(version).or_insert(*born);
+            *first = (*first).min(*born);
+        }
+        let rule = |(service, born): (&ServiceId, BTreeMap<&VersionId, u64>)| {
+            let (version, _) = born.iter().min_by_key(|(_, born)| **born)?;
+            let rule = VersionRule {
+                version: Clone::clone(version),
+                new: Standing::Serving,
+                old: Standing::Held,
+            };
+            (born.len() > 1).then(|| (service.clone(), rule))
+        };
+        versions.into_iter().filter_map(rule).collect()
+    }
+
+    /// Returns what an endpoint may get because of its version. Where a service has endpoints of the
+    /// version only that it is to move to, they serve it.
+    pub fn standing(&self, info: &EndpointInfo) -> Standing {
+        let Some(rule) = self.versions.get(&info.service) else { return Standing::Serving };
+        let standing = rule.standing(info.version.as_ref());
+        if standing == Standing::Held && !self.has_other(&info.service, &rule.version) {
+            return Standing::Serving;
+        }
+        standing
+    }
+
+    /// Says whether an endpoint of another version is registered.
+    pub fn has_other(&self, service: &ServiceId, version: &VersionId) -> bool {
+        let is_other =
+            |e: &Registered| e.info.service == *service && e.info.version.as_ref() != Some(version);
+        self.endpoints.values().any(is_other)
+    }
+
     /// Says whether an endpoint may get new work; asked immediately before a request is sent.
     pub fn may_send(&self, id: &EndpointId) -> bool {
         self.endpoints.get(id).is_some_and(|e| self.in_service(e))
@@ -167,7 +228,9 @@
     pub fn is_parting(&self, id: &EndpointId) -> bool {
         let Some(entry) = self.endpoints.get(id) else { return true };
         let is_missing = entry.missing_until.is_some();
-        entry.info.leaving || (is_missing && self.is_mostly_there(&entry.info.service))
+        entry.info.leaving
+            || self.standing(&entry.info) == Standing::Retired
+            || (is_missing && self.is_mostly_there(&entry.info.service))
     }
 
     /// Lists those whose entries are missing and may come back.
@@ -197,7 +260,13 @@
         self.endpoints.values().filter(|e| self.in_service(e))
     }
 
-    fn in_service(&self, entry: &Registered) -> bool {
+    /// Says whether an endpoint stays and its failure domain is in service.
+    pub fn is_open(&self, entry: &Registered) -> bool {
         !entry.info.leaving && !self.out.contains(&entry.info.domain)
     }
+
+    fn in_service(&self, entry: &Registered) -> bool {
+        self.is_open(entry)
+            && matches!(self.standing(&entry.info), Standing::Serving | Standing::Canary)
+    }
 }
--- a/tests/suite/core.rs
+++ b/tests/suite/core.rs
@@ -5,4 +5,5 @@
 mod fleet_beacon;
 mod order;
 mod preset;
+mod rollouts;
 mod settings;
--- a/tests/suite/core/fleet_beacon.rs
+++ b/tests/suite/core/fleet_beacon.rs
@@ -22,8 +22,9 @@
         intro: None,
         leaving: false,
         reads: true,
-        revisions: Revisions { config: 812, endpoints: 90_817, out: 7 },
+        revisions: Revisions { config: 812, endpoints: 90_817, out: 7, rollouts: 0 },
         placed: (0..3).map(|n| (endpoint(n), placed)).collect::<BTreeMap<_, _>>(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -18,6 +18,7 @@
 mod patterns;
 mod properties;
 mod retries;
+mod rollouts;
 mod routing;
 
 /// Memory of an engine, in tokens.
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -26,6 +26,7 @@
         slots: 24,
         memory: Some(30_000),
         cold_left: None,
+        is_canary: false,
     }
 }
 
@@ -50,6 +51,7 @@
         avoid: BTreeSet::new(),
         fresh_until: Moment::from_millis(3_600_000),
         from: None,
+        is_canary: false,
     }
 }
 
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -17,6 +17,7 @@
 mod event_streams;
 mod generations;
 mod intents;
+mod rollouts;
 mod suspects;
 
 /// Steps of a short run.
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod moves;
 mod outcomes;
+mod rollouts;
 mod settings;
 mod site;
 mod stop;
--- a/tests/suite/relay/site.rs
+++ b/tests/suite/relay/site.rs
@@ -31,6 +31,31 @@
         Ok(site)
     }
 
+    /// Starts an instance that follows roll-outs.
+    pub async fn start_rolling(plan: &RoutingPlan) -> anyhow::Result<Self> {
+        let store = Store::new();
+        store.put("config", "main", plan.content());
+        let door = store.door().await?;
+        let instance = rolling("i-1", &door, 1).await?;
+        let site = Self { store, door, generations: Generations::default(), instance };
+        site.until_metric("config_version", plan.version).await?;
+        Ok(site)
+    }
+
+    /// Starts an endpoint of a version, which the instance may not use yet.
+    pub async fn versioned(
+        &self,
+        service: &str,
+        id: &str,
+        version: &str,
+        behaviour: Behaviour,
+    ) -> anyhow::Result<Endpoint> {
+        let endpoint = Endpoint::start(id, behaviour, &self.generations).await?;
+        let entry = Entry::new(service, endpoint.address).with_version(version);
+        self.store.put("servers", id, entry.content());
+        Ok(endpoint)
+    }
+
     /// Starts an endpoint and waits until the instance knows it.
     pub async fn endpoint(
         &self,
@@ -71,6 +96,13 @@
     Ok(client)
 }
 
+/// Starts a life of an instance that follows roll-outs.
+pub async fn rolling(name: &str, door: &Door, incarnation: u64) -> anyhow::Result<Instance> {
+    let mut args = arguments(name, door, "", "127.0.0.1:0");
+    args.extend(["--exposure-share=0.1".to_owned(), "--exposure-tolerance=50".to_owned()]);
+    Instance::start(&load(&args)?, &LogBuffer::new(), incarnation).await
+}
+
 /// Starts an instance that reads the store through a door.
 pub async fn instance(name: &str, door: &Door, seeds: &str) -> anyhow::Result<Instance> {
     let settings = settings(name, door, seeds, "127.0.0.1:0")?;
@@ -79,6 +111,14 @@
 
 /// Makes the settings of an instance whose heartbeats come in at `beacon`.
 pub fn settings(name: &str, door: &Door, seeds: &str, beacon: &str) -> anyhow::Result<Settings> {
+    load(&arguments(name, door, seeds, beacon))
+}
+
+fn load(args: &[String]) -> anyhow::Result<Settings> {
+    Settings::load(args, None).map_err(|mistakes| anyhow::anyhow!("{mistakes:?}"))
+}
+
+fn arguments(name: &str, door: &Door, seeds: &str, beacon: &str) -> Vec<String> {
     let mut args = vec![
         format!("--instance={name}"),
         "--domain=veluwe".to_owned(),
@@ -92,7 +132,7 @@
     for flag in ["client", "ready", "directory", "control", "metrics"] {
         args.push(format!("--{flag}-address=127.0.0.1:0"));
     }
-    Settings::load(&args, None).map_err(|mistakes| anyhow::anyhow!("{mistakes:?}"))
+    args
 }
 
 /// Reads a gauge of an instance; 0 if it is not there.
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -11,4 +11,5 @@
 mod membership;
 mod read_range;
 mod registry;
+mod rollouts;
 mod sources;
--- a/tests/suite/state/heartbeat.rs
+++ b/tests/suite/state/heartbeat.rs
@@ -16,5 +16,6 @@
         reads: true,
         revisions: Revisions::default(),
         placed: BTreeMap::new(),
+        rollouts: Vec::new(),
     }
 }
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -1,6 +1,6 @@
 //! Endpoints that register, leave, lapse and come back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
         slots: 4,
         leaving: false,
         cold_left: Duration::ZERO,
+        version: None,
         born: 5,
     }
 }
@@ -103,3 +104,21 @@
     registry.set_out(&BTreeSet::new());
     assert!(registry.may_send(&id(1)));
 }
+
+// An instance that has just started does not know yet whether one of two versions is held back. It uses the one
+// that was there first.
+#[test]
+fn oldest_version_serves_first() {
+    let of = |number, version: &str, born| {
+        let version = Some(VersionId::new(version).expect("an id"));
+        EndpointInfo { version, born, ..info(number) }
+    };
+    let mut registry = Registry::new();
+    registry.replace(&[of(1, "v2", 50), of(2, "v1", 20), of(3, "v1", 70)], false, NOW);
+    registry.set_versions(registry.oldest_versions());
+    assert_eq!([1, 2, 3].map(|n| registry.may_send(&id(n))), [false, true, true]);
+    registry.set_versions(BTreeMap::new());
+    assert!(registry.may_send(&id(1)));
+    registry.replace(&[of(1, "v2", 50)], false, NOW);
+    assert!(registry.oldest_versions().is_empty());
+}
--- /dev/null
+++ b/tests/suite/state/rollouts.rs
@@ -0,0 +1,233 @@
+//! Roll-outs as instances know them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::rollout::{
+    RolloutId, RolloutNotice, RolloutOrder, RolloutPhase, RolloutReport, RolloutState,
+    RolloutTally, StoredRollout,
+};
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_state::registry::Registry;
+use nutmeggrade_state::rollout::RolloutTable;
+
+const NOW: Moment = Moment::from_millis(60_000);
+
+fn service() -> ServiceId {
+    ServiceId::new("desk").expect("an id")
+}
+
+fn version(name: &str) -> VersionId {
+    VersionId::new(name).expect("an id")
+}
+
+fn order(created: u64, to: &str) -> RolloutOrder {
+    let id = RolloutId { created, version: version(to) };
+    RolloutOrder { service: service(), id, duration: Duration::from_secs(12) }
+}
+
+fn stored(revision: u64, state: Option<RolloutState>) -> StoredRollout {
+    StoredRollout::new(order(9, "v2"), revision, state)
+}
+
+fn notice(revision: u64, phase: RolloutPhase) -> RolloutNotice {
+    let age = Duration::from_secs(3);
+    RolloutNotice { order: order(9, "v2"), revision, phase, share: 0.0, age }
+}
+
+fn phase(table: &RolloutTable) -> Option<RolloutPhase> {
+    table.view(&service(), NOW).map(|view| view.phase)
+}
+
+fn later(seconds: u64) -> Moment {
+    NOW.after(Duration::from_secs(seconds))
+}
+
+fn endpoint(id: &str, of: &str) -> EndpointInfo {
+    EndpointInfo {
+        id: EndpointId::new(id).expect("an id"),
+        service: service(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        domain: DomainId::new("veluwe").expect("an id"),
+        slots: 4,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        version: Some(version(of)),
+        born: 5,
+    }
+}
+
+/// Returns which endpoints get work: the old one, the new one.
+fn serves(registry: &Registry) -> (bool, bool) {
+    let may = |id: &str| registry.may_send(&EndpointId::new(id).expect("an id"));
+    (may("old"), may("new"))
+}
+
+// Notices overtake each other and are heard twice. No phase goes back by it.
+#[test]
+fn phases_only_advance() {
+    let mut table = RolloutTable::new();
+    assert!(table.put(&stored(10, None), NOW).is_some());
+    assert!(table.hear(&notice(11, RolloutPhase::Reverting), NOW));
+    for early in [RolloutPhase::Canary, RolloutPhase::Switching, RolloutPhase::Reverting] {
+        assert!(!table.hear(&notice(11, early), NOW));
+    }
+    assert!(table.put(&stored(11, Some(RolloutState::InProgress)), NOW).is_none());
+    assert_eq!(phase(&table), Some(RolloutPhase::Reverting));
+}
+
+// Two instances take themselves for the judge, and one has completed what the other wants to revert. What
+// the store took first holds, and nothing is written after it.
+#[test]
+fn store_decides_between_two_judges() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, Some(RolloutState::InProgress)), NOW);
+    table.hear(&notice(10, RolloutPhase::Reverting), NOW);
+    let wanted: Vec<_> = table.unwritten().into_iter().map(|c| (c.revision, c.state)).collect();
+    assert_eq!(wanted, [(10, RolloutState::Reverted)]);
+    table.put(&stored(11, Some(RolloutState::Completed)), NOW);
+    assert_eq!(phase(&table), Some(RolloutPhase::Completed));
+    assert!(table.unwritten().is_empty());
+}
+
+// The operator changes the version while a roll-out runs. The new order begins anew, and a late word of the
+// old one does not bring that back.
+#[test]
+fn changed_order_begins_anew() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, Some(RolloutState::InProgress)), NOW);
+    table.hear(&notice(10, RolloutPhase::Switching), NOW);
+    table.put(&StoredRollout::new(order(9, "v3"), 12, None), NOW);
+    assert_eq!(phase(&table), Some(RolloutPhase::Held));
+    assert!(!table.hear(&notice(10, RolloutPhase::Switching), NOW));
+    assert!(table.put(&stored(11, Some(RolloutState::Completed)), NOW).is_none());
+    assert_eq!(phase(&table), Some(RolloutPhase::Held));
+}
+
+// An instance that can't read the store hears of an order by a peer. It must hold the new version as all
+// others do, and for as long as they.
+#[test]
+fn order_is_heard_of() {
+    let mut table = RolloutTable::new();
+    assert!(table.hear(&notice(10, RolloutPhase::Canary), NOW));
+    let view = table.view(&service(), NOW).expect("a roll-out");
+    assert_eq!((view.phase, view.age), (RolloutPhase::Canary, Duration::from_secs(3)));
+    // Whoever has not read the object can't write its state.
+    let mut heard = RolloutTable::new();
+    heard.hear(&notice(0, RolloutPhase::Reverting), NOW);
+    assert!(heard.unwritten().is_empty());
+}
+
+// Whoever grants a part of the requests dies. Nothing goes to the new version a moment later.
+#[test]
+fn grant_runs_out() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    let granted = RolloutNotice { share: 0.25, ..notice(10, RolloutPhase::Canary) };
+    table.hear(&granted, NOW);
+    assert!(table.share(&service(), NOW) > 0.2);
+    assert!(table.share(&service(), later(2)) == 0.0);
+}
+
+/// Checks which versions serve in a phase: old, new.
+fn serve(phase: RolloutPhase, expected: (bool, bool)) {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    table.hear(&notice(10, phase), NOW);
+    let mut registry = Registry::new();
+    registry.replace(&[endpoint("old", "v1"), endpoint("new", "v2")], false, NOW);
+    registry.set_versions(table.rules(NOW));
+    assert_eq!(serves(&registry), expected);
+}
+
+cases! {serve {
+    held: RolloutPhase::Held, (true, false);
+    canary: RolloutPhase::Canary, (true, true);
+    switching: RolloutPhase::Switching, (false, true);
+    completed: RolloutPhase::Completed, (false, true);
+    reverting: RolloutPhase::Reverting, (true, false);
+    reverted: RolloutPhase::Reverted, (true, false);
+    withdrawn: RolloutPhase::Withdrawn, (true, false);
+}}
+
+// The service runs the ordered version already. Holding that back would leave nothing to serve.
+#[test]
+fn only_version_serves() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    let mut registry = Registry::new();
+    registry.replace(&[endpoint("new", "v2")], false, NOW);
+    registry.set_versions(table.rules(NOW));
+    assert!(serves(&registry).1);
+}
+
+// A roll-out was completed, and a replacement of an old version registers later. It may serve, once those
+// that stopped are surely gone; an instance that starts then has nothing to hold back.
+#[test]
+fn completed_rollout_is_over() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    table.put(&stored(11, Some(RolloutState::Completed)), NOW);
+    assert!(table.rules(NOW).contains_key(&service()));
+    assert!(table.rules(later(11)).is_empty());
+    let mut fresh = RolloutTable::new();
+    fresh.put(&stored(11, Some(RolloutState::Completed)), NOW);
+    assert!(fresh.rules(NOW).is_empty());
+}
+
+// An order is taken back before it is decided. The new version stays held, and the order is forgotten with
+// its last endpoint.
+#[test]
+fn removed_order_holds_the_new_version() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    let told = table.replace(&[], NOW);
+    assert_eq!(told.first().map(|n| n.phase), Some(RolloutPhase::Withdrawn));
+    table.forget(|_, _| true);
+    assert!(table.rules(NOW).contains_key(&service()));
+    table.forget(|_, _| false);
+    assert!(table.rules(NOW).is_empty());
+}
+
+fn report(incarnation: u64, requests: u32, phase: RolloutPhase, running: u32) -> RolloutReport {
+    let tally = RolloutTally { requests, exposed: requests / 10, ..RolloutTally::default() };
+    let instance = InstanceId::new("i-2").expect("an id");
+    let id = order(9, "v2").id;
+    RolloutReport { instance, incarnation, service: service(), id, phase, running, tally }
+}
+
+// An instance is killed and starts anew. What it counted before still counts, and an old report that
+// arrives late takes nothing away.
+#[test]
+fn counts_of_earlier_lives_remain() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    table.take_report(&report(1, 200, RolloutPhase::Canary, 3));
+    table.take_report(&report(1, 100, RolloutPhase::Canary, 2));
+    table.take_report(&report(2, 50, RolloutPhase::Canary, 0));
+    let tally = table.view(&service(), NOW).expect("a roll-out").tally;
+    assert_eq!((tally.requests, tally.exposed), (250, 25));
+}
+
+// The old endpoints stop at once when the state is written. One instance has not answered, has not heard of
+// the switch, or still has a request there: its answer would be cut.
+#[test]
+fn nobody_may_run_at_the_old_version() {
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), NOW);
+    table.hear(&notice(10, RolloutPhase::Switching), NOW);
+    let peer = InstanceId::new("i-2").expect("an id");
+    let is_clear = |table: &RolloutTable, own| table.is_clear(&service(), own, [&peer].into_iter());
+    assert!(!is_clear(&table, 0));
+    table.take_report(&report(1, 10, RolloutPhase::Canary, 0));
+    assert!(!is_clear(&table, 0));
+    table.take_report(&report(1, 20, RolloutPhase::Switching, 1));
+    assert!(!is_clear(&table, 0));
+    table.take_report(&report(1, 30, RolloutPhase::Switching, 0));
+    assert!(is_clear(&table, 0));
+    assert!(!is_clear(&table, 1));
+    // It was killed, and its next life takes requests without knowing of the switch.
+    table.take_report(&report(2, 1, RolloutPhase::Canary, 0));
+    assert!(!is_clear(&table, 0));
+}
