Check endpoints that break a connection, and tell the peers while they break all

Ruled out: that the engine was known to leave (no departure in the log), and that the store's news were late.

Change: whoever loses a request on a connection that stood asks the endpoint's report or health path, again every 250 ms for as long as it breaks all, and says each time that it is gone. A check that is only late says nothing.

Test: relay::fleet::breaking_endpoint_is_told_to_peers (engine, plain); both failed without the change.

--- a/crates/nutmegctl/src/cmd/rollout.rs
+++ b/crates/nutmegctl/src/cmd/rollout.rs
@@ -16,8 +16,7 @@
         return Err(Failure::new(Code::SettingMissing, detail).into());
     }
     for address in &settings.admin {
-        let asked =
-            admin::ask(*address, &settings.token, Method::GET, ROLLOUTS_PATH, &Value::Null);
+        let asked = admin::ask(*address, &settings.token, Method::GET, ROLLOUTS_PATH, &Value::Null);
         match asked.await {
             Ok(all) => print(settings, &address.to_string(), all)?,
             Err(error) => admin::unreachable(settings, &address.to_string(), error)?,
--- a/crates/nutmeggrade-core/src/routing/service_spec.rs
+++ b/crates/nutmeggrade-core/src/routing/service_spec.rs
@@ -10,6 +10,8 @@
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceId,
+    /// Path at which an endpoint says whether it is well; empty if there is none.
+    pub health: String,
     /// Connections that one endpoint accepts from everybody together.
     pub connections: u32,
     /// How long an endpoint stays cold after its start.
--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -15,6 +15,8 @@
     Fail,
     /// Runs it and closes the connection without an answer.
     Close,
+    /// Closes every connection without an answer, to checks too, and runs nothing.
+    Deaf,
     /// Runs it and breaks its answer off in the middle.
     Truncate,
     /// Runs it and sends an answer without a length, ended by the connection.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -134,6 +134,9 @@
     async fn serve(&self, mut stream: TcpStream) -> anyhow::Result<()> {
         while let Some(mut request) = Message::read_head(&mut stream).await? {
             let behaviour = self.state().behaviour;
+            if behaviour == Behaviour::Deaf {
+                return Ok(());
+            }
             if behaviour == Behaviour::Early {
                 return self.refuse(&mut stream, 400, "X-Nutmeggrade-Not-Executed: 1\r\n").await;
             }
@@ -225,7 +228,7 @@
             Behaviour::Fail => {
                 send(stream, &self.answer(500, id, "Content-Length: 4\r\n", "oops")).await
             }
-            Behaviour::Close => anyhow::bail!("closed"),
+            Behaviour::Close | Behaviour::Deaf => anyhow::bail!("closed"),
             Behaviour::Crash => {
                 self.dead.send_replace(true);
                 anyhow::bail!("crashed")
--- a/crates/nutmeggrade-policy/src/dispatch/health.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/health.rs
@@ -72,6 +72,11 @@
         self.told.is_some_and(|at| now.since(at) < RENEWAL)
     }
 
+    /// Returns when somebody last said that the endpoint is gone, unless it answered since.
+    pub const fn told_gone(&self) -> Option<Moment> {
+        self.told
+    }
+
     /// Returns the recent failures, older ones with less weight.
     pub fn trouble(&self, now: Moment) -> f64 {
         let age = now.since(self.at).as_secs_f64() / FADE.as_secs_f64();
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod probes;
 mod relay;
 mod reload;
 mod rollouts;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -3,6 +3,7 @@
 mod endpoints;
 mod rollouts;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
@@ -65,6 +66,8 @@
     pub placed: Notify,
     /// Sends a heartbeat at once, because this instance has read what its neighbours wait for.
     pub announce: Notify,
+    /// Endpoints that are being checked; never locked together with the tables.
+    pub probed: Mutex<BTreeSet<EndpointId>>,
     /// Whoever needs no key shares one place among the workspaces.
     pub anybody: WorkspaceId,
     settings: RwLock<Arc<Settings>>,
@@ -100,6 +103,7 @@
             incarnation,
             placed: Notify::new(),
             announce: Notify::new(),
+            probed: Mutex::default(),
             anybody: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
             map: RwLock::default(),
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -11,6 +11,7 @@
 use super::call::Call;
 use crate::dial::dial;
 use crate::node::Node;
+use crate::probes;
 use crate::tables::lock;
 
 /// Returns what requests of the same workspace with the same path, prompt and body have in common.
@@ -38,7 +39,7 @@
 /// Looks whether the endpoint that lost a request died, and tells everybody if it did.
 ///
 /// A connection that breaks says little: links fail, and endpoints that leave end what they run. An
-/// endpoint that stays in the registry and accepts no connection has crashed.
+/// endpoint that stays in the registry and accepts no connection has crashed. One that accepts is checked.
 pub fn look(node: &Arc<Node>, call: &Call, endpoint: &EndpointInfo) {
     let stays = lock(&node.tables).registry.get(&endpoint.id).is_some_and(|e| !e.info.leaving);
     if !stays {
@@ -46,11 +47,15 @@
     }
     let node = Arc::clone(node);
     let id = call.id.clone();
+    let checked = endpoint.clone();
     let address = endpoint.address;
     let crashed =
         Crashed { request: call.fingerprint, endpoint: endpoint.id.clone(), born: endpoint.born };
     tokio::spawn(async move {
-        let Err(error) = dial(address).await else { return };
+        let Err(error) = dial(address).await else {
+            probes::start(&node, &checked);
+            return;
+        };
         if error.kind() == io::ErrorKind::ConnectionRefused {
             node.announce_gone(&crashed.endpoint);
         }
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -51,9 +51,8 @@
     let tables = &mut *lock(&node.tables);
     let registry = &tables.registry;
     tables.rollouts.forget(|service, version| {
-        let is_there = |e: &Registered| {
-            e.info.service == *service && e.info.version.as_ref() == Some(version)
-        };
+        let is_there =
+            |e: &Registered| e.info.service == *service && e.info.version.as_ref() == Some(version);
         registry.all().any(is_there)
     });
 }
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -7,6 +7,7 @@
 };
 use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
 
+use super::PROMPT;
 use super::site::{generation, get, instance, metric, settings};
 use crate::support::{run, until};
 
@@ -284,6 +285,26 @@
     });
 }
 
+/// Checks that an endpoint that takes connections and breaks all of them is told to the peers for as long as it
+/// does.
+fn breaking_endpoint_is_told_to_peers(service: &str, route: &str) {
+    run(async {
+        let pair = pair().await?;
+        known(&pair, service, Behaviour::Deaf).await?;
+        let client = pair.first.addresses().client;
+        let lost = RawClient::ask(client, route, "a1", PROMPT).await?;
+        assert_eq!(lost.status, 502);
+        until_told(&pair.other, 3).await
+    });
+}
+
+// An endpoint is down behind an address that still takes connections. Each instance would lose a request to
+// find out, which for a generation is the whole answer.
+cases! {breaking_endpoint_is_told_to_peers {
+    engine: "writers", "draft";
+    plain: "desk", "once";
+}}
+
 // An engine dies while the store is away, so that its entry stays. One instance asks it again and again
 // and finds nobody. It says so again for as long as that is so: what a peer is told holds for half a
 // second, after which the engine would look like the emptiest of all.
