Tell the peers of endpoints that fail, and leave those that fail more than others

Each of 70 instances sends such an endpoint a request or two a second and learned of it by its own failures alone. Ruled out: the second try, which permits don't have; lookups that fail at both endpoints fail on the client's next try too (77 in 100 of the second sends after a failed first one fail, on all endpoints alike), so these are the requests' own.

Change: instances count answers and failures of each endpoint and tell the peers at each failure what came since. The part that fails, by the own failure domain or by all, counts in the choice as far as it is a tenth above the best endpoint's; what fails everywhere moves nothing.

Tests: policy::dispatch::failing_endpoint_is_left_by_all (less than a third of what instances lose alone), requests_that_fail_everywhere_move_nothing, relay::fleet::failing_endpoint_is_told_to_peers.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -13,7 +13,7 @@
 pub use envelope::{BadEnvelope, MAX_MESSAGE, WIRE_VERSION, open, seal};
 pub use fleet_beacon::{Contacts, FleetBeacon, Introduction, Revisions, Seat};
 pub use fleet_news::{
-    Crashed, EndpointNews, Fingerprint, FleetMessage, FleetNews, FleetPlaced, Share,
+    Crashed, EndpointNews, Fingerprint, FleetMessage, FleetNews, FleetOutcomes, FleetPlaced, Share,
 };
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, Topic};
--- a/crates/nutmeggrade-core/src/peer/fleet_news.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_news.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Contacts, FleetBeacon};
-use crate::id::{EndpointId, InstanceId};
+use crate::id::{DomainId, EndpointId, InstanceId};
 use crate::rollout::{RolloutNotice, RolloutReport};
 use crate::routing::{EndpointInfo, Placed};
 
@@ -54,6 +54,15 @@
     pub born: u64,
 }
 
+/// Answers of endpoints that the sender counted since it last told of them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetOutcomes {
+    /// The sender's failure domain.
+    pub domain: DomainId,
+    /// Failures and answers of each endpoint, the failures counted among the answers.
+    pub answers: BTreeMap<EndpointId, (u32, u32)>,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -72,6 +81,8 @@
     Leaving(Vec<EndpointId>),
     /// Endpoints at whose address nobody listened any more when the sender connected.
     Gone(Vec<EndpointId>),
+    /// Endpoints failed requests of the sender.
+    Outcomes(FleetOutcomes),
     /// A roll-out's phase has changed.
     Rollout(RolloutNotice),
     /// What the sender counted of a roll-out, for those who judge it.
@@ -102,6 +113,7 @@
             Self::Crashed(_) => "crashed",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
+            Self::Outcomes(_) => "outcomes",
             Self::Rollout(_) => "rollout",
             Self::RolloutReport(_) => "rollout_report",
             Self::Met(_) => "met",
--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod candidate;
 mod dispatcher;
+mod failure_rate;
 mod health;
 mod line_key;
 mod load_book;
@@ -10,8 +11,9 @@
 
 pub use candidate::Candidate;
 pub use dispatcher::{Dispatcher, Offer};
+pub use failure_rate::FailureRate;
 pub use health::Health;
 pub use load_book::{Changes, LoadBook};
 pub use need::Need;
 pub use nutmeggrade_core::routing::Placed;
-pub use room::{fits, score};
+pub use room::{failing_penalty, fits, score};
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::line_key::LineKey;
-use super::{Candidate, LoadBook, Need, Placed, fits, score};
+use super::{Candidate, LoadBook, Need, Placed, failing_penalty, fits, score};
 use crate::queue::Lane;
 use crate::wait::WaitEstimate;
 use crate::{Spread, Ticket};
@@ -214,6 +214,9 @@
         let usable: Vec<&Candidate> = open.iter().copied().filter(rested).collect();
         // With nothing else left a paused endpoint is better than none.
         let usable = if usable.is_empty() { open } else { usable };
+        let failing = |c: &Candidate| self.book.health(&c.id).map_or(0.0, |h| h.failing(now));
+        // What fails everywhere is no endpoint's fault.
+        let usual = usable.iter().map(|c| failing(c)).fold(1.0, f64::min);
         let mut best: Option<(f64, &Candidate)> = None;
         for candidate in usable {
             let placed = self.book.at(&candidate.id);
@@ -227,7 +230,8 @@
                 None if self.domain != candidate.domain => FAR,
                 _ => 0.0,
             };
-            let found = score(candidate, &placed, trouble) + distance + chance;
+            let worse = failing_penalty(failing(candidate) - usual);
+            let found = score(candidate, &placed, trouble) + worse + distance + chance;
             if best.is_none_or(|(least, _)| found < least) {
                 best = Some((found, candidate));
             }
--- a/crates/nutmeggrade-policy/src/dispatch/health.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/health.rs
@@ -4,6 +4,8 @@
 
 use nutmeggrade_core::prelude::*;
 
+use super::FailureRate;
+
 /// Time in which a failure loses most of its weight: a few heartbeats of an endpoint, after which the
 /// registry has taken out one that died.
 const FADE: Duration = Duration::from_secs(4);
@@ -32,6 +34,9 @@
     row: u32,
     until: Option<Moment>,
     told: Option<Moment>,
+    near: FailureRate,
+    all: FailureRate,
+    untold: (u32, u32),
 }
 
 impl Health {
@@ -42,12 +47,39 @@
         self.row = 0;
         self.until = None;
         self.told = None;
+        self.count((0, 1), now);
     }
 
     /// Notes that the endpoint answered with a failure.
     pub fn failed(&mut self, now: Moment) {
         self.trouble = self.trouble(now) + 1.0;
         self.at = now;
+        self.count((1, 1), now);
+    }
+
+    fn count(&mut self, (failures, answers): (u32, u32), now: Moment) {
+        self.untold = (self.untold.0 + failures, self.untold.1 + answers);
+        self.add_counted((failures, answers), true, now);
+    }
+
+    /// Notes answers that this instance or a peer counted, and how many of them are failures. `is_near` says
+    /// whether it is in the same failure domain.
+    pub fn add_counted(&mut self, counted: (u32, u32), is_near: bool, now: Moment) {
+        self.all.add(counted, now);
+        if is_near {
+            self.near.add(counted, now);
+        }
+    }
+
+    /// Takes what peers were not told yet, if there are failures among it.
+    pub fn take_untold(&mut self) -> Option<(u32, u32)> {
+        (self.untold.0 > 0).then(|| std::mem::take(&mut self.untold))
+    }
+
+    /// Returns the part of the endpoint's answers that are failures. Some endpoints fail the callers of one
+    /// failure domain only.
+    pub fn failing(&self, now: Moment) -> f64 {
+        self.near.part(now).max(self.all.part(now))
     }
 
     /// Notes that the endpoint could not be reached, or fell silent or broke off.
--- a/crates/nutmeggrade-policy/src/dispatch/load_book.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_book.rs
@@ -177,6 +177,14 @@
         self.health.entry(endpoint.clone()).or_default()
     }
 
+    /// Takes the answers that peers were not told yet, of endpoints that failed some.
+    pub fn take_failures(&mut self) -> BTreeMap<EndpointId, (u32, u32)> {
+        let untold = |(id, health): (&EndpointId, &mut Health)| {
+            health.take_untold().map(|counted| (id.clone(), counted))
+        };
+        self.health.iter_mut().filter_map(untold).collect()
+    }
+
     /// Forgets what is known of endpoints that are gone.
     pub fn keep_endpoints(&mut self, is_there: impl Fn(&EndpointId) -> bool) {
         self.health.retain(|endpoint, _| is_there(endpoint));
--- a/crates/nutmeggrade-policy/src/dispatch/room.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/room.rs
@@ -19,6 +19,12 @@
 const TROUBLE: f64 = 0.15;
 /// Most that failures count: above it all that fail look alike, and load decides among them.
 const MOST_TROUBLE: f64 = 0.9;
+/// How much more of its answers an endpoint may fail than the best one before that counts; chance makes about as
+/// much.
+const FAILING_FROM: f64 = 0.1;
+/// How much an endpoint that fails everything counts, in endpoints that are full: it is used only where nothing
+/// else has room.
+const FAILING: f64 = 4.0;
 /// Prompt tokens being read that count as much as a full engine: reading them takes about a third
 /// of the time to a first event that users are content with.
 const READING_FULL: f64 = 9_000.0;
@@ -57,3 +63,11 @@
     };
     load + (trouble * TROUBLE).min(MOST_TROUBLE)
 }
+
+/// Says how unattractive an endpoint is that fails a larger part of its answers than the best one.
+///
+/// Answers endpoints that are well by their own word and fail what they get. Each instance of a large fleet
+/// sends one of them a few requests a second, and by its own failures alone learns of it after most are lost.
+pub fn failing_penalty(excess: f64) -> f64 {
+    (excess - FAILING_FROM).max(0.0) * FAILING
+}
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -90,6 +90,7 @@
         tasks.push(tokio::spawn(receive(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(hand_on(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(tell_placed(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(tell_failures(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(forward_placed(Arc::clone(&node), Arc::clone(&peers))));
         tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
@@ -159,3 +160,7 @@
 async fn forward_placed(node: Arc<Node>, peers: Arc<Peers>) {
     peers.forward_placed(&node).await;
 }
+
+async fn tell_failures(node: Arc<Node>, peers: Arc<Peers>) {
+    peers.tell_failures(&node).await;
+}
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -64,6 +64,8 @@
     pub incarnation: u64,
     /// Wakes whoever tells the peers what is placed.
     pub placed: Notify,
+    /// Wakes whoever tells the peers of endpoints that fail.
+    pub counted: Notify,
     /// Sends a heartbeat at once, because this instance has read what its neighbours wait for.
     pub announce: Notify,
     /// Endpoints that are being checked; never locked together with the tables.
@@ -102,6 +104,7 @@
             seat: seat.clone(),
             incarnation,
             placed: Notify::new(),
+            counted: Notify::new(),
             announce: Notify::new(),
             probed: Mutex::default(),
             anybody: WorkspaceId::new("-")?,
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use nutmeggrade_core::peer::{FleetMessage, FleetNews};
+use nutmeggrade_core::peer::{FleetMessage, FleetNews, FleetOutcomes};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_policy::dispatch::Health;
@@ -140,9 +140,22 @@
         }
     }
 
+    /// Takes what a peer counted of endpoints that failed its requests.
+    pub fn note_outcomes(&self, outcomes: &FleetOutcomes) {
+        let now = self.now();
+        let is_near = outcomes.domain == self.seat.domain;
+        let mut tables = lock(&self.tables);
+        for (endpoint, counted) in &outcomes.answers {
+            if tables.registry.get(endpoint).is_some() {
+                tables.dispatcher.book.health_mut(endpoint).add_counted(*counted, is_near, now);
+            }
+        }
+    }
+
     /// Notes what an answer, or its absence, says of an endpoint.
     pub fn note_health(&self, endpoint: &EndpointId, note: impl FnOnce(&mut Health, Moment)) {
         let now = self.now();
         note(lock(&self.tables).dispatcher.book.health_mut(endpoint), now);
+        self.counted.notify_one();
     }
 }
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -12,7 +12,7 @@
 
 use anyhow::Context;
 use nutmeggrade_core::peer::{
-    FleetBeacon, FleetMessage, FleetPlaced, Introduction, Share, open, seal,
+    FleetBeacon, FleetMessage, FleetOutcomes, FleetPlaced, Introduction, Share, open, seal,
 };
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::{Audience, Forwarders, PERIOD};
@@ -30,6 +30,8 @@
 /// of the time that an engine needs to read a prompt, so that few choices are made without knowing of
 /// each other.
 const GATHER: Duration = Duration::from_millis(15);
+/// Least time between two messages of endpoints that fail.
+const GATHER_FAILURES: Duration = Duration::from_millis(100);
 /// Pause for each datagram in which this instance forwards what others have placed; changes that come
 /// meanwhile are forwarded together. It bounds the datagrams a second, on which an instance of a large
 /// fleet would spend most of its processor time.
@@ -138,6 +140,21 @@
         }
     }
 
+    /// Tells the peers of endpoints that failed requests here, soon after each failure.
+    pub async fn tell_failures(&self, node: &Arc<Node>) {
+        loop {
+            node.counted.notified().await;
+            let answers = lock(&node.tables).dispatcher.book.take_failures();
+            if answers.is_empty() {
+                continue;
+            }
+            let domain = node.seat.domain.clone();
+            let message = FleetMessage::Outcomes(FleetOutcomes { domain, answers });
+            self.send_to_all(node, message).await;
+            sleep(GATHER_FAILURES).await;
+        }
+    }
+
     /// Forwards to neighbours what other instances have placed.
     pub async fn forward_placed(&self, node: &Arc<Node>) {
         loop {
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -21,6 +21,7 @@
         FleetMessage::Gone(endpoints) => node.note_gone(&endpoints),
         FleetMessage::Met(others) => lock(&node.tables).fleet.meet_all(&others, node.now()),
         FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
+        FleetMessage::Outcomes(outcomes) => node.note_outcomes(&outcomes),
         FleetMessage::Rollout(notice) => node.hear_rollouts(vec![notice]),
         FleetMessage::RolloutReport(report) => lock(&node.tables).rollouts.take_report(&report),
         FleetMessage::Placed(placed) => take_placed(node, &placed),
--- a/crates/nutmeggrade-relay/src/probes.rs
+++ b/crates/nutmeggrade-relay/src/probes.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_platform::CallError;
+use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_wire::engine;
 use rand::RngExt;
 use tokio::time::sleep;
@@ -62,7 +63,7 @@
             if tables.registry.is_parting(&endpoint.id) {
                 return;
             }
-            tables.dispatcher.book.health(&endpoint.id).and_then(|h| h.told_gone())
+            tables.dispatcher.book.health(&endpoint.id).and_then(Health::told_gone)
         };
         // A peer checks it too.
         if said > told || check(node, endpoint).await == Found::There {
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -272,3 +272,60 @@
     );
     assert_eq!(dispatcher.choose_move(&need(3, 0, 1, 3_500), at(600)), Some(endpoint(0)));
 }
+
+/// Instances that each send a request every 50 ms to five endpoints of which one fails all. Returns how many
+/// requests failed in six seconds, and how many each endpoint got.
+fn failures_of(is_told: bool, fails: impl Fn(usize, usize) -> bool) -> (usize, Vec<usize>) {
+    const INSTANCES: usize = 20;
+    let mut fleet: Vec<Dispatcher> = (0..INSTANCES)
+        .map(|n| {
+            let mut dispatcher = Dispatcher::new(&domain("near"), n as u64);
+            dispatcher.set_candidates(BTreeMap::from([(service(), (0..5).map(plain).collect())]));
+            dispatcher
+        })
+        .collect();
+    let (mut failed, mut got, mut ticket) = (0, vec![0; 5], 0);
+    for ms in (0..6_000).step_by(50) {
+        for dispatcher in &mut fleet {
+            ticket += 1;
+            let offer = dispatcher.offer(&need(ticket, 0, 1, 0), Duration::ZERO, at(ms));
+            let id = place(&offer).expect("room");
+            dispatcher.book.end(Ticket(ticket));
+            let number = (0..5).find(|n| endpoint(*n) == id).expect("an endpoint");
+            got[number] += 1;
+            let health = dispatcher.book.health_mut(&id);
+            if fails(number, usize::try_from(ticket).expect("a number")) {
+                failed += 1;
+                health.failed(at(ms));
+            } else {
+                health.succeeded(at(ms));
+            }
+        }
+        for own in (0..INSTANCES).filter(|_| is_told && ms % 100 == 0) {
+            for (id, counted) in fleet[own].book.take_failures() {
+                for (_, peer) in fleet.iter_mut().enumerate().filter(|(n, _)| *n != own) {
+                    peer.book.health_mut(&id).add_counted(counted, true, at(ms));
+                }
+            }
+        }
+    }
+    (failed, got)
+}
+
+// An endpoint says that it is well and fails all that it gets. Alone each instance goes on sending it a part
+// of its requests; told by the others, all leave it after some of them.
+#[test]
+fn failing_endpoint_is_left_by_all() {
+    let fails = |number: usize, _: usize| number == 2;
+    let (alone, _) = failures_of(false, fails);
+    let (told, _) = failures_of(true, fails);
+    assert!(told * 3 < alone, "{told} told, {alone} alone");
+}
+
+// Some requests fail wherever they are sent. No endpoint may be left for it.
+#[test]
+fn requests_that_fail_everywhere_move_nothing() {
+    let (_, got) = failures_of(true, |_, ticket| ticket % 7 == 0);
+    let even = got.iter().sum::<usize>() / got.len();
+    assert!(got.iter().all(|n| *n * 2 > even && *n < even * 2), "{got:?}");
+}
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use nutmeggrade_fakes::site::{
     Behaviour, Door, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store,
 };
 use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
+use tokio::time::sleep;
 
 use super::PROMPT;
 use super::site::{generation, get, instance, metric, settings};
@@ -305,6 +307,37 @@
     plain: "desk", "once";
 }}
 
+// An endpoint fails all that it gets, and its entry says that it is well. What one instance has lost there the
+// other need not lose.
+#[test]
+fn failing_endpoint_is_told_to_peers() {
+    run(async {
+        let pair = pair().await?;
+        for (id, behaviour) in [("e-1", Behaviour::Fail), ("e-2", Behaviour::Answer)] {
+            let endpoint = Endpoint::start(id, behaviour, &Generations::default()).await?;
+            let entry = Entry::new("desk", endpoint.address);
+            pair.store.put("servers", id, entry.content());
+        }
+        for instance in [&pair.first, &pair.other] {
+            let metrics = instance.addresses().metrics;
+            until("known", async || Ok(metric(metrics, "endpoints").await? == 2)).await?;
+        }
+        let ask = async |instance: &Instance, id: String| {
+            let client = instance.addresses().client;
+            anyhow::Ok(RawClient::ask(client, "once", &id, PROMPT).await?.status)
+        };
+        let together = (0..16).map(|number| ask(&pair.first, format!("a{number}")));
+        let answers = join_all(together).await;
+        let failed = answers.iter().filter(|a| a.as_ref().is_ok_and(|status| *status == 500));
+        assert!(failed.count() >= 2);
+        sleep(Duration::from_millis(300)).await;
+        for number in 0..60 {
+            assert_eq!(ask(&pair.other, format!("b{number}")).await?, 200);
+        }
+        Ok(())
+    });
+}
+
 // An engine dies while the store is away, so that its entry stays. One instance asks it again and again
 // and finds nobody. It says so again for as long as that is so: what a peer is told holds for half a
 // second, after which the engine would look like the emptiest of all.
