Hold a version that is new to a service until its order could be read

Found by reading: the watch of roll-outs is held back for ten seconds, as orders are rare. On a connection that has gone silent an order would be noticed up to ten seconds late, and the endpoints that it brings would get their full part meanwhile; the bound on a bad version's exposure has no room for that.

Change: an endpoint of a version that no other one of its service has makes the readers ask for orders at once, and such a version gets nothing for a second unless an order says what it gets. One rule serves an instance that has just started too.

Tests: state::registry::new_version_waits_for_its_order (new), oldest_version_serves_first.

--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -7,6 +7,7 @@
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::registry::{Change, Registry};
+use nutmeggrade_wire::kinds::Kind;
 
 use super::Node;
 use crate::tables::lock;
@@ -49,6 +50,7 @@
             }
         }
         if !changes.is_empty() {
+            self.look_for_orders(&changes);
             self.refresh();
         }
         if !changes.iter().all(|change| matches!(change, Change::Joined(_))) {
@@ -57,6 +59,21 @@
         changes.into_iter().filter_map(Change::left).collect()
     }
 
+    /// Has the orders of roll-outs read at once when an endpoint of a new version joins. A watch that has gone
+    /// silent would tell of its order after the version got its full part.
+    fn look_for_orders(&self, changes: &[Change]) {
+        if !self.follows_rollouts() {
+            return;
+        }
+        let is_new = {
+            let registry = &lock(&self.tables).registry;
+            changes.iter().filter_map(Change::joined).any(|info| registry.is_first_of_version(info))
+        };
+        if is_new {
+            self.follow.track(Kind::Rollouts).recheck.notify_one();
+        }
+    }
+
     /// Takes over which failure domains are out.
     pub fn set_out(&self, out: &BTreeSet<DomainId>) {
         let changed = {
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -152,14 +152,21 @@
         }
     }
 
+    /// Works out anew what endpoints may get by their version.
+    fn rule_versions(&mut self, settings: &Settings, now: Moment) {
+        if settings.exposure.is_none() {
+            return;
+        }
+        let mut versions = self.registry.provisional(self.rollouts.is_known(), now);
+        // A service whose roll-out is over may have any version.
+        versions.retain(|service, _| !self.rollouts.is_decided(service));
+        versions.extend(self.rollouts.rules(now));
+        self.registry.set_versions(versions);
+    }
+
     /// Works out anew which endpoints may get work.
     pub fn refresh(&mut self, map: &RouteMap, settings: &Settings, now: Moment) {
-        let is_unsure = settings.exposure.is_some() && !self.rollouts.is_known();
-        let heard = self.rollouts.rules(now);
-        let mut versions =
-            if is_unsure { self.registry.oldest_versions() } else { BTreeMap::new() };
-        versions.extend(heard);
-        self.registry.set_versions(versions);
+        self.rule_versions(settings, now);
         let mut candidates: BTreeMap<ServiceId, Vec<Candidate>> = BTreeMap::new();
         let mut canaries: BTreeMap<&ServiceId, Vec<Candidate>> = BTreeMap::new();
         let mut cold = BTreeSet::new();
--- a/crates/nutmeggrade-relay/src/watch/follow.rs
+++ b/crates/nutmeggrade-relay/src/watch/follow.rs
@@ -25,6 +25,8 @@
 pub struct Track {
     /// Wakes the follower because a peer has read further.
     pub nudge: Notify,
+    /// Has whoever watches ask at once for what there is.
+    pub recheck: Notify,
     range: Mutex<ReadRange>,
     /// Revision that a peer is known to have read.
     hint: AtomicU64,
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -216,8 +216,9 @@
         let held = tokio::select! {
             result = self.watch_held(since) => Some(result?),
             () = track.overtaken() => None,
+            () = track.recheck.notified() => None,
         };
-        // A peer has read further, so the watch is late or silent: ask for what there is.
+        // There is something to know that the watch did not bring, so it is late or silent.
         let watched = if let Some(watched) = held {
             watched
         } else {
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -29,6 +29,12 @@
 /// Time after which a new endpoint is no longer slow from its start.
 const WARMING: Duration = Duration::from_secs(2);
 
+/// Time for which a version that is new to a service gets nothing, unless an order says what it gets.
+const UNANNOUNCED: Duration = Duration::from_secs(1);
+
+/// When a version was there first: when this instance knew of it, and when its endpoint started.
+type First = (Moment, u64);
+
 /// One registered endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registered {
@@ -62,6 +68,14 @@
 }
 
 impl Change {
+    /// Returns the endpoint that joined, if one did.
+    pub const fn joined(&self) -> Option<&EndpointInfo> {
+        match self {
+            Self::Joined(info) => Some(info),
+            Self::Left(..) | Self::Missing(_) => None,
+        }
+    }
+
     /// Returns the endpoint that left, if one did.
     pub fn left(self) -> Option<EndpointId> {
         match self {
@@ -174,28 +188,35 @@
         self.versions = versions;
     }
 
-    /// Returns rules that use the version only whose first endpoint is the oldest, for services that have
-    /// several. They are for an instance that does not know yet which orders there are.
-    pub fn oldest_versions(&self) -> BTreeMap<ServiceId, VersionRule> {
-        let mut versions: BTreeMap<&ServiceId, BTreeMap<&VersionId, u64>> = BTreeMap::new();
-        for EndpointInfo { service, version, born, .. } in self.endpoints.values().map(|e| &e.info)
-        {
+    /// Returns rules that hold back all versions of a service but the first one that was there: for good while
+    /// it is not known which orders there are, else for the moment in which an order of theirs may be read.
+    pub fn provisional(&self, knows_orders: bool, now: Moment) -> BTreeMap<ServiceId, VersionRule> {
+        let mut versions: BTreeMap<&ServiceId, BTreeMap<&VersionId, First>> = BTreeMap::new();
+        for entry in self.endpoints.values() {
+            let EndpointInfo { service, version, born, .. } = &entry.info;
             let Some(version) = version else { continue };
-            let first = versions.entry(service).or_default().entry(version).or_insert(*born);
-            *first = (*first).min(*born);
+            let known = versions.entry(service).or_default();
+            let first = known.entry(version).or_insert((entry.joined, *born));
+            *first = (*first).min((entry.joined, *born));
         }
-        let rule = |(service, born): (&ServiceId, BTreeMap<&VersionId, u64>)| {
-            let (version, _) = born.iter().min_by_key(|(_, born)| **born)?;
-            let rule = VersionRule {
-                version: Clone::clone(version),
-                new: Standing::Serving,
-                old: Standing::Held,
-            };
-            (born.len() > 1).then(|| (service.clone(), rule))
+        let rule = |(service, firsts): (&ServiceId, BTreeMap<&VersionId, First>)| {
+            let (version, (joined, _)) = firsts.iter().min_by_key(|(_, first)| **first)?;
+            let (newest, _) = firsts.values().max()?;
+            let is_fresh = newest > joined && now.since(*newest) < UNANNOUNCED;
+            let holds = firsts.len() > 1 && (!knows_orders || is_fresh);
+            let (version, new, old) = (Clone::clone(*version), Standing::Serving, Standing::Held);
+            holds.then(|| (service.clone(), VersionRule { version, new, old }))
         };
         versions.into_iter().filter_map(rule).collect()
     }
 
+    /// Says whether an endpoint has a version that no other one of its service has.
+    pub fn is_first_of_version(&self, info: &EndpointInfo) -> bool {
+        let of_service = |e: &&Registered| e.info.service == info.service && e.info.id != info.id;
+        let mut others = self.endpoints.values().filter(of_service).peekable();
+        others.peek().is_some() && others.all(|e| e.info.version != info.version)
+    }
+
     /// Returns what an endpoint may get because of its version. Where a service has endpoints of the
     /// version only that it is to move to, they serve it.
     pub fn standing(&self, info: &EndpointInfo) -> Standing {
--- a/crates/nutmeggrade-state/src/rollout/table.rs
+++ b/crates/nutmeggrade-state/src/rollout/table.rs
@@ -155,6 +155,11 @@
         ruled.map(|(service, e)| (service.clone(), rule(e))).collect()
     }
 
+    /// Says whether a service's last order was completed.
+    pub fn is_decided(&self, service: &ServiceId) -> bool {
+        self.entries.get(service).is_some_and(|e| e.phase == RolloutPhase::Completed)
+    }
+
     /// Returns the part of a service's requests that may go to the new version now.
     pub fn share(&self, service: &ServiceId, now: Moment) -> f64 {
         self.entries.get(service).map_or(0.0, |e| e.share(now))
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -1,6 +1,6 @@
 //! Endpoints that register, leave, lapse and come back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -105,20 +105,37 @@
     assert!(registry.may_send(&id(1)));
 }
 
+fn of(number: u8, version: &str, born: u64) -> EndpointInfo {
+    let version = Some(VersionId::new(version).expect("an id"));
+    EndpointInfo { version, born, ..info(number) }
+}
+
 // An instance that has just started does not know yet whether one of two versions is held back. It uses the one
 // that was there first.
 #[test]
 fn oldest_version_serves_first() {
-    let of = |number, version: &str, born| {
-        let version = Some(VersionId::new(version).expect("an id"));
-        EndpointInfo { version, born, ..info(number) }
-    };
     let mut registry = Registry::new();
     registry.replace(&[of(1, "v2", 50), of(2, "v1", 20), of(3, "v1", 70)], false, NOW);
-    registry.set_versions(registry.oldest_versions());
+    registry.set_versions(registry.provisional(false, NOW));
     assert_eq!([1, 2, 3].map(|n| registry.may_send(&id(n))), [false, true, true]);
-    registry.set_versions(BTreeMap::new());
+    registry.set_versions(registry.provisional(true, NOW));
     assert!(registry.may_send(&id(1)));
     registry.replace(&[of(1, "v2", 50)], false, NOW);
-    assert!(registry.oldest_versions().is_empty());
+    assert!(registry.provisional(false, NOW).is_empty());
+}
+
+// Endpoints of a new version register while the watch of orders has gone silent. They get nothing until the order
+// could be read, and their full part then if there is none.
+#[test]
+fn new_version_waits_for_its_order() {
+    let mut registry = Registry::new();
+    registry.replace(&[of(1, "v1", 20)], false, NOW);
+    assert!(!registry.is_first_of_version(&of(2, "v1", 90)));
+    assert!(registry.is_first_of_version(&of(2, "v2", 90)));
+    let later = |ms| NOW.after(Duration::from_millis(ms));
+    registry.put(&of(2, "v2", 90), later(5_000));
+    registry.set_versions(registry.provisional(true, later(5_500)));
+    assert_eq!([1, 2].map(|n| registry.may_send(&id(n))), [true, false]);
+    registry.set_versions(registry.provisional(true, later(6_000)));
+    assert_eq!([1, 2].map(|n| registry.may_send(&id(n))), [true, true]);
 }
