Keep a roll-out's age and order across instances that start later, and decide by the larger side only

Found by reading the change again. An instance that starts after an order took it for as young as itself, so that as the judge it would have decided late. Peers that told two orders by turns changed an instance that had read neither back and forth, each time with empty counts. A judge on the smaller side of a cut could give a version up for too few answers, which ends the roll-out for all once the cut heals; only a bad verdict does that now. An instance that has left was waited for half a minute.

Tests: state::rollouts::order_is_older_than_the_instance, newer_order_is_heard_of; policy::rollouts:: smaller_side_of_a_cut_decides_nothing says more.

--- a/crates/nutmeggrade-fakes/src/rollout/instance.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/instance.rs
@@ -132,8 +132,7 @@
         };
         let judge = self.judge.get_or_insert_with(|| Judge::new(plan.bound));
         let ruling = judge.rule(&facts);
-        let verdict = ruling.verdict.as_str();
-        self.table.rule(&self.service, (ruling.phase, ruling.share, verdict), now)
+        self.table.rule(&self.service, &ruling, now)
     }
 
     /// Leaves the judging to another instance.
--- a/crates/nutmeggrade-policy/src/rollout/judge.rs
+++ b/crates/nutmeggrade-policy/src/rollout/judge.rs
@@ -135,14 +135,12 @@
         let is_alone = has_new && !has_old;
         let is_late = facts.age + GIVE_UP >= facts.duration;
         match phase {
-            Held | Canary if is_alone && facts.has_quorum && facts.age >= SAME_VERSION => {
-                (Cleared, "no other version")
-            }
+            _ if !facts.has_quorum => (phase, ""),
+            Held | Canary if is_alone && facts.age >= SAME_VERSION => (Cleared, "no other version"),
             Held if is_late => (Reverting, "nothing to try"),
             Held if facts.age >= SETTLING && facts.capacity.new_slots > 0 => (Canary, "ready"),
             Canary if *verdict != Verdict::Good && is_late => (Reverting, "not shown to be good"),
             Canary if !Self::bears(facts) && is_late => (Reverting, "too few endpoints"),
-            Canary if !facts.has_quorum => (phase, ""),
             Canary if *verdict == Verdict::Good && Self::bears(facts) && self.fits(facts) => {
                 (Switching, "good")
             }
--- a/crates/nutmeggrade-relay/src/rollouts/judging.rs
+++ b/crates/nutmeggrade-relay/src/rollouts/judging.rs
@@ -60,7 +60,7 @@
     ) -> Option<RolloutNotice> {
         let seen = Surroundings::new(tables, map, service, &id.version, now);
         let view = tables.rollouts.view(service, now)?;
-        let members: Vec<InstanceId> = tables.fleet.members().cloned().collect();
+        let members: Vec<InstanceId> = tables.fleet.members(now).cloned().collect();
         let facts = Facts {
             age: view.age,
             duration: view.duration,
@@ -77,8 +77,7 @@
         if ruling.phase != view.phase {
             log(service, id, &facts, &ruling);
         }
-        let Ruling { phase, share, verdict, .. } = ruling;
-        tables.rollouts.rule(service, (phase, share, verdict.as_str()), now)
+        tables.rollouts.rule(service, &ruling, now)
     }
 }
 
--- a/crates/nutmeggrade-state/src/fleet_view/judges.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/judges.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_core::prelude::*;
 
-use super::FleetView;
+use super::{FleetView, Peer};
 
 /// Instances that get what all count of a roll-out: the one that judges, and the next ones in its place.
 const JUDGES: usize = 3;
@@ -16,15 +16,17 @@
         self.before(now, |p| !p.leaving) == 0
     }
 
-    /// Lists the peers that count when limits are divided: all that were heard in the last half a minute.
-    pub fn members(&self) -> impl Iterator<Item = &InstanceId> {
-        self.peers.keys()
+    /// Lists the peers that count when limits are divided: all that were heard in the last half a minute, but
+    /// those that have left.
+    pub fn members(&self, now: Moment) -> impl Iterator<Item = &InstanceId> {
+        let has_left = move |p: &Peer| p.leaving && !self.is_heard(p, now);
+        self.peers.iter().filter(move |(_, p)| !has_left(p)).map(|(name, _)| name)
     }
 
     /// Says whether this instance hears most of them, itself counted.
     pub fn has_quorum(&self, now: Moment) -> bool {
         let heard = 1 + self.live(now).count();
-        heard * 2 > 1 + self.peers.len()
+        heard * 2 > 1 + self.members(now).count()
     }
 
     /// Lists where peers are reached that judge roll-outs or are the next to do so.
--- a/crates/nutmeggrade-state/src/rollout/entry.rs
+++ b/crates/nutmeggrade-state/src/rollout/entry.rs
@@ -29,8 +29,8 @@
     pub is_begun: bool,
     /// How far it is.
     pub phase: RolloutPhase,
-    /// When the first instance knew of it, on this instance's clock.
-    pub began: Moment,
+    /// How old the order was at a moment of this instance's clock, which may have begun after it.
+    known: (Moment, Duration),
     /// When this instance learned that it is over; unset if it was so from the start.
     pub over: Option<Moment>,
     /// What this instance counted.
@@ -45,15 +45,20 @@
 }
 
 impl Entry {
-    /// Makes an entry of an order that is `age` old.
-    pub fn new(order: &RolloutOrder, phase: RolloutPhase, age: Duration, now: Moment) -> Self {
+    /// Makes an entry of an order that is `age` old, as the store's object is at a revision.
+    pub fn new(
+        (order, revision): (&RolloutOrder, u64),
+        phase: RolloutPhase,
+        age: Duration,
+        now: Moment,
+    ) -> Self {
         Self {
             order: order.clone(),
-            revision: 0,
+            revision,
             stored: RolloutPhase::Held,
             is_begun: false,
             phase,
-            began: Moment::new(now.since_start().saturating_sub(age)),
+            known: (now, age),
             over: None,
             own: RolloutTally::default(),
             peers: BTreeMap::new(),
@@ -90,8 +95,10 @@
 
     /// Takes a peer's word; says whether the phase changed.
     pub fn hear(&mut self, notice: &RolloutNotice, now: Moment) -> bool {
-        let began = Moment::new(now.since_start().saturating_sub(notice.age));
-        self.began = self.began.min(began);
+        self.revision = self.revision.max(notice.revision);
+        if notice.age > self.age(now) {
+            self.known = (now, notice.age);
+        }
         if notice.share > 0.0 {
             self.set_share(f64::from(notice.share), now);
         }
@@ -121,7 +128,8 @@
 
     /// Returns how long the order is known in the fleet.
     pub fn age(&self, now: Moment) -> Duration {
-        now.since(self.began)
+        let (at, age) = self.known;
+        age + now.since(at)
     }
 
     /// Returns the time in which it has to be decided.
--- a/crates/nutmeggrade-state/src/rollout/table.rs
+++ b/crates/nutmeggrade-state/src/rollout/table.rs
@@ -9,6 +9,8 @@
     StoredRollout,
 };
 
+use nutmeggrade_policy::rollout::Ruling;
+
 use super::entry::Entry;
 use super::peer_count::PeerCount;
 use super::version_rule::VersionRule;
@@ -92,7 +94,7 @@
         }
         let is_new = known.is_none_or(|e| e.order.id != order.id);
         if is_new {
-            let entry = Entry::new(order, *phase, Duration::ZERO, now);
+            let entry = Entry::new((order, *revision), *phase, Duration::ZERO, now);
             self.entries.insert(order.service.clone(), entry);
         }
         let entry = self.entries.get_mut(&order.service)?;
@@ -124,7 +126,7 @@
             if known.is_some_and(|e| e.revision >= *revision) {
                 return false;
             }
-            let entry = Entry::new(order, *phase, *age, now);
+            let entry = Entry::new((order, *revision), *phase, *age, now);
             self.entries.insert(order.service.clone(), entry);
         }
         let Some(entry) = self.entries.get_mut(&order.service) else { return false };
@@ -226,13 +228,13 @@
     pub fn rule(
         &mut self,
         service: &ServiceId,
-        (phase, share, verdict): (RolloutPhase, f64, &'static str),
+        ruling: &Ruling,
         now: Moment,
     ) -> Option<RolloutNotice> {
         let entry = self.entries.get_mut(service)?;
-        entry.verdict = verdict;
-        let is_changed = entry.advance(phase, now);
-        entry.grant(share, now);
+        entry.verdict = ruling.verdict.as_str();
+        let is_changed = entry.advance(ruling.phase, now);
+        entry.grant(ruling.share, now);
         is_changed.then(|| entry.notice(now))
     }
 
--- a/tests/suite/policy/rollouts.rs
+++ b/tests/suite/policy/rollouts.rs
@@ -231,6 +231,9 @@
         let ruling = play.step(0.0);
         assert_eq!((ruling.phase, ruling.share), (RolloutPhase::Canary, 0.0));
     }
+    // What is bad on one side is bad.
+    add(&mut play.facts.tally, "lookups", true, (20, 12, 0));
+    assert_eq!(play.step(0.0).phase, RolloutPhase::Reverting);
 }
 
 // Generations have to move before the old engines stop, and each counts as a request that the new version
--- a/tests/suite/state/rollouts.rs
+++ b/tests/suite/state/rollouts.rs
@@ -119,6 +119,31 @@
     assert!(heard.unwritten().is_empty());
 }
 
+// An instance starts while a roll-out runs, later than its order. Taken for as young as the instance itself, the
+// order would be decided late by it.
+#[test]
+fn order_is_older_than_the_instance() {
+    let started = Moment::from_millis(500);
+    let mut table = RolloutTable::new();
+    table.put(&stored(10, None), started);
+    table.hear(&notice(10, RolloutPhase::Canary), started);
+    let age = |now| table.view(&service(), now).map(|view| view.age);
+    assert_eq!(age(started), Some(Duration::from_secs(3)));
+    assert_eq!(age(Moment::from_millis(1_500)), Some(Duration::from_secs(4)));
+}
+
+// Two peers tell of two orders, one of which was replaced. Whoever has read neither must not change between
+// them.
+#[test]
+fn newer_order_is_heard_of() {
+    let newer = RolloutNotice { order: order(9, "v3"), ..notice(12, RolloutPhase::Held) };
+    let mut table = RolloutTable::new();
+    table.hear(&notice(10, RolloutPhase::Canary), NOW);
+    assert!(table.hear(&newer, NOW));
+    assert!(!table.hear(&notice(10, RolloutPhase::Canary), NOW));
+    assert_eq!(phase(&table), Some(RolloutPhase::Held));
+}
+
 // Whoever grants a part of the requests dies. Nothing goes to the new version a moment later.
 #[test]
 fn grant_runs_out() {
