--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -1,5 +1,7 @@
 //! Lists and watches one kind of object.
 
+mod waiting;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,16 +30,8 @@
 /// milliseconds, and waiting for its answer as long as for that of a slow one would use up the notice
 /// of engines that leave meanwhile.
 const OVERDUE: Duration = Duration::from_millis(250);
-/// Time after which peers of other failure domains are asked by all.
-const FAR_AFTER: Duration = Duration::from_millis(300);
-/// Time after which the store is asked for what no peer has handed on.
-const PEERS_FIRST: Duration = Duration::from_millis(600);
-/// Time between two questions to peers.
-const ASK_AGAIN: Duration = Duration::from_millis(60);
 /// Time between looks whether it is this instance's turn to read.
 const TURN: Duration = Duration::from_millis(200);
-/// Time after the start by which the peers that read for all have been heard: eight of their heartbeats.
-const SETTLED: Duration = Duration::from_secs(2);
 
 /// Starts to follow every kind of object.
 pub fn start(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
@@ -112,70 +106,6 @@
         }
     }
 
-    /// Waits until it is known who reads for all. Before that each instance takes itself for one of
-    /// them, and at 81 instances the watches of a start were half of a quiet minute's calls.
-    async fn settle(&self) {
-        let left = SETTLED.saturating_sub(self.node.now().since_start());
-        let track = self.node.follow.track(self.kind);
-        if left.is_zero() || track.is_behind() {
-            return;
-        }
-        tokio::select! {
-            () = sleep(left) => {}
-            () = track.nudge.notified() => sleep(NEWS_WAIT).await,
-        }
-    }
-
-    /// Waits until a peer tells which objects there are, or until it is this instance's turn to list them.
-    /// Nothing depends on an instance knowing the orders of roll-outs from its first moment.
-    async fn learn(&mut self) {
-        let node = Arc::clone(&self.node);
-        let track = node.follow.track(self.kind);
-        while !track.is_known() {
-            let (now, since_start) = (node.now(), node.now().since_start());
-            let is_turn = since_start >= SETTLED && self.is_reader(now);
-            if is_turn || since_start >= SETTLED * 2 {
-                return;
-            }
-            if track.is_behind() && self.catch_up().await {
-                return;
-            }
-            tokio::select! {
-                () = sleep(TURN) => {}
-                () = track.nudge.notified() => {}
-            }
-        }
-    }
-
-    /// Waits until a peer has read further, or until it may be this instance's turn to read. What was
-    /// read by a peer mostly comes with its news; only what did not is asked for.
-    async fn wait_for_news(&self) {
-        tokio::select! {
-            () = self.node.follow.track(self.kind).nudge.notified() => sleep(NEWS_WAIT).await,
-            () = sleep(TURN) => {}
-        }
-    }
-
-    /// Asks peers for what they have read further; says whether this instance has caught up.
-    async fn catch_up(&self) -> bool {
-        let begun = self.node.now();
-        loop {
-            let waited = self.node.now().since(begun);
-            let reach = if waited < FAR_AFTER { Reach::Near } else { Reach::Everywhere };
-            if fleet_sync::catch_up(&self.node, self.kind, reach).await {
-                return true;
-            }
-            if waited > PEERS_FIRST {
-                return false;
-            }
-            let pause = ASK_AGAIN.mul_f64(rand::rng().random_range(0.5..1.5));
-            sleep(pause).await;
-            if !self.node.follow.track(self.kind).is_behind() {
-                return true;
-            }
-        }
-    }
-
     async fn list(&self) -> Result<(), PlatformError> {
         let (store, track) = (StoreCalls::new(&self.node), self.node.follow.track(self.kind));
         // All instances of a fleet may start together: three hundred before three thousand endpoints ask
@@ -329,23 +259,6 @@
         self.wait_for_endpoints().await;
     }
 
-    /// Waits for as long as the store does not answer for endpoints: one question says as much as three
-    /// whether it is away.
-    async fn wait_for_endpoints(&self) {
-        if self.kind == Kind::Endpoints {
-            return;
-        }
-        let follow = &self.node.follow;
-        while follow.track(Kind::Endpoints).is_away() {
-            tokio::select! {
-                () = sleep(TURN) => {}
-                () = follow.track(self.kind).nudge.notified() => {
-                    fleet_sync::catch_up(&self.node, self.kind, Reach::Everywhere).await;
-                }
-            }
-        }
-    }
-
     fn asker(&self) -> Asker {
         let now = self.node.now();
         let fleet = &lock(&self.node.tables).fleet;
@@ -356,15 +269,6 @@
         }
     }
 
-    /// Waits until a peer can read the store again, and a little longer, so that not all call at once.
-    async fn until_back(&self) {
-        while !lock(&self.node.tables).fleet.is_read(self.node.now()) {
-            sleep(TURN).await;
-        }
-        let spread = TURN.mul_f64(rand::rng().random_range(0.0..2.0));
-        sleep(spread).await;
-    }
-
     fn count(&self, end: &str) {
         self.node.metrics.store_calls.with_label_values(&[self.kind.name(), end]).inc();
     }
