Have the stand-in endpoint answer its health path, as real ones do

It was the check of an endpoint that had broken a connection; the stand-in took GET /health for a request and ran it. The platform's protocol has the path answered apart from requests, so the stand-in was wrong; the soak's check stays as it is.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -146,6 +146,7 @@
             let (_, target) = request.request();
             match target {
                 "/nutmeggrade/report" => self.report(&mut stream).await?,
+                "/health" => self.health(&mut stream).await?,
                 "/nutmeggrade/kv-move" => self.copy(&mut stream, &request).await?,
                 _ => self.request(&mut stream, request, behaviour).await?,
             }
@@ -163,6 +164,11 @@
         send_json(stream, 200, &report).await
     }
 
+    async fn health(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
+        let head = format!("X-Nutmeggrade-Instance-Id: {}\r\nContent-Length: 0\r\n", self.id);
+        send(stream, &format!("HTTP/1.1 200 -\r\n{head}\r\n")).await
+    }
+
     async fn copy(&self, stream: &mut TcpStream, request: &Message) -> anyhow::Result<()> {
         let order: Value = serde_json::from_slice(&request.body).context("order")?;
         let id = order["id"].as_str().unwrap_or_default();
