--- a/crates/nutmeggrade-core/src/rollout/phase.rs
+++ b/crates/nutmeggrade-core/src/rollout/phase.rs
@@ -3,11 +3,12 @@
 use serde::{Deserialize, Serialize};
 
 /// How far a roll-out is. Of two phases that instances tell, the later one counts, so that none goes back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[repr(u8)]
 #[serde(into = "u8", try_from = "u8")]
 pub enum RolloutPhase {
     /// The new version gets nothing yet.
+    #[default]
     Held,
     /// The new version gets a small part of the requests.
     Canary,
--- a/crates/nutmeggrade-core/src/rollout/status.rs
+++ b/crates/nutmeggrade-core/src/rollout/status.rs
@@ -2,7 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RolloutPhase, RolloutTally};
 use crate::id::{ServiceId, VersionId};
 
 /// Where an instance shows roll-outs, on the address for peers.
@@ -34,28 +33,3 @@
     /// Answers and failures of all other versions.
     pub old: [u32; 2],
 }
-
-impl RolloutStatus {
-    /// Makes a status; what was counted is summed over all routes.
-    pub fn new(
-        (service, version): (&ServiceId, &VersionId),
-        phase: RolloutPhase,
-        verdict: &str,
-        tally: &RolloutTally,
-    ) -> Self {
-        let all = tally.all_routes();
-        Self {
-            service: service.clone(),
-            version: version.clone(),
-            phase: phase.as_str().to_owned(),
-            share: 0.0,
-            age_ms: 0,
-            duration_ms: 0,
-            verdict: verdict.to_owned(),
-            requests: tally.requests,
-            exposed: tally.exposed,
-            new: [all.new.count(), all.new.failures],
-            old: [all.old.count(), all.old.failures],
-        }
-    }
-}
--- a/crates/nutmeggrade-fakes/src/rollout/instance.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/instance.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::rollout::{RolloutNotice, RolloutPhase, RolloutReport};
-use nutmeggrade_policy::rollout::{Capacity, Facts, Judge, watched};
+use nutmeggrade_core::rollout::{RolloutNotice, RolloutReport};
+use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_policy::rollout::{Facts, Judge, watched};
 use nutmeggrade_state::registry::{Registered, Registry};
-use nutmeggrade_state::rollout::{RolloutTable, Standing};
+use nutmeggrade_state::rollout::{EndpointLoad, Reported, RolloutTable, Standing, Surroundings};
 
 use super::endpoints::Endpoints;
 use super::plan::Plan;
@@ -16,8 +17,6 @@
 /// Silence after which a peer is not heard any more, and after which it is no member any more.
 const SILENCE: Duration = Duration::from_millis(2_500);
 const FORGOTTEN: Duration = Duration::from_secs(30);
-/// Longest time between two reports.
-const IDLE: Duration = Duration::from_secs(1);
 
 /// One instance that serves.
 #[derive(Debug)]
@@ -40,7 +39,7 @@
     pub heard: Vec<Option<Moment>>,
     service: ServiceId,
     judge: Option<Judge>,
-    reported: Option<(Moment, u32, RolloutPhase, u32)>,
+    reported: Option<Reported>,
 }
 
 impl Instance {
@@ -118,15 +117,20 @@
             self.heard.iter().enumerate().filter(move |(_, at)| is_so(at)).map(|(i, _)| i)
         };
         let members: Vec<&InstanceId> = within(FORGOTTEN).map(|i| &peers[i]).collect();
-        let capacity = self.capacity(endpoints, now);
-        let old = &endpoints.running[..plan.endpoints];
+        let load = |info: &EndpointInfo| EndpointLoad {
+            slots: info.slots,
+            running: Endpoints::number(&info.id).map_or(0, |number| endpoints.running[number]),
+            own: 0,
+            is_movable: plan.is_stream,
+        };
+        let seen = Surroundings::new(&self.registry, (&self.service, &view.id.version), load, now);
         let facts = Facts {
             age: view.age,
             duration: view.duration,
-            phase: Some(view.phase),
+            phase: view.phase,
             tally: view.tally,
-            capacity,
-            movable: if plan.is_stream { old.iter().sum() } else { 0 },
+            capacity: seen.capacity,
+            movable: seen.movable,
             has_quorum: (1 + within(SILENCE).count()) * 2 > 1 + members.len(),
             is_clear: self.table.is_clear(&self.service, self.running, members.into_iter()),
         };
@@ -141,44 +145,15 @@
         self.table.stop_granting();
     }
 
-    fn capacity(&self, endpoints: &Endpoints, now: Moment) -> Capacity {
-        let mut capacity =
-            Capacity { running: endpoints.running.iter().sum(), ..Capacity::default() };
-        for entry in self.registry.all() {
-            let number = Endpoints::number(&entry.info.id);
-            if number.is_some_and(|n| endpoints.is_new(n)) {
-                capacity.has_new = true;
-                capacity.new_slots += if entry.is_warm(now) { entry.info.slots } else { 0 };
-            } else {
-                capacity.has_old = true;
-                capacity.old_slots += entry.info.slots;
-            }
-        }
-        capacity
-    }
-
     /// Returns a report if one is due.
     pub fn report(&mut self, now: Moment) -> Option<RolloutReport> {
-        let (_, id, phase) = self.table.open().next()?;
-        let tally = self.table.own(&self.service)?.clone();
-        let told = tally.exposed + tally.all_routes().new.count();
-        let is_due = self.reported.is_none_or(|(at, last, was, running)| {
-            (last, was) != (told, phase)
-                || (phase.is_switched() && running != self.running)
-                || now.since(at) >= IDLE
-        });
-        if !is_due {
+        let own = (&self.name, self.incarnation);
+        let report = self.table.report(&self.service, own, self.running)?;
+        let fresh = Reported::new(&report, now);
+        if self.reported.is_some_and(|last| !last.is_old(&fresh)) {
             return None;
         }
-        self.reported = Some((now, told, phase, self.running));
-        Some(RolloutReport {
-            instance: self.name.clone(),
-            incarnation: self.incarnation,
-            service: self.service.clone(),
-            id: id.clone(),
-            phase,
-            running: self.running,
-            tally,
-        })
+        self.reported = Some(fresh);
+        Some(report)
     }
 }
--- a/crates/nutmeggrade-fakes/src/rollout/referee.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/referee.rs
@@ -26,7 +26,7 @@
 pub struct Report {
     /// How it ended.
     pub end: End,
-    /// Requests until the time limit.
+    /// Requests within the order's duration.
     pub requests: u32,
     /// Requests of these that went to the new version.
     pub exposed: u32,
@@ -58,7 +58,7 @@
         matches!(self.end, End::Decided(state, _) if state == right)
     }
 
-    /// Says whether it was decided within the time limit.
+    /// Says whether it was decided within the order's duration.
     pub fn is_in_time(&self) -> bool {
         matches!(self.end, End::Decided(_, after) if after <= self.limit)
     }
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -36,7 +36,7 @@
 type Objects = BTreeMap<(String, String), Object>;
 
 #[derive(Debug, Clone)]
-struct Change {
+struct ChangedObject {
     kind: String,
     name: String,
     object: Object,
@@ -47,7 +47,7 @@
 struct State {
     revision: u64,
     objects: Objects,
-    changes: Vec<Change>,
+    changes: Vec<ChangedObject>,
     forgotten: u64,
     calls: u64,
     lagging: Option<Listed>,
@@ -153,7 +153,7 @@
             state.objects.insert(key, object.clone());
         }
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(Change { kind, name, object, is_gone });
+        state.changes.push(ChangedObject { kind, name, object, is_gone });
         drop(state);
         self.news.send_replace(revision);
     }
@@ -175,7 +175,7 @@
         let written = object.written(name);
         state.revision = newest;
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(Change { kind, name, object, is_gone: false });
+        state.changes.push(ChangedObject { kind, name, object, is_gone: false });
         drop(state);
         self.news.send_replace(newest);
         (200, written)
@@ -267,7 +267,7 @@
             return Some((410, Value::Null));
         }
         let later = state.changes.iter().filter(|c| c.object.revision > since && c.kind == kind);
-        let event = |c: &Change| {
+        let event = |c: &ChangedObject| {
             json!({ "deleted": c.is_gone,
             "resource_object": c.object.written(&c.name) })
         };
--- a/crates/nutmeggrade-policy/src/rollout.rs
+++ b/crates/nutmeggrade-policy/src/rollout.rs
@@ -8,7 +8,7 @@
 mod verdict;
 
 pub use binomial::tail;
-pub use evidence::Evidence;
+pub use evidence::compare;
 pub use exposure::{ExposureBound, watched};
 pub use facts::{Capacity, Facts};
 pub use judge::{Judge, Ruling};
--- a/crates/nutmeggrade-policy/src/rollout/evidence.rs
+++ b/crates/nutmeggrade-policy/src/rollout/evidence.rs
@@ -25,50 +25,42 @@
 
 /// Compares a new version with the old one by what both did at the same time.
 ///
-/// Answers versions that are bad from the start or later, on one route only, in a part of their answers, by
-/// failures or by time. Each is a count of answers that are worse than some bound, compared with the old
-/// version's part of such answers: no assumption on how durations are spread is needed, and counts of all
-/// instances add up. The old version's part is estimated with a margin, so that few old answers prove nothing.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Evidence;
-
-impl Evidence {
-    /// Judges what was counted.
-    pub fn judge(tally: &RolloutTally) -> Verdict {
-        let all = tally.all_routes();
-        let mut worst = Self::judge_route("*", &all);
-        for (route, outcomes) in &tally.routes {
-            let verdict = Self::judge_route(route, outcomes);
-            if rank(&verdict) > rank(&worst) {
-                worst = verdict;
-            }
-        }
-        if worst != Verdict::Good {
-            return worst;
+/// Failures and answers above each duration are counted, and the new version's part of them is compared with
+/// the old one's. That needs no assumption on the spread of durations, and counts of instances add up.
+pub fn compare(tally: &RolloutTally) -> Verdict {
+    let all = tally.all_routes();
+    let mut worst = judge_route("*", &all);
+    for (route, outcomes) in &tally.routes {
+        let verdict = judge_route(route, outcomes);
+        if rank(&verdict) > rank(&worst) {
+            worst = verdict;
         }
-        let answers = f64::from(all.old.count());
-        let is_known = |o: &RouteOutcomes| {
-            f64::from(o.old.count()) < ROUTE_PART * answers || o.new.count() >= FEWEST_ROUTE
-        };
-        let is_enough = all.new.count() >= FEWEST_GOOD && tally.routes.values().all(is_known);
-        if is_enough { Verdict::Good } else { Verdict::Unclear }
     }
+    if worst != Verdict::Good {
+        return worst;
+    }
+    let answers = f64::from(all.old.count());
+    let is_known = |o: &RouteOutcomes| {
+        f64::from(o.old.count()) < ROUTE_PART * answers || o.new.count() >= FEWEST_ROUTE
+    };
+    let is_enough = all.new.count() >= FEWEST_GOOD && tally.routes.values().all(is_known);
+    if is_enough { Verdict::Good } else { Verdict::Unclear }
+}
 
-    fn judge_route(route: &str, outcomes: &RouteOutcomes) -> Verdict {
-        let RouteOutcomes { old, new } = outcomes;
-        let found = [
-            (Complaint::Fails, failures(old, new)),
-            (Complaint::StartsLate, lateness(&old.first, &new.first)),
-            (Complaint::StreamsSlowly, lateness(&old.pace, &new.pace)),
-        ];
-        let least = found.into_iter().min_by(|a, b| a.1.total_cmp(&b.1));
-        match least {
-            Some((complaint, chance)) if chance < SURE && new.count() >= FEWEST_BAD => {
-                Verdict::Bad { route: route.to_owned(), complaint }
-            }
-            Some((_, chance)) if chance < DOUBTFUL => Verdict::Suspect,
-            _ => Verdict::Good,
+fn judge_route(route: &str, outcomes: &RouteOutcomes) -> Verdict {
+    let RouteOutcomes { old, new } = outcomes;
+    let found = [
+        (Complaint::Fails, failures(old, new)),
+        (Complaint::StartsLate, lateness(&old.first, &new.first)),
+        (Complaint::StreamsSlowly, lateness(&old.pace, &new.pace)),
+    ];
+    let least = found.into_iter().min_by(|a, b| a.1.total_cmp(&b.1));
+    match least {
+        Some((complaint, chance)) if chance < SURE && new.count() >= FEWEST_BAD => {
+            Verdict::Bad { route: route.to_owned(), complaint }
         }
+        Some((_, chance)) if chance < DOUBTFUL => Verdict::Suspect,
+        _ => Verdict::Good,
     }
 }
 
--- a/crates/nutmeggrade-policy/src/rollout/facts.rs
+++ b/crates/nutmeggrade-policy/src/rollout/facts.rs
@@ -27,7 +27,7 @@
     /// Time in which it has to be decided.
     pub duration: Duration,
     /// How far it is.
-    pub phase: Option<RolloutPhase>,
+    pub phase: RolloutPhase,
     /// What all instances counted.
     pub tally: RolloutTally,
     /// What the endpoints can bear.
--- a/crates/nutmeggrade-policy/src/rollout/judge.rs
+++ b/crates/nutmeggrade-policy/src/rollout/judge.rs
@@ -5,7 +5,7 @@
 
 use nutmeggrade_core::rollout::{RolloutPhase, RolloutTally};
 
-use super::{Capacity, Evidence, ExposureBound, Facts, Verdict};
+use super::{Capacity, ExposureBound, Facts, Verdict, compare};
 
 /// Time between two kept states of the tally.
 const KEPT_EVERY: Duration = Duration::from_millis(500);
@@ -56,12 +56,9 @@
 
 /// Decides how far one roll-out may go.
 ///
-/// Answers a version that is worse than the one before, at once or later, in part or under load only. Without
-/// it the version gets its full part of the traffic, and one notices when callers do. It gets a small part while
-/// it is watched for nearly all of the time that the order gives; only then all new requests go to it, so late
-/// that even a version that turns bad in that moment stays within the bound on exposure. A version that was not
-/// shown to be good by then is given up: a good one that is reverted can be ordered again, a bad one that is
-/// completed has no old endpoints to return to.
+/// The new version gets a canary's part for most of the order's time. The switch comes so late that a version
+/// which turns bad in that moment stays within the bound on exposure. In doubt the roll-out is reverted: that
+/// can be repeated, while a completed one has no old endpoints to return to.
 #[derive(Debug)]
 pub struct Judge {
     bound: ExposureBound,
@@ -78,12 +75,11 @@
 
     /// Decides how far the roll-out goes now.
     pub fn rule(&mut self, facts: &Facts) -> Ruling {
-        let phase = facts.phase.unwrap_or(RolloutPhase::Held);
-        if phase.is_switched() && self.switched.is_none() {
+        if facts.phase.is_switched() && self.switched.is_none() {
             self.switched = Some((facts.age, facts.tally.clone()));
         }
         let verdict = self.verdict(facts);
-        let (phase, why) = self.next(phase, facts, &verdict);
+        let (phase, why) = self.next(facts, &verdict);
         let grants = phase == RolloutPhase::Canary && facts.has_quorum;
         let share = if grants { self.share(facts) } else { 0.0 };
         Ruling { phase, share, verdict, why }
@@ -98,7 +94,7 @@
         while self.kept.front().is_some_and(|(at, _)| *at + SPANS[1] + KEPT_EVERY < facts.age) {
             self.kept.pop_front();
         }
-        let whole = Evidence::judge(&facts.tally);
+        let whole = compare(&facts.tally);
         if whole != Verdict::Good && whole != Verdict::Unclear {
             return whole;
         }
@@ -107,24 +103,20 @@
             let Some((_, before)) = self.kept.iter().rev().find(|(at, _)| *at <= since) else {
                 continue;
             };
-            let recent = Evidence::judge(&facts.tally.since(before));
+            let recent = compare(&facts.tally.since(before));
             if matches!(recent, Verdict::Bad { .. } | Verdict::Suspect) {
                 return recent;
             }
         }
         match &self.switched {
-            Some((_, before)) => Evidence::judge(&facts.tally.with_new_since(before)),
+            Some((_, before)) => compare(&facts.tally.with_new_since(before)),
             None => whole,
         }
     }
 
-    fn next(
-        &self,
-        phase: RolloutPhase,
-        facts: &Facts,
-        verdict: &Verdict,
-    ) -> (RolloutPhase, &'static str) {
+    fn next(&self, facts: &Facts, verdict: &Verdict) -> (RolloutPhase, &'static str) {
         use RolloutPhase::{Canary, Cleared, Held, Reverting, Switching};
+        let phase = facts.phase;
         if phase >= Reverting {
             return (phase, "");
         }
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -14,6 +14,7 @@
 use nutmeggrade_state::rollout::RolloutView;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::{directory, names};
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -133,35 +134,30 @@
     let Some(kind) = Kind::ALL.into_iter().find(|kind| kind.name() == name) else {
         return respond(StatusCode::NOT_FOUND, Vec::new());
     };
-    match serde_json::to_vec(&known(node, kind)) {
-        Ok(body) => respond(StatusCode::OK, body),
-        Err(error) => {
-            tracing::error!(event = "knowledge_unsendable", %error);
-            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    }
+    respond_json(&known(node, kind), "knowledge_unsendable")
 }
 
 fn rollouts(node: &Node, _: &str) -> Response {
     let views = lock(&node.tables).rollouts.views(node.now());
     let all: Vec<RolloutStatus> = views.iter().map(status).collect();
-    match serde_json::to_vec(&all) {
-        Ok(body) => respond(StatusCode::OK, body),
-        Err(error) => {
-            tracing::error!(event = "rollouts_unsendable", %error);
-            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    }
+    respond_json(&all, "rollouts_unsendable")
 }
 
 fn status(view: &RolloutView) -> RolloutStatus {
-    let names = (&view.service, &view.id.version);
+    let all = view.tally.all_routes();
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     RolloutStatus {
+        service: view.service.clone(),
+        version: view.id.version.clone(),
+        phase: view.phase.as_str().to_owned(),
         share: view.share,
         age_ms: millis(view.age),
         duration_ms: millis(view.duration),
-        ..RolloutStatus::new(names, view.phase, view.verdict, &view.tally)
+        verdict: view.verdict.to_owned(),
+        requests: view.tally.requests,
+        exposed: view.tally.exposed,
+        new: [all.new.count(), all.new.failures],
+        old: [all.old.count(), all.old.failures],
     }
 }
 
@@ -182,6 +178,17 @@
     }
 }
 
+/// Sends a value as JSON; `event` is logged if it can't be written.
+fn respond_json<T: Serialize>(value: &T, event: &str) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(body) => respond(StatusCode::OK, body),
+        Err(error) => {
+            tracing::error!(event, %error);
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
 fn respond(status: StatusCode, body: Vec<u8>) -> Response {
     let mut response = Response::new(Body::Full(Full::new(body.into())));
     *response.status_mut() = status;
--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -1,4 +1,4 @@
-//! Calls to engines beside requests.
+//! Calls to engines and other endpoints beside requests.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 
 use crate::short_call::{Bounds, short_call};
 
-/// Longest wait for a connection to an engine, and for its report; both take milliseconds.
+/// Longest wait for a connection to an endpoint, and for an engine's report; both take milliseconds.
 pub const CONNECT: Duration = Duration::from_millis(300);
 /// Longest answer to a call.
 const MAX_ANSWER: usize = 64 << 10;
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -82,7 +82,8 @@
     fleet.source(is_ahead, reach, lot, now)
 }
 
-const fn revision(revisions: &Revisions, kind: Kind) -> u64 {
+/// Returns how far a kind is read.
+pub const fn revision(revisions: &Revisions, kind: Kind) -> u64 {
     match kind {
         Kind::Config => revisions.config,
         Kind::Endpoints => revisions.endpoints,
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -3,6 +3,7 @@
 use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, FleetNews, FleetPlaced};
 use nutmeggrade_wire::kinds::Kind;
 
+use crate::fleet_sync::revision;
 use crate::node::Node;
 use crate::tables::lock;
 use crate::watch::endpoint_changes;
@@ -54,10 +55,9 @@
                 incarnation = beacon.incarnation);
         }
     }
-    node.follow.track(Kind::Config).hint(beacon.revisions.config);
-    node.follow.track(Kind::Endpoints).hint(beacon.revisions.endpoints);
-    node.follow.track(Kind::Evacuations).hint(beacon.revisions.out);
-    node.follow.track(Kind::Rollouts).hint(beacon.revisions.rollouts);
+    for kind in Kind::ALL {
+        node.follow.track(kind).hint(revision(&beacon.revisions, kind));
+    }
     node.hear_rollouts(beacon.rollouts);
 }
 
--- a/crates/nutmeggrade-relay/src/probes.rs
+++ b/crates/nutmeggrade-relay/src/probes.rs
@@ -11,15 +11,10 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
+use crate::engine_call;
 use crate::node::Node;
-use crate::short_call::{Bounds, short_call};
 use crate::tables::lock;
 
-/// Longest wait for a connection and for an answer; one that is late says nothing, as a check may wait for a
-/// slot.
-const PATIENCE: Duration = Duration::from_millis(300);
-/// Largest answer to a check.
-const MAX_ANSWER: usize = 64 << 10;
 /// Time between two checks, half of the pause that a word of a gone endpoint brings.
 const PERIOD: Duration = Duration::from_millis(250);
 /// Checks after which the registry knows more.
@@ -27,9 +22,9 @@
 
 /// What an endpoint does with a check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Found {
+enum Check {
     /// It answers, or takes its time.
-    There,
+    Answers,
     /// It refuses the connection, or takes it and closes it without an answer.
     Breaks,
 }
@@ -66,7 +61,7 @@
             tables.dispatcher.book.health(&endpoint.id).and_then(Health::told_gone)
         };
         // A peer checks it too.
-        if said > told || check(node, endpoint).await == Found::There {
+        if said > told || check(node, endpoint).await == Check::Answers {
             return;
         }
         node.announce_gone(&endpoint.id);
@@ -76,21 +71,22 @@
     }
 }
 
-async fn check(node: &Node, endpoint: &EndpointInfo) -> Found {
+async fn check(node: &Node, endpoint: &EndpointInfo) -> Check {
     let map = node.map();
-    let Some(spec) = map.service(&endpoint.service) else { return Found::There };
+    let Some(spec) = map.service(&endpoint.service) else { return Check::Answers };
     let path = if spec.engine.is_some() { engine::REPORT_PATH } else { spec.health.as_str() };
     if path.is_empty() {
-        return Found::There;
+        return Check::Answers;
     }
-    let bounds = Bounds { connect: PATIENCE, patience: PATIENCE, answer: MAX_ANSWER };
-    let answer = short_call(endpoint.address, Method::GET, path, Vec::new(), bounds).await;
-    let Err(error) = answer else { return Found::There };
+    // An answer that is late says nothing: a check may wait for a slot.
+    let answer =
+        engine_call::ask(endpoint.address, Method::GET, path, Vec::new(), engine_call::CONNECT);
+    let Err(error) = answer.await else { return Check::Answers };
     match error.downcast_ref::<CallError>() {
         Some(error) if error.is_refused() || !error.not_sent() => {
             tracing::info!(event = "check_broke", endpoint = %endpoint.id, %error);
-            Found::Breaks
+            Check::Breaks
         }
-        _ => Found::There,
+        _ => Check::Answers,
     }
 }
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -47,13 +47,12 @@
     }
     let node = Arc::clone(node);
     let id = call.id.clone();
-    let checked = endpoint.clone();
-    let address = endpoint.address;
+    let endpoint = endpoint.clone();
     let crashed =
         Crashed { request: call.fingerprint, endpoint: endpoint.id.clone(), born: endpoint.born };
     tokio::spawn(async move {
-        let Err(error) = dial(address).await else {
-            probes::start(&node, &checked);
+        let Err(error) = dial(endpoint.address).await else {
+            probes::start(&node, &endpoint);
             return;
         };
         if error.kind() == io::ErrorKind::ConnectionRefused {
--- a/crates/nutmeggrade-relay/src/rollouts.rs
+++ b/crates/nutmeggrade-relay/src/rollouts.rs
@@ -2,7 +2,6 @@
 
 mod judging;
 mod reporting;
-mod surroundings;
 mod writing;
 
 use std::sync::Arc;
--- a/crates/nutmeggrade-relay/src/rollouts/judging.rs
+++ b/crates/nutmeggrade-relay/src/rollouts/judging.rs
@@ -7,7 +7,6 @@
 use nutmeggrade_core::routing::RouteMap;
 use nutmeggrade_policy::rollout::{ExposureBound, Facts, Judge, Ruling, Verdict};
 
-use super::surroundings::Surroundings;
 use crate::node::{Node, Phase};
 use crate::tables::{Tables, lock};
 
@@ -39,7 +38,7 @@
                 return;
             }
             let open = tables.rollouts.open();
-            let open: Vec<_> = open.map(|(service, id, _)| (service.clone(), id.clone())).collect();
+            let open: Vec<_> = open.map(|(service, id)| (service.clone(), id.clone())).collect();
             self.0.retain(|order, _| open.contains(order));
             for order in open {
                 changed.extend(self.decide(&order, bound, tables, &map, now));
@@ -58,13 +57,13 @@
         map: &RouteMap,
         now: Moment,
     ) -> Option<RolloutNotice> {
-        let seen = Surroundings::new(tables, map, service, &id.version, now);
+        let seen = tables.surroundings(map, (service, &id.version), now);
         let view = tables.rollouts.view(service, now)?;
         let members: Vec<InstanceId> = tables.fleet.members(now).cloned().collect();
         let facts = Facts {
             age: view.age,
             duration: view.duration,
-            phase: Some(view.phase),
+            phase: view.phase,
             tally: view.tally,
             capacity: seen.capacity,
             movable: seen.movable,
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -15,7 +15,7 @@
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::{Registered, Registry};
-use nutmeggrade_state::rollout::{RolloutTable, Standing};
+use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, Standing, Surroundings};
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -123,6 +123,9 @@
         outcome: Outcome,
         now: Moment,
     ) {
+        if !self.rollouts.is_open(&endpoint.service) {
+            return;
+        }
         let is_warm = self.registry.get(&endpoint.id).is_some_and(|e| e.is_warm(now));
         let counts = match outcome {
             Outcome::Failed => !self.registry.is_parting(&endpoint.id),
@@ -152,6 +155,24 @@
         }
     }
 
+    /// Looks at the endpoints of a service that moves to another version.
+    pub fn surroundings(
+        &self,
+        map: &RouteMap,
+        (service, version): (&ServiceId, &VersionId),
+        now: Moment,
+    ) -> Surroundings {
+        let engine = map.service(service).and_then(|s| s.engine);
+        let book = &self.dispatcher.book;
+        let load = |info: &EndpointInfo| EndpointLoad {
+            slots: engine.map_or(info.slots, |e| e.slots),
+            running: book.at(&info.id).requests,
+            own: book.own().get(&info.id).map_or(0, |p| p.requests),
+            is_movable: engine.is_some_and(|e| e.moves),
+        };
+        Surroundings::new(&self.registry, (service, version), load, now)
+    }
+
     /// Works out anew what endpoints may get by their version.
     fn rule_versions(&mut self, settings: &Settings, now: Moment) {
         if settings.exposure.is_none() {
--- a/crates/nutmeggrade-state/src/rollout/table.rs
+++ b/crates/nutmeggrade-state/src/rollout/table.rs
@@ -201,9 +201,14 @@
     }
 
     /// Lists the services whose roll-out is not over, with their orders.
-    pub fn open(&self) -> impl Iterator<Item = (&ServiceId, &RolloutId, RolloutPhase)> {
+    pub fn open(&self) -> impl Iterator<Item = (&ServiceId, &RolloutId)> {
         let open = self.entries.iter().filter(|(_, e)| !e.phase.is_over());
-        open.map(|(service, e)| (service, &e.order.id, e.phase))
+        open.map(|(service, e)| (service, &e.order.id))
+    }
+
+    /// Says whether a service has a roll-out that is not over.
+    pub fn is_open(&self, service: &ServiceId) -> bool {
+        self.entries.get(service).is_some_and(|e| !e.phase.is_over())
     }
 
     /// Says whether every one of `peers` and this instance, which has `running` requests at other versions,
@@ -268,9 +273,24 @@
         there.map(Entry::stored_rollout).collect()
     }
 
-    /// Returns what this instance counted of a service's roll-out.
-    pub fn own(&self, service: &ServiceId) -> Option<&RolloutTally> {
-        self.entries.get(service).map(|e| &e.own)
+    /// Returns what those who judge are told of a service's roll-out, unless it is over. `instance` and
+    /// `incarnation` name this instance, which has `running` requests at other versions.
+    pub fn report(
+        &self,
+        service: &ServiceId,
+        (instance, incarnation): (&InstanceId, u64),
+        running: u32,
+    ) -> Option<RolloutReport> {
+        let entry = self.entries.get(service).filter(|e| !e.phase.is_over())?;
+        Some(RolloutReport {
+            instance: instance.clone(),
+            incarnation,
+            service: service.clone(),
+            id: entry.order.id.clone(),
+            phase: entry.phase,
+            running,
+            tally: entry.own.clone(),
+        })
     }
 
     /// Lists all roll-outs.
--- a/tests/suite/policy/rollouts.rs
+++ b/tests/suite/policy/rollouts.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_core::rollout::{Outcome, RolloutPhase, RolloutTally};
 use nutmeggrade_policy::rollout::{
-    Capacity, Evidence, ExposureBound, Facts, Judge, Ruling, Verdict, tail, watched,
+    Capacity, ExposureBound, Facts, Judge, Ruling, Verdict, compare, tail, watched,
 };
 use rstest::rstest;
 
@@ -45,7 +45,7 @@
 
 /// Checks what evidence says of a version.
 fn judges(old: Answers, new: Answers, expected: &str) {
-    assert_eq!(Evidence::judge(&tally(old, new)).as_str(), expected);
+    assert_eq!(compare(&tally(old, new)).as_str(), expected);
 }
 
 cases! {judges {
@@ -68,7 +68,7 @@
         let pace = Duration::from_millis((20 + number % 20) * times);
         tally.add("lookups", number >= 200, Outcome::Pace(pace));
     }
-    assert_eq!(Evidence::judge(&tally).as_str(), "bad");
+    assert_eq!(compare(&tally).as_str(), "bad");
 }
 
 // A version fails on one route of two. The other one's answers must not hide it.
@@ -77,7 +77,7 @@
     let mut tally = tally((2_000, 40, 0), (200, 4, 0));
     add(&mut tally, "drafts", false, (100, 2, 0));
     add(&mut tally, "drafts", true, (12, 7, 0));
-    assert!(matches!(Evidence::judge(&tally), Verdict::Bad { route, .. } if route == "drafts"));
+    assert!(matches!(compare(&tally), Verdict::Bad { route, .. } if route == "drafts"));
 }
 
 // Too few answers of a route that matters are no ground to call the version good.
@@ -86,7 +86,7 @@
     let mut tally = tally((400, 8, 0), (40, 0, 0));
     add(&mut tally, "drafts", false, (400, 8, 0));
     add(&mut tally, "drafts", true, (2, 0, 0));
-    assert_eq!(Evidence::judge(&tally), Verdict::Unclear);
+    assert_eq!(compare(&tally), Verdict::Unclear);
 }
 
 #[rstest]
@@ -109,15 +109,14 @@
         let duration = Duration::from_secs(duration);
         let capacity =
             Capacity { has_old: true, has_new: true, old_slots: 30, new_slots: 30, running: 9 };
-        let phase = Some(RolloutPhase::Held);
-        let facts = Facts { duration, capacity, phase, has_quorum: true, ..Facts::default() };
+        let facts = Facts { duration, capacity, has_quorum: true, ..Facts::default() };
         Self { judge: Judge::new(BOUND), facts, duration }
     }
 
     /// Plays a tenth of a second in which a part of the new version's answers fail.
     fn step(&mut self, fails: f64) -> Ruling {
         let ruling = self.judge.rule(&self.facts);
-        self.facts.phase = Some(ruling.phase);
+        self.facts.phase = ruling.phase;
         let share = match ruling.phase {
             RolloutPhase::Canary => ruling.share,
             phase if phase.is_switched() => 1.0,
@@ -138,10 +137,10 @@
 
     /// Plays until the phase is left; returns the next one and when.
     fn leave(&mut self, phase: RolloutPhase, fails: f64) -> (RolloutPhase, Duration) {
-        while self.facts.phase == Some(phase) && self.facts.age < self.duration * 3 {
+        while self.facts.phase == phase && self.facts.age < self.duration * 3 {
             self.step(fails);
         }
-        (self.facts.phase.unwrap_or(phase), self.facts.age)
+        (self.facts.phase, self.facts.age)
     }
 
     fn exposed(&self) -> f64 {
--- a/tests/suite/relay/rollouts.rs
+++ b/tests/suite/relay/rollouts.rs
@@ -70,13 +70,14 @@
     }
 }
 
-/// A service with an endpoint of each version.
-async fn versions(site: &Site) -> anyhow::Result<(Endpoint, Endpoint)> {
+/// Starts an instance before a service with an endpoint of each version.
+async fn versions() -> anyhow::Result<(Site, Endpoint, Endpoint)> {
+    let site = Site::start_rolling(&RoutingPlan::default()).await?;
     let old = site.endpoint("desk", "e-1", Behaviour::Answer).await?;
-    order(site, "desk", 9);
-    until_state(site, "desk", "in_progress v2").await?;
+    order(&site, "desk", 9);
+    until_state(&site, "desk", "in_progress v2").await?;
     let new = site.versioned("desk", "e-2", "v2", Behaviour::Answer).await?;
-    Ok((old, new))
+    Ok((site, old, new))
 }
 
 // Endpoints of a new version register, and nobody has seen yet what they do. Used like the others they would
@@ -84,8 +85,7 @@
 #[test]
 fn new_version_is_held_first() {
     run(async {
-        let site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (old, new) = versions(&site).await?;
+        let (site, old, new) = versions().await?;
         for number in 0..20 {
             assert_eq!(ask(&site, "once", &format!("a{number}")).await?.status, 200);
         }
@@ -99,8 +99,7 @@
 #[test]
 fn good_version_takes_over() {
     run(async {
-        let site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (old, new) = versions(&site).await?;
+        let (site, old, new) = versions().await?;
         let load = Load::start(&site, "once");
         until("a part goes to the new version", async || Ok(new.seen().len() > 3)).await?;
         until_state(&site, "desk", "completed v2").await?;
@@ -118,8 +117,7 @@
 #[test]
 fn bad_version_is_reverted() {
     run(async {
-        let site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (_, new) = versions(&site).await?;
+        let (site, _, new) = versions().await?;
         new.set(Behaviour::Fail);
         let load = Load::start(&site, "once");
         until_state(&site, "desk", "reverted v2").await?;
@@ -137,8 +135,7 @@
 #[test]
 fn bad_version_gets_nothing_while_the_store_is_away() {
     run(async {
-        let site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (_, new) = versions(&site).await?;
+        let (site, _, new) = versions().await?;
         let load = Load::start(&site, "once");
         until("a part goes to the new version", async || Ok(new.seen().len() > 2)).await?;
         site.door.set(Fault::Refuse);
@@ -163,8 +160,7 @@
 #[test]
 fn order_outlives_all_instances() {
     run(async {
-        let mut site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (_, new) = versions(&site).await?;
+        let (mut site, _, new) = versions().await?;
         let load = Load::start(&site, "once");
         until("a part goes to the new version", async || Ok(new.seen().len() > 2)).await?;
         load.stop().await?;
@@ -258,8 +254,7 @@
 #[test]
 fn removed_order_leaves_the_old_version() {
     run(async {
-        let site = Site::start_rolling(&RoutingPlan::default()).await?;
-        let (_, new) = versions(&site).await?;
+        let (site, _, new) = versions().await?;
         site.store.remove("rollouts", "desk");
         sleep(Duration::from_millis(300)).await;
         for number in 0..20 {
