Log and count the rate limits that endpoints state

Nothing in logs or metrics says what an endpoint asks of its callers, so that an instance that doesn't read a limit can't be told from one that takes all of it for itself.

--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -37,6 +37,8 @@
     pub config: IntGauge,
     /// Endpoints that may get new work.
     pub endpoints: IntGauge,
+    /// Endpoints that state a rate limit.
+    pub limited_endpoints: IntGauge,
     /// Peers whose heartbeats arrived recently.
     pub peers: IntGauge,
     /// Calls to the platform's store by kind and outcome.
@@ -79,6 +81,7 @@
             connections: gauge("connections", "open connections of clients")?,
             config: gauge("config_version", "routing configuration in force")?,
             endpoints: gauge("endpoints", "endpoints that may get new work")?,
+            limited_endpoints: gauge("limited_endpoints", "endpoints that state a rate limit")?,
             peers: gauge("peers", "peers heard lately")?,
             peer_bytes: counters(
                 "peer_bytes_total",
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -1,6 +1,7 @@
 //! State of one instance: settings, tables, the store's client and metrics.
 
 mod endpoints;
+mod notices;
 mod rollouts;
 
 use std::collections::BTreeSet;
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -122,6 +122,10 @@
     let (head, body) = response.into_parts();
     let parsed = answer::read(&head);
     check_response(&head, &parsed, &client_request.id)?;
+    // A misdirected request was rejected by another endpoint, which speaks for itself.
+    if !parsed.misdirected {
+        node.note_notice(&endpoint.id, &parsed.notice);
+    }
     Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, connection), sent_at })
 }
 
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -6,7 +6,7 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
-use nutmeggrade_core::routing::{EndpointInfo, RouteMap, ServiceSpec};
+use nutmeggrade_core::routing::{EndpointInfo, RateLimit, RouteMap, ServiceSpec};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{Candidate, DispatchDecision, DispatchRequest, Dispatcher};
 use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
@@ -45,6 +45,8 @@
     pub crashes: CrashLog,
     /// Rollouts of services to another version.
     pub rollouts: RolloutTable,
+    /// Rate limits that endpoints state.
+    pub rate_limits: BTreeMap<EndpointId, RateLimit>,
     resend_budgets: BTreeMap<ServiceId, ResendBudget>,
     cold_shares: BTreeMap<EndpointId, ColdShare>,
     waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -60,6 +62,7 @@
             pace: Pace::new(),
             crashes: CrashLog::new(),
             rollouts: RolloutTable::new(),
+            rate_limits: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
             cold_shares: BTreeMap::new(),
             waiters: BTreeMap::new(),
