--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -14,6 +14,7 @@
 use super::behaviour::Behaviour;
 use super::generation::Generations;
 use super::message::Message;
+use super::notices::Notices;
 use super::received_request::ReceivedRequest;
 
 /// Duration of the first copy of a generation's cache.
@@ -36,6 +37,7 @@
     pub address: SocketAddr,
     id: String,
     state: Arc<Mutex<State>>,
+    notices: Arc<Mutex<Notices>>,
     generations: Generations,
     crashed: watch::Sender<bool>,
 }
@@ -60,6 +62,7 @@
             address,
             id: id.to_owned(),
             state: Arc::new(Mutex::new(state)),
+            notices: Arc::default(),
             generations: generations.clone(),
             crashed: watch::Sender::new(false),
         };
@@ -99,6 +102,11 @@
         self.state().advertised_address = address;
     }
 
+    /// Returns what it asks of its callers, for changes too.
+    pub fn notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the remaining time before it leaves, which its report contains.
     pub fn announce_leave(&self, time: Duration) {
         self.state().leaves_ms = u64::try_from(time.as_millis()).ok();
@@ -163,6 +171,7 @@
     }
 
     async fn handle_report(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
+        self.notices().add_status_check();
         let leaves = self.state().leaves_ms;
         let mut report = json!({ "phase": "combined", "busy": false, "sequence": 1, "queued": 0,
             "active": 0, "kv_cache_used": 0, "kv_cache_capacity": 30_000, "cache_handles": 0 });
@@ -173,6 +182,7 @@
     }
 
     async fn handle_health(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
+        self.notices().add_status_check();
         let head = format!("X-Nutmeggrade-Instance-Id: {}\r\nContent-Length: 0\r\n", self.id);
         send(stream, &format!("HTTP/1.1 200 -\r\n{head}\r\n")).await
     }
@@ -231,15 +241,16 @@
     ) -> anyhow::Result<()> {
         let body = format!("done {id} by {}", self.id);
         let response =
-            self.response(200, id, &format!("Content-Length: {}\r\n", body.len()), &body);
+            || self.response(200, id, &format!("Content-Length: {}\r\n", body.len()), &body);
         match behaviour {
-            Behaviour::Answer => send(stream, &response).await,
+            Behaviour::Answer => send(stream, &response()).await,
             Behaviour::Slow(time) => {
                 sleep(time).await;
-                send(stream, &response).await
+                send(stream, &response()).await
             }
             Behaviour::Shed => {
-                self.send_empty(stream, 503, "X-Nutmeggrade-Not-Executed: 1\r\n").await
+                let headers = self.notices().headers(id) + "X-Nutmeggrade-Not-Executed: 1\r\n";
+                self.send_empty(stream, 503, &headers).await
             }
             Behaviour::Misdirect => self.send_empty(stream, 421, "").await,
             Behaviour::Fail => {
@@ -251,6 +262,7 @@
                 anyhow::bail!("crashed")
             }
             Behaviour::Truncate => {
+                let response = response();
                 send(stream, &response[..response.len() - 3]).await?;
                 anyhow::bail!("truncated")
             }
@@ -262,7 +274,7 @@
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body[..4])).await?;
                 reset(stream)
             }
-            Behaviour::ExtraResponse => send(stream, &(response.clone() + &response)).await,
+            Behaviour::ExtraResponse => send(stream, &response().repeat(2)).await,
             Behaviour::WrongAttemptId => {
                 let other = self.response(200, "another", "Content-Length: 5\r\n", "wrong");
                 send(stream, &other).await
@@ -326,9 +338,10 @@
     }
 
     fn response(&self, status: u16, id: &str, headers: &str, body: &str) -> String {
+        let notices = self.notices().headers(id);
         format!(
             "HTTP/1.1 {status} -\r\nX-Nutmeggrade-Attempt-Id: {id}\r\n{SIGNATURE_HEADER}: by.{}\r\n\
-             {headers}\r\n{body}",
+             {notices}{headers}\r\n{body}",
             self.id
         )
     }
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/site/notices.rs
@@ -0,0 +1,65 @@
+//! What simulated endpoints ask of their callers, and whom they told.
+
+use std::fmt::Write;
+
+use tokio::time::Instant;
+
+/// A response that asked something of the caller.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NoticedResponse {
+    /// The client's attempt id.
+    pub id: String,
+    /// When it was sent.
+    pub at: Instant,
+    /// The rate limit that it stated.
+    pub limit: Option<f64>,
+}
+
+/// What an endpoint asks of its callers in its responses, with a record of those responses.
+#[derive(Debug, Clone, Default)]
+pub struct Notices {
+    limit: Option<f64>,
+    limit_changes: Vec<(Instant, Option<f64>)>,
+    responses: Vec<NoticedResponse>,
+    status_checks: Vec<Instant>,
+}
+
+impl Notices {
+    /// Sets the rate limit that responses state from now on, in requests per second.
+    pub fn set_limit(&mut self, limit: Option<f64>) {
+        self.limit = limit;
+        self.limit_changes.push((Instant::now(), limit));
+    }
+
+    /// Returns the rate limits so far, each with the moment from which on it was stated.
+    pub fn limit_changes(&self) -> &[(Instant, Option<f64>)] {
+        &self.limit_changes
+    }
+
+    /// Returns the responses to requests that asked something of the caller.
+    pub fn responses(&self) -> &[NoticedResponse] {
+        &self.responses
+    }
+
+    /// Returns when status checks arrived, which carry no attempt id.
+    pub fn status_checks(&self) -> &[Instant] {
+        &self.status_checks
+    }
+
+    /// Records a status check.
+    pub fn add_status_check(&mut self) {
+        self.status_checks.push(Instant::now());
+    }
+
+    /// Returns the headers of a response to the request with this id, and records the response.
+    pub fn headers(&mut self, id: &str) -> String {
+        let mut text = String::new();
+        if let Some(limit) = self.limit {
+            // Writing to a string can't fail.
+            drop(write!(text, "Server-Limit: {limit}\r\n"));
+            let (id, at) = (id.to_owned(), Instant::now());
+            self.responses.push(NoticedResponse { id, at, limit: Some(limit) });
+        }
+        text
+    }
+}
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -8,6 +8,7 @@
 mod endpoints;
 mod fleet;
 mod framing;
+mod limits;
 mod logs;
 mod memory;
 mod moves;
