Divide the rate limits that endpoints state among all instances

Load alone chose the endpoint, and an endpoint that states a limit is no fuller than others.

Each instance now has a share: ranked senders, as many as the limit has room for, take turns at equal intervals. Peers tell each other of limits and their end. First sends, second sends, resumed and moved generations, orders and status checks use turns. Requests that get no turn in time are refused at once. Why it works: with limit L, 4 s bring at most 5.1 L + 1 requests even if all senders begin together; 6 L + 5 are allowed.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -14,7 +14,7 @@
 pub use fleet_beacon::{Contacts, FleetBeacon, InstanceAddresses, Introduction, Revisions};
 pub use fleet_message::{
     DomainPart, EndpointCrash, EndpointUpdate, EndpointUpdateBatch, Fingerprint, FleetMessage,
-    FleetOutcomes, InstanceLoad,
+    FleetOutcomes, InstanceLoad, RateLimits,
 };
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, SyncTopic};
--- a/crates/nutmeggrade-core/src/peer/fleet_message.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_message.rs
@@ -7,7 +7,7 @@
 use super::{Contacts, FleetBeacon};
 use crate::id::{DomainId, EndpointId, InstanceId};
 use crate::rollout::{RolloutNotice, RolloutReport};
-use crate::routing::{EndpointInfo, PlacedLoad};
+use crate::routing::{EndpointInfo, PlacedLoad, RateLimit};
 
 /// An endpoint's new entry, or its removal.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,6 +63,9 @@
     pub answers: BTreeMap<EndpointId, (u32, u32)>,
 }
 
+/// Rate limits that endpoints state; `None` for an endpoint that has withdrawn its limit.
+pub type RateLimits = BTreeMap<EndpointId, Option<RateLimit>>;
+
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -83,6 +86,8 @@
     Gone(Vec<EndpointId>),
     /// Outcomes of the sender's requests at endpoints.
     Outcomes(FleetOutcomes),
+    /// Rate limits that the sender received from endpoints.
+    RateLimits(RateLimits),
     /// A change of a rollout's phase.
     Rollout(RolloutNotice),
     /// The sender's counts of a rollout, for the instances that evaluate it.
@@ -114,6 +119,7 @@
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
             Self::Outcomes(_) => "outcomes",
+            Self::RateLimits(_) => "rate_limits",
             Self::Rollout(_) => "rollout",
             Self::RolloutReport(_) => "rollout_report",
             Self::Met(_) => "met",
--- a/crates/nutmeggrade-fakes/src/site/notices.rs
+++ b/crates/nutmeggrade-fakes/src/site/notices.rs
@@ -1,7 +1,5 @@
 //! What simulated endpoints ask of their callers, and whom they told.
 
-use std::fmt::Write;
-
 use tokio::time::Instant;
 
 /// A response that asked something of the caller.
@@ -53,13 +51,9 @@
 
     /// Returns the headers of a response to the request with this id, and records the response.
     pub fn headers(&mut self, id: &str) -> String {
-        let mut text = String::new();
-        if let Some(limit) = self.limit {
-            // Writing to a string can't fail.
-            drop(write!(text, "Server-Limit: {limit}\r\n"));
-            let (id, at) = (id.to_owned(), Instant::now());
-            self.responses.push(NoticedResponse { id, at, limit: Some(limit) });
-        }
-        text
+        let Some(limit) = self.limit else { return String::new() };
+        let (id, at) = (id.to_owned(), Instant::now());
+        self.responses.push(NoticedResponse { id, at, limit: Some(limit) });
+        format!("Server-Limit: {limit}\r\n")
     }
 }
--- a/crates/nutmeggrade-policy/src/dispatch/candidate.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/candidate.rs
@@ -2,6 +2,8 @@
 
 use nutmeggrade_core::prelude::*;
 
+use crate::fleet::Turn;
+
 /// An endpoint that may get new work, as the dispatcher sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -15,6 +17,8 @@
     pub memory: Option<u64>,
     /// Requests that this instance may still send it in the current second, if it is cold.
     pub cold_left: Option<u32>,
+    /// When this instance may send it the next request, if it limits its rate.
+    pub turn: Option<Turn>,
     /// Whether it accepts only requests that are selected for a new version.
     pub is_canary: bool,
 }
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use super::lane_key::LaneKey;
 use super::{Candidate, DispatchRequest, LoadTable, PlacedLoad, failure_rate_penalty, fits, score};
+use crate::fleet::Turn;
 use crate::queue::Lane;
 use crate::wait_estimate::WaitEstimate;
 use crate::{RetryJitter, Ticket};
@@ -27,6 +28,8 @@
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Longest retry delay; a client with less time left would not retry.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
+/// Longest wait for a turn that is computed; no request waits as long.
+const MAX_TURN_WAIT: Duration = Duration::from_hours(1);
 
 /// Decision about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,7 +90,7 @@
         if !self.must_queue(request)
             && let Some(endpoint) = self.choose(request, now)
         {
-            self.place(request, &endpoint);
+            self.place(request, &endpoint, now);
             return DispatchDecision::Go(endpoint);
         }
         if !self.can_ever_run(request) {
@@ -96,15 +99,15 @@
         let key = LaneKey::on_time(&request.service, request.priority);
         let late_key = LaneKey::late(&request.service, request.priority);
         let late_waiting = self.lanes.get(&late_key).map_or(0, Lane::len);
-        let lane = self.lanes.entry(key.clone()).or_default();
-        let ahead = lane.ahead(&request.workspace) + late_waiting + 1;
+        let on_time_waiting = self.lanes.get(&key).map_or(0, |l| l.ahead(&request.workspace));
+        let ahead = on_time_waiting + late_waiting + 1;
         let estimate = self.wait_estimates.get(&key).and_then(|w| w.wait(ahead));
-        if let Some(wait) = estimate
+        if let Some(wait) = estimate.max(self.wait_for_turn(request, ahead, now))
             && wait > patience
         {
             return DispatchDecision::Refuse(self.jitter.draw(wait.min(MAX_RETRY_DELAY) / 2));
         }
-        lane.push(request);
+        self.lanes.entry(key).or_default().push(request);
         DispatchDecision::Wait
     }
 
@@ -116,7 +119,7 @@
         for key in keys {
             let mut count = 0;
             while let Some((request, endpoint)) = self.take_next(&key, now) {
-                self.place(&request, &endpoint);
+                self.place(&request, &endpoint, now);
                 if let Some(lane) = self.lanes.get_mut(&key) {
                     lane.take(request.ticket, request.memory.max(1) as f64);
                 }
@@ -167,13 +170,16 @@
     }
 
     /// Records that a request goes to an endpoint.
-    pub fn place(&mut self, request: &DispatchRequest, endpoint: &EndpointId) {
+    pub fn place(&mut self, request: &DispatchRequest, endpoint: &EndpointId, now: Moment) {
         let placed =
             PlacedLoad { requests: 1, memory: request.memory, reading: request.prompt, moving: 0 };
         self.load_table.place(request.ticket, endpoint, placed);
         let endpoints = self.candidates.get_mut(&request.service).into_iter().flatten();
         for candidate in endpoints.filter(|c| c.id == *endpoint) {
             candidate.cold_left = candidate.cold_left.map(|left| left.saturating_sub(1));
+            if let Some(turn) = &mut candidate.turn {
+                turn.take(now);
+            }
         }
     }
 
@@ -204,6 +210,31 @@
         endpoints.is_some_and(|c| c.iter().any(can_run))
     }
 
+    /// Returns the wait of the request at position `ahead` until it has a turn, if all endpoints that
+    /// could run it limit their rates.
+    ///
+    /// A queue behind such endpoints is only as fast as their turns, which is known before any
+    /// request was released from it.
+    fn wait_for_turn(
+        &self,
+        request: &DispatchRequest,
+        ahead: usize,
+        now: Moment,
+    ) -> Option<Duration> {
+        let can_run = |c: &&Candidate| {
+            !c.is_canary
+                && !request.avoid.contains(&c.id)
+                && c.memory.is_none_or(|m| request.memory <= m)
+        };
+        let candidates = self.candidates.get(&request.service)?;
+        let turns: Option<Vec<Turn>> = candidates.iter().filter(can_run).map(|c| c.turn).collect();
+        let turns = turns?;
+        let first = turns.iter().map(|t| t.next).min()?.since(now);
+        let rate: f64 = turns.iter().map(Turn::rate).sum();
+        let others = (ahead.saturating_sub(1) as f64 / rate).min(MAX_TURN_WAIT.as_secs_f64());
+        Some(first + Duration::from_secs_f64(others))
+    }
+
     fn take_next(&mut self, key: &LaneKey, now: Moment) -> Option<(DispatchRequest, EndpointId)> {
         let heads: Vec<DispatchRequest> = self.lanes.get(key)?.heads().cloned().collect();
         heads.into_iter().find_map(|request| {
@@ -241,7 +272,7 @@
         let mut best: Option<(f64, &Candidate)> = None;
         for candidate in usable {
             let placed = self.load_table.load(&candidate.id);
-            if !fits(candidate, &placed, request) {
+            if !fits(candidate, &placed, request, now) {
                 continue;
             }
             let recent_failures =
--- a/crates/nutmeggrade-policy/src/dispatch/room.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/room.rs
@@ -1,5 +1,7 @@
 //! Capacity checks and scores of endpoints.
 
+use nutmeggrade_core::prelude::*;
+
 use super::{Candidate, DispatchRequest, PlacedLoad};
 
 /// Fraction of an engine's memory that is committed to requests.
@@ -36,8 +38,13 @@
 /// Memory is counted by what responses will use in the end. Otherwise an engine would run out of
 /// memory in the middle of responses: it would preempt the newest and read its prompt again, the
 /// client would see the stream stall, and the work would be wasted.
-pub fn fits(candidate: &Candidate, placed: &PlacedLoad, request: &DispatchRequest) -> bool {
-    if candidate.cold_left == Some(0) {
+pub fn fits(
+    candidate: &Candidate,
+    placed: &PlacedLoad,
+    request: &DispatchRequest,
+    now: Moment,
+) -> bool {
+    if candidate.cold_left == Some(0) || candidate.turn.is_some_and(|t| !t.is_open(now)) {
         return false;
     }
     match candidate.memory {
--- a/crates/nutmeggrade-policy/src/fleet.rs
+++ b/crates/nutmeggrade-policy/src/fleet.rs
@@ -1,7 +1,11 @@
 //! Fleet-wide limits that each instance enforces for itself.
 
 mod cold_share;
+mod rate_share;
 mod resend_budget;
+mod turn;
 
 pub use cold_share::ColdShare;
+pub use rate_share::RateShare;
 pub use resend_budget::{ResendBudget, ResendLimits};
+pub use turn::Turn;
--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -1,43 +1,77 @@
 //! Calls to engines and other endpoints besides clients' requests.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{Method, Response, StatusCode};
+use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_wire::engine::{self, EngineReport};
+use nutmeggrade_wire::notice::Notice;
 
+use crate::node::Node;
 use crate::short_call::{CallLimits, short_call};
+use crate::tables::lock;
 
-/// Timeout of a connection to an endpoint, and of an engine's report; both take milliseconds.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a connection to an endpoint, and of a status check; both take milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest response that is accepted.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
-/// Fetches an engine's report.
+/// Fetches an engine's report; `None` if the engine takes no status check at present.
 ///
 /// # Errors
 ///
 /// Fails if the engine does not respond in time or the response is not a report.
-pub async fn report(address: SocketAddr) -> anyhow::Result<EngineReport> {
-    let (status, body) =
-        call(address, Method::GET, engine::REPORT_PATH, Vec::new(), CONNECT_TIMEOUT).await?;
-    anyhow::ensure!(status == StatusCode::OK, "{status}");
-    engine::read_report(&body)
+pub async fn report(node: &Node, engine: &EndpointInfo) -> anyhow::Result<Option<EngineReport>> {
+    let Some(response) = check(node, engine, engine::REPORT_PATH).await? else { return Ok(None) };
+    anyhow::ensure!(response.status() == StatusCode::OK, "{}", response.status());
+    engine::read_report(response.body()).map(Some)
 }
 
-/// Sends a request and reads the whole response.
+/// Sends a status check and reads the whole response; `None` if the endpoint takes none at present.
+///
+/// # Errors
+///
+/// Fails if the response is not complete within [`CONNECT_TIMEOUT`].
+pub async fn check(
+    node: &Node,
+    endpoint: &EndpointInfo,
+    path: &str,
+) -> anyhow::Result<Option<Response<Bytes>>> {
+    if !lock(&node.tables).take_check(&endpoint.id, node.now()) {
+        return Ok(None);
+    }
+    call(node, endpoint, Method::GET, path, Vec::new(), CONNECT_TIMEOUT).await.map(Some)
+}
+
+/// Sends an order and reads the whole response. It counts against the endpoint's rate limit, but
+/// doesn't wait for a turn: an order moves a generation that would be lost with the endpoint.
 ///
 /// # Errors
 ///
 /// Fails if the response is not complete within `timeout`.
-pub async fn call(
-    address: SocketAddr,
+pub async fn order(
+    node: &Node,
+    endpoint: &EndpointInfo,
+    path: &str,
+    body: Vec<u8>,
+    timeout: Duration,
+) -> anyhow::Result<Response<Bytes>> {
+    lock(&node.tables).count_against_rate(&endpoint.id, node.now());
+    call(node, endpoint, engine::MOVE_METHOD, path, body, timeout).await
+}
+
+async fn call(
+    node: &Node,
+    endpoint: &EndpointInfo,
     method: Method,
     path: &str,
     body: Vec<u8>,
     timeout: Duration,
-) -> anyhow::Result<(StatusCode, Bytes)> {
+) -> anyhow::Result<Response<Bytes>> {
     let limits = CallLimits { connect: CONNECT_TIMEOUT, timeout, max_response: MAX_RESPONSE_BYTES };
-    short_call(address, method, path, body, limits).await
+    let response = short_call(endpoint.address, method, path, body, limits).await?;
+    // Only responses to requests must state a limit, so these show none that was withdrawn.
+    node.note_notice(&endpoint.id, Notice::read(response.headers()), None);
+    Ok(response)
 }
--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -64,8 +64,8 @@
 }
 
 async fn poll(node: &Node, engine: &EndpointInfo) -> Option<EndpointId> {
-    match engine_call::report(engine.address).await {
-        Ok(report) if report.is_leaving => Some(engine.id.clone()),
+    match engine_call::report(node, engine).await {
+        Ok(Some(report)) if report.is_leaving => Some(engine.id.clone()),
         Ok(_) => None,
         Err(error) => {
             tracing::info!(event = "no_report", endpoint = %engine.id, error = format!("{error:#}"));
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -104,7 +104,7 @@
         max_response: MAX_RESPONSE_BYTES,
     };
     let path = format!("{OBJECTS_PATH}?kind={}", kind.name());
-    let (status, body) = short_call(peer, Method::GET, &path, Vec::new(), limits).await?;
-    anyhow::ensure!(status == StatusCode::OK, "{status}");
-    serde_json::from_slice(&body).context("decode a peer's objects")
+    let response = short_call(peer, Method::GET, &path, Vec::new(), limits).await?;
+    anyhow::ensure!(response.status() == StatusCode::OK, "{}", response.status());
+    serde_json::from_slice(response.body()).context("decode a peer's objects")
 }
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -238,6 +238,8 @@
         tables.release(now);
         let usable = tables.registry.usable().count();
         self.metrics.endpoints.set(i64::try_from(usable).unwrap_or(i64::MAX));
+        let limited = tables.rate_shares.len();
+        self.metrics.limited_endpoints.set(i64::try_from(limited).unwrap_or(i64::MAX));
     }
 
     /// Returns the revisions that this instance has read from the store.
--- a/crates/nutmeggrade-relay/src/node/notices.rs
+++ b/crates/nutmeggrade-relay/src/node/notices.rs
@@ -1,34 +1,105 @@
 //! What endpoints ask of their callers.
 
+use std::collections::BTreeMap;
+
+use nutmeggrade_core::peer::{FleetMessage, RateLimits};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RateLimit;
+use nutmeggrade_policy::fleet::RateShare;
 use nutmeggrade_wire::notice::{LimitNotice, Notice};
 
 use super::Node;
 use crate::tables::lock;
 
+/// How an endpoint's rate limit changed.
+struct LimitChange {
+    old: Option<RateLimit>,
+    new: Option<RateLimit>,
+}
+
 impl Node {
-    /// Records what an endpoint asks for in a response.
-    pub fn note_notice(&self, endpoint: &EndpointId, notice: &Notice) {
-        let mut tables = lock(&self.tables);
-        let old = tables.rate_limits.get(endpoint).copied();
-        let new = match notice.limit {
-            LimitNotice::Stated(limit) => Some(limit),
-            LimitNotice::Absent => None,
-            LimitNotice::Malformed => old,
+    /// Records what an endpoint asks for in a response, and sends it to the peers.
+    ///
+    /// `asked_at` is when the request was sent if the response would also show that a limit was
+    /// withdrawn.
+    pub fn note_notice(&self, endpoint: &EndpointId, notice: Notice, asked_at: Option<Moment>) {
+        let now = self.now();
+        let (change, is_announced) = {
+            let shares = &mut lock(&self.tables).rate_shares;
+            match notice.limit {
+                LimitNotice::Stated(limit) => {
+                    let change = state_limit(shares, endpoint, limit, now);
+                    let is_due = shares.get_mut(endpoint).is_some_and(|s| s.take_announcement(now));
+                    let is_announced = is_due || change.is_some();
+                    (change, is_announced.then_some(Some(limit)))
+                }
+                LimitNotice::Absent => {
+                    let is_withdrawn = shares
+                        .get(endpoint)
+                        .is_some_and(|share| asked_at.is_some_and(|at| share.is_withdrawn(at)));
+                    let change = if is_withdrawn { withdraw_limit(shares, endpoint) } else { None };
+                    let is_announced = change.is_some();
+                    (change, is_announced.then_some(None))
+                }
+                LimitNotice::Malformed => (None, None),
+            }
         };
-        if old == new {
-            return;
+        if let Some(limit) = is_announced {
+            let limits = RateLimits::from([(endpoint.clone(), limit)]);
+            self.broadcast(FleetMessage::RateLimits(limits));
+        }
+        self.apply_limit_change(endpoint, change.as_ref());
+    }
+
+    /// Records the rate limits that a peer received from endpoints.
+    pub fn note_peer_limits(&self, limits: &RateLimits) {
+        let now = self.now();
+        for (endpoint, limit) in limits {
+            let change = {
+                let tables = &mut *lock(&self.tables);
+                let shares = &mut tables.rate_shares;
+                match limit {
+                    Some(limit) if tables.registry.get(endpoint).is_some() => {
+                        let change = state_limit(shares, endpoint, *limit, now);
+                        if let Some(share) = shares.get_mut(endpoint) {
+                            share.note_announcement(now);
+                        }
+                        change
+                    }
+                    Some(_) => None,
+                    None => withdraw_limit(shares, endpoint),
+                }
+            };
+            self.apply_limit_change(endpoint, change.as_ref());
         }
-        match new {
-            Some(limit) => tables.rate_limits.insert(endpoint.clone(), limit),
-            None => tables.rate_limits.remove(endpoint),
+    }
+
+    fn apply_limit_change(&self, endpoint: &EndpointId, change: Option<&LimitChange>) {
+        let Some(LimitChange { old, new }) = change else { return };
+        let text = |limit: Option<RateLimit>| {
+            limit.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string)
         };
-        let count = i64::try_from(tables.rate_limits.len()).unwrap_or(i64::MAX);
-        drop(tables);
-        self.metrics.limited_endpoints.set(count);
-        let text =
-            |limit: Option<RateLimit>| limit.map_or_else(|| "-".to_owned(), |l| format!("{l}"));
-        tracing::info!(event = "endpoint_limit", %endpoint, old = text(old), new = text(new));
+        tracing::info!(event = "endpoint_limit", %endpoint, old = text(*old), new = text(*new));
+        self.refresh();
     }
 }
+
+fn state_limit(
+    shares: &mut BTreeMap<EndpointId, RateShare>,
+    endpoint: &EndpointId,
+    limit: RateLimit,
+    now: Moment,
+) -> Option<LimitChange> {
+    let old = shares.get(endpoint).map(RateShare::limit);
+    let share = shares.entry(endpoint.clone()).or_insert_with(|| RateShare::new(limit, now));
+    share.state(limit, now);
+    (old != Some(limit)).then_some(LimitChange { old, new: Some(limit) })
+}
+
+fn withdraw_limit(
+    shares: &mut BTreeMap<EndpointId, RateShare>,
+    endpoint: &EndpointId,
+) -> Option<LimitChange> {
+    let share = shares.remove(endpoint)?;
+    Some(LimitChange { old: Some(share.limit()), new: None })
+}
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -23,6 +23,7 @@
         FleetMessage::Met(contacts) => lock(&node.tables).fleet.add_contacts(&contacts, node.now()),
         FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
         FleetMessage::Outcomes(outcomes) => node.add_peer_outcomes(&outcomes),
+        FleetMessage::RateLimits(limits) => node.note_peer_limits(&limits),
         FleetMessage::Rollout(notice) => node.apply_rollout_notices(vec![notice]),
         FleetMessage::RolloutReport(report) => lock(&node.tables).rollouts.take_report(&report),
         FleetMessage::Placed(placed) => apply_placements(node, &placed),
--- a/crates/nutmeggrade-relay/src/probes.rs
+++ b/crates/nutmeggrade-relay/src/probes.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Method;
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_platform::CallError;
 use nutmeggrade_policy::dispatch::Health;
@@ -85,14 +84,9 @@
         return ProbeResult::Responds;
     }
     // A late response proves nothing: a probe may wait for a slot.
-    let response = engine_call::call(
-        endpoint.address,
-        Method::GET,
-        path,
-        Vec::new(),
-        engine_call::CONNECT_TIMEOUT,
-    );
-    let Err(error) = response.await else { return ProbeResult::Responds };
+    let Err(error) = engine_call::check(node, endpoint, path).await else {
+        return ProbeResult::Responds;
+    };
     match error.downcast_ref::<CallError>() {
         Some(error) if error.is_refused() || !error.not_sent() => {
             tracing::info!(event = "check_broke", endpoint = %endpoint.id, %error);
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -16,6 +16,7 @@
 use nutmeggrade_wire::request::{self, ForwardHeaders, ResumeFrom};
 
 use super::client_request::ClientRequest;
+use super::reservation::Reservation;
 use super::upstream::{AbortOnDrop, UpstreamBody};
 use crate::connect::connect;
 use crate::node::Node;
@@ -62,6 +63,8 @@
     ConnectionRefused,
     /// The endpoint accepts no new requests; no byte was sent.
     EndpointLeaving,
+    /// The endpoint limits its rate, and this instance has no turn; no byte was sent.
+    EndpointLimited,
     /// The request was sent, but no response that belongs to it was received.
     Lost(String),
     /// The request was sent, but no response arrived before the timeout.
@@ -74,6 +77,7 @@
             Self::NotSent(reason) => write!(f, "request not sent: {reason}"),
             Self::ConnectionRefused => f.write_str("request not sent: connection refused"),
             Self::EndpointLeaving => f.write_str("request not sent: endpoint is leaving"),
+            Self::EndpointLimited => f.write_str("request not sent: endpoint limits its rate"),
             Self::Lost(reason) => write!(f, "response lost: {reason}"),
             Self::TimedOut => f.write_str("no response before the timeout"),
         }
@@ -91,10 +95,11 @@
 pub async fn send_request(
     node: &Arc<Node>,
     client_request: &ClientRequest,
-    endpoint: &EndpointInfo,
+    reservation: &Reservation,
     options: &SendOptions,
     timeout: Duration,
 ) -> Result<EndpointResponse, SendError> {
+    let endpoint = &reservation.endpoint;
     let stream = connect(endpoint.address).await.map_err(|e| match e.kind() {
         io::ErrorKind::ConnectionRefused => SendError::ConnectionRefused,
         _ => SendError::NotSent(e.to_string()),
@@ -107,10 +112,7 @@
             tracing::debug!(event = "endpoint_connection_broke", %error);
         }
     }));
-    let is_resume = options.resume.is_some();
-    if !record_send(node, endpoint, is_resume) {
-        return Err(SendError::EndpointLeaving);
-    }
+    record_send(node, reservation, options)?;
     let sent_at = node.now();
     let request = build_request(node, client_request, endpoint, options)
         .map_err(|e| SendError::NotSent(e.to_string()))?;
@@ -124,20 +126,36 @@
     check_response(&head, &parsed, &client_request.id)?;
     // A misdirected request was rejected by another endpoint, which speaks for itself.
     if !parsed.misdirected {
-        node.note_notice(&endpoint.id, &parsed.notice);
+        let asked_at = parsed.status.is_success().then_some(sent_at);
+        node.note_notice(&endpoint.id, parsed.notice, asked_at);
     }
     Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, connection), sent_at })
 }
 
-/// Records a send and returns whether the endpoint accepts it. Resuming from a copy is always
-/// allowed.
-fn record_send(node: &Node, endpoint: &EndpointInfo, is_resume: bool) -> bool {
+/// Records a send, unless the endpoint accepts it no longer. Resuming from a copy is always allowed,
+/// since the generation is there already.
+fn record_send(
+    node: &Node,
+    reservation: &Reservation,
+    options: &SendOptions,
+) -> Result<(), SendError> {
+    let endpoint = &reservation.endpoint;
     let mut tables = lock(&node.tables);
-    let is_allowed = is_resume || tables.registry.may_send(&endpoint.id);
-    if is_allowed {
-        tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
+    let is_resume = options.resume.is_some();
+    if !is_resume && !tables.registry.may_send(&endpoint.id) {
+        return Err(SendError::EndpointLeaving);
     }
-    is_allowed
+    // The endpoint may have stated its limit after the request was placed.
+    if !reservation.has_turn {
+        let now = node.now();
+        if is_resume {
+            tables.count_against_rate(&endpoint.id, now);
+        } else if !tables.take_turn(&endpoint.id, now) {
+            return Err(SendError::EndpointLimited);
+        }
+    }
+    tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
+    Ok(())
 }
 
 /// Checks that the response belongs to the request, and that a successful one is signed.
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -144,7 +144,7 @@
         self.attempt.send();
         let timeout = self.send_timeout();
         let result =
-            send_request(&self.node, &self.request, &endpoint, &SendOptions::default(), timeout)
+            send_request(&self.node, &self.request, &reservation, &SendOptions::default(), timeout)
                 .await;
         match result {
             Ok(response) if response.parsed.misdirected => {
@@ -180,6 +180,10 @@
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint leaves")
             }
+            Err(SendError::EndpointLimited) => {
+                self.attempt.not_sent();
+                self.retry_unsent(&endpoint.id, "the endpoint limits its rate")
+            }
             Err(SendError::TimedOut) => {
                 self.attempt.lost();
                 self.record_outcome(&endpoint, Outcome::Failed);
--- a/crates/nutmeggrade-relay/src/relay/migration.rs
+++ b/crates/nutmeggrade-relay/src/relay/migration.rs
@@ -124,7 +124,7 @@
 
 /// The result of a first copy, made while the generation runs.
 enum FirstCopy {
-    Done((Reservation, CopyGuard)),
+    Done(Box<(Reservation, CopyGuard)>),
     /// The copy failed; another attempt may succeed.
     Failed,
     /// Another copy from the engine was announced at the same time.
@@ -167,7 +167,7 @@
         while failed_copies < MAX_FAILED_COPIES {
             self.wait_for_link().await;
             match self.first_copy().await {
-                FirstCopy::Done(copy) => return self.stop_and_copy_rest(copy).await,
+                FirstCopy::Done(copy) => return self.stop_and_copy_rest(*copy).await,
                 FirstCopy::Abandoned => return MigrationOutcome::NotMigrated,
                 FirstCopy::Failed => failed_copies += 1,
                 FirstCopy::Conflict => {}
@@ -202,7 +202,7 @@
         tracing::info!(event = "copied", request = %self.request_id, from = %self.source.id,
             to = %target.endpoint.id, tokens = self.memory_tokens, end = ?result);
         match result {
-            MoveOutcome::Copied(_) => FirstCopy::Done((target, guard)),
+            MoveOutcome::Copied(_) => FirstCopy::Done(Box::new((target, guard))),
             MoveOutcome::NoSuchRun => FirstCopy::Abandoned,
             MoveOutcome::Busy => {
                 sleep(BUSY_RETRY_DELAY).await;
@@ -221,9 +221,10 @@
             let mut tables = lock(&self.node.tables);
             // An endpoint without a registry entry may be gone, so it is no target.
             self.dispatch_request.avoid.extend(tables.registry.missing().cloned());
-            let id =
-                tables.dispatcher.choose_move_target(&self.dispatch_request, self.node.now())?;
-            tables.dispatcher.place(&self.dispatch_request, &id);
+            let now = self.node.now();
+            let id = tables.dispatcher.choose_move_target(&self.dispatch_request, now)?;
+            tables.dispatcher.place(&self.dispatch_request, &id, now);
+            tables.count_against_rate(&id, now);
             id
         };
         reservation::claim(&self.node, self.dispatch_request.ticket, &id)
@@ -257,15 +258,10 @@
 
     async fn request_copy(&self, target: &EndpointInfo, is_final: bool) -> MoveOutcome {
         let body = engine::write_move(&self.request_id, target.address, is_final);
-        let response = engine_call::call(
-            self.source.address,
-            engine::MOVE_METHOD,
-            engine::MOVE_PATH,
-            body,
-            COPY_TIMEOUT,
-        );
-        match response.await {
-            Ok((status, body)) => engine::read_move(status, &body),
+        let order =
+            engine_call::order(&self.node, &self.source, engine::MOVE_PATH, body, COPY_TIMEOUT);
+        match order.await {
+            Ok(response) => engine::read_move(response.status(), response.body()),
             Err(error) => {
                 tracing::info!(event = "order_failed", request = %self.request_id,
                     endpoint = %self.source.id, error = format!("{error:#}"));
--- a/crates/nutmeggrade-relay/src/relay/reservation.rs
+++ b/crates/nutmeggrade-relay/src/relay/reservation.rs
@@ -26,6 +26,8 @@
     pub ticket: Ticket,
     /// The endpoint.
     pub endpoint: EndpointInfo,
+    /// Whether the request has been counted against a rate limit of the endpoint.
+    pub has_turn: bool,
 }
 
 impl Drop for Reservation {
@@ -123,5 +125,6 @@
         return None;
     };
     node.placed.notify_one();
-    Some(Reservation { node: Arc::clone(node), ticket, endpoint })
+    let has_turn = lock(&node.tables).rate_shares.contains_key(id);
+    Some(Reservation { node: Arc::clone(node), ticket, endpoint, has_turn })
 }
--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -58,7 +58,7 @@
 ) -> Option<UpstreamBody> {
     let timeout = stream.request.time_left(stream.node.now());
     let endpoint = &reservation.endpoint;
-    match send_request(&stream.node, &stream.request, endpoint, options, timeout).await {
+    match send_request(&stream.node, &stream.request, reservation, options, timeout).await {
         // Appended to the events already sent, a body without events would look like their end.
         Ok(response) if response.is_event_stream() => Some(response.body),
         Ok(EndpointResponse { parsed, .. }) => {
--- a/crates/nutmeggrade-relay/src/short_call.rs
+++ b/crates/nutmeggrade-relay/src/short_call.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{Method, Request, Response, header};
 use http_body_util::Full;
 use nutmeggrade_platform::{body_bytes, call};
 use tokio::time::timeout;
@@ -32,7 +32,7 @@
     path: &str,
     body: Vec<u8>,
     limits: CallLimits,
-) -> anyhow::Result<(StatusCode, Bytes)> {
+) -> anyhow::Result<Response<Bytes>> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -42,8 +42,8 @@
         .context("build request")?;
     let exchange = async {
         let response = call(address, request, limits.connect).await?;
-        let status = response.status();
-        Ok((status, body_bytes(response.into_body(), limits.max_response).await?))
+        let (head, body) = response.into_parts();
+        Ok(Response::from_parts(head, body_bytes(body, limits.max_response).await?))
     };
     timeout(limits.timeout, exchange).await.context("no answer in time")?
 }
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -6,10 +6,10 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
-use nutmeggrade_core::routing::{EndpointInfo, RateLimit, RouteMap, ServiceSpec};
+use nutmeggrade_core::routing::{EndpointInfo, RouteMap, ServiceSpec};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{Candidate, DispatchDecision, DispatchRequest, Dispatcher};
-use nutmeggrade_policy::fleet::{ColdShare, ResendBudget};
+use nutmeggrade_policy::fleet::{ColdShare, RateShare, ResendBudget, Turn};
 use nutmeggrade_policy::pace::Pace;
 use nutmeggrade_policy::rollout::canary_endpoints;
 use nutmeggrade_state::crash_log::CrashLog;
@@ -26,6 +26,10 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Time for which the rate limit of an endpoint without an entry is kept: entries lapse while the
+/// store is unavailable, and come back.
+const MAX_LIMIT_AGE: Duration = Duration::from_mins(2);
+
 /// State on which decisions depend.
 ///
 /// There is one lock for all of it: choosing an endpoint reads the registry, the load table, the
@@ -45,8 +49,8 @@
     pub crashes: CrashLog,
     /// Rollouts of services to another version.
     pub rollouts: RolloutTable,
-    /// Rate limits that endpoints state.
-    pub rate_limits: BTreeMap<EndpointId, RateLimit>,
+    /// This instance's shares in the rate limits that endpoints state.
+    pub rate_shares: BTreeMap<EndpointId, RateShare>,
     resend_budgets: BTreeMap<ServiceId, ResendBudget>,
     cold_shares: BTreeMap<EndpointId, ColdShare>,
     waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -62,7 +66,7 @@
             pace: Pace::new(),
             crashes: CrashLog::new(),
             rollouts: RolloutTable::new(),
-            rate_limits: BTreeMap::new(),
+            rate_shares: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
             cold_shares: BTreeMap::new(),
             waiters: BTreeMap::new(),
@@ -80,7 +84,7 @@
         let (sender, receiver) = oneshot::channel();
         match self.dispatcher.request_placement(request, max_wait, now) {
             DispatchDecision::Go(endpoint) => {
-                self.count_cold_request(&endpoint, now);
+                self.count_placement(&endpoint, now);
                 // The receiver still exists, so the send can't fail.
                 drop(sender.send(endpoint));
                 Ok(receiver)
@@ -96,7 +100,7 @@
     /// Assigns free slots to waiting requests.
     pub fn release(&mut self, now: Moment) {
         for (ticket, endpoint) in self.dispatcher.release(now) {
-            self.count_cold_request(&endpoint, now);
+            self.count_placement(&endpoint, now);
             let delivered = self.waiters.remove(&ticket).map(|s| s.send(endpoint));
             // A request that gave up at the same moment frees its slot for the next one.
             if !matches!(delivered, Some(Ok(()))) {
@@ -154,11 +158,46 @@
         self.resend_budgets.entry(service.clone()).or_insert_with(new_budget)
     }
 
-    /// Counts a request against an endpoint's cold share, if it has one.
-    pub fn count_cold_request(&mut self, endpoint: &EndpointId, now: Moment) {
+    /// Counts a placed request against this instance's shares of an endpoint's limits.
+    fn count_placement(&mut self, endpoint: &EndpointId, now: Moment) {
         if let Some(share) = self.cold_shares.get_mut(endpoint) {
             share.record_sent(now);
         }
+        self.count_against_rate(endpoint, now);
+    }
+
+    /// Counts a request against this instance's share of an endpoint's rate limit, if it has one.
+    pub fn count_against_rate(&mut self, endpoint: &EndpointId, now: Moment) {
+        if let Some(share) = self.rate_shares.get_mut(endpoint) {
+            share.record_sent(now);
+        }
+    }
+
+    /// Takes a turn at an endpoint that limits its rate; returns whether there was one, or no limit.
+    pub fn take_turn(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
+        let is_settled = self.fleet.is_settled(now);
+        let Some(share) = self.rate_shares.get_mut(endpoint) else { return true };
+        let is_open = is_settled && share.turn().is_open(now);
+        if is_open {
+            share.record_sent(now);
+        }
+        is_open
+    }
+
+    /// Returns whether a status check may be sent to an endpoint now, and counts it.
+    pub fn take_check(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
+        self.rate_shares.get_mut(endpoint).is_none_or(|share| share.take_check(now))
+    }
+
+    /// Divides an endpoint's rate limit among all instances; returns the next turn of this one.
+    fn next_turn(&mut self, endpoint: &EndpointId, now: Moment) -> Option<Turn> {
+        let share = self.rate_shares.get_mut(endpoint)?;
+        share.divide(self.fleet.rank(endpoint, now), self.fleet.instance_count(now), now);
+        let turn = share.turn();
+        // Until it has heard from its peers, an instance can't know how many share the limit.
+        let next =
+            if self.fleet.is_settled(now) { turn.next } else { turn.next.max(FleetView::SETTLED) };
+        Some(Turn { next, ..turn })
     }
 
     /// Summarizes the endpoints of a service that is being rolled out.
@@ -198,9 +237,21 @@
         let mut canaries: BTreeMap<&ServiceId, Vec<Candidate>> = BTreeMap::new();
         let mut cold_ids = BTreeSet::new();
         let instance_count = self.fleet.instance_count(now);
+        let turns: BTreeMap<EndpointId, Turn> = {
+            let registry = &self.registry;
+            self.rate_shares.retain(|id, share| {
+                registry.get(id).is_some() || now.since(share.stated_at()) < MAX_LIMIT_AGE
+            });
+            let limited: Vec<EndpointId> = self.rate_shares.keys().cloned().collect();
+            limited
+                .into_iter()
+                .filter_map(|id| Some((id.clone(), self.next_turn(&id, now)?)))
+                .collect()
+        };
         for entry in self.registry.usable() {
             let Some(spec) = map.service(&entry.info.service) else { continue };
             let mut candidate = to_candidate(entry, spec);
+            candidate.turn = turns.get(&entry.info.id).copied();
             if let Some(bound) = cold_rate_limit(entry, spec, settings, now) {
                 let rank = self.fleet.rank(&entry.info.id, now);
                 let share = self.cold_shares.entry(entry.info.id.clone()).or_default();
@@ -233,6 +284,7 @@
         slots,
         memory: spec.engine.map(|e| e.memory),
         cold_left: None,
+        turn: None,
         is_canary: false,
     }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -17,6 +17,7 @@
 mod memory;
 mod patterns;
 mod properties;
+mod rate_limits;
 mod retries;
 mod rollouts;
 mod routing;
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -29,21 +29,22 @@
         slots: 24,
         memory: Some(30_000),
         cold_left: None,
+        turn: None,
         is_canary: false,
     }
 }
 
-fn service_endpoint(number: usize) -> Candidate {
+pub fn service_endpoint(number: usize) -> Candidate {
     Candidate { slots: 4, memory: None, ..engine(number) }
 }
 
-fn dispatcher(candidates: Vec<Candidate>) -> Dispatcher {
+pub fn dispatcher(candidates: Vec<Candidate>) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(&domain("near"), 7);
     dispatcher.set_candidates(BTreeMap::from([(service(), candidates)]));
     dispatcher
 }
 
-fn request(ticket: u64, workspace_index: usize, priority: u8, memory: u64) -> DispatchRequest {
+pub fn request(ticket: u64, workspace_index: usize, priority: u8, memory: u64) -> DispatchRequest {
     DispatchRequest {
         ticket: Ticket(ticket),
         workspace: workspace(workspace_index),
@@ -58,7 +59,7 @@
     }
 }
 
-fn at(ms: u64) -> Moment {
+pub fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
 }
 
--- a/tests/suite/relay/limits.rs
+++ b/tests/suite/relay/limits.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 use futures::future::{join_all, try_join_all};
+use http::HeaderMap;
+use nutmeggrade_core::routing::RateLimit;
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, find_limit_violation,
 };
 use nutmeggrade_relay::{Instance, LogBuffer};
+use nutmeggrade_wire::names;
+use nutmeggrade_wire::notice::{LimitNotice, Notice};
 use tokio::time::{Instant, sleep};
 
-use super::site::{metric, settings, start_instance};
+use super::ask;
+use super::fleet::start_pair;
+use super::site::{Site, metric, settings, start_instance};
 use crate::support::{run, until};
 
 const INSTANCES: usize = 3;
@@ -98,3 +104,82 @@
         Ok(())
     });
 }
+
+// Guards against clients that wait for their deadline though the turns at the only endpoint are
+// taken: they are told at once that nothing ran, and when to retry.
+#[test]
+fn request_beyond_the_limit_is_refused_at_once() {
+    run(async {
+        let plan = RoutingPlan { timeout_ms: 4_000, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let endpoint = site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        endpoint.notices().set_limit(Some(0.1));
+        assert_eq!(ask(&site, "once", "a0").await?.status, 200);
+        site.until_metric("limited_endpoints", 1).await?;
+        // The first request after the limit is known may have a turn.
+        ask(&site, "once", "a1").await?;
+        let before = endpoint.seen().len();
+        let started = Instant::now();
+        for number in 2..8 {
+            let answer = ask(&site, "once", &format!("a{number}")).await?;
+            assert_eq!(answer.status, 503);
+            assert!(answer.message.header("retry-after").is_some());
+        }
+        assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+        assert_eq!(endpoint.seen().len(), before);
+        Ok(())
+    });
+}
+
+// Guards against an instance that has no response of the endpoint of its own yet and sends as if
+// there were no limit, and against one that keeps a limit after the endpoint has withdrawn it.
+#[test]
+fn limit_and_its_end_are_told_to_peers() {
+    run(async {
+        let pair = start_pair().await?;
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        pair.store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        let (first, other) = (pair.first.addresses(), pair.other.addresses());
+        for metrics in [first.metrics, other.metrics] {
+            let listed = async || Ok(metric(metrics, "endpoints").await? == 1);
+            until("the endpoint is listed", listed).await?;
+        }
+        let limited = |metrics, count| async move {
+            let holds = async || Ok(metric(metrics, "limited_endpoints").await? == count);
+            until("the other instance knows", holds).await
+        };
+        endpoint.notices().set_limit(Some(50.0));
+        assert_eq!(RawClient::ask(first.client, "once", "a1", "").await?.status, 200);
+        limited(other.metrics, 1).await?;
+        endpoint.notices().set_limit(None);
+        sleep(Duration::from_millis(1_100)).await;
+        assert_eq!(RawClient::ask(first.client, "once", "a2", "").await?.status, 200);
+        limited(other.metrics, 0).await
+    });
+}
+
+/// Checks how the headers of a response are read.
+fn limit_is_read(values: &[&str], expected: LimitNotice) {
+    let values = values.iter().map(|v| (names::RATE_LIMIT, v.parse().expect("a header value")));
+    let mut headers = HeaderMap::new();
+    for (name, value) in values {
+        headers.append(name, value);
+    }
+    assert_eq!(Notice::read(&headers).limit, expected);
+}
+
+fn stated(per_second: f64) -> LimitNotice {
+    LimitNotice::Stated(RateLimit::new(per_second).expect("a rate"))
+}
+
+// Guards against a limit that is dropped because its header can't be read.
+cases! {limit_is_read {
+    decimal: &["5.6"], stated(5.6);
+    whole: &[" 12 "], stated(12.0);
+    nothing_more: &["0"], stated(0.0);
+    lowest_of_several: &["7", "x", "3.5"], stated(3.5);
+    none: &[], LimitNotice::Absent;
+    text: &["soon"], LimitNotice::Malformed;
+    negative: &["-1"], LimitNotice::Malformed;
+    infinite: &["inf"], LimitNotice::Malformed;
+}}
