Log and count the pauses that endpoints ask for

A request that an endpoint turned away is logged, but not whether it asked for a pause and for how long: an endpoint that is full for a moment and one that wants nothing for seconds look alike. The adapter now reads Retry-After of a 503; the line endpoint_backoff and the counter backoffs_total show it. Routing is as before.

--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -72,6 +72,7 @@
     let limits = CallLimits { connect: CONNECT_TIMEOUT, timeout, max_response: MAX_RESPONSE_BYTES };
     let response = short_call(endpoint.address, method, path, body, limits).await?;
     // Only responses to requests must state a limit, so these show none that was withdrawn.
-    node.note_notice(&endpoint.id, Notice::read(response.headers()), None);
+    let notice = Notice::read(response.status(), response.headers());
+    node.note_notice(&endpoint.id, notice, None);
     Ok(response)
 }
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -37,6 +37,8 @@
     pub config: IntGauge,
     /// Endpoints that may get new work.
     pub endpoints: IntGauge,
+    /// Responses in which an endpoint asked this instance to wait.
+    pub backoffs: IntCounter,
     /// Endpoints that state a rate limit.
     pub limited_endpoints: IntGauge,
     /// Peers whose heartbeats arrived recently.
@@ -81,6 +83,7 @@
             connections: gauge("connections", "open connections of clients")?,
             config: gauge("config_version", "routing configuration in force")?,
             endpoints: gauge("endpoints", "endpoints that may get new work")?,
+            backoffs: counter("backoffs_total", "answers in which an endpoint asked for a pause")?,
             limited_endpoints: gauge("limited_endpoints", "endpoints that state a rate limit")?,
             peers: gauge("peers", "peers heard lately")?,
             peer_bytes: counters(
--- a/crates/nutmeggrade-relay/src/node/notices.rs
+++ b/crates/nutmeggrade-relay/src/node/notices.rs
@@ -23,6 +23,10 @@
     /// `asked_at` is when the request was sent if the response would also show that a limit was
     /// withdrawn.
     pub fn note_notice(&self, endpoint: &EndpointId, notice: Notice, asked_at: Option<Moment>) {
+        if let Some(time) = notice.backoff {
+            self.metrics.backoffs.inc();
+            tracing::info!(event = "endpoint_backoff", %endpoint, ms = time.as_millis());
+        }
         let now = self.now();
         let (change, is_announced) = {
             let shares = &mut lock(&self.tables).rate_shares;
--- a/tests/suite/relay/limits.rs
+++ b/tests/suite/relay/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures::future::{join_all, try_join_all};
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use nutmeggrade_core::routing::RateLimit;
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, find_limit_violation,
@@ -165,7 +165,7 @@
     for (name, value) in values {
         headers.append(name, value);
     }
-    assert_eq!(Notice::read(&headers).limit, expected);
+    assert_eq!(Notice::read(StatusCode::OK, &headers).limit, expected);
 }
 
 fn stated(per_second: f64) -> LimitNotice {
