Reproduce an endpoint that asks for a pause and gets most requests

Stand-in endpoints add Retry-After to rejections; find_backoff_violation judges the users' rule for each instance: no more than two requests from half a second after a rejection to the end of the time that it states. A restart, freeze or cut of the instance is the only excuse.

One instance, two endpoints, one rejects everything and asks for 3 s: it gets 45 requests in that time, allowed 2.

--- a/crates/nutmeggrade-fakes/src/site.rs
+++ b/crates/nutmeggrade-fakes/src/site.rs
@@ -3,6 +3,7 @@
 //! They use the platform's own protocols, so that a complete instance can be tested over the network.
 //! Endpoints and store listeners can be set to fail in the ways that real ones do.
 
+mod backoff_check;
 mod behaviour;
 mod endpoint;
 mod generation;
@@ -15,6 +16,7 @@
 mod store;
 mod store_listener;
 
+pub use backoff_check::find_backoff_violation;
 pub use behaviour::Behaviour;
 pub use endpoint::Endpoint;
 pub use generation::Generations;
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -249,7 +249,8 @@
                 send(stream, &response()).await
             }
             Behaviour::Shed => {
-                let headers = self.notices().headers(id) + "X-Nutmeggrade-Not-Executed: 1\r\n";
+                let notices = self.notices().rejection_headers(id);
+                let headers = format!("{notices}X-Nutmeggrade-Not-Executed: 1\r\n");
                 self.send_empty(stream, 503, &headers).await
             }
             Behaviour::Misdirect => self.send_empty(stream, 421, "").await,
--- a/crates/nutmeggrade-fakes/src/site/notices.rs
+++ b/crates/nutmeggrade-fakes/src/site/notices.rs
@@ -1,5 +1,7 @@
 //! What simulated endpoints ask of their callers, and whom they told.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 /// A response that asked something of the caller.
@@ -11,6 +13,8 @@
     pub at: Instant,
     /// The rate limit that it stated.
     pub limit: Option<f64>,
+    /// How long it asked the instance to wait, if it rejected the request.
+    pub backoff: Option<Duration>,
 }
 
 /// What an endpoint asks of its callers in its responses, with a record of those responses.
@@ -18,6 +22,7 @@
 pub struct Notices {
     limit: Option<f64>,
     limit_changes: Vec<(Instant, Option<f64>)>,
+    backoff: Option<Duration>,
     responses: Vec<NoticedResponse>,
     status_checks: Vec<Instant>,
 }
@@ -29,6 +34,11 @@
         self.limit_changes.push((Instant::now(), limit));
     }
 
+    /// Sets the time to wait that rejections state from now on.
+    pub fn set_backoff(&mut self, backoff: Option<Duration>) {
+        self.backoff = backoff;
+    }
+
     /// Returns the rate limits so far, each with the moment from which on it was stated.
     pub fn limit_changes(&self) -> &[(Instant, Option<f64>)] {
         &self.limit_changes
@@ -51,9 +61,22 @@
 
     /// Returns the headers of a response to the request with this id, and records the response.
     pub fn headers(&mut self, id: &str) -> String {
-        let Some(limit) = self.limit else { return String::new() };
-        let (id, at) = (id.to_owned(), Instant::now());
-        self.responses.push(NoticedResponse { id, at, limit: Some(limit) });
-        format!("Server-Limit: {limit}\r\n")
+        self.headers_with(id, None)
+    }
+
+    /// Returns the headers of a rejection of the request with this id, and records the response.
+    pub fn rejection_headers(&mut self, id: &str) -> String {
+        self.headers_with(id, self.backoff)
+    }
+
+    fn headers_with(&mut self, id: &str, backoff: Option<Duration>) -> String {
+        let limit = self.limit;
+        if limit.is_some() || backoff.is_some() {
+            let (id, at) = (id.to_owned(), Instant::now());
+            self.responses.push(NoticedResponse { id, at, limit, backoff });
+        }
+        let limit = limit.map(|l| format!("Server-Limit: {l}\r\n"));
+        let backoff = backoff.map(|b| format!("Retry-After: {}\r\n", b.as_secs_f64()));
+        limit.into_iter().chain(backoff).collect()
     }
 }
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -2,6 +2,7 @@
 //! clients.
 
 mod answer_body;
+mod backoff;
 mod clients;
 mod config;
 mod crashers;
