Leave endpoints alone that ask for a pause

Cause: nothing read Retry-After, and a rejected request leaves no load, so the endpoint that took nothing looked like the emptiest and was chosen for 95 of 156 requests. Ruled out by the logs: second sends to the same endpoint, and a lack of room at the others, which held one to three requests of nine.

An endpoint gets nothing until its pause is over, whatever else has room; the check is repeated before the first byte. Then single requests try it. Status checks and orders keep to the pause. Requests are refused at once when all endpoints of their service have asked for longer pauses than they can wait.

--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatch of routed requests: which endpoint they go to, which wait and which are refused.
 
+mod backoff;
 mod candidate;
 mod dispatch_request;
 mod dispatcher;
@@ -9,6 +10,7 @@
 mod load_table;
 mod room;
 
+pub use backoff::Backoff;
 pub use candidate::Candidate;
 pub use dispatch_request::DispatchRequest;
 pub use dispatcher::{DispatchDecision, Dispatcher};
--- a/crates/nutmeggrade-policy/src/dispatch/candidate.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/candidate.rs
@@ -17,7 +17,7 @@
     pub memory: Option<u64>,
     /// Requests that this instance may still send it in the current second, if it is cold.
     pub cold_left: Option<u32>,
-    /// When this instance may send it the next request, if it limits its rate.
+    /// When this instance may send it the next request, if it limits its rate or asked for a pause.
     pub turn: Option<Turn>,
     /// Whether it accepts only requests that are selected for a new version.
     pub is_canary: bool,
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -102,10 +102,15 @@
         let on_time_waiting = self.lanes.get(&key).map_or(0, |l| l.ahead(&request.workspace));
         let ahead = on_time_waiting + late_waiting + 1;
         let estimate = self.wait_estimates.get(&key).and_then(|w| w.wait(ahead));
-        if let Some(wait) = estimate.max(self.wait_for_turn(request, ahead, now))
+        let turn = self.next_turn(request, now);
+        let turn_wait = turn.map(|(first, rate)| first + turns_time(ahead - 1, rate));
+        if let Some(wait) = estimate.max(turn_wait)
             && wait > patience
         {
-            return DispatchDecision::Refuse(self.jitter.draw(wait.min(MAX_RETRY_DELAY) / 2));
+            // Nothing can be sent before the first turn.
+            let earliest = turn.map_or(Duration::ZERO, |(first, _)| first);
+            let delay = (wait.min(MAX_RETRY_DELAY) / 2).max(earliest.min(MAX_RETRY_DELAY));
+            return DispatchDecision::Refuse(self.jitter.draw(delay));
         }
         self.lanes.entry(key).or_default().push(request);
         DispatchDecision::Wait
@@ -210,17 +215,12 @@
         endpoints.is_some_and(|c| c.iter().any(can_run))
     }
 
-    /// Returns the wait of the request at position `ahead` until it has a turn, if all endpoints that
-    /// could run it limit their rates.
+    /// Returns the time until the next turn at an endpoint that could run the request, and the turns
+    /// per second, if all those endpoints limit their rates or asked for a pause.
     ///
     /// A queue behind such endpoints is only as fast as their turns, which is known before any
     /// request was released from it.
-    fn wait_for_turn(
-        &self,
-        request: &DispatchRequest,
-        ahead: usize,
-        now: Moment,
-    ) -> Option<Duration> {
+    fn next_turn(&self, request: &DispatchRequest, now: Moment) -> Option<(Duration, f64)> {
         let can_run = |c: &&Candidate| {
             !c.is_canary
                 && !request.avoid.contains(&c.id)
@@ -230,9 +230,7 @@
         let turns: Option<Vec<Turn>> = candidates.iter().filter(can_run).map(|c| c.turn).collect();
         let turns = turns?;
         let first = turns.iter().map(|t| t.next).min()?.since(now);
-        let rate: f64 = turns.iter().map(Turn::rate).sum();
-        let others = (ahead.saturating_sub(1) as f64 / rate).min(MAX_TURN_WAIT.as_secs_f64());
-        Some(first + Duration::from_secs_f64(others))
+        Some((first, turns.iter().map(Turn::rate).sum()))
     }
 
     fn take_next(&mut self, key: &LaneKey, now: Moment) -> Option<(DispatchRequest, EndpointId)> {
@@ -295,3 +293,8 @@
         best.map(|(_, candidate)| candidate.id.clone())
     }
 }
+
+/// Returns the time that a number of turns takes.
+fn turns_time(count: usize, per_second: f64) -> Duration {
+    Duration::from_secs_f64((count as f64 / per_second).min(MAX_TURN_WAIT.as_secs_f64()))
+}
--- a/crates/nutmeggrade-policy/src/fleet/turn.rs
+++ b/crates/nutmeggrade-policy/src/fleet/turn.rs
@@ -1,4 +1,4 @@
-//! The next request that a rate limit allows.
+//! The next request to an endpoint that doesn't take all requests.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 /// are released ten times a second; without it, a limit above that rate would not be reached.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
-/// When an instance may send its next request to an endpoint that limits its rate.
+/// When an instance may send its next request to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Turn {
     /// The earliest moment.
@@ -29,6 +29,12 @@
         self.next = self.next.max(earliest).after(self.interval);
     }
 
+    /// Returns the turn that satisfies both.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        Self { next: self.next.max(other.next), interval: self.interval.max(other.interval) }
+    }
+
     /// Returns the requests per second.
     pub fn rate(&self) -> f64 {
         1.0 / self.interval.as_secs_f64().max(1e-6)
--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -49,7 +49,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the response is not complete within `timeout`.
+/// Fails if the endpoint asked for a pause, or if the response is not complete within `timeout`.
 pub async fn order(
     node: &Node,
     endpoint: &EndpointInfo,
@@ -57,7 +57,8 @@
     body: Vec<u8>,
     timeout: Duration,
 ) -> anyhow::Result<Response<Bytes>> {
-    lock(&node.tables).count_against_rate(&endpoint.id, node.now());
+    let may_send = lock(&node.tables).take_order(&endpoint.id, node.now());
+    anyhow::ensure!(may_send, "the endpoint asked for a pause");
     call(node, endpoint, engine::MOVE_METHOD, path, body, timeout).await
 }
 
--- a/crates/nutmeggrade-relay/src/node/notices.rs
+++ b/crates/nutmeggrade-relay/src/node/notices.rs
@@ -1,10 +1,12 @@
 //! What endpoints ask of their callers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use nutmeggrade_core::peer::{FleetMessage, RateLimits};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RateLimit;
+use nutmeggrade_policy::dispatch::Backoff;
 use nutmeggrade_policy::fleet::RateShare;
 use nutmeggrade_wire::notice::{LimitNotice, Notice};
 
@@ -23,11 +25,12 @@
     /// `asked_at` is when the request was sent if the response would also show that a limit was
     /// withdrawn.
     pub fn note_notice(&self, endpoint: &EndpointId, notice: Notice, asked_at: Option<Moment>) {
-        if let Some(time) = notice.backoff {
-            self.metrics.backoffs.inc();
-            tracing::info!(event = "endpoint_backoff", %endpoint, ms = time.as_millis());
-        }
         let now = self.now();
+        match notice.backoff {
+            Some(time) => self.begin_backoff(endpoint, time, now),
+            None if asked_at.is_some() => self.end_backoff(endpoint, now),
+            None => {}
+        }
         let (change, is_announced) = {
             let shares = &mut lock(&self.tables).rate_shares;
             match notice.limit {
@@ -78,6 +81,38 @@
         }
     }
 
+    fn begin_backoff(&self, endpoint: &EndpointId, time: Duration, now: Moment) {
+        self.metrics.backoffs.inc();
+        tracing::info!(event = "endpoint_backoff", %endpoint, ms = time.as_millis());
+        let was_active = {
+            let tables = &mut lock(&self.tables);
+            let was_active = tables.is_backing_off(endpoint, now);
+            let backoff = tables.backoffs.entry(endpoint.clone());
+            backoff
+                .and_modify(|backoff| backoff.extend(time, now))
+                .or_insert_with(|| Backoff::new(time, now));
+            was_active
+        };
+        if !was_active {
+            self.refresh();
+        }
+    }
+
+    /// Ends the trial after a pause. A response during the pause is to an earlier request.
+    fn end_backoff(&self, endpoint: &EndpointId, now: Moment) {
+        let is_over = {
+            let backoffs = &mut lock(&self.tables).backoffs;
+            let is_over = backoffs.get(endpoint).is_some_and(|b| !b.is_active(now));
+            if is_over {
+                backoffs.remove(endpoint);
+            }
+            is_over
+        };
+        if is_over {
+            self.refresh();
+        }
+    }
+
     fn apply_limit_change(&self, endpoint: &EndpointId, change: Option<&LimitChange>) {
         let Some(LimitChange { old, new }) = change else { return };
         let text = |limit: Option<RateLimit>| {
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -63,8 +63,9 @@
     ConnectionRefused,
     /// The endpoint accepts no new requests; no byte was sent.
     EndpointLeaving,
-    /// The endpoint limits its rate, and this instance has no turn; no byte was sent.
-    EndpointLimited,
+    /// The endpoint limits its rate or asked for a pause, and this instance has no turn; no byte was
+    /// sent.
+    NoTurn,
     /// The request was sent, but no response that belongs to it was received.
     Lost(String),
     /// The request was sent, but no response arrived before the timeout.
@@ -77,7 +78,7 @@
             Self::NotSent(reason) => write!(f, "request not sent: {reason}"),
             Self::ConnectionRefused => f.write_str("request not sent: connection refused"),
             Self::EndpointLeaving => f.write_str("request not sent: endpoint is leaving"),
-            Self::EndpointLimited => f.write_str("request not sent: endpoint limits its rate"),
+            Self::NoTurn => f.write_str("request not sent: no turn at the endpoint"),
             Self::Lost(reason) => write!(f, "response lost: {reason}"),
             Self::TimedOut => f.write_str("no response before the timeout"),
         }
@@ -132,8 +133,8 @@
     Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, connection), sent_at })
 }
 
-/// Records a send, unless the endpoint accepts it no longer. Resuming from a copy is always allowed,
-/// since the generation is there already.
+/// Records a send, unless the endpoint accepts it no longer. Resuming from a copy needs neither an
+/// endpoint in service nor a turn, since the generation is there already.
 fn record_send(
     node: &Node,
     reservation: &Reservation,
@@ -145,14 +146,19 @@
     if !is_resume && !tables.registry.may_send(&endpoint.id) {
         return Err(SendError::EndpointLeaving);
     }
-    // The endpoint may have stated its limit after the request was placed.
-    if !reservation.has_turn {
-        let now = node.now();
-        if is_resume {
-            tables.count_against_rate(&endpoint.id, now);
-        } else if !tables.take_turn(&endpoint.id, now) {
-            return Err(SendError::EndpointLimited);
-        }
+    // The endpoint may have stated its limit or asked for a pause after the request was placed.
+    let now = node.now();
+    let is_open = if is_resume {
+        tables.take_essential(&endpoint.id, now)
+    } else {
+        !tables.is_backing_off(&endpoint.id, now)
+            && (reservation.has_turn || tables.take_turn(&endpoint.id, now))
+    };
+    if !is_open {
+        return Err(SendError::NoTurn);
+    }
+    if is_resume && !reservation.has_turn {
+        tables.count_turn(&endpoint.id, now);
     }
     tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
     Ok(())
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -180,9 +180,9 @@
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint leaves")
             }
-            Err(SendError::EndpointLimited) => {
+            Err(SendError::NoTurn) => {
                 self.attempt.not_sent();
-                self.retry_unsent(&endpoint.id, "the endpoint limits its rate")
+                self.retry_unsent(&endpoint.id, "the endpoint takes no more requests")
             }
             Err(SendError::TimedOut) => {
                 self.attempt.lost();
--- a/crates/nutmeggrade-relay/src/relay/migration.rs
+++ b/crates/nutmeggrade-relay/src/relay/migration.rs
@@ -176,12 +176,15 @@
         MigrationOutcome::NotMigrated
     }
 
-    /// Waits until no copy from the source engine is in progress.
+    /// Waits until no copy from the source engine is in progress and it takes orders.
     async fn wait_for_link(&self) {
         loop {
             let delay = rand::rng().random_range(LINK_CHECK_DELAY_MS);
             sleep(Duration::from_millis(delay)).await;
-            if lock(&self.node.tables).dispatcher.load_table.load(&self.source.id).moving == 0 {
+            let tables = lock(&self.node.tables);
+            if tables.dispatcher.load_table.load(&self.source.id).moving == 0
+                && !tables.is_backing_off(&self.source.id, self.node.now())
+            {
                 return;
             }
         }
@@ -224,7 +227,7 @@
             let now = self.node.now();
             let id = tables.dispatcher.choose_move_target(&self.dispatch_request, now)?;
             tables.dispatcher.place(&self.dispatch_request, &id, now);
-            tables.count_against_rate(&id, now);
+            tables.count_turn(&id, now);
             id
         };
         reservation::claim(&self.node, self.dispatch_request.ticket, &id)
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -1,5 +1,7 @@
 //! State on which decisions depend, behind one lock.
 
+mod turns;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,8 +10,10 @@
 use nutmeggrade_core::rollout::Outcome;
 use nutmeggrade_core::routing::{EndpointInfo, RouteMap, ServiceSpec};
 use nutmeggrade_policy::Ticket;
-use nutmeggrade_policy::dispatch::{Candidate, DispatchDecision, DispatchRequest, Dispatcher};
-use nutmeggrade_policy::fleet::{ColdShare, RateShare, ResendBudget, Turn};
+use nutmeggrade_policy::dispatch::{
+    Backoff, Candidate, DispatchDecision, DispatchRequest, Dispatcher,
+};
+use nutmeggrade_policy::fleet::{ColdShare, RateShare, ResendBudget};
 use nutmeggrade_policy::pace::Pace;
 use nutmeggrade_policy::rollout::canary_endpoints;
 use nutmeggrade_state::crash_log::CrashLog;
@@ -26,10 +30,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Time for which the rate limit of an endpoint without an entry is kept: entries lapse while the
-/// store is unavailable, and come back.
-const MAX_LIMIT_AGE: Duration = Duration::from_mins(2);
-
 /// State on which decisions depend.
 ///
 /// There is one lock for all of it: choosing an endpoint reads the registry, the load table, the
@@ -51,6 +51,8 @@
     pub rollouts: RolloutTable,
     /// This instance's shares in the rate limits that endpoints state.
     pub rate_shares: BTreeMap<EndpointId, RateShare>,
+    /// Pauses that endpoints asked this instance for.
+    pub backoffs: BTreeMap<EndpointId, Backoff>,
     resend_budgets: BTreeMap<ServiceId, ResendBudget>,
     cold_shares: BTreeMap<EndpointId, ColdShare>,
     waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
@@ -67,6 +69,7 @@
             crashes: CrashLog::new(),
             rollouts: RolloutTable::new(),
             rate_shares: BTreeMap::new(),
+            backoffs: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
             cold_shares: BTreeMap::new(),
             waiters: BTreeMap::new(),
@@ -158,48 +161,6 @@
         self.resend_budgets.entry(service.clone()).or_insert_with(new_budget)
     }
 
-    /// Counts a placed request against this instance's shares of an endpoint's limits.
-    fn count_placement(&mut self, endpoint: &EndpointId, now: Moment) {
-        if let Some(share) = self.cold_shares.get_mut(endpoint) {
-            share.record_sent(now);
-        }
-        self.count_against_rate(endpoint, now);
-    }
-
-    /// Counts a request against this instance's share of an endpoint's rate limit, if it has one.
-    pub fn count_against_rate(&mut self, endpoint: &EndpointId, now: Moment) {
-        if let Some(share) = self.rate_shares.get_mut(endpoint) {
-            share.record_sent(now);
-        }
-    }
-
-    /// Takes a turn at an endpoint that limits its rate; returns whether there was one, or no limit.
-    pub fn take_turn(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
-        let is_settled = self.fleet.is_settled(now);
-        let Some(share) = self.rate_shares.get_mut(endpoint) else { return true };
-        let is_open = is_settled && share.turn().is_open(now);
-        if is_open {
-            share.record_sent(now);
-        }
-        is_open
-    }
-
-    /// Returns whether a status check may be sent to an endpoint now, and counts it.
-    pub fn take_check(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
-        self.rate_shares.get_mut(endpoint).is_none_or(|share| share.take_check(now))
-    }
-
-    /// Divides an endpoint's rate limit among all instances; returns the next turn of this one.
-    fn next_turn(&mut self, endpoint: &EndpointId, now: Moment) -> Option<Turn> {
-        let share = self.rate_shares.get_mut(endpoint)?;
-        share.divide(self.fleet.rank(endpoint, now), self.fleet.instance_count(now), now);
-        let turn = share.turn();
-        // Until it has heard from its peers, an instance can't know how many share the limit.
-        let next =
-            if self.fleet.is_settled(now) { turn.next } else { turn.next.max(FleetView::SETTLED) };
-        Some(Turn { next, ..turn })
-    }
-
     /// Summarizes the endpoints of a service that is being rolled out.
     pub fn service_load(
         &self,
@@ -237,17 +198,7 @@
         let mut canaries: BTreeMap<&ServiceId, Vec<Candidate>> = BTreeMap::new();
         let mut cold_ids = BTreeSet::new();
         let instance_count = self.fleet.instance_count(now);
-        let turns: BTreeMap<EndpointId, Turn> = {
-            let registry = &self.registry;
-            self.rate_shares.retain(|id, share| {
-                registry.get(id).is_some() || now.since(share.stated_at()) < MAX_LIMIT_AGE
-            });
-            let limited: Vec<EndpointId> = self.rate_shares.keys().cloned().collect();
-            limited
-                .into_iter()
-                .filter_map(|id| Some((id.clone(), self.next_turn(&id, now)?)))
-                .collect()
-        };
+        let turns = self.refresh_turns(now);
         for entry in self.registry.usable() {
             let Some(spec) = map.service(&entry.info.service) else { continue };
             let mut candidate = to_candidate(entry, spec);
