Reproduce requests to an endpoint that says in its responses that it leaves

The store is away, one of two endpoints leaves: requests go on reaching it after 2 s. The adapter reads no such header yet.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -217,7 +217,8 @@
             && !matches!(behaviour, Behaviour::Shed | Behaviour::Misdirect);
         let id = request.header("x-nutmeggrade-attempt-id").unwrap_or_default().to_owned();
         let position = request.header("last-event-id").and_then(|p| p.parse().ok()).unwrap_or(0);
-        self.state().received.push(ReceivedRequest { message: request, ran, at: Instant::now() });
+        let at = Instant::now();
+        self.state().received.push(ReceivedRequest { message: request, ran, is_misdirected, at });
         if is_misdirected {
             return self.send_empty(stream, 421, "").await;
         }
--- a/crates/nutmeggrade-fakes/src/site/notices.rs
+++ b/crates/nutmeggrade-fakes/src/site/notices.rs
@@ -15,6 +15,8 @@
     pub limit: Option<f64>,
     /// How long it asked the instance to wait, if it rejected the request.
     pub backoff: Option<Duration>,
+    /// Whether it stated that the endpoint leaves.
+    pub leaving: bool,
 }
 
 /// What an endpoint asks of its callers in its responses, with a record of those responses.
@@ -23,6 +25,7 @@
     limit: Option<f64>,
     limit_changes: Vec<(Instant, Option<f64>)>,
     backoff: Option<Duration>,
+    leaving: bool,
     responses: Vec<NoticedResponse>,
     status_checks: Vec<Instant>,
 }
@@ -39,6 +42,11 @@
         self.backoff = backoff;
     }
 
+    /// Sets whether responses state from now on that the endpoint leaves.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
     /// Returns the rate limits so far, each with the moment from which on it was stated.
     pub fn limit_changes(&self) -> &[(Instant, Option<f64>)] {
         &self.limit_changes
@@ -70,13 +78,14 @@
     }
 
     fn headers_with(&mut self, id: &str, backoff: Option<Duration>) -> String {
-        let limit = self.limit;
-        if limit.is_some() || backoff.is_some() {
+        let (limit, leaving) = (self.limit, self.leaving);
+        if limit.is_some() || backoff.is_some() || leaving {
             let (id, at) = (id.to_owned(), Instant::now());
-            self.responses.push(NoticedResponse { id, at, limit, backoff });
+            self.responses.push(NoticedResponse { id, at, limit, backoff, leaving });
         }
         let limit = limit.map(|l| format!("Server-Limit: {l}\r\n"));
         let backoff = backoff.map(|b| format!("Retry-After: {}\r\n", b.as_secs_f64()));
-        limit.into_iter().chain(backoff).collect()
+        let leaving = leaving.then(|| "Server-Leaving: 1\r\n".to_owned());
+        limit.into_iter().chain(backoff).chain(leaving).collect()
     }
 }
--- a/crates/nutmeggrade-fakes/src/site/received_request.rs
+++ b/crates/nutmeggrade-fakes/src/site/received_request.rs
@@ -11,6 +11,8 @@
     pub message: Message,
     /// Whether the endpoint started to execute it.
     pub ran: bool,
+    /// Whether it was rejected because it was meant for another endpoint.
+    pub is_misdirected: bool,
     /// When it was received.
     pub at: Instant,
 }
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod fleet;
 mod framing;
+mod leaving;
 mod limits;
 mod logs;
 mod memory;
--- a/tests/suite/relay/backoff.rs
+++ b/tests/suite/relay/backoff.rs
@@ -94,7 +94,7 @@
     run(async {
         let site = Site::start(&RoutingPlan::default()).await?;
         let engine = site.add_endpoint("writers", "e-1", Behaviour::Shed).await?;
-        engine.notices().set_backoff(Some(Duration::from_secs(60)));
+        engine.notices().set_backoff(Some(Duration::from_mins(1)));
         assert_eq!(ask(&site, "sort", "a0").await?.status, 503);
         site.store_listener.set(Fault::Refuse);
         let failed_calls = "store_calls_total{end=\"failed\",kind=\"endpoints\"}";
