Let endpoints limit rates and ask for pauses in the soak

The soak's endpoints answered without any demand on their callers, so a clean soak said nothing about them. Endpoints now state rate limits, other ones, and none again, and reject everything with a time to wait, beside the kills, freezes, stops and cuts that a seed draws. Both rules are judged over real processes; only restarts, freezes and held up links excuse an instance.

--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -48,7 +48,11 @@
     let shows_acts = matches.opt_present("acts");
     let plans = (0..count).map(|n| {
         let length = Duration::from_secs(seconds);
-        Plan::new(first + n).with_instances(instances).with_length(length).with_gap(gap)
+        Plan::new(first + n)
+            .with_instances(instances)
+            .with_length(length)
+            .with_gap(gap)
+            .with_notices()
     });
     let runs =
         futures::stream::iter(plans.map(|plan| async move { (plan.seed, run(&plan).await) }));
--- a/crates/nutmeggrade-fakes/src/soak/action.rs
+++ b/crates/nutmeggrade-fakes/src/soak/action.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::plan::Plan;
@@ -12,6 +12,9 @@
 /// Shortest time from an endpoint's leave notice to its exit.
 const MIN_LEAVE_DELAY: Duration = Duration::from_secs(2);
 
+/// Mean time between two moments at which an endpoint asks something of its callers.
+const MEAN_NOTICE_GAP_MS: u64 = 1_200;
+
 /// One injected fault or operator action.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Action {
@@ -31,6 +34,12 @@
     FailLink(usize, Link, Duration),
     /// Sets how an endpoint handles requests.
     Misbehave(usize, Behaviour, Duration),
+    /// Makes an endpoint state two rate limits, in tenths of a request per second, one after the
+    /// other, each for half of the time.
+    LimitRate(usize, (u32, u32), Duration),
+    /// Makes an endpoint reject all requests for the last time and ask its callers to wait for the
+    /// first one.
+    Reject(usize, Duration, Duration),
     /// Announces an endpoint's leave, ends it after the given time and replaces it.
     Drain(usize, Duration),
     /// Removes an endpoint's entry without a leave notice and ends the endpoint after the given time.
@@ -79,6 +88,32 @@
     }
 }
 
+/// Draws what endpoints ask of their callers, from random numbers of its own: the other actions of a
+/// seed stay as they are without it.
+pub fn draw_notices(plan: &Plan) -> Vec<(Duration, Action)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!plan.seed);
+    let mut at = Duration::ZERO;
+    let mut actions = Vec::new();
+    loop {
+        at += Duration::from_millis(rng.random_range(0..2 * MEAN_NOTICE_GAP_MS));
+        if at >= plan.length {
+            return actions;
+        }
+        actions.push((at, draw_notice(plan, &mut rng)));
+    }
+}
+
+fn draw_notice(plan: &Plan, rng: &mut ChaCha8Rng) -> Action {
+    let endpoint = rng.random_range(0..plan.engines + plan.services);
+    if rng.random_bool(0.6) {
+        let limits = (rng.random_range(2..150), rng.random_range(2..150));
+        Action::LimitRate(endpoint, limits, Duration::from_millis(rng.random_range(4_000..12_000)))
+    } else {
+        let backoff = Duration::from_millis(rng.random_range(300..4_000));
+        Action::Reject(endpoint, backoff, Duration::from_millis(rng.random_range(500..5_000)))
+    }
+}
+
 fn draw_store_fault(rng: &mut ChaCha8Rng) -> Fault {
     match rng.random_range(0..4) {
         0 => Fault::Refuse,
--- a/crates/nutmeggrade-fakes/src/soak/checker.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker.rs
@@ -1,5 +1,7 @@
 //! Checks the observations of clients and endpoints against the system's guarantees.
 
+mod notices;
+
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -76,6 +78,7 @@
         checker.check_time_limits();
         checker.check_resends();
         checker.check_cold_rates();
+        checker.check_notices();
     }
     let text = std::fs::read_to_string(log).context("read the log")?;
     let panics = text.lines().filter(|l| l.contains("panicked"));
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/soak/checker/notices.rs
@@ -0,0 +1,45 @@
+//! Checks of what endpoints ask of their callers.
+
+use tokio::time::{Duration, Instant};
+
+use super::{Checker, SETTLE_TIME};
+use crate::site::{find_backoff_violation, find_limit_violation};
+use crate::soak::endpoints::Incarnation;
+use crate::soak::records::DisturbanceKind;
+
+/// Window over which an endpoint's rate is counted; a disturbance in it excuses an instance.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+
+impl Checker<'_> {
+    /// Checks that endpoints that limit their rates or asked for pauses were left alone.
+    pub(super) fn check_notices(&mut self) {
+        let mut violations = Vec::new();
+        for incarnation in self.incarnations {
+            let instance_of = |id: &str| self.requests.get(id).map(|r| r.instance);
+            violations.extend(find_limit_violation(&incarnation.endpoint, instance_of, |n, at| {
+                self.is_excused(incarnation, n, at - RATE_WINDOW - SETTLE_TIME, at)
+            }));
+            violations.extend(find_backoff_violation(
+                &incarnation.endpoint,
+                instance_of,
+                |n, start, end| self.is_excused(incarnation, n, start, end),
+            ));
+        }
+        self.violations.append(&mut violations);
+    }
+
+    /// Returns whether an instance was restarted or frozen in a period, or its connections to the
+    /// endpoint were held up. Unlike other checks, this one makes no allowance for a store that is
+    /// away or for new settings.
+    fn is_excused(
+        &self,
+        incarnation: &Incarnation,
+        instance: usize,
+        start: Instant,
+        end: Instant,
+    ) -> bool {
+        let is_excuse = |kind| matches!(kind, DisturbanceKind::Process | DisturbanceKind::Stop);
+        self.records.was_disturbed(instance, (start, end), is_excuse)
+            || incarnation.had_link_fault(start, end)
+    }
+}
--- a/crates/nutmeggrade-fakes/src/soak/endpoints.rs
+++ b/crates/nutmeggrade-fakes/src/soak/endpoints.rs
@@ -34,12 +34,19 @@
     pub cold_until: Option<Instant>,
     /// Periods in which it or its link was faulty.
     pub faults: Vec<(Instant, Instant)>,
+    /// Those of them in which its link was faulty.
+    pub link_faults: Vec<(Instant, Instant)>,
 }
 
 impl Incarnation {
     /// Returns whether the endpoint and its link had no fault in a period.
     pub fn is_healthy(&self, start: Instant, end: Instant) -> bool {
-        !self.faults.iter().any(|(from, until)| *from <= end && *until >= start)
+        !overlaps(&self.faults, start, end)
+    }
+
+    /// Returns whether the endpoint's link had a fault in a period.
+    pub fn had_link_fault(&self, start: Instant, end: Instant) -> bool {
+        overlaps(&self.link_faults, start, end)
     }
 }
 
@@ -97,6 +104,8 @@
             (slots[slot].incarnation, Arc::clone(&slots[slot].relay))
         };
         self.add_fault(incarnation, time);
+        let now = Instant::now();
+        lock(&self.incarnations)[incarnation].link_faults.push((now, now + time));
         relay.set(link);
         sleep(time).await;
         relay.set(Link::Open);
@@ -115,6 +124,29 @@
         endpoint.set(normal_behaviour(service));
     }
 
+    /// Makes an endpoint state a rate limit, another one after half of the time, and then none.
+    pub async fn limit_rate(&self, slot: usize, limits: (f64, f64), time: Duration) {
+        let endpoint = self.endpoint(slot);
+        endpoint.notices().set_limit(Some(limits.0));
+        sleep(time / 2).await;
+        endpoint.notices().set_limit(Some(limits.1));
+        sleep(time / 2).await;
+        endpoint.notices().set_limit(None);
+    }
+
+    /// Makes an endpoint reject all requests for the given time and ask its callers to wait.
+    pub async fn reject(&self, slot: usize, backoff: Duration, time: Duration) {
+        let endpoint = self.endpoint(slot);
+        endpoint.notices().set_backoff(Some(backoff));
+        self.misbehave(slot, Behaviour::Shed, time).await;
+        endpoint.notices().set_backoff(None);
+    }
+
+    fn endpoint(&self, slot: usize) -> Endpoint {
+        let incarnation = lock(&self.slots)[slot].incarnation;
+        lock(&self.incarnations)[incarnation].endpoint.clone()
+    }
+
     /// Removes an endpoint, with or without a leave notice, ends it after a delay and replaces it.
     pub async fn leave(
         &self,
@@ -214,6 +246,7 @@
                 left_at: None,
                 cold_until,
                 faults: Vec::new(),
+                link_faults: Vec::new(),
             });
             incarnations.len() - 1
         };
@@ -231,6 +264,10 @@
     }
 }
 
+fn overlaps(periods: &[(Instant, Instant)], start: Instant, end: Instant) -> bool {
+    periods.iter().any(|(from, until)| *from <= end && *until >= start)
+}
+
 /// Returns the behaviour of a healthy endpoint.
 const fn normal_behaviour(service: &str) -> Behaviour {
     match service.as_bytes() {
--- a/crates/nutmeggrade-fakes/src/soak/plan.rs
+++ b/crates/nutmeggrade-fakes/src/soak/plan.rs
@@ -21,6 +21,8 @@
     /// default several overlap; with long gaps, instances are free of faults for long enough that the
     /// time limits apply to them.
     pub gap_ms: u64,
+    /// Whether endpoints limit their rates and ask for pauses.
+    pub has_notices: bool,
     /// Whether guarantees with a time limit are checked. On an overloaded machine, processes are
     /// scheduled too late for these checks to be meaningful.
     pub is_timed: bool,
@@ -37,6 +39,7 @@
             services: 2,
             clients: 16,
             gap_ms: 350,
+            has_notices: false,
             is_timed: true,
         }
     }
@@ -63,6 +66,13 @@
         self
     }
 
+    /// Lets endpoints limit their rates and ask for pauses.
+    #[must_use]
+    pub const fn with_notices(mut self) -> Self {
+        self.has_notices = true;
+        self
+    }
+
     /// Disables the checks of guarantees with a time limit.
     #[must_use]
     pub const fn without_time_limits(mut self) -> Self {
--- a/crates/nutmeggrade-fakes/src/soak/runner.rs
+++ b/crates/nutmeggrade-fakes/src/soak/runner.rs
@@ -37,7 +37,12 @@
 /// Runs a soak with the faults drawn from its seed, and checks the observations.
 pub async fn run(plan: &Plan) -> anyhow::Result<Verdict> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
-    run_actions(plan, &action::draw_schedule(plan, &mut rng)).await
+    let mut actions = action::draw_schedule(plan, &mut rng);
+    if plan.has_notices {
+        actions.extend(action::draw_notices(plan));
+        actions.sort_by_key(|(at, _)| *at);
+    }
+    run_actions(plan, &actions).await
 }
 
 /// Runs a fixed demo: an engine leaves, the configuration changes, an instance is stopped gracefully,
@@ -101,6 +106,11 @@
             Action::Misbehave(slot, behaviour, time) => {
                 self.endpoints.misbehave(slot, behaviour, time).await;
             }
+            Action::LimitRate(slot, (first, second), time) => {
+                let limits = (f64::from(first) / 10.0, f64::from(second) / 10.0);
+                self.endpoints.limit_rate(slot, limits, time).await;
+            }
+            Action::Reject(slot, backoff, time) => self.endpoints.reject(slot, backoff, time).await,
             Action::Drain(slot, delay) => self.endpoints.leave(slot, true, delay).await?,
             Action::Deregister(slot, delay) => self.endpoints.leave(slot, false, delay).await?,
             Action::Crash(slot, keeps_id) => self.endpoints.crash(slot, keeps_id).await?,
