Send nothing new to endpoints that say in a response that they leave

Cause: only the store's entry and engines' reports counted. While the store is away, nothing told an instance of a plain endpoint that leaves. The same class as the rate limit and the pause. A second way to the same fault: an entry that expired with the store and was written anew brought back an endpoint that had said that it leaves, since the registry forgot it with the entry.

--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -113,11 +113,12 @@
         }
     }
 
-    /// Marks endpoints as leaving that announced this themselves, before the store reports it.
-    pub fn note_leaving(&self, endpoints: &[EndpointId]) {
-        self.change_registry(|registry, _| {
-            endpoints.iter().filter_map(|id| registry.leave(id)).collect()
-        });
+    /// Marks endpoints as leaving that announced this themselves, before the store reports it;
+    /// returns those that were not marked before.
+    pub fn note_leaving(&self, endpoints: &[EndpointId]) -> Vec<EndpointId> {
+        self.change_registry(|registry, now| {
+            endpoints.iter().filter_map(|id| registry.leave(id, now)).collect()
+        })
     }
 
     /// Marks endpoints as leaving, and sends this to the peers.
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -18,7 +18,9 @@
     match message {
         FleetMessage::Beacon(beacon) => apply_heartbeat(node, beacon),
         FleetMessage::News(batch) => apply_endpoint_updates(node, &batch),
-        FleetMessage::Leaving(endpoints) => node.note_leaving(&endpoints),
+        FleetMessage::Leaving(endpoints) => {
+            node.note_leaving(&endpoints);
+        }
         FleetMessage::Gone(endpoints) => node.note_unreachable(&endpoints),
         FleetMessage::Met(contacts) => lock(&node.tables).fleet.add_contacts(&contacts, node.now()),
         FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -20,6 +20,9 @@
 /// endpoints.
 const MAX_MISSING_DIVISOR: usize = 3;
 
+/// Time for which it is remembered that an endpoint announced its shutdown, longer than any stays.
+const DEPARTURE_MEMORY: Duration = Duration::from_mins(10);
+
 /// Why an endpoint gets no new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Leaving {
@@ -92,6 +95,8 @@
     endpoints: BTreeMap<EndpointId, Registered>,
     out_domains: BTreeSet<DomainId>,
     versions: BTreeMap<ServiceId, VersionRule>,
+    /// Start times of endpoints that announced their shutdown, and when.
+    departures: BTreeMap<EndpointId, (u64, Moment)>,
 }
 
 impl Registry {
@@ -122,15 +127,20 @@
     /// Applies an endpoint's new entry.
     pub fn put(&mut self, info: &EndpointInfo, now: Moment) -> Option<Change> {
         let old = self.endpoints.get(&info.id);
-        let was_leaving = old.is_some_and(|o| o.info.leaving && o.info.born == info.born);
+        let was_leaving = old.is_some_and(|o| o.info.leaving && o.info.born == info.born)
+            || self.has_departed(info);
         // Ignores an entry of an earlier incarnation with the same id.
         if old.is_some_and(|o| o.info.born > info.born) {
             return None;
         }
         let was_known = old.is_some_and(|o| o.info.born == info.born);
         let mut info = info.clone();
-        // An older entry that arrives late must not revert an endpoint from leaving.
+        // An older entry that arrives late must not revert an endpoint from leaving, nor one that
+        // expired with the store and came back.
         info.leaving |= was_leaving;
+        if info.leaving {
+            self.departures.insert(info.id.clone(), (info.born, now));
+        }
         let cold_until = now.after(info.cold_left);
         let joined = old.filter(|_| was_known).map_or(now, |o| o.joined);
         let entry = Registered { info: info.clone(), cold_until, joined, missing_until: None };
@@ -143,12 +153,19 @@
     }
 
     /// Marks an endpoint as leaving, as announced by itself.
-    pub fn leave(&mut self, id: &EndpointId) -> Option<Change> {
+    pub fn leave(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id).filter(|e| !e.info.leaving)?;
         entry.info.leaving = true;
+        self.departures.insert(id.clone(), (entry.info.born, now));
         Some(Change::Left(entry.info.clone(), Leaving::Draining))
     }
 
+    /// Returns whether this incarnation of an endpoint announced its shutdown. Without a start time,
+    /// it can't be told from the next one.
+    fn has_departed(&self, info: &EndpointInfo) -> bool {
+        info.born > 0 && self.departures.get(&info.id).is_some_and(|(born, _)| *born == info.born)
+    }
+
     /// Removes an endpoint whose entry is gone.
     pub fn remove(&mut self, id: &EndpointId) -> Option<Change> {
         let old = self.endpoints.remove(id)?;
@@ -165,6 +182,7 @@
 
     /// Removes entries that did not come back in time.
     pub fn expire(&mut self, now: Moment) -> Vec<Change> {
+        self.departures.retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
         let is_expired = |e: &Registered| e.missing_until.is_some_and(|until| until <= now);
         let expired: Vec<EndpointId> = self
             .endpoints
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -43,7 +43,7 @@
 pub struct Pair {
     pub store: Store,
     pub first: Instance,
-    first_listener: StoreListener,
+    pub first_listener: StoreListener,
     pub other: Instance,
     pub other_listener: StoreListener,
 }
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -45,6 +45,23 @@
     assert!(registry.may_send(&id(1)));
 }
 
+// Guards against an endpoint that has said that it leaves and gets requests again, because its entry
+// expired with the store and was written anew before it ended.
+#[test]
+fn leaving_endpoint_whose_entry_returns_stays_out() {
+    let mut registry = Registry::new();
+    registry.put(&info(1), NOW);
+    assert!(matches!(registry.leave(&id(1), NOW), Some(Change::Left(_, Leaving::Draining))));
+    assert_eq!(registry.leave(&id(1), NOW), None);
+    assert!(matches!(registry.remove(&id(1)), Some(Change::Left(_, Leaving::Removed))));
+    let later = NOW.after(Duration::from_secs(5));
+    registry.expire(later);
+    registry.replace(&[info(1)], false, later);
+    assert!(!registry.may_send(&id(1)));
+    registry.put(&EndpointInfo { born: 6, ..info(1) }, later);
+    assert!(registry.may_send(&id(1)));
+}
+
 // Guards against endpoints that are dropped because the first listing after an outage lacks their
 // entries: they stay until the entries had time to return. Without an outage they are removed at
 // once.
