--- a/crates/nutmeggrade-fakes/src/soak/checker/notices.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker/notices.rs
@@ -3,7 +3,7 @@
 use tokio::time::{Duration, Instant};
 
 use super::{Checker, SETTLE_TIME};
-use crate::site::{find_backoff_violation, find_limit_violation};
+use crate::site::{find_backoff_violation, find_leaving_violation, find_limit_violation};
 use crate::soak::endpoints::Incarnation;
 use crate::soak::records::DisturbanceKind;
 
@@ -11,7 +11,8 @@
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
 impl Checker<'_> {
-    /// Checks that endpoints that limit their rates or asked for pauses were left alone.
+    /// Checks that endpoints that limit their rates, asked for pauses or said that they leave were
+    /// left alone.
     pub(super) fn check_notices(&mut self) {
         let mut violations = Vec::new();
         for incarnation in self.incarnations {
@@ -24,6 +25,12 @@
                 instance_of,
                 |n, start, end| self.is_excused(incarnation, n, start, end),
             ));
+            let sender_of = |id: &str| self.requests.get(id).map(|r| (r.instance, r.sent));
+            violations.extend(find_leaving_violation(
+                &incarnation.endpoint,
+                sender_of,
+                |n, start, end| self.was_restarted(n, start, end),
+            ));
         }
         self.violations.append(&mut violations);
     }
@@ -38,8 +45,12 @@
         start: Instant,
         end: Instant,
     ) -> bool {
-        let is_excuse = |kind| matches!(kind, DisturbanceKind::Process | DisturbanceKind::Stop);
-        self.records.was_disturbed(instance, (start, end), is_excuse)
-            || incarnation.had_link_fault(start, end)
+        self.was_restarted(instance, start, end) || incarnation.had_link_fault(start, end)
+    }
+
+    /// Returns whether an instance was restarted or frozen in a period.
+    fn was_restarted(&self, instance: usize, start: Instant, end: Instant) -> bool {
+        let is_restart = |kind| matches!(kind, DisturbanceKind::Process | DisturbanceKind::Stop);
+        self.records.was_disturbed(instance, (start, end), is_restart)
     }
 }
--- a/crates/nutmeggrade-fakes/src/soak/endpoints.rs
+++ b/crates/nutmeggrade-fakes/src/soak/endpoints.rs
@@ -158,6 +158,7 @@
         let (id, entry) = self.entry(slot);
         let endpoint = lock(&self.incarnations)[incarnation].endpoint.clone();
         if is_announced {
+            endpoint.notices().set_leaving(true);
             endpoint.announce_leave(leave_delay);
             self.store.put("servers", &id, entry.with_leaving(true).content());
         } else {
