Spread the first turns of the senders of a limited endpoint

When a limit became known, every sender had a turn in the same moment: with 7 instances and 5.6 requests a second, 7 at once. The users' bound has room for them, but the endpoint that is short of something gets a burst, and a part of the margin for instances that count the fleet differently was used up by it. An instance that becomes a sender now takes its first turn by its rank. policy::rate_limits::first_turns_of_senders_are_spread: 7 within 150 ms before (one per sender, by construction; the test was not run on the old code), at most 2 now.

--- a/crates/nutmeggrade-policy/src/fleet/rate_share.rs
+++ b/crates/nutmeggrade-policy/src/fleet/rate_share.rs
@@ -106,6 +106,7 @@
         let limit = self.limit.per_second();
         let senders = (1.0 + SENDERS_PER_REQUEST_RATE * limit).floor();
         let senders = senders.min(instance_count.max(1) as f64);
+        let was_sender = self.is_sender;
         self.is_sender = (rank as f64) < senders;
         self.rank = rank;
         let seconds = senders / (limit * USED_FRACTION);
@@ -114,7 +115,10 @@
         } else {
             MAX_INTERVAL
         };
-        if interval < self.turn.interval {
+        if self.is_sender && !was_sender {
+            // Senders that begin together take their first turns one after another.
+            self.turn.next = now.after(interval.mul_f64(rank as f64 / senders));
+        } else if interval < self.turn.interval {
             self.turn.next = self.turn.next.min(now.after(interval));
         }
         self.turn.interval = interval;
--- a/tests/suite/policy/rate_limits.rs
+++ b/tests/suite/policy/rate_limits.rs
@@ -180,3 +180,12 @@
         assert_eq!(decision, DispatchDecision::Go(super::endpoint(1)));
     }
 }
+
+// Guards against an endpoint that gets a request of every sender in the moment in which all of them
+// learn of its limit.
+#[test]
+fn first_turns_of_senders_are_spread() {
+    let sent = send_all(7, 5.6, |_, _| 7);
+    let at_once = sent.iter().filter(|ms| **ms < 150).count();
+    assert!(at_once <= 2, "{at_once}");
+}
