--- a/tests/suite/relay/outcomes.rs
+++ b/tests/suite/relay/outcomes.rs
@@ -121,7 +121,10 @@
 fn refused_connection_is_no_send() {
     run(async {
         let site = Site::start(&RoutingPlan::default()).await?;
-        let closed_address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        // Bound without listening, so that connections are refused and no other process gets the port.
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.bind("127.0.0.1:0".parse()?)?;
+        let closed_address = socket.local_addr()?;
         let entry = nutmeggrade_fakes::site::Entry::new("desk", closed_address);
         site.store.put("servers", "e-gone", entry.content());
         site.until_metric("endpoints", 1).await?;
