Refuse a request at once that every endpoint has failed or rejected

A second send whose endpoints are all excluded, since each has failed, rejected or lost the request, waited in the queue for up to three target times, although the queue can only give it an excluded endpoint; then it got its first answer or a refusal. Found by reading, while checking what becomes of a request that an endpoint turned away with a pause: the same class, a known outcome that isn't used. Whether an endpoint could run a request now counts the exclusions.

policy::dispatch::request_that_all_endpoints_failed_is_refused_at_once failed before (Wait) and passes. 161 tests of dispatch and relay passed.

--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -93,7 +93,7 @@
             self.place(request, &endpoint, now);
             return DispatchDecision::Go(endpoint);
         }
-        if !self.can_ever_run(request) {
+        if self.able(request).next().is_none() {
             return DispatchDecision::Refuse(self.jitter.draw(DEFAULT_RETRY_DELAY));
         }
         let key = LaneKey::on_time(&request.service, request.priority);
@@ -208,11 +208,14 @@
         }
     }
 
-    /// Returns whether any endpoint could run the request if it had no other load.
-    fn can_ever_run(&self, request: &DispatchRequest) -> bool {
-        let endpoints = self.candidates.get(&request.service);
-        let can_run = |c: &Candidate| !c.is_canary && c.memory.is_none_or(|m| request.memory <= m);
-        endpoints.is_some_and(|c| c.iter().any(can_run))
+    /// Lists the endpoints that could run the request if they had no other load.
+    fn able<'a>(&'a self, request: &'a DispatchRequest) -> impl Iterator<Item = &'a Candidate> {
+        let can_run = |c: &&Candidate| {
+            !c.is_canary
+                && !request.avoid.contains(&c.id)
+                && c.memory.is_none_or(|m| request.memory <= m)
+        };
+        self.candidates.get(&request.service).into_iter().flatten().filter(can_run)
     }
 
     /// Returns the time until the next turn at an endpoint that could run the request, and the turns
@@ -221,13 +224,7 @@
     /// A queue behind such endpoints is only as fast as their turns, which is known before any
     /// request was released from it.
     fn next_turn(&self, request: &DispatchRequest, now: Moment) -> Option<(Duration, f64)> {
-        let can_run = |c: &&Candidate| {
-            !c.is_canary
-                && !request.avoid.contains(&c.id)
-                && c.memory.is_none_or(|m| request.memory <= m)
-        };
-        let candidates = self.candidates.get(&request.service)?;
-        let turns: Option<Vec<Turn>> = candidates.iter().filter(can_run).map(|c| c.turn).collect();
+        let turns: Option<Vec<Turn>> = self.able(request).map(|c| c.turn).collect();
         let turns = turns?;
         let first = turns.iter().map(|t| t.next).min()?.since(now);
         Some((first, turns.iter().map(Turn::rate).sum()))
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -362,3 +362,17 @@
     let even = request_counts.iter().sum::<usize>() / request_counts.len();
     assert!(request_counts.iter().all(|n| *n * 2 > even && *n < even * 2), "{request_counts:?}");
 }
+
+// Guards against a request that waits for its deadline though every endpoint has failed or rejected
+// it already: the queue could only give it one of those.
+#[test]
+fn request_that_all_endpoints_failed_is_refused_at_once() {
+    let mut dispatcher = dispatcher(vec![service_endpoint(0), service_endpoint(1)]);
+    let mut failed = request(1, 0, 1, 0);
+    failed.avoid.insert(endpoint(0));
+    let decision = dispatcher.request_placement(&failed, MAX_WAIT, at(0));
+    assert_eq!(chosen_endpoint(&decision), Some(endpoint(1)));
+    failed.avoid.insert(endpoint(1));
+    let decision = dispatcher.request_placement(&failed, MAX_WAIT, at(0));
+    assert!(matches!(decision, DispatchDecision::Refuse(_)), "{decision:?}");
+}
