--- a/crates/nutmeggrade-policy/src/fleet/rate_share.rs
+++ b/crates/nutmeggrade-policy/src/fleet/rate_share.rs
@@ -9,8 +9,8 @@
 
 /// Fraction of the limit that is used; the rest is for instances that count the others differently.
 const USED_FRACTION: f64 = 0.9;
-/// Instances that send to the endpoint for each request per second of its limit, beside one. Each
-/// may send a request in the same moment, so their number is bounded with the limit.
+/// Senders for each request per second of the limit, beside one. All of them may send a request in
+/// the same moment.
 const SENDERS_PER_REQUEST_RATE: f64 = 1.5;
 /// Longest interval between two requests of a sender.
 const MAX_INTERVAL: Duration = Duration::from_hours(1);
@@ -34,8 +34,8 @@
 ///
 /// An endpoint that is short of something states how much it can still take. Instances don't ask
 /// each other before a request, so each uses a fixed part: as many of them as the limit has room
-/// for, ordered by rank, take turns at equal intervals, and the others send nothing. The turns of
-/// all senders add up to less than the limit even if they fall into the same moment.
+/// for, ordered by rank, take turns at equal intervals, and the others send nothing. Instances that
+/// count each other differently for a moment exceed the limit by a few requests at most.
 #[derive(Debug, Clone)]
 pub struct RateShare {
     limit: RateLimit,
--- a/crates/nutmeggrade-relay/src/engine_call.rs
+++ b/crates/nutmeggrade-relay/src/engine_call.rs
@@ -74,6 +74,6 @@
     let response = short_call(endpoint.address, method, path, body, limits).await?;
     // Only responses to requests must state a limit, so these show none that was withdrawn.
     let notice = Notice::read(response.status(), response.headers());
-    node.note_notice(&endpoint.id, notice, None);
+    node.apply_notice(&endpoint.id, notice, None);
     Ok(response)
 }
--- a/crates/nutmeggrade-relay/src/node/notices.rs
+++ b/crates/nutmeggrade-relay/src/node/notices.rs
@@ -24,7 +24,7 @@
     ///
     /// `asked_at` is when the request was sent if the response would also show that a limit was
     /// withdrawn.
-    pub fn note_notice(&self, endpoint: &EndpointId, notice: Notice, asked_at: Option<Moment>) {
+    pub fn apply_notice(&self, endpoint: &EndpointId, notice: Notice, asked_at: Option<Moment>) {
         if notice.is_leaving {
             let left = self.note_leaving(std::slice::from_ref(endpoint));
             self.broadcast_leaving(&left);
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -128,7 +128,7 @@
     // A misdirected request was rejected by another endpoint, which speaks for itself.
     if !parsed.misdirected {
         let asked_at = parsed.status.is_success().then_some(sent_at);
-        node.note_notice(&endpoint.id, parsed.notice, asked_at);
+        node.apply_notice(&endpoint.id, parsed.notice, asked_at);
     }
     Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, connection), sent_at })
 }
