Let a judge of a roll-out proceed only on heartbeats since it became one

Cause: a failure domain is cut off 16.7 s into an order of 22 s. After 0.8 s of silence its first instance takes over as judge; the heartbeats of the others count towards its quorum for 2.5 s. In between it switched the version on for its side (at 17.8 s, by a request rate of 0 and counts that had stopped), and the judge of the majority did so at 20.5 s; each alone was within the bound. The same holds in the product: a judge takes over after 0.8 s, a peer counts as heard for 1.5 s and more.

The quorum now counts only peers that were heard since the instance became the judge, so a side that is cut off never has one. A judge that takes over from a dead one waits for the next heartbeats; evidence against a version reverts it without a quorum, as before.

--- a/crates/nutmeggrade-fakes/src/rollout/instance.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/instance.rs
@@ -42,6 +42,7 @@
     pub last_heard: Vec<Option<Moment>>,
     service: ServiceId,
     judge: Option<Judge>,
+    judge_since: Option<Moment>,
     last_report: Option<LastReport>,
 }
 
@@ -59,6 +60,7 @@
             last_heard: vec![None; instances],
             service: service.clone(),
             judge: None,
+            judge_since: None,
             last_report: None,
         })
     }
@@ -72,6 +74,7 @@
         self.running = 0;
         self.last_heard.fill(None);
         self.judge = None;
+        self.judge_since = None;
         self.last_report = None;
     }
 
@@ -115,6 +118,7 @@
         plan: &Plan,
         now: Moment,
     ) -> Option<RolloutNotice> {
+        let since = *self.judge_since.get_or_insert(now);
         let view = self.table.view(&self.service, now).filter(|v| !v.phase.is_over())?;
         let heard_within = |timeout| {
             let is_alive = move |at: &Option<Moment>| at.is_some_and(|at| now.since(at) <= timeout);
@@ -127,6 +131,9 @@
             own: 0,
             is_movable: plan.is_stream,
         };
+        let is_counted =
+            |at: &Option<Moment>| at.is_some_and(|at| at >= since && now.since(at) <= PEER_TIMEOUT);
+        let heard = 1 + self.last_heard.iter().filter(|at| is_counted(at)).count();
         let service_load =
             ServiceLoad::new(&self.registry, (&self.service, &view.id.version), load, now);
         let inputs = RolloutInputs {
@@ -136,7 +143,7 @@
             tally: view.tally,
             capacity: service_load.capacity,
             movable: service_load.movable,
-            has_quorum: (1 + heard_within(PEER_TIMEOUT).count()) * 2 > 1 + members.len(),
+            has_quorum: heard * 2 > 1 + members.len(),
             is_clear: self.table.is_clear(&self.service, self.running, members.into_iter()),
         };
         let judge = self.judge.get_or_insert_with(|| Judge::new(plan.bound));
@@ -147,6 +154,7 @@
     /// Drops the judge state, because another instance is the judge.
     pub fn stop_judging(&mut self) {
         self.judge = None;
+        self.judge_since = None;
         self.table.stop_granting();
     }
 
--- a/crates/nutmeggrade-relay/src/rollouts/judging.rs
+++ b/crates/nutmeggrade-relay/src/rollouts/judging.rs
@@ -16,7 +16,11 @@
 /// the first; as phases only advance, and the store accepts a state only at the revision that its
 /// writer has read, both arrive at the same result.
 #[derive(Debug, Default)]
-pub struct Judges(BTreeMap<(ServiceId, RolloutId), Judge>);
+pub struct Judges {
+    judges: BTreeMap<(ServiceId, RolloutId), Judge>,
+    /// When this instance became responsible.
+    since: Option<Moment>,
+}
 
 impl Judges {
     /// Creates an empty set of judges.
@@ -33,13 +37,14 @@
         {
             let tables = &mut lock(&node.tables);
             if !is_serving || !tables.fleet.is_judge(now) {
-                self.0.clear();
+                self.judges.clear();
+                self.since = None;
                 tables.rollouts.stop_granting();
                 return;
             }
             let open = tables.rollouts.open_rollouts();
             let open: Vec<_> = open.map(|(service, id)| (service.clone(), id.clone())).collect();
-            self.0.retain(|order, _| open.contains(order));
+            self.judges.retain(|order, _| open.contains(order));
             for order in open {
                 changed.extend(self.decide(&order, bound, tables, &map, now));
             }
@@ -57,6 +62,7 @@
         map: &RouteMap,
         now: Moment,
     ) -> Option<RolloutNotice> {
+        let since = *self.since.get_or_insert(now);
         let service_load = tables.service_load(map, (service, &id.version), now);
         let view = tables.rollouts.view(service, now)?;
         let members: Vec<InstanceId> = tables.fleet.members(now).cloned().collect();
@@ -67,11 +73,11 @@
             tally: view.tally,
             capacity: service_load.capacity,
             movable: service_load.movable,
-            has_quorum: tables.fleet.has_quorum(now),
+            has_quorum: tables.fleet.has_quorum(since, now),
             is_clear: tables.rollouts.is_clear(service, service_load.own_running, members.iter()),
         };
         let judge =
-            self.0.entry((service.clone(), id.clone())).or_insert_with(|| Judge::new(bound));
+            self.judges.entry((service.clone(), id.clone())).or_insert_with(|| Judge::new(bound));
         let decision = judge.decide(&inputs);
         if decision.phase != view.phase {
             log_decision(service, id, &inputs, &decision);
--- a/crates/nutmeggrade-state/src/fleet_view/judges.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/judges.rs
@@ -24,10 +24,15 @@
         self.peers.iter().filter(move |(_, p)| !has_left(p)).map(|(name, _)| name)
     }
 
-    /// Returns whether this instance hears from a majority of the members, itself included.
-    pub fn has_quorum(&self, now: Moment) -> bool {
-        let live_count = 1 + self.live(now).count();
-        live_count * 2 > 1 + self.members(now).count()
+    /// Returns whether this instance has heard from a majority of the members since it became the
+    /// judge, itself included.
+    ///
+    /// An instance that is cut off becomes a judge sooner than the silence of the others counts.
+    /// Their earlier heartbeats must not let it proceed beside the judge of the majority.
+    pub fn has_quorum(&self, judge_since: Moment, now: Moment) -> bool {
+        let is_counted = |p: &&Peer| p.heard >= judge_since && self.is_heard(p, now);
+        let heard = 1 + self.peers.values().filter(is_counted).count();
+        heard * 2 > 1 + self.members(now).count()
     }
 
     /// Lists the heartbeat addresses of the peers that judge rollouts or are next in line.
--- a/tests/suite/random/rollouts.rs
+++ b/tests/suite/random/rollouts.rs
@@ -24,4 +24,5 @@
     small_store_away: 13..17, SMALL_FLEETS[1], Fault::StoreUnavailable;
     small_all_killed: 17..21, SMALL_FLEETS[0], Fault::AllKilled;
     large_domain_cut: 21..23, LARGE_FLEET, Fault::DomainPartitioned;
+    domain_cut_just_before_the_switch: 21_022..21_023, SMALL_FLEETS[1], Fault::DomainPartitioned;
 }}
