Refuse streams during a stop by their longest possible length

Caller: a draft was cut in the middle, 7.6 s after SIGTERM; it had been taken 4.75 s after SIGTERM.

Cause: a stopping instance accepts a stream that probably ends in time, by its client's estimate and half as much again. Estimates are right at the median only; this stream was longer. Its maximum, which the request states, was not looked at.

The longer of both now counts. A stream that is refused begins at another instance at once; one that is cut is lost. relay::stop:: stream_that_may_outlast_the_instance_is_refused failed before (200) and passes; a short one is still served.

--- a/crates/nutmeggrade-policy/src/pace.rs
+++ b/crates/nutmeggrade-policy/src/pace.rs
@@ -37,9 +37,12 @@
             self.token_time.mul_f64(1.0 - RESPONSE_WEIGHT) + token_time.mul_f64(RESPONSE_WEIGHT);
     }
 
-    /// Returns the time within which a response of this expected length probably ends.
-    pub fn time(&self, tokens: u64) -> Duration {
-        self.token_time.mul_f64(tokens as f64 * LENGTH_MARGIN)
+    /// Returns the time within which a response probably ends that is expected to have `tokens`
+    /// tokens, and `max_tokens` at most. A response that was begun would be cut if it is longer than
+    /// expected, while one that was not can begin elsewhere at once, so the maximum counts.
+    pub fn time(&self, tokens: u64, max_tokens: u64) -> Duration {
+        let tokens = (tokens as f64 * LENGTH_MARGIN).max(max_tokens as f64);
+        self.token_time.mul_f64(tokens)
     }
 }
 
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -122,7 +122,7 @@
     time_left: Duration,
 ) -> Result<(), Failure> {
     let expected = match &parsed.prompt {
-        Some(prompt) => lock(&node.tables).pace.time(prompt.expected()),
+        Some(prompt) => lock(&node.tables).pace.time(prompt.expected(), prompt.max_tokens),
         None => route.target,
     };
     if expected < time_left {
--- a/tests/suite/policy/fleet.rs
+++ b/tests/suite/policy/fleet.rs
@@ -82,6 +82,6 @@
     for _ in 0..100 {
         pace.ended(1_000, Duration::from_secs(20));
     }
-    let time = pace.time(1_000);
+    let time = pace.time(1_000, 1_000);
     assert!(time > Duration::from_secs(25) && time < Duration::from_secs(35), "{time:?}");
 }
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -66,3 +66,29 @@
         Ok(())
     });
 }
+
+// Guards against a stream that is accepted after the stop has begun because its client expects a
+// short one, and is cut at the end of the grace period: estimates are accurate at the median only.
+#[test]
+fn stream_that_may_outlast_the_instance_is_refused() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let pause = Duration::from_millis(10);
+        let engine =
+            site.add_endpoint("writers", "e-1", Behaviour::Stream { events: 9, pause }).await?;
+        let address = site.instance.addresses();
+        let stopping = tokio::spawn(site.instance.stop());
+        until("the instance is not ready", async || {
+            Ok(get_answer(address.ready, "/nutmeggrade/readiness").await?.0 == 503)
+        })
+        .await?;
+        let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,4000\r\n\
+             X-Nutmeggrade-Length-Hint: 10\r\n";
+        assert_eq!(RawClient::ask(address.client, "draft", "a1", long).await?.status, 503);
+        let short = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\n";
+        assert_eq!(RawClient::ask(address.client, "draft", "a2", short).await?.status, 200);
+        assert_eq!(engine.runs("a1"), 0);
+        stopping.await?;
+        Ok(())
+    });
+}
