--- a/crates/nutmeggrade-fakes/src/soak/action.rs
+++ b/crates/nutmeggrade-fakes/src/soak/action.rs
@@ -37,8 +37,8 @@
     /// Makes an endpoint state two rate limits, in tenths of a request per second, one after the
     /// other, each for half of the time.
     LimitRate(usize, (u32, u32), Duration),
-    /// Makes an endpoint reject all requests for the last time and ask its callers to wait for the
-    /// first one.
+    /// Makes an endpoint reject all requests, with the first duration as `Retry-After`, for the
+    /// second one.
     Reject(usize, Duration, Duration),
     /// Announces an endpoint's leave, ends it after the given time and replaces it.
     Drain(usize, Duration),
