Start and query the members of a test fleet in one place

The tests of rate limits and of leaving endpoints wrote again what the tests of fleets had: an endpoint that both instances of a pair list, a further instance on another loopback address, and the wait for a metric of all instances (twice in fleet.rs itself). relay::members holds them; fleet.rs falls from 439 to 352 lines. Assertions are the same.

--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limits;
 mod logs;
+mod members;
 mod memory;
 mod moves;
 mod outcomes;
--- a/tests/suite/relay/fleet.rs
+++ b/tests/suite/relay/fleet.rs
@@ -6,60 +6,14 @@
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store, StoreListener,
 };
-use nutmeggrade_relay::{Addresses, Instance, LogBuffer};
+use nutmeggrade_relay::{Addresses, Instance};
 use tokio::time::sleep;
 
 use super::PROMPT_HEADERS;
-use super::site::{get, metric, settings, start_generation, start_instance};
+use super::members::{Pair, start_member, start_pair, until_all_have, until_listed};
+use super::site::{metric, start_generation, start_instance};
 use crate::support::{run, until};
 
-async fn listed_instances(instance: &Instance) -> anyhow::Result<usize> {
-    let path = "/nutmeggrade/resolution?name=desk.example&region=x&zone=veluwe";
-    let text = get(instance.addresses().directory, path).await?;
-    let answer: serde_json::Value = serde_json::from_str(&text)?;
-    Ok(answer["addresses"].as_array().map_or(0, Vec::len))
-}
-
-async fn until_listed(instance: &Instance, count: usize) -> anyhow::Result<()> {
-    until("the directory lists the expected number of instances", async || {
-        Ok(listed_instances(instance).await? == count)
-    })
-    .await
-}
-
-/// Starts a second instance that receives heartbeats at the same port as the first one, on another
-/// loopback address.
-async fn start_second(
-    first: &Instance,
-    store_listener: &StoreListener,
-) -> anyhow::Result<Instance> {
-    let beacon = first.addresses().beacon;
-    let own = format!("127.0.0.2:{}", beacon.port());
-    let settings = settings("i-2", store_listener, &first.addresses().control.to_string(), &own)?;
-    Instance::start(&settings, &LogBuffer::new(), 1).await
-}
-
-/// Two instances that receive each other's heartbeats, each with its own address of the store.
-pub struct Pair {
-    pub store: Store,
-    pub first: Instance,
-    pub first_listener: StoreListener,
-    pub other: Instance,
-    pub other_listener: StoreListener,
-}
-
-/// Starts two instances and waits until each one lists the other.
-pub async fn start_pair() -> anyhow::Result<Pair> {
-    let store = Store::new();
-    store.put("config", "main", RoutingPlan::default().content());
-    let (first_listener, other_listener) =
-        (store.open_listener().await?, store.open_listener().await?);
-    let first = start_instance("i-1", &first_listener, "").await?;
-    let other = start_second(&first, &other_listener).await?;
-    until_listed(&other, 2).await?;
-    Ok(Pair { store, first, first_listener, other, other_listener })
-}
-
 // Instances find each other through one seed address. An instance that stops as planned is no
 // longer listed at once, and one that dies is no longer listed after some missed heartbeats.
 #[test]
@@ -69,12 +23,12 @@
         store.put("config", "main", RoutingPlan::default().content());
         let store_listener = store.open_listener().await?;
         let first = start_instance("i-1", &store_listener, "").await?;
-        let other = start_second(&first, &store_listener).await?;
+        let other = start_member(&first, 2, &store_listener).await?;
         until_listed(&first, 2).await?;
         until_listed(&other, 2).await?;
         drop(other);
         until_listed(&first, 1).await?;
-        let other = start_second(&first, &store_listener).await?;
+        let other = start_member(&first, 2, &store_listener).await?;
         until_listed(&first, 2).await?;
         let stopping = tokio::spawn(other.stop());
         until_listed(&first, 1).await?;
@@ -154,13 +108,7 @@
             let address = format!("127.0.0.1:{}", 20_000 + n).parse()?;
             store.put("servers", &name(n), Entry::new("desk", address).content());
         }
-        for instance in [&first, &other] {
-            let metrics = instance.addresses().metrics;
-            until("the endpoints are listed", async || {
-                Ok(metric(metrics, "endpoints").await? == 400)
-            })
-            .await?;
-        }
+        until_all_have([&first, &other], "endpoints", 400).await?;
         other_listener.set(Fault::Silent);
         (0..400).for_each(|n| store.remove("servers", &name(n)));
         store.drop_history();
@@ -202,18 +150,12 @@
     first: &Instance,
     store: &Store,
 ) -> anyhow::Result<Vec<(Instance, StoreListener)>> {
-    let (beacon, control) = (first.addresses().beacon, first.addresses().control);
     let mut members = Vec::new();
-    for n in 2..=9 {
-        let own = format!("127.0.0.{n}:{}", beacon.port());
+    for number in 2..=9 {
         let store_listener = store.open_listener().await?;
-        let settings = settings(&format!("i-{n}"), &store_listener, &control.to_string(), &own)?;
-        members.push((Instance::start(&settings, &LogBuffer::new(), 1).await?, store_listener));
-    }
-    for (instance, _) in &members {
-        let metrics = instance.addresses().metrics;
-        until("all peers are present", async || Ok(metric(metrics, "peers").await? == 8)).await?;
+        members.push((start_member(first, number, &store_listener).await?, store_listener));
     }
+    until_all_have(members.iter().map(|(instance, _)| instance), "peers", 8).await?;
     Ok(members)
 }
 
@@ -230,39 +172,17 @@
         members.push((first, store_listener));
         let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
         store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
-        let until_all_have = async |name, value| {
-            for (instance, _) in &members {
-                let metrics = instance.addresses().metrics;
-                until(name, async || Ok(metric(metrics, name).await? == value)).await?;
-            }
-            Ok::<_, anyhow::Error>(())
-        };
-        until_all_have("endpoints", 1).await?;
+        let instances = || members.iter().map(|(instance, _)| instance);
+        until_all_have(instances(), "endpoints", 1).await?;
         store.put("config", "main", RoutingPlan { version: 7, ..Default::default() }.content());
-        until_all_have("config_version", 7).await?;
+        until_all_have(instances(), "config_version", 7).await?;
         store.put("evacuations", "veluwe", serde_json::json!({}));
-        until_all_have("endpoints", 0).await?;
+        until_all_have(instances(), "endpoints", 0).await?;
         store.remove("evacuations", "veluwe");
-        until_all_have("endpoints", 1).await
+        until_all_have(instances(), "endpoints", 1).await
     });
 }
 
-/// Registers an endpoint and waits until both instances list it.
-async fn add_endpoint(
-    pair: &Pair,
-    service: &str,
-    behaviour: Behaviour,
-) -> anyhow::Result<Endpoint> {
-    let endpoint = Endpoint::start("e-1", behaviour, &Generations::default()).await?;
-    pair.store.put("servers", "e-1", Entry::new(service, endpoint.address).content());
-    for instance in [&pair.first, &pair.other] {
-        let metrics = instance.addresses().metrics;
-        until("the endpoints are listed", async || Ok(metric(metrics, "endpoints").await? == 1))
-            .await?;
-    }
-    Ok(endpoint)
-}
-
 async fn until_refused(endpoint: &Endpoint) -> anyhow::Result<()> {
     let is_refused = async || Ok(tokio::net::TcpStream::connect(endpoint.address).await.is_err());
     until("connections are refused", is_refused).await
@@ -280,7 +200,7 @@
 fn endpoint_that_is_gone_is_told_to_peers() {
     run(async {
         let pair = start_pair().await?;
-        let endpoint = add_endpoint(&pair, "desk", Behaviour::Answer).await?;
+        let endpoint = pair.add_endpoint("desk", Behaviour::Answer).await?;
         endpoint.kill();
         until_refused(&endpoint).await?;
         let answer = RawClient::ask(pair.first.addresses().client, "once", "a1", "").await?;
@@ -296,7 +216,7 @@
 fn endpoint_that_died_under_a_request_is_told_to_peers() {
     run(async {
         let pair = start_pair().await?;
-        let _endpoint = add_endpoint(&pair, "desk", Behaviour::Crash).await?;
+        let _endpoint = pair.add_endpoint("desk", Behaviour::Crash).await?;
         let answer = RawClient::ask(pair.first.addresses().client, "once", "a1", "").await?;
         assert_eq!(answer.status, 502);
         until_notified(&pair.other, 1).await
@@ -309,7 +229,7 @@
     run(async {
         let pair = start_pair().await?;
         let stream = Behaviour::Stream { events: 1_000, pause: Duration::from_millis(15) };
-        let engine = add_endpoint(&pair, "writers", stream).await?;
+        let engine = pair.add_endpoint("writers", stream).await?;
         let mut client =
             start_generation(pair.first.addresses().client, "draft", "a1", &engine).await?;
         engine.kill();
@@ -323,7 +243,7 @@
 fn breaking_endpoint_is_told_to_peers(service: &str, route: &str) {
     run(async {
         let pair = start_pair().await?;
-        add_endpoint(&pair, service, Behaviour::CloseAll).await?;
+        pair.add_endpoint(service, Behaviour::CloseAll).await?;
         let client = pair.first.addresses().client;
         let lost = RawClient::ask(client, route, "a1", PROMPT_HEADERS).await?;
         assert_eq!(lost.status, 502);
@@ -349,14 +269,7 @@
             let entry = Entry::new("desk", endpoint.address);
             pair.store.put("servers", id, entry.content());
         }
-        for instance in [&pair.first, &pair.other] {
-            let metrics = instance.addresses().metrics;
-            until(
-                "the endpoints are listed",
-                async || Ok(metric(metrics, "endpoints").await? == 2),
-            )
-            .await?;
-        }
+        until_all_have([&pair.first, &pair.other], "endpoints", 2).await?;
         let ask = async |instance: &Instance, id: String| {
             let client = instance.addresses().client;
             anyhow::Ok(RawClient::ask(client, "once", &id, PROMPT_HEADERS).await?.status)
@@ -381,7 +294,7 @@
 fn engine_that_stays_gone_is_told_again() {
     run(async {
         let pair = start_pair().await?;
-        let engine = add_endpoint(&pair, "writers", Behaviour::Answer).await?;
+        let engine = pair.add_endpoint("writers", Behaviour::Answer).await?;
         engine.kill();
         until_refused(&engine).await?;
         pair.first_listener.set(Fault::Refuse);
@@ -403,7 +316,7 @@
 fn endpoint_that_is_missing_is_not_told_to_leave() {
     run(async {
         let pair = start_pair().await?;
-        let endpoint = add_endpoint(&pair, "desk", Behaviour::Answer).await?;
+        let endpoint = pair.add_endpoint("desk", Behaviour::Answer).await?;
         let instances = [&pair.first, &pair.other];
         let calls = async |instance: &Instance, end: &str| {
             let name = format!("store_calls_total{{end=\"{end}\",kind=\"endpoints\"}}");
--- a/tests/suite/relay/leaving.rs
+++ b/tests/suite/relay/leaving.rs
@@ -3,15 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{
-    Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, find_leaving_violation,
-};
+use nutmeggrade_fakes::site::{Behaviour, Fault, RawClient, RoutingPlan, find_leaving_violation};
 use tokio::time::{Instant, sleep};
 
 use super::ask;
-use super::fleet::start_pair;
-use super::site::{Site, metric};
-use crate::support::{run, until};
+use super::members::{start_pair, until_all_have};
+use super::site::Site;
+use crate::support::run;
 
 /// Time that is longer than the one after which new requests must go elsewhere.
 const TRAFFIC: Duration = Duration::from_secs(4);
@@ -53,20 +51,14 @@
 fn statement_is_told_to_peers() {
     run(async {
         let pair = start_pair().await?;
-        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
-        pair.store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
-        let (first, other) = (pair.first.addresses(), pair.other.addresses());
-        for metrics in [first.metrics, other.metrics] {
-            let listed = async || Ok(metric(metrics, "endpoints").await? == 1);
-            until("the endpoint is listed", listed).await?;
-        }
+        let endpoint = pair.add_endpoint("desk", Behaviour::Answer).await?;
         pair.first_listener.set(Fault::Refuse);
         pair.other_listener.set(Fault::Refuse);
         endpoint.notices().set_leaving(true);
-        assert_eq!(RawClient::ask(first.client, "once", "a1", "").await?.status, 200);
-        let left = async || Ok(metric(other.metrics, "endpoints").await? == 0);
-        until("the other instance knows", left).await?;
-        assert_eq!(RawClient::ask(other.client, "once", "a2", "").await?.status, 503);
+        let (first, other) = (pair.first.addresses().client, pair.other.addresses().client);
+        assert_eq!(RawClient::ask(first, "once", "a1", "").await?.status, 200);
+        until_all_have([&pair.other], "endpoints", 0).await?;
+        assert_eq!(RawClient::ask(other, "once", "a2", "").await?.status, 503);
         assert_eq!(endpoint.seen().len(), 1);
         Ok(())
     });
--- a/tests/suite/relay/limits.rs
+++ b/tests/suite/relay/limits.rs
@@ -8,38 +8,28 @@
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, find_limit_violation,
 };
-use nutmeggrade_relay::{Instance, LogBuffer};
+use nutmeggrade_relay::Instance;
 use nutmeggrade_wire::names;
 use nutmeggrade_wire::notice::{LimitNotice, Notice};
 use tokio::time::{Instant, sleep};
 
 use super::ask;
-use super::fleet::start_pair;
-use super::site::{Site, metric, settings, start_instance};
-use crate::support::{run, until};
+use super::members::{start_member, start_pair, until_all_have};
+use super::site::{Site, start_instance};
+use crate::support::run;
 
 const INSTANCES: usize = 3;
 /// Longer than the time after which a limit is checked and the window of the check together.
 const TRAFFIC: Duration = Duration::from_secs(8);
 
-/// Starts instances that exchange heartbeats, on one loopback address each.
+/// Starts instances and waits until each hears all others.
 async fn start_instances(store: &Store) -> anyhow::Result<Vec<Instance>> {
     let listener = store.open_listener().await?;
-    let first = start_instance("i-0", &listener, "").await?;
-    let (beacon, control) = (first.addresses().beacon, first.addresses().control);
-    let mut instances = vec![first];
-    for n in 1..INSTANCES {
-        let own = format!("127.0.0.{}:{}", n + 1, beacon.port());
-        let settings = settings(&format!("i-{n}"), &listener, &control.to_string(), &own)?;
-        instances.push(Instance::start(&settings, &LogBuffer::new(), 1).await?);
-    }
-    for instance in &instances {
-        let metrics = instance.addresses().metrics;
-        until("all instances are heard", async || {
-            Ok(metric(metrics, "peers").await? == INSTANCES as u64 - 1)
-        })
-        .await?;
+    let mut instances = vec![start_instance("i-1", &listener, "").await?];
+    for number in 2..=INSTANCES {
+        instances.push(start_member(&instances[0], number, &listener).await?);
     }
+    until_all_have(&instances, "peers", INSTANCES as u64 - 1).await?;
     Ok(instances)
 }
 
@@ -86,11 +76,7 @@
             let entry = Entry::new("desk", endpoint.address);
             store.put("servers", endpoint.id(), entry.content());
         }
-        for instance in &instances {
-            let metrics = instance.addresses().metrics;
-            let listed = async || Ok(metric(metrics, "endpoints").await? == 2);
-            until("both endpoints are listed", listed).await?;
-        }
+        until_all_have(&instances, "endpoints", 2).await?;
         let clients = instances.iter().enumerate().flat_map(|(n, instance)| {
             ["once", "read"].map(|route| send_requests(n, instance, route, TRAFFIC))
         });
@@ -137,24 +123,15 @@
 fn limit_and_its_end_are_told_to_peers() {
     run(async {
         let pair = start_pair().await?;
-        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
-        pair.store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
-        let (first, other) = (pair.first.addresses(), pair.other.addresses());
-        for metrics in [first.metrics, other.metrics] {
-            let listed = async || Ok(metric(metrics, "endpoints").await? == 1);
-            until("the endpoint is listed", listed).await?;
-        }
-        let limited = |metrics, count| async move {
-            let holds = async || Ok(metric(metrics, "limited_endpoints").await? == count);
-            until("the other instance knows", holds).await
-        };
+        let endpoint = pair.add_endpoint("desk", Behaviour::Answer).await?;
+        let first = pair.first.addresses().client;
         endpoint.notices().set_limit(Some(50.0));
-        assert_eq!(RawClient::ask(first.client, "once", "a1", "").await?.status, 200);
-        limited(other.metrics, 1).await?;
+        assert_eq!(RawClient::ask(first, "once", "a1", "").await?.status, 200);
+        until_all_have([&pair.other], "limited_endpoints", 1).await?;
         endpoint.notices().set_limit(None);
         sleep(Duration::from_millis(1_100)).await;
-        assert_eq!(RawClient::ask(first.client, "once", "a2", "").await?.status, 200);
-        limited(other.metrics, 0).await
+        assert_eq!(RawClient::ask(first, "once", "a2", "").await?.status, 200);
+        until_all_have([&pair.other], "limited_endpoints", 0).await
     });
 }
 
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -3,12 +3,25 @@
 use std::time::Duration;
 
 use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan, request};
+use nutmeggrade_relay::Instance;
+use tokio::task::JoinHandle;
 
 use super::PROMPT_HEADERS;
 use super::site::{Site, get_answer};
 use super::streams::events;
 use crate::support::{run, until};
 
+/// Begins to stop an instance and waits until it is not ready any more.
+async fn begin_stop(instance: Instance) -> anyhow::Result<JoinHandle<()>> {
+    let ready = instance.addresses().ready;
+    let stopping = tokio::spawn(instance.stop());
+    until("the instance is not ready", async || {
+        Ok(get_answer(ready, "/nutmeggrade/readiness").await?.0 == 503)
+    })
+    .await?;
+    Ok(stopping)
+}
+
 // An instance is stopped while a stream runs and while clients still use its address. The stream
 // completes, and new requests get an answer that closes the connection, so that clients go
 // elsewhere next time.
@@ -24,11 +37,7 @@
         let mut stream = RawClient::connect(addresses.client).await?;
         stream.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
         until("the stream runs", async || Ok(engine.runs("a1") == 1)).await?;
-        let stopping = tokio::spawn(site.instance.stop());
-        until("the instance is not ready", async || {
-            Ok(get_answer(addresses.ready, "/nutmeggrade/readiness").await?.0 == 503)
-        })
-        .await?;
+        let stopping = begin_stop(site.instance).await?;
         let late = RawClient::ask(addresses.client, "once", "a2", "").await?;
         // The target latency of the route is five seconds and the grace period four, so the request
         // might not finish in time.
@@ -52,11 +61,7 @@
         let engine =
             site.add_endpoint("writers", "e-1", Behaviour::Stream { events: 9, pause }).await?;
         let address = site.instance.addresses();
-        let stopping = tokio::spawn(site.instance.stop());
-        until("the instance is not ready", async || {
-            Ok(get_answer(address.ready, "/nutmeggrade/readiness").await?.0 == 503)
-        })
-        .await?;
+        let stopping = begin_stop(site.instance).await?;
         let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,4000\r\n";
         let answer = RawClient::ask(address.client, "draft", "a1", long).await?;
         assert_eq!(answer.status, 503);
@@ -77,11 +82,7 @@
         let engine =
             site.add_endpoint("writers", "e-1", Behaviour::Stream { events: 9, pause }).await?;
         let address = site.instance.addresses();
-        let stopping = tokio::spawn(site.instance.stop());
-        until("the instance is not ready", async || {
-            Ok(get_answer(address.ready, "/nutmeggrade/readiness").await?.0 == 503)
-        })
-        .await?;
+        let stopping = begin_stop(site.instance).await?;
         let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,4000\r\n\
              X-Nutmeggrade-Length-Hint: 10\r\n";
         assert_eq!(RawClient::ask(address.client, "draft", "a1", long).await?.status, 503);
--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -3,7 +3,7 @@
 use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, Generations, RoutingPlan, Store};
 use nutmeggrade_relay::Instance;
 
-use super::fleet::{Pair, start_pair};
+use super::members::{Pair, start_pair};
 use super::site::{Site, get, metric, start_instance};
 use crate::support::{run, until};
 
