Drop state that the stand-ins could derive, and share what their checks repeat

A copy of a generation keeps the length alone (its events were read by nobody), the stated limit is the last change, faults of a link are no longer recorded twice, and the simulated judge holds the moment at which it began. The three checks of notices take the same excuse, for a period, and share the half second. What they check is the same. random::rollouts, relay:: and soak::, 145 tests, passed.

--- a/crates/nutmeggrade-fakes/src/rollout/instance.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/instance.rs
@@ -41,8 +41,8 @@
     /// Time of the last heartbeat from each peer since the last start.
     pub last_heard: Vec<Option<Moment>>,
     service: ServiceId,
-    judge: Option<Judge>,
-    judge_since: Option<Moment>,
+    /// The judge, and when this instance became responsible.
+    judge: Option<(Judge, Moment)>,
     last_report: Option<LastReport>,
 }
 
@@ -60,7 +60,6 @@
             last_heard: vec![None; instances],
             service: service.clone(),
             judge: None,
-            judge_since: None,
             last_report: None,
         })
     }
@@ -74,7 +73,6 @@
         self.running = 0;
         self.last_heard.fill(None);
         self.judge = None;
-        self.judge_since = None;
         self.last_report = None;
     }
 
@@ -118,7 +116,7 @@
         plan: &Plan,
         now: Moment,
     ) -> Option<RolloutNotice> {
-        let since = *self.judge_since.get_or_insert(now);
+        let (judge, since) = self.judge.get_or_insert_with(|| (Judge::new(plan.bound), now));
         let view = self.table.view(&self.service, now).filter(|v| !v.phase.is_over())?;
         let heard_within = |timeout| {
             let is_alive = move |at: &Option<Moment>| at.is_some_and(|at| now.since(at) <= timeout);
@@ -131,8 +129,9 @@
             own: 0,
             is_movable: plan.is_stream,
         };
-        let is_counted =
-            |at: &Option<Moment>| at.is_some_and(|at| at >= since && now.since(at) <= PEER_TIMEOUT);
+        let is_counted = |at: &Option<Moment>| {
+            at.is_some_and(|at| at >= *since && now.since(at) <= PEER_TIMEOUT)
+        };
         let heard = 1 + self.last_heard.iter().filter(|at| is_counted(at)).count();
         let service_load =
             ServiceLoad::new(&self.registry, (&self.service, &view.id.version), load, now);
@@ -146,7 +145,6 @@
             has_quorum: heard * 2 > 1 + members.len(),
             is_clear: self.table.is_clear(&self.service, self.running, members.into_iter()),
         };
-        let judge = self.judge.get_or_insert_with(|| Judge::new(plan.bound));
         let ruling = judge.decide(&inputs);
         self.table.apply_decision(&self.service, &ruling, now)
     }
@@ -154,7 +152,6 @@
     /// Drops the judge state, because another instance is the judge.
     pub fn stop_judging(&mut self) {
         self.judge = None;
-        self.judge_since = None;
         self.table.stop_granting();
     }
 
--- a/crates/nutmeggrade-fakes/src/site/backoff_check.rs
+++ b/crates/nutmeggrade-fakes/src/site/backoff_check.rs
@@ -1,13 +1,10 @@
 //! Checks that instances leave an endpoint alone that asked them to.
 
-use std::time::Duration;
-
 use tokio::time::Instant;
 
 use super::endpoint::Endpoint;
+use super::notices::NOTICE_TIME;
 
-/// Time after a rejection until its instance must have stopped.
-const NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Requests that may still arrive from the instance in the rest of the time.
 const MAX_REQUESTS: usize = 2;
 
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::behaviour::Behaviour;
-use super::generation::{GenerationCopy, Generations};
+use super::generation::Generations;
 use super::message::Message;
 use super::notices::Notices;
 use super::received_request::ReceivedRequest;
@@ -215,9 +215,7 @@
         let is_copy_missing = matches!(copy, Some(None));
         // A continued generation keeps its length, and goes on at the speed of this engine.
         let behaviour = match (behaviour, copy.flatten()) {
-            (Behaviour::Stream { pause, .. }, Some(copy)) => {
-                Behaviour::Stream { events: copy.length, pause }
-            }
+            (Behaviour::Stream { pause, .. }, Some(events)) => Behaviour::Stream { events, pause },
             (behaviour, _) => behaviour,
         };
         let ran = !is_misdirected
@@ -236,7 +234,7 @@
         self.respond(stream, &id, position, behaviour).await
     }
 
-    fn claim_copy(&self, source: &str) -> Option<GenerationCopy> {
+    fn claim_copy(&self, source: &str) -> Option<u64> {
         let (source, handle) = source.split_once('/')?;
         self.generations.claim_copy(source.parse().ok()?, handle)
     }
--- a/crates/nutmeggrade-fakes/src/site/generation.rs
+++ b/crates/nutmeggrade-fakes/src/site/generation.rs
@@ -18,20 +18,12 @@
     pub stop: watch::Sender<bool>,
 }
 
-/// A copy of a generation's cache.
-#[derive(Debug, Clone, Copy)]
-pub struct GenerationCopy {
-    /// Number of events generated before the copy.
-    pub events: u64,
-    /// Number of events in the complete stream.
-    pub length: u64,
-}
-
 /// The running generations and copies of one test, shared by its engines.
 #[derive(Debug, Clone, Default)]
 pub struct Generations {
     running: Arc<Mutex<BTreeMap<(SocketAddr, String), RunningGeneration>>>,
-    copies: Arc<Mutex<BTreeMap<(SocketAddr, String), GenerationCopy>>>,
+    /// Length of the generation that was copied.
+    copies: Arc<Mutex<BTreeMap<(SocketAddr, String), u64>>>,
     first_copies: Arc<Mutex<CopyCounts>>,
 }
 
@@ -74,8 +66,7 @@
         if is_final {
             running.stop.send_replace(true);
         }
-        let copy = GenerationCopy { events: running.events, length: running.length };
-        lock(&self.copies).insert((engine, id.to_owned()), copy);
+        lock(&self.copies).insert((engine, id.to_owned()), running.length);
         Some(running.events)
     }
 
@@ -97,8 +88,8 @@
         lock(&self.first_copies).max
     }
 
-    /// Removes a copy and returns it; each copy can be claimed once.
-    pub fn claim_copy(&self, source: SocketAddr, handle: &str) -> Option<GenerationCopy> {
+    /// Removes a copy and returns the length of its generation; each copy can be claimed once.
+    pub fn claim_copy(&self, source: SocketAddr, handle: &str) -> Option<u64> {
         lock(&self.copies).remove(&(source, handle.to_owned()))
     }
 }
--- a/crates/nutmeggrade-fakes/src/site/limit_check.rs
+++ b/crates/nutmeggrade-fakes/src/site/limit_check.rs
@@ -6,11 +6,10 @@
 use tokio::time::Instant;
 
 use super::endpoint::Endpoint;
+use super::notices::NOTICE_TIME;
 
 /// Time after an endpoint first stated a limit from which on the limit is checked.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Time after an instance has passed on a response with the limit from which on its requests count.
-const NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Window over which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Factor by which the limit may be exceeded.
@@ -53,13 +52,14 @@
 /// Checks an endpoint's rate limit over all instances; describes the first violation.
 ///
 /// `instance_of` returns the instance that a client sent a request to, and `is_excused` whether that
-/// instance was restarted, frozen or cut off shortly before a moment.
+/// instance was restarted, frozen or cut off in a period.
 pub fn find_limit_violation(
     endpoint: &Endpoint,
     instance_of: impl Fn(&str) -> Option<usize>,
-    is_excused: impl Fn(usize, Instant) -> bool,
+    is_excused: impl Fn(usize, Instant, Instant) -> bool,
 ) -> Option<String> {
     let notices = endpoint.notices().clone();
+    let received = endpoint.seen();
     let periods = periods(notices.limit_changes());
     let checked_from = periods.first()?.start() + CONTACT_TIME;
     for period in &periods {
@@ -71,9 +71,9 @@
         }
         let counts = |id: &str, at: Instant| {
             let Some(instance) = instance_of(id) else { return true };
-            told.get(&instance).is_some_and(|t| *t + NOTICE_TIME <= at) && !is_excused(instance, at)
+            told.get(&instance).is_some_and(|t| *t + NOTICE_TIME <= at)
+                && !is_excused(instance, at - WINDOW, at)
         };
-        let received = endpoint.seen();
         let requests = received.iter().filter(|r| counts(r.id(), r.at)).map(|r| r.at);
         let mut arrivals: Vec<Instant> = requests
             .chain(notices.status_checks().iter().copied())
--- a/crates/nutmeggrade-fakes/src/site/notices.rs
+++ b/crates/nutmeggrade-fakes/src/site/notices.rs
@@ -4,6 +4,9 @@
 
 use tokio::time::Instant;
 
+/// Time after a response that asks something of an instance until the instance must keep to it.
+pub const NOTICE_TIME: Duration = Duration::from_millis(500);
+
 /// A response that asked something of the caller.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NoticedResponse {
@@ -22,7 +25,6 @@
 /// What an endpoint asks of its callers in its responses, with a record of those responses.
 #[derive(Debug, Clone, Default)]
 pub struct Notices {
-    limit: Option<f64>,
     limit_changes: Vec<(Instant, Option<f64>)>,
     backoff: Option<Duration>,
     leaving: bool,
@@ -33,7 +35,6 @@
 impl Notices {
     /// Sets the rate limit that responses state from now on, in requests per second.
     pub fn set_limit(&mut self, limit: Option<f64>) {
-        self.limit = limit;
         self.limit_changes.push((Instant::now(), limit));
     }
 
@@ -78,7 +79,8 @@
     }
 
     fn headers_with(&mut self, id: &str, backoff: Option<Duration>) -> String {
-        let (limit, leaving) = (self.limit, self.leaving);
+        let limit = self.limit_changes.last().and_then(|(_, limit)| *limit);
+        let leaving = self.leaving;
         if limit.is_some() || backoff.is_some() || leaving {
             let (id, at) = (id.to_owned(), Instant::now());
             self.responses.push(NoticedResponse { id, at, limit, backoff, leaving });
--- a/crates/nutmeggrade-fakes/src/soak/checker/notices.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker/notices.rs
@@ -1,15 +1,12 @@
 //! Checks of what endpoints ask of their callers.
 
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
 use super::{Checker, SETTLE_TIME};
 use crate::site::{find_backoff_violation, find_leaving_violation, find_limit_violation};
 use crate::soak::endpoints::Incarnation;
 use crate::soak::records::DisturbanceKind;
 
-/// Window over which an endpoint's rate is counted; a disturbance in it excuses an instance.
-const RATE_WINDOW: Duration = Duration::from_secs(4);
-
 impl Checker<'_> {
     /// Checks that endpoints that limit their rates, asked for pauses or said that they leave were
     /// left alone.
@@ -17,9 +14,11 @@
         let mut violations = Vec::new();
         for incarnation in self.incarnations {
             let instance_of = |id: &str| self.requests.get(id).map(|r| r.instance);
-            violations.extend(find_limit_violation(&incarnation.endpoint, instance_of, |n, at| {
-                self.is_excused(incarnation, n, at - RATE_WINDOW - SETTLE_TIME, at)
-            }));
+            violations.extend(find_limit_violation(
+                &incarnation.endpoint,
+                instance_of,
+                |n, start, end| self.is_excused(incarnation, n, start - SETTLE_TIME, end),
+            ));
             violations.extend(find_backoff_violation(
                 &incarnation.endpoint,
                 instance_of,
--- a/crates/nutmeggrade-fakes/src/soak/endpoints.rs
+++ b/crates/nutmeggrade-fakes/src/soak/endpoints.rs
@@ -32,16 +32,16 @@
     pub left_at: Option<Instant>,
     /// When its cold start ends, if it has one.
     pub cold_until: Option<Instant>,
-    /// Periods in which it or its link was faulty.
+    /// Periods in which it was faulty.
     pub faults: Vec<(Instant, Instant)>,
-    /// Those of them in which its link was faulty.
+    /// Periods in which its link was faulty.
     pub link_faults: Vec<(Instant, Instant)>,
 }
 
 impl Incarnation {
     /// Returns whether the endpoint and its link had no fault in a period.
     pub fn is_healthy(&self, start: Instant, end: Instant) -> bool {
-        !overlaps(&self.faults, start, end)
+        !overlaps(&self.faults, start, end) && !self.had_link_fault(start, end)
     }
 
     /// Returns whether the endpoint's link had a fault in a period.
@@ -103,7 +103,6 @@
             let slots = lock(&self.slots);
             (slots[slot].incarnation, Arc::clone(&slots[slot].relay))
         };
-        self.add_fault(incarnation, time);
         let now = Instant::now();
         lock(&self.incarnations)[incarnation].link_faults.push((now, now + time));
         relay.set(link);
@@ -156,7 +155,7 @@
     ) -> anyhow::Result<()> {
         let Some(incarnation) = self.claim_slot(slot) else { return Ok(()) };
         let (id, entry) = self.entry(slot);
-        let endpoint = lock(&self.incarnations)[incarnation].endpoint.clone();
+        let endpoint = self.endpoint(slot);
         if is_announced {
             endpoint.notices().set_leaving(true);
             endpoint.announce_leave(leave_delay);
@@ -176,7 +175,7 @@
     pub async fn crash(&self, slot: usize, keeps_id: bool) -> anyhow::Result<()> {
         let Some(incarnation) = self.claim_slot(slot) else { return Ok(()) };
         let (id, _) = self.entry(slot);
-        let endpoint = lock(&self.incarnations)[incarnation].endpoint.clone();
+        let endpoint = self.endpoint(slot);
         self.terminate(incarnation, &endpoint);
         sleep(ENTRY_EXPIRY).await;
         if !keeps_id {
--- a/tests/suite/relay/limits.rs
+++ b/tests/suite/relay/limits.rs
@@ -82,7 +82,7 @@
         });
         let statuses: Vec<Vec<u16>> =
             join_all(clients).await.into_iter().collect::<Result<_, _>>()?;
-        let violation = find_limit_violation(&limited, instance_of, |_, _| false);
+        let violation = find_limit_violation(&limited, instance_of, |_, _, _| false);
         assert_eq!(violation, None);
         // The limit is used, and the other endpoint serves the rest.
         assert!(limited.seen().len() >= 12, "{}", limited.seen().len());
