Look up an endpoint and its rate share under one lock, and settle turns once

The rule that an instance sends nothing to a limited endpoint in its first two seconds stood in two forms; both callers now use one function, and FleetView::is_settled goes. Decisions are the same, but for a second turn that may come up to 100 ms later just after those two seconds. relay:: passed.

--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -4,7 +4,6 @@
 
 use nutmeggrade_core::peer::{EndpointUpdateBatch, FleetMessage, FleetOutcomes};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::registry::{Change, Registry};
 use nutmeggrade_wire::kinds::Kind;
@@ -19,11 +18,6 @@
 const MAX_NAMES_PER_DATAGRAM: usize = 128;
 
 impl Node {
-    /// Returns the entry of a registered endpoint.
-    pub fn endpoint(&self, id: &EndpointId) -> Option<EndpointInfo> {
-        lock(&self.tables).registry.get(id).map(|e| e.info.clone())
-    }
-
     /// Changes the registry, logs the changes and refreshes what depends on them; returns the
     /// endpoints that left.
     pub fn change_registry(
--- a/crates/nutmeggrade-relay/src/relay/reservation.rs
+++ b/crates/nutmeggrade-relay/src/relay/reservation.rs
@@ -120,11 +120,14 @@
 /// Claims the room that is booked under a ticket; `None` if the endpoint was removed in the
 /// meantime.
 pub fn claim(node: &Arc<Node>, ticket: Ticket, id: &EndpointId) -> Option<Reservation> {
-    let Some(endpoint) = node.endpoint(id) else {
-        lock(&node.tables).dispatcher.load_table.end(ticket);
-        return None;
+    let (endpoint, has_turn) = {
+        let tables = &mut *lock(&node.tables);
+        let Some(entry) = tables.registry.get(id) else {
+            tables.dispatcher.load_table.end(ticket);
+            return None;
+        };
+        (entry.info.clone(), tables.rate_shares.contains_key(id))
     };
     node.placed.notify_one();
-    let has_turn = lock(&node.tables).rate_shares.contains_key(id);
     Some(Reservation { node: Arc::clone(node), ticket, endpoint, has_turn })
 }
--- a/crates/nutmeggrade-relay/src/tables/turns.rs
+++ b/crates/nutmeggrade-relay/src/tables/turns.rs
@@ -5,7 +5,7 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_policy::dispatch::Backoff;
-use nutmeggrade_policy::fleet::Turn;
+use nutmeggrade_policy::fleet::{RateShare, Turn};
 use nutmeggrade_state::fleet_view::FleetView;
 
 use super::Tables;
@@ -37,9 +37,8 @@
 
     /// Takes a turn at an endpoint that limits its rate; returns whether there was one, or no limit.
     pub fn take_turn(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
-        let is_settled = self.fleet.is_settled(now);
         let Some(share) = self.rate_shares.get_mut(endpoint) else { return true };
-        let is_open = is_settled && share.turn().is_open(now);
+        let is_open = settled_turn(share).is_open(now);
         if is_open {
             share.record_sent(now);
         }
@@ -89,11 +88,14 @@
         let backoff = self.backoffs.get(endpoint).map(Backoff::turn);
         let Some(share) = self.rate_shares.get_mut(endpoint) else { return backoff };
         share.divide(self.fleet.rank(endpoint, now), self.fleet.instance_count(now), now);
-        let mut turn = share.turn();
-        // Until it has heard from its peers, an instance can't know how many share the limit.
-        if !self.fleet.is_settled(now) {
-            turn.next = turn.next.max(FleetView::SETTLED);
-        }
+        let turn = settled_turn(share);
         Some(backoff.map_or(turn, |b| turn.and(b)))
     }
 }
+
+/// Returns the next turn in a share. Until it has heard from its peers, an instance can't know how
+/// many share the limit.
+fn settled_turn(share: &RateShare) -> Turn {
+    let turn = share.turn();
+    Turn { next: turn.next.max(FleetView::SETTLED), ..turn }
+}
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -338,11 +338,6 @@
     /// The moment from which on this instance knows its peers, from their heartbeats.
     pub const SETTLED: Moment = Moment::new(STARTUP_PERIOD);
 
-    /// Returns whether this instance knows its peers.
-    pub fn is_settled(&self, now: Moment) -> bool {
-        now >= Self::SETTLED
-    }
-
     /// Lists the contacts that were recently heard from or announced.
     fn known_contacts(&self, now: Moment) -> impl Iterator<Item = &Contact> {
         let member_timeout = self.member_timeout();
