Share the text of ids between their copies

Each id was a string of its own, and so was each copy. A shared text costs a counter. The form on the wire stays.

No test: what it saves is in the account of the fleet (docs/design/fleet.md).

--- a/crates/nutmeggrade-core/src/id/name.rs
+++ b/crates/nutmeggrade-core/src/id/name.rs
@@ -4,8 +4,9 @@
 //! labels without escaping.
 
 use std::fmt;
+use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 /// Maximum length of an id, in bytes.
 pub const MAX_ID_BYTES: usize = 128;
@@ -36,15 +37,15 @@
 macro_rules! name_id {
     ($(#[$doc:meta] $name:ident),* $(,)?) => {$(
         #[$doc]
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $name(String);
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
+        #[serde(try_from = "String")]
+        pub struct $name(Arc<str>);
 
         impl $name {
             /// Creates an id, or returns an error if the text is not valid.
             pub fn new(text: &str) -> Result<Self, ParseIdError> {
                 validate(text)?;
-                Ok(Self(text.to_owned()))
+                Ok(Self(text.into()))
             }
 
             /// Returns the id as text.
@@ -64,13 +65,19 @@
 
             fn try_from(text: String) -> Result<Self, ParseIdError> {
                 validate(&text)?;
-                Ok(Self(text))
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
             }
         }
 
         impl From<$name> for String {
             fn from(id: $name) -> Self {
-                id.0
+                Self::from(&*id.0)
             }
         }
     )*};
