Place requests by comparing a sample of the endpoints

Load: a service of thousands of endpoints, idle, nearly full and full.

Cause: each placement compared all endpoints of its service, three table lookups each. The work grows with the fleet while the requests of an instance do not: at 9,066 engines it is milliseconds of an instance that has an eighth of a core. While requests wait it was done again for the first request of each workspace, 333 of them, at every request that ends and ten times a second.

Change: pools of up to 128 endpoints are compared as before. In larger ones 48 endpoints of the own failure domain (for a copy, of its source's) and 16 of others are drawn; if none has room, 128 of all. A waiting request that needs as much as one that just found no room is not compared again.

Why it works: the chance that a sample misses the free endpoints depends on their share, not their number: with a tenth free, 0.9^192. With 4 placements an engine, 40 instances that hear of each other leave none above 6 and fewer than 1 in 50 idle, measured in the test.

Tests: policy::large_pools, at 1,000, 10,000 and 20,000 endpoints at most 200 compared, room found where a tenth is free, balance, a full fleet with 300 workspaces waiting. They use a count that this commit adds; before it every decision compared the whole pool by construction.

--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -2,6 +2,8 @@
 
 mod backoff;
 mod candidate;
+mod candidate_pool;
+mod comparison;
 mod dispatch_request;
 mod dispatcher;
 mod failure_rate;
@@ -9,9 +11,11 @@
 mod lane_key;
 mod load_table;
 mod room;
+mod service_pools;
 
 pub use backoff::Backoff;
 pub use candidate::Candidate;
+pub use candidate_pool::CandidatePool;
 pub use dispatch_request::DispatchRequest;
 pub use dispatcher::{DispatchDecision, Dispatcher};
 pub use failure_rate::FailureRate;
@@ -19,3 +23,4 @@
 pub use load_table::{LoadChanges, LoadTable};
 pub use nutmeggrade_core::routing::PlacedLoad;
 pub use room::{failure_rate_penalty, fits, score};
+pub use service_pools::ServicePools;
--- /dev/null
+++ b/crates/nutmeggrade-policy/src/dispatch/comparison.rs
@@ -0,0 +1,80 @@
+//! Comparison of the endpoints that may run a request.
+
+use nutmeggrade_core::prelude::*;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Candidate, DispatchRequest, LoadTable, failure_rate_penalty, fits, score};
+
+/// Upper bound of the random part of an endpoint's score. It keeps instances that see the same load
+/// from all choosing the same endpoint between two heartbeats.
+const MAX_RANDOM_PENALTY: f64 = 0.04;
+/// Score penalty of an endpoint in another failure domain, as a fraction of an endpoint's capacity.
+/// Traffic between domains costs more and takes a millisecond longer, which must not outweigh real
+/// load.
+const CROSS_DOMAIN_PENALTY: f64 = 0.15;
+/// The same for a copy of a generation's memory, which takes twice as long between domains while
+/// the engine that it comes from is about to leave.
+const CROSS_DOMAIN_COPY_PENALTY: f64 = 0.35;
+/// Compares endpoints for one request.
+#[derive(Debug)]
+pub struct Comparison<'a> {
+    /// Load of each endpoint.
+    pub load_table: &'a LoadTable,
+    /// Failure domain of this instance.
+    pub domain: &'a DomainId,
+    /// The request.
+    pub request: &'a DispatchRequest,
+    /// The current time.
+    pub now: Moment,
+}
+
+impl Comparison<'_> {
+    /// Returns the endpoint with the least score among those that have room.
+    pub fn best<'c>(
+        &self,
+        candidates: Vec<&'c Candidate>,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<&'c Candidate> {
+        let is_available =
+            |c: &&Candidate| !self.load_table.health(&c.id).is_some_and(|h| h.is_paused(self.now));
+        let mut open = candidates;
+        open.retain(|c| !self.request.avoid.contains(&c.id));
+        let usable: Vec<&Candidate> = open.iter().copied().filter(is_available).collect();
+        // A paused endpoint is better than none.
+        let usable = if usable.is_empty() { open } else { usable };
+        // The least failure rate of all endpoints is taken as caused by the requests, not by an
+        // endpoint.
+        let base_rate = usable.iter().map(|c| self.failure_rate(c)).fold(1.0, f64::min);
+        let mut best: Option<(f64, &Candidate)> = None;
+        for candidate in usable {
+            let placed = self.load_table.load(&candidate.id);
+            if !fits(candidate, &placed, self.request, self.now) {
+                continue;
+            }
+            let health = self.load_table.health(&candidate.id);
+            let recent_failures = health.map_or(0.0, |h| h.recent_failures(self.now));
+            let failure_penalty = failure_rate_penalty(self.failure_rate(candidate) - base_rate);
+            let total = score(candidate, &placed, recent_failures)
+                + failure_penalty
+                + self.domain_penalty(candidate)
+                + rng.random_range(0.0..MAX_RANDOM_PENALTY);
+            if best.is_none_or(|(least, _)| total < least) {
+                best = Some((total, candidate));
+            }
+        }
+        best.map(|(_, candidate)| candidate)
+    }
+
+    fn failure_rate(&self, candidate: &Candidate) -> f64 {
+        self.load_table.health(&candidate.id).map_or(0.0, |h| h.failure_rate(self.now))
+    }
+
+    fn domain_penalty(&self, candidate: &Candidate) -> f64 {
+        match &self.request.from {
+            Some(from) if *from != candidate.domain => CROSS_DOMAIN_COPY_PENALTY,
+            None if *self.domain != candidate.domain => CROSS_DOMAIN_PENALTY,
+            _ => 0.0,
+        }
+    }
+}
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -4,26 +4,17 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::comparison::Comparison;
 use super::lane_key::LaneKey;
-use super::{Candidate, DispatchRequest, LoadTable, PlacedLoad, failure_rate_penalty, fits, score};
+use super::{Candidate, CandidatePool, DispatchRequest, LoadTable, PlacedLoad, ServicePools};
 use crate::fleet::Turn;
 use crate::queue::Lane;
 use crate::wait_estimate::WaitEstimate;
 use crate::{RetryJitter, Ticket};
 
-/// Upper bound of the random part of an endpoint's score. It keeps instances that see the same load
-/// from all choosing the same endpoint between two heartbeats.
-const MAX_RANDOM_PENALTY: f64 = 0.04;
-/// Score penalty of an endpoint in another failure domain, as a fraction of an endpoint's capacity.
-/// Traffic between domains costs more and takes a millisecond longer, which must not outweigh real
-/// load.
-const CROSS_DOMAIN_PENALTY: f64 = 0.15;
-/// The same for a copy of a generation's memory, which takes twice as long between domains while
-/// the engine that it comes from is about to leave.
-const CROSS_DOMAIN_COPY_PENALTY: f64 = 0.35;
 /// Retry delay for refused requests while no wait estimate exists.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Longest retry delay; a client with less time left would not retry.
@@ -54,7 +45,9 @@
     /// Load of each endpoint from this instance and its peers.
     pub load_table: LoadTable,
     domain: DomainId,
-    candidates: BTreeMap<ServiceId, Vec<Candidate>>,
+    pools: ServicePools,
+    /// Endpoints that were compared since the count was last taken.
+    compared: u64,
     lanes: BTreeMap<LaneKey, Lane<DispatchRequest>>,
     wait_estimates: BTreeMap<LaneKey, WaitEstimate>,
     jitter: RetryJitter,
@@ -67,7 +60,8 @@
         Self {
             load_table: LoadTable::new(),
             domain: domain.clone(),
-            candidates: BTreeMap::new(),
+            pools: ServicePools::new(),
+            compared: 0,
             lanes: BTreeMap::new(),
             wait_estimates: BTreeMap::new(),
             jitter: RetryJitter::new(seed),
@@ -77,7 +71,28 @@
 
     /// Replaces the endpoints of all services.
     pub fn set_candidates(&mut self, candidates: BTreeMap<ServiceId, Vec<Candidate>>) {
-        self.candidates = candidates;
+        self.pools.replace(candidates);
+    }
+
+    /// Adds an endpoint of a service, or replaces its entry. It serves no other service any longer.
+    pub fn put_candidate(&mut self, service: &ServiceId, candidate: Candidate) {
+        self.pools.remove(&candidate.id, Some(service));
+        self.pools.put(service, candidate);
+    }
+
+    /// Removes an endpoint.
+    pub fn remove_candidate(&mut self, id: &EndpointId) {
+        self.pools.remove(id, None);
+    }
+
+    /// Returns the number of endpoints that may get new work.
+    pub fn candidate_count(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Returns how many endpoints were compared since the last call, in all decisions together.
+    pub const fn take_compared(&mut self) -> u64 {
+        std::mem::replace(&mut self.compared, 0)
     }
 
     /// Decides about a new request, which may wait for at most `patience`.
@@ -179,8 +194,7 @@
         let placed =
             PlacedLoad { requests: 1, memory: request.memory, reading: request.prompt, moving: 0 };
         self.load_table.place(request.ticket, endpoint, placed);
-        let endpoints = self.candidates.get_mut(&request.service).into_iter().flatten();
-        for candidate in endpoints.filter(|c| c.id == *endpoint) {
+        if let Some(candidate) = self.pools.get_mut(&request.service, endpoint) {
             candidate.cold_left = candidate.cold_left.map(|left| left.saturating_sub(1));
             if let Some(turn) = &mut candidate.turn {
                 turn.take(now);
@@ -211,11 +225,10 @@
     /// Lists the endpoints that could run the request if they had no other load.
     fn able<'a>(&'a self, request: &'a DispatchRequest) -> impl Iterator<Item = &'a Candidate> {
         let can_run = |c: &&Candidate| {
-            !c.is_canary
-                && !request.avoid.contains(&c.id)
-                && c.memory.is_none_or(|m| request.memory <= m)
+            !request.avoid.contains(&c.id) && c.memory.is_none_or(|m| request.memory <= m)
         };
-        self.candidates.get(&request.service).into_iter().flatten().filter(can_run)
+        let pool = self.pools.get(&request.service, false);
+        pool.into_iter().flat_map(CandidatePool::iter).filter(can_run)
     }
 
     /// Returns the time until the next turn at an endpoint that could run the request, and the turns
@@ -232,10 +245,19 @@
 
     fn take_next(&mut self, key: &LaneKey, now: Moment) -> Option<(DispatchRequest, EndpointId)> {
         let heads: Vec<DispatchRequest> = self.lanes.get(key)?.heads().cloned().collect();
-        heads.into_iter().find_map(|request| {
-            let endpoint = self.choose(&request, now)?;
-            Some((request, endpoint))
-        })
+        let mut rejected: Vec<DispatchRequest> = Vec::new();
+        for request in heads {
+            if rejected.iter().any(|smaller| needs_as_much(&request, smaller)) {
+                continue;
+            }
+            if let Some(endpoint) = self.choose(&request, now) {
+                return Some((request, endpoint));
+            }
+            if request.avoid.is_empty() {
+                rejected.push(request);
+            }
+        }
+        None
     }
 
     /// Selects among the endpoints of a new version if the request is selected for it. Otherwise,
@@ -251,46 +273,31 @@
         is_canary: bool,
         now: Moment,
     ) -> Option<EndpointId> {
-        let candidates = self.candidates.get(&request.service)?;
-        let is_available =
-            |c: &&Candidate| !self.load_table.health(&c.id).is_some_and(|h| h.is_paused(now));
-        let is_open = |c: &&Candidate| c.is_canary == is_canary && !request.avoid.contains(&c.id);
-        let open: Vec<&Candidate> = candidates.iter().filter(is_open).collect();
-        let usable: Vec<&Candidate> = open.iter().copied().filter(is_available).collect();
-        // A paused endpoint is better than none.
-        let usable = if usable.is_empty() { open } else { usable };
-        let failure_rate =
-            |c: &Candidate| self.load_table.health(&c.id).map_or(0.0, |h| h.failure_rate(now));
-        // The least failure rate of all endpoints is taken as caused by the requests, not by an
-        // endpoint.
-        let base_rate = usable.iter().map(|c| failure_rate(c)).fold(1.0, f64::min);
-        let mut best: Option<(f64, &Candidate)> = None;
-        for candidate in usable {
-            let placed = self.load_table.load(&candidate.id);
-            if !fits(candidate, &placed, request, now) {
-                continue;
-            }
-            let recent_failures =
-                self.load_table.health(&candidate.id).map_or(0.0, |h| h.recent_failures(now));
-            let random = self.rng.random_range(0.0..MAX_RANDOM_PENALTY);
-            let domain_penalty = match &request.from {
-                Some(from) if *from != candidate.domain => CROSS_DOMAIN_COPY_PENALTY,
-                None if self.domain != candidate.domain => CROSS_DOMAIN_PENALTY,
-                _ => 0.0,
-            };
-            let failure_penalty = failure_rate_penalty(failure_rate(candidate) - base_rate);
-            let total = score(candidate, &placed, recent_failures)
-                + failure_penalty
-                + domain_penalty
-                + random;
-            if best.is_none_or(|(least, _)| total < least) {
-                best = Some((total, candidate));
-            }
+        let pool = self.pools.get(&request.service, is_canary)?;
+        let sample = pool.sample(request.from.as_ref().unwrap_or(&self.domain), &mut self.rng);
+        self.compared += sample.len() as u64;
+        let comparison =
+            Comparison { load_table: &self.load_table, domain: &self.domain, request, now };
+        let best = comparison.best(sample, &mut self.rng);
+        if best.is_some() {
+            return best.map(|c| c.id.clone());
         }
-        best.map(|(_, candidate)| candidate.id.clone())
+        let sample = pool.wide_sample(&mut self.rng);
+        self.compared += sample.len() as u64;
+        comparison.best(sample, &mut self.rng).map(|c| c.id.clone())
     }
 }
 
+/// Returns whether a request finds no room where `smaller` found none. The requests of all workspaces
+/// wait for the same endpoints, and with hundreds of workspaces comparing these again for each took
+/// most of the time under load.
+fn needs_as_much(request: &DispatchRequest, smaller: &DispatchRequest) -> bool {
+    !request.is_canary
+        && request.avoid.is_empty()
+        && request.memory >= smaller.memory
+        && request.prompt >= smaller.prompt
+}
+
 /// Returns the time that a number of turns takes.
 fn turns_time(count: usize, per_second: f64) -> Duration {
     Duration::from_secs_f64((count as f64 / per_second).min(MAX_TURN_WAIT.as_secs_f64()))
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod gaps;
 mod lengths;
+mod large_pools;
 mod load_table;
 mod memory;
 mod patterns;
