Recompute only endpoints that changed when refreshing what may get work

Cause: ten times a second, and at each change of an endpoint, a limit or a pause, every instance built the list of all endpoints that may get work anew, and the registry looked at all of them for expired entries. With 10,001 endpoints that is some 100,000 entries a second at rest, and as many again for each batch of changes in a release.

Change: the registry keeps which endpoints changed and which are missing; a refresh recomputes those, the cold ones and those with a limit or a pause.

Metrics refreshed_endpoints_total and compared_endpoints_total show both costs to operators.

Left: while rules for versions are in force all endpoints are still recomputed (docs/CAPACITY.md).

--- a/crates/nutmeggrade-policy/src/dispatch/load_table.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_table.rs
@@ -190,6 +190,11 @@
         self.health.iter_mut().filter_map(unsent).collect()
     }
 
+    /// Removes the health of an endpoint that is gone.
+    pub fn remove_endpoint(&mut self, endpoint: &EndpointId) {
+        self.health.remove(endpoint);
+    }
+
     /// Removes the health of endpoints that are gone.
     pub fn retain_endpoints(&mut self, is_present: impl Fn(&EndpointId) -> bool) {
         self.health.retain(|endpoint, _| is_present(endpoint));
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -37,6 +37,10 @@
     pub config: IntGauge,
     /// Endpoints that may get new work.
     pub endpoints: IntGauge,
+    /// Endpoints for which it was recomputed whether they may get new work.
+    pub refreshed_endpoints: IntCounter,
+    /// Endpoints that were compared to place requests.
+    pub compared_endpoints: IntCounter,
     /// Responses in which an endpoint asked this instance to wait.
     pub backoffs: IntCounter,
     /// Endpoints that state a rate limit.
@@ -83,6 +87,14 @@
             connections: gauge("connections", "open connections of clients")?,
             config: gauge("config_version", "routing configuration in force")?,
             endpoints: gauge("endpoints", "endpoints that may get new work")?,
+            refreshed_endpoints: counter(
+                "refreshed_endpoints_total",
+                "endpoints for which it was recomputed whether they may get new work",
+            )?,
+            compared_endpoints: counter(
+                "compared_endpoints_total",
+                "endpoints that were compared to place requests",
+            )?,
             backoffs: counter("backoffs_total", "answers in which an endpoint asked for a pause")?,
             limited_endpoints: gauge("limited_endpoints", "endpoints that state a rate limit")?,
             peers: gauge("peers", "peers heard lately")?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -234,9 +234,11 @@
         let settings = self.settings();
         let now = self.now();
         let mut tables = lock(&self.tables);
-        tables.refresh(&map, &settings, now);
+        let refreshed = tables.refresh(&map, &settings, now);
         tables.release(now);
-        let usable = tables.registry.usable().count();
+        self.metrics.refreshed_endpoints.inc_by(refreshed as u64);
+        self.metrics.compared_endpoints.inc_by(tables.dispatcher.take_compared());
+        let usable = tables.dispatcher.candidate_count();
         self.metrics.endpoints.set(i64::try_from(usable).unwrap_or(i64::MAX));
         let limited = tables.rate_shares.len();
         self.metrics.limited_endpoints.set(i64::try_from(limited).unwrap_or(i64::MAX));
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -1,5 +1,6 @@
 //! State on which decisions depend, behind one lock.
 
+mod candidates;
 mod turns;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -8,18 +9,16 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
-use nutmeggrade_core::routing::{EndpointInfo, RouteMap, ServiceSpec};
+use nutmeggrade_core::routing::{EndpointInfo, RouteMap};
 use nutmeggrade_policy::Ticket;
-use nutmeggrade_policy::dispatch::{
-    Backoff, Candidate, DispatchDecision, DispatchRequest, Dispatcher,
-};
+use nutmeggrade_policy::dispatch::{Backoff, DispatchDecision, DispatchRequest, Dispatcher};
 use nutmeggrade_policy::fleet::{ColdShare, RateShare, ResendBudget};
 use nutmeggrade_policy::pace::Pace;
 use nutmeggrade_policy::rollout::canary_endpoints;
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
-use nutmeggrade_state::registry::{Registered, Registry};
-use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, ServiceLoad, VersionRole};
+use nutmeggrade_state::registry::Registry;
+use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, ServiceLoad};
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -57,6 +56,10 @@
     cold_shares: BTreeMap<EndpointId, ColdShare>,
     waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
 }
+    /// Endpoints that had a turn at the last refresh.
+    limited: BTreeSet<EndpointId>,
+    /// Version of the route map at the last refresh.
+    map_version: u64,
 
 impl Tables {
     /// Creates empty tables.
@@ -75,6 +78,8 @@
             waiters: BTreeMap::new(),
         }
     }
+            limited: BTreeSet::new(),
+            map_version: 0,
 
     /// Places a request; the channel delivers its endpoint, also after a wait. A refusal returns
     /// the time after which to retry.
@@ -190,68 +195,4 @@
         versions.extend(self.rollouts.rules(now));
         self.registry.set_versions(versions);
     }
-
-    /// Recomputes which endpoints may get work.
-    pub fn refresh(&mut self, map: &RouteMap, settings: &Settings, now: Moment) {
-        self.refresh_versions(settings, now);
-        let mut candidates: BTreeMap<ServiceId, Vec<Candidate>> = BTreeMap::new();
-        let mut canaries: BTreeMap<&ServiceId, Vec<Candidate>> = BTreeMap::new();
-        let mut cold_ids = BTreeSet::new();
-        let instance_count = self.fleet.instance_count(now);
-        let turns = self.refresh_turns(now);
-        for entry in self.registry.usable() {
-            let Some(spec) = map.service(&entry.info.service) else { continue };
-            let mut candidate = to_candidate(entry, spec);
-            candidate.turn = turns.get(&entry.info.id).copied();
-            if let Some(bound) = cold_rate_limit(entry, spec, settings, now) {
-                let rank = self.fleet.rank(&entry.info.id, now);
-                let share = self.cold_shares.entry(entry.info.id.clone()).or_default();
-                candidate.cold_left = Some(share.remaining(bound, rank, instance_count, now));
-                cold_ids.insert(entry.info.id.clone());
-            }
-            if self.registry.role(&entry.info) != VersionRole::Canary {
-                candidates.entry(spec.name.clone()).or_default().push(candidate);
-            } else if entry.is_warm(now) {
-                candidate.is_canary = true;
-                canaries.entry(&spec.name).or_default().push(candidate);
-            }
-        }
-        for (service, all) in canaries {
-            let count = canary_endpoints(all.len(), self.rollouts.share(service, now));
-            candidates.entry(service.clone()).or_default().extend(all.into_iter().take(count));
-        }
-        self.cold_shares.retain(|id, _| cold_ids.contains(id));
-        let registry = &self.registry;
-        self.dispatcher.load_table.retain_endpoints(|id| registry.get(id).is_some());
-        self.dispatcher.set_candidates(candidates);
-    }
-}
-
-fn to_candidate(entry: &Registered, spec: &ServiceSpec) -> Candidate {
-    let slots = spec.engine.map_or(entry.info.slots, |e| e.slots);
-    Candidate {
-        id: entry.info.id.clone(),
-        domain: entry.info.domain.clone(),
-        slots,
-        memory: spec.engine.map(|e| e.memory),
-        cold_left: None,
-        turn: None,
-        is_canary: false,
-    }
-}
-
-/// Returns how many requests per second a cold endpoint may get from all instances together.
-fn cold_rate_limit(
-    entry: &Registered,
-    spec: &ServiceSpec,
-    settings: &Settings,
-    now: Moment,
-) -> Option<u32> {
-    if entry.cold_until <= now || spec.cold_rate <= 0.0 {
-        return None;
-    }
-    let bound = spec.cold_rate * settings.cold_overrun + settings.cold_tolerance;
-    // A bound above 65,535 requests per second is cut to that, which no endpoint can serve anyway.
-    let steps = (0..16).rev().map(|bit| 1_u32 << bit);
-    Some(steps.fold(0, |sum, step| if f64::from(sum + step) <= bound { sum + step } else { sum }))
 }
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -1,7 +1,9 @@
 //! Table of the registered endpoints and of the restrictions on new work.
 
+mod changed_ids;
 mod versions;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
 
 use crate::rollout::{VersionRole, VersionRule};
 
+pub use changed_ids::ChangedIds;
+
 /// Time for which an endpoint stays usable after it lost its entry in a platform outage. Entries of
 /// live endpoints lapse during an outage and are back within two seconds after it; the margin is
 /// for the transit of the last request.
@@ -97,6 +101,9 @@
     versions: BTreeMap<ServiceId, VersionRule>,
     /// Start times of endpoints that announced their shutdown, and when.
     departures: BTreeMap<EndpointId, (u64, Moment)>,
+    /// Endpoints whose entries are missing.
+    missing: BTreeSet<EndpointId>,
+    changed: ChangedIds,
 }
 
 impl Registry {
@@ -144,6 +151,8 @@
         let cold_until = now.after(info.cold_left);
         let joined = old.filter(|_| was_known).map_or(now, |o| o.joined);
         let entry = Registered { info: info.clone(), cold_until, joined, missing_until: None };
+        self.missing.remove(&info.id);
+        self.changed.add(&info.id);
         self.endpoints.insert(info.id.clone(), entry);
         match (was_known, was_leaving, info.leaving) {
             (_, false, true) => Some(Change::Left(info, Leaving::Draining)),
@@ -156,10 +165,27 @@
     pub fn leave(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id).filter(|e| !e.info.leaving)?;
         entry.info.leaving = true;
+        self.changed.add(id);
         self.departures.insert(id.clone(), (entry.info.born, now));
         Some(Change::Left(entry.info.clone(), Leaving::Draining))
     }
 
+    /// Marks the incarnation of an endpoint that started at `born` as leaving. An older one is
+    /// removed, since a newer one has taken its place.
+    pub fn leave_incarnation(&mut self, id: &EndpointId, born: u64, now: Moment) -> Option<Change> {
+        let entry = self.endpoints.get_mut(id)?;
+        match entry.info.born.cmp(&born) {
+            Ordering::Less => self.remove(id),
+            Ordering::Equal => {
+                // Its entry is there again.
+                entry.missing_until = None;
+                self.missing.remove(id);
+                self.leave(id, now)
+            }
+            Ordering::Greater => None,
+        }
+    }
+
     /// Returns whether this incarnation of an endpoint announced its shutdown. Without a start time,
     /// it can't be told from the next one.
     fn has_departed(&self, info: &EndpointInfo) -> bool {
@@ -169,6 +195,8 @@
     /// Removes an endpoint whose entry is gone.
     pub fn remove(&mut self, id: &EndpointId) -> Option<Change> {
         let old = self.endpoints.remove(id)?;
+        self.missing.remove(id);
+        self.changed.add(id);
         Some(Change::Left(old.info, Leaving::Removed))
     }
 
@@ -177,6 +205,7 @@
     pub fn mark_missing(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id).filter(|e| e.missing_until.is_none())?;
         entry.missing_until = Some(now.after(REGISTRATION_GRACE));
+        self.missing.insert(id.clone());
         Some(Change::Missing(entry.info.clone()))
     }
 
@@ -184,18 +213,20 @@
     pub fn expire(&mut self, now: Moment) -> Vec<Change> {
         self.departures.retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
         let is_expired = |e: &Registered| e.missing_until.is_some_and(|until| until <= now);
-        let expired: Vec<EndpointId> = self
-            .endpoints
-            .iter()
-            .filter(|(_, e)| is_expired(e))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let is_over = |id: &&EndpointId| self.get(id).is_some_and(is_expired);
+        let expired: Vec<EndpointId> = self.missing.iter().filter(is_over).cloned().collect();
         expired.iter().filter_map(|id| self.remove(id)).collect()
     }
 
     /// Replaces the failure domains that are out of service.
     pub fn set_out_domains(&mut self, out: &BTreeSet<DomainId>) {
         self.out_domains.clone_from(out);
+        self.changed.add_all();
+    }
+
+    /// Returns the endpoints that may have changed since the last call.
+    pub fn take_changed(&mut self) -> ChangedIds {
+        std::mem::take(&mut self.changed)
     }
 
     /// Returns the failure domains that are out of service.
@@ -205,7 +236,7 @@
 
     /// Returns whether an endpoint may get new work; call it immediately before sending a request.
     pub fn may_send(&self, id: &EndpointId) -> bool {
-        self.endpoints.get(id).is_some_and(|e| self.in_service(e))
+        self.get_usable(id).is_some()
     }
 
     /// Returns whether the work running at an endpoint should move elsewhere.
@@ -224,8 +255,7 @@
 
     /// Lists the endpoints whose entries are missing and may come back.
     pub fn missing(&self) -> impl Iterator<Item = &EndpointId> {
-        let missing = self.endpoints.iter().filter(|(_, e)| e.missing_until.is_some());
-        missing.map(|(id, _)| id)
+        self.missing.iter()
     }
 
     fn is_mostly_registered(&self, service: &ServiceId) -> bool {
@@ -239,11 +269,26 @@
         self.endpoints.get(id)
     }
 
+    /// Returns the number of registered endpoints.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns whether no endpoint is registered.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
     /// Lists all registered endpoints, in service or not.
     pub fn all(&self) -> impl Iterator<Item = &Registered> {
         self.endpoints.values()
     }
 
+    /// Returns a registered endpoint if it may get new work.
+    pub fn get_usable(&self, id: &EndpointId) -> Option<&Registered> {
+        self.endpoints.get(id).filter(|e| self.in_service(e))
+    }
+
     /// Lists the endpoints that may get new work.
     pub fn usable(&self) -> impl Iterator<Item = &Registered> {
         self.endpoints.values().filter(|e| self.in_service(e))
--- a/crates/nutmeggrade-state/src/registry/versions.rs
+++ b/crates/nutmeggrade-state/src/registry/versions.rs
@@ -18,7 +18,15 @@
 impl Registry {
     /// Replaces the version rules of all services that have a rollout.
     pub fn set_versions(&mut self, versions: BTreeMap<ServiceId, VersionRule>) {
-        self.versions = versions;
+        if self.versions != versions {
+            self.versions = versions;
+            self.changed.add_all();
+        }
+    }
+
+    /// Returns whether any service has a version rule.
+    pub fn has_version_rules(&self) -> bool {
+        !self.versions.is_empty()
     }
 
     /// Returns rules that hold back all versions of a service except the first that appeared:
