Offer each client a part of its own of a large failure domain

Seen: the directory answers with at most 64 addresses and took the first 64 by name, for every client. In a failure domain with 217 instances the others serve nobody, among them most of the strongest.

Cause: the limit of a response holds all instances only while a failure domain has up to 64.

Change: where there are more, each client gets 64 by rendezvous hashing of its address and theirs. The part is the same whichever instance is asked, and changes only by instances that come or leave, since clients close connections to instances that are no longer named.

--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -12,13 +12,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmeggrade_core::rollout::{ROLLOUTS_PATH, RolloutStatus};
 use nutmeggrade_state::rollout::RolloutView;
+use nutmeggrade_policy::fleet::client_part;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::{directory, names};
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
-use viz::{Body, Request, Responder, Response, Result as VizResult, Router, Tree};
+use viz::{Body, Request, RequestExt, Responder, Response, Result as VizResult, Router, Tree};
 
 use crate::fleet_sync::OBJECTS_PATH;
 use crate::node::Node;
@@ -38,6 +39,12 @@
 
 /// Listeners of all HTTP services other than clients' requests.
 #[derive(Debug)]
+/// A request's query string and sender.
+struct Query<'a> {
+    text: &'a str,
+    client: Option<IpAddr>,
+}
+
 pub struct Admin {
     ready: TcpListener,
     directory: TcpListener,
@@ -95,7 +102,7 @@
     add_route(route(node, OBJECTS_PATH, objects), node, ROLLOUTS_PATH, rollouts)
 }
 
-fn route(node: &Arc<Node>, path: &str, handler: fn(&Node, &str) -> Response) -> Router {
+fn route(node: &Arc<Node>, path: &str, handler: fn(&Node, &Query) -> Response) -> Router {
     add_route(Router::new(), node, path, handler)
 }
 
@@ -103,25 +110,31 @@
     router: Router,
     node: &Arc<Node>,
     path: &str,
-    handler: fn(&Node, &str) -> Response,
+    handler: fn(&Node, &Query) -> Response,
 ) -> Router {
     let node = Arc::clone(node);
     router.get(path, move |request: Request| {
         let node = Arc::clone(&node);
-        async move { VizResult::Ok(handler(&node, request.uri().query().unwrap_or_default())) }
+        async move {
+            let query = Query {
+                text: request.uri().query().unwrap_or_default(),
+                client: request.remote_addr().map(SocketAddr::ip),
+            };
+            VizResult::Ok(handler(&node, &query))
+        }
     })
 }
 
-fn readiness(node: &Node, _: &str) -> Response {
+fn readiness(node: &Node, _: &Query) -> Response {
     let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     respond(status, Vec::new())
 }
 
-fn list_entries(node: &Node, query: &str) -> Response {
-    let client_domain = directory::read_domain(query);
+fn list_entries(node: &Node, query: &Query) -> Response {
+    let client_domain = directory::read_domain(query.text);
     let is_leaving = !node.is_ready();
-    let mut addresses =
-        lock(&node.tables).fleet.entries(client_domain.as_ref(), is_leaving, node.now());
+    let all = lock(&node.tables).fleet.entries(client_domain.as_ref(), is_leaving, node.now());
+    let mut addresses = client_part(all, query.client, directory::MAX_LISTED_ADDRESSES);
     if addresses.is_empty() {
         // No instance is known to serve; this one's own address helps a client more than an empty
         // list.
@@ -131,15 +144,15 @@
     respond(StatusCode::OK, directory::write(&addresses, ttl))
 }
 
-fn objects(node: &Node, query: &str) -> Response {
-    let name = query.strip_prefix("kind=").unwrap_or_default();
+fn objects(node: &Node, query: &Query) -> Response {
+    let name = query.text.strip_prefix("kind=").unwrap_or_default();
     let Some(kind) = Kind::ALL.into_iter().find(|kind| kind.name() == name) else {
         return respond(StatusCode::NOT_FOUND, Vec::new());
     };
     respond_json(&objects_for_peer(node, kind), "knowledge_unsendable")
 }
 
-fn rollouts(node: &Node, _: &str) -> Response {
+fn rollouts(node: &Node, _: &Query) -> Response {
     let views = lock(&node.tables).rollouts.views(node.now());
     let all: Vec<RolloutStatus> = views.iter().map(rollout_status).collect();
     respond_json(&all, "rollouts_unsendable")
@@ -163,7 +176,7 @@
     }
 }
 
-fn metrics(node: &Node, _: &str) -> Response {
+fn metrics(node: &Node, _: &Query) -> Response {
     let dropped = i64::try_from(node.logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.dropped_lines.set(dropped);
     match node.metrics.text() {
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -7,6 +7,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_policy::{Engine, GenerationRequest, Scheduler, Ticket};
 
+mod client_part;
 mod cold;
 mod dispatch;
 mod fairness;
