Poll few engines without work while the store is unavailable

Cause: while the store is unavailable for an instance or for a peer that it hears, the engines' own reports tell which of them leave. Each engine is polled three times a second by the instance that ranks first for it, and all of them at once by an instance whose call is overdue. That is few with 12 engines; with 9,066, one slow answer of the store to one of 985 instances makes 26,000 polls a second. Ranks took a hash for each pair of an engine and a peer.

Change: an instance polls up to 16 engines with work and one without at a time; for the whole fleet, 128 and 16. Only generations are lost if nobody notices that an engine leaves. Ranks are compared by the exclusive or of two hashes, as elsewhere.

Tests: policy::polled; by construction the code before it polled all 9,000.

--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -8,6 +8,7 @@
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_platform::CallError;
 use nutmeggrade_policy::dispatch::Health;
+use nutmeggrade_policy::fleet::{PollCandidate, PollLimits, choose_polled};
 use nutmeggrade_wire::kinds::Kind;
 use tokio::time::sleep;
 
@@ -19,6 +20,11 @@
 /// copying its generations takes more than one.
 const POLL_INTERVAL: Duration = Duration::from_millis(350);
 
+/// Engines that an instance polls at a time.
+const OWN_LIMITS: PollLimits = PollLimits { with_work: 16, idle: 1 };
+/// Engines that an instance polls at a time for the whole fleet.
+const FLEET_LIMITS: PollLimits = PollLimits { with_work: 128, idle: 16 };
+
 /// Polls for as long as the process runs.
 ///
 /// Engines are reclaimed during store outages too. Without polling, no instance detects it and all
@@ -60,7 +66,15 @@
     let is_engine = |e: &EndpointInfo| map.service(&e.service).is_some_and(|s| s.engine.is_some());
     let all = tables.registry.all().map(|e| &e.info).filter(|e| !e.leaving && is_engine(e));
     let polls_all = node.read_state.of(Kind::Endpoints).is_overdue();
-    all.filter(|e| polls_all || tables.fleet.ranks_first_for(&e.id, now)).cloned().collect()
+    let own = all.filter(|e| polls_all || tables.fleet.ranks_first_for(&e.id, now));
+    let load_table = &tables.dispatcher.load_table;
+    let candidates = own.map(|engine| {
+        let has_work = load_table.load(&engine.id).requests > 0;
+        PollCandidate { engine, has_work }
+    });
+    let limits = if polls_all { FLEET_LIMITS } else { OWN_LIMITS };
+    let polled = choose_polled(candidates.collect(), limits, &mut rand::rng());
+    polled.into_iter().cloned().collect()
 }
 
 async fn poll(node: &Node, engine: &EndpointInfo) -> Option<EndpointId> {
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -279,8 +279,10 @@
     /// Returns whether this instance ranks first among the live instances for the endpoint. The
     /// ranking differs between endpoints.
     pub fn ranks_first_for(&self, endpoint: &EndpointId, now: Moment) -> bool {
-        let own_key = endpoint_order_key(self.own_id.as_str(), endpoint);
-        self.live(now).all(|peer| endpoint_order_key(peer.as_str(), endpoint) > own_key)
+        let key = hash_key(endpoint.as_str());
+        let own_key = self.reader_key ^ key;
+        let mut live = self.peers.values().filter(|p| self.is_heard(p, now));
+        live.all(|peer| peer.reader_key ^ key > own_key)
     }
 
     /// Counts the matching peers that rank before this instance as readers.
@@ -381,9 +383,3 @@
     let prefix: [u8; 8] = std::array::from_fn(|i| hash.as_bytes()[i]);
     u64::from_be_bytes(prefix)
 }
-
-/// Hashes an instance and an endpoint to an ordering key that differs between endpoints.
-fn endpoint_order_key(instance: &str, endpoint: &EndpointId) -> [u8; 32] {
-    let text = [instance, endpoint.as_str()].join("\0");
-    *blake3::hash(text.as_bytes()).as_bytes()
-}
