Get endpoints and their changes from peers in a compact form

Cause: every instance lists all endpoints when it starts, 51 pages and 4 MB each: for 985 instances half a minute of the store's link. More than 32 changes don't fit into a datagram, and each instance then fetches all endpoints from one neighbour, 2 MB for 217 of them within 0.8 s over 20 Mbit/s, which no transfer survives, and after 0.6 s asks the store.

Change: a listing that goes on after its first page is read by the instances that all begin with, or by readers if those are gone; others get the endpoints from peers, about 40 bytes each. Leaving endpoints are told by name, so that 200 fit into a datagram. Each instance keeps recent changes, as many as there are endpoints, and peers fetch just what they missed. An instance sends as much at a time as its link takes in half a second (new setting `link`), else it answers that it is busy and peers come back later, more and more seldom.

The tests of what peers are told (relay::store) read the new form and check as much as before.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -2,6 +2,8 @@
 
 mod assignment;
 mod beacon;
+mod endpoint_changes;
+mod endpoint_groups;
 mod envelope;
 mod fleet_beacon;
 mod fleet_message;
@@ -10,13 +12,14 @@
 
 pub use assignment::{ASSIGNMENT_KEY, Assignment};
 pub use beacon::{Beacon, Echo, InstanceEntry};
+pub use endpoint_changes::{EndpointChange, EndpointChanges, EndpointUpdateBatch, EndpointsReply};
+pub use endpoint_groups::EndpointGroups;
 pub use envelope::{EnvelopeError, MAX_FRAME_BYTES, WIRE_VERSION, open, seal};
 pub use fleet_beacon::{
     Contacts, FleetBeacon, HeardPeer, InstanceAddresses, Introduction, Revisions,
 };
 pub use fleet_message::{
-    DomainPart, EndpointCrash, EndpointUpdate, EndpointUpdateBatch, Fingerprint, FleetMessage,
-    FleetOutcomes, InstanceLoad, RateLimits,
+    DomainPart, EndpointCrash, Fingerprint, FleetMessage, FleetOutcomes, InstanceLoad, RateLimits,
 };
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, SyncTopic};
--- a/crates/nutmeggrade-core/src/peer/fleet_message.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_message.rs
@@ -4,32 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Contacts, FleetBeacon};
+use super::{Contacts, EndpointUpdateBatch, FleetBeacon};
 use crate::id::{DomainId, EndpointId, InstanceId};
 use crate::rollout::{RolloutNotice, RolloutReport};
-use crate::routing::{EndpointInfo, PlacedLoad, RateLimit};
-
-/// An endpoint's new entry, or its removal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointUpdate {
-    /// The endpoint.
-    pub id: EndpointId,
-    /// The endpoint's entry; absent if it was removed or can't be parsed.
-    pub info: Option<EndpointInfo>,
-}
-
-/// All changes to endpoints between two revisions of the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointUpdateBatch {
-    /// Revision that a receiver must have reached for the changes to be complete.
-    pub since: u64,
-    /// Revision after the changes.
-    pub revision: u64,
-    /// Whether removed entries may merely have expired during a store outage.
-    pub lapses: bool,
-    /// The changes, in order of revision.
-    pub changes: Vec<EndpointUpdate>,
-}
+use crate::routing::{PlacedLoad, RateLimit};
 
 /// The sender's current load at some endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -127,6 +127,11 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state().revision
+    }
+
     /// Returns the number of calls received.
     pub fn calls(&self) -> u64 {
         self.state().call_count
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -1,18 +1,20 @@
 //! Serves readiness, the directory of instances, peers' requests and metrics.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::Context;
+use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmeggrade_core::rollout::{ROLLOUTS_PATH, RolloutStatus};
-use nutmeggrade_state::rollout::RolloutView;
 use nutmeggrade_policy::fleet::client_part;
+use nutmeggrade_state::rollout::RolloutView;
+use nutmeggrade_state::transfers::Transfer;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::{directory, names};
 use serde::Serialize;
@@ -21,7 +23,7 @@
 use tokio::time::sleep;
 use viz::{Body, Request, RequestExt, Responder, Response, Result as VizResult, Router, Tree};
 
-use crate::fleet_sync::OBJECTS_PATH;
+use crate::fleet_sync::{ENDPOINTS_PATH, OBJECTS_PATH};
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::tables::lock;
@@ -37,14 +39,14 @@
 const METRICS_PATH: &str = "/metrics";
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
-/// Listeners of all HTTP services other than clients' requests.
-#[derive(Debug)]
 /// A request's query string and sender.
 struct Query<'a> {
     text: &'a str,
     client: Option<IpAddr>,
 }
 
+/// Listeners of all HTTP services other than clients' requests.
+#[derive(Debug)]
 pub struct Admin {
     ready: TcpListener,
     directory: TcpListener,
@@ -99,7 +101,8 @@
 }
 
 fn control(node: &Arc<Node>) -> Router {
-    add_route(route(node, OBJECTS_PATH, objects), node, ROLLOUTS_PATH, rollouts)
+    let router = add_route(route(node, OBJECTS_PATH, objects), node, ENDPOINTS_PATH, endpoints);
+    add_route(router, node, ROLLOUTS_PATH, rollouts)
 }
 
 fn route(node: &Arc<Node>, path: &str, handler: fn(&Node, &Query) -> Response) -> Router {
@@ -149,7 +152,33 @@
     let Some(kind) = Kind::ALL.into_iter().find(|kind| kind.name() == name) else {
         return respond(StatusCode::NOT_FOUND, Vec::new());
     };
-    respond_json(&objects_for_peer(node, kind), "knowledge_unsendable")
+    let Some(snapshot) = objects_for_peer(node, kind) else {
+        return respond(StatusCode::NOT_FOUND, Vec::new());
+    };
+    match serde_json::to_vec(&snapshot) {
+        Ok(encoded) => transfer(node, encoded.into()),
+        Err(error) => {
+            tracing::error!(event = "knowledge_unsendable", %error);
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
+/// Responds with the endpoints that changed since a revision, or with all.
+fn endpoints(node: &Node, query: &Query) -> Response {
+    let since = query.text.strip_prefix("since=").and_then(|text| text.parse().ok()).unwrap_or(0);
+    transfer(node, node.encode_endpoints(since))
+}
+
+/// Responds to a peer unless the link is occupied. The transfer counts against the link until the
+/// connection ends.
+fn transfer(node: &Node, encoded: Bytes) -> Response {
+    let Some(transfer) = node.transfers.begin(encoded.len()) else {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    };
+    let mut response = Response::new(Body::Full(Full::new(encoded)));
+    response.extensions_mut().insert(Arc::new(transfer));
+    response
 }
 
 fn rollouts(node: &Node, _: &Query) -> Response {
@@ -228,9 +257,17 @@
 
 async fn serve_connection(stream: TcpStream, tree: Arc<Tree>) {
     let responder = Arc::new(Responder::new(tree, stream.peer_addr().ok()));
+    // Holds the last transfer until the connection ends or serves another request.
+    let current: Arc<Mutex<Option<Arc<Transfer>>>> = Arc::default();
     let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-        let responder = Arc::clone(&responder);
-        async move { responder.call(request).await }
+        let (responder, current) = (Arc::clone(&responder), Arc::clone(&current));
+        async move {
+            let mut response = responder.call(request).await;
+            if let Ok(response) = &mut response {
+                *lock(&current) = response.extensions_mut().remove();
+            }
+            response
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bytes::Bytes;
 use http::{Method, StatusCode};
-use nutmeggrade_core::peer::Revisions;
+use nutmeggrade_core::peer::{EndpointsReply, Revisions};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::StoredRollout;
-use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_state::fleet_view::SourceScope;
 use nutmeggrade_wire::kinds::Kind;
 use serde::{Deserialize, Serialize};
@@ -17,27 +17,25 @@
 use crate::node::Node;
 use crate::short_call::{CallLimits, short_call};
 use crate::tables::lock;
-use crate::watch::apply_peer_objects;
+use crate::watch::{apply_endpoints_reply, apply_peer_objects};
 
-/// Path at which an instance serves the objects that it has read.
+/// Path at which an instance serves the objects that it has read, except endpoints.
 pub const OBJECTS_PATH: &str = "/known";
-/// Timeout of a request to a peer; peers respond in milliseconds.
+/// Path at which an instance serves the endpoints that it has read.
+pub const ENDPOINTS_PATH: &str = "/known/endpoints";
+/// Timeout of connecting to a peer, and of a short response; peers respond in milliseconds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Largest response that is accepted: a configuration of a megabyte and some thousand endpoints.
+/// Timeout of a response with all endpoints. It is sent by an instance that serves several of them
+/// at a time over its link.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest response that is accepted: a configuration of a megabyte, or 100,000 endpoints.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// All objects of one kind.
+/// All objects of one kind other than endpoints.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum KindObjects {
     /// The routing configuration as the platform wrote it; empty if none came.
     Config(String),
-    /// The endpoints.
-    Endpoints {
-        /// All that are registered.
-        all: Vec<EndpointInfo>,
-        /// Whether missing endpoints may only have expired during an outage.
-        lapses: bool,
-    },
     /// Failure domains that are evacuated.
     #[serde(rename = "Out")]
     Evacuated(BTreeSet<DomainId>),
@@ -55,26 +53,42 @@
     pub objects: KindObjects,
 }
 
-/// Fetches a kind from a peer that has read a higher revision, if there is one; returns whether
-/// this instance has caught up.
+/// Result of a request to a peer that has read a higher revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SyncOutcome {
+    /// This instance has read as much as its peers.
+    CaughtUp,
+    /// The peer already sends as much to others as its link allows.
+    Busy,
+    /// No peer is ahead, the peer did not respond, or others are ahead of it.
+    Behind,
+}
+
+/// Fetches a kind from a peer that has read a higher revision, if there is one.
 ///
 /// The store may refuse some instances and serve others. Without this, the refused ones would keep
 /// using removed routes, keys and endpoints, which shows as requests wrongly refused or served by
 /// those instances alone.
-pub async fn catch_up(node: &Node, kind: Kind, scope: SourceScope) -> bool {
-    let Some((peer, is_local)) = source(node, kind, scope) else { return false };
-    let read =
-        fetch(peer, kind).await.and_then(|snapshot| apply_peer_objects(node, kind, &snapshot));
-    if let Err(error) = read {
-        tracing::warn!(event = "catch_up_failed", kind = kind.name(), %peer,
-            error = format!("{error:#}"));
-        return false;
+pub async fn catch_up(node: &Node, kind: Kind, scope: SourceScope) -> SyncOutcome {
+    let Some((peer, is_local)) = source(node, kind, scope) else { return SyncOutcome::Behind };
+    let is_applied = match kind {
+        Kind::Endpoints => sync_endpoints(node, peer).await,
+        _ => sync_objects(node, peer, kind).await,
+    };
+    match is_applied {
+        Ok(true) => {}
+        Ok(false) => return SyncOutcome::Busy,
+        Err(error) => {
+            tracing::warn!(event = "catch_up_failed", kind = kind.name(), %peer,
+                error = format!("{error:#}"));
+            return SyncOutcome::Behind;
+        }
     }
     tracing::info!(event = "caught_up", kind = kind.name(), %peer);
-    if !is_local {
+    if !is_local || lock(&node.tables).fleet.announcement_rounds() > 1 {
         node.heartbeat_due.notify_one();
     }
-    !node.read_state.of(kind).is_behind()
+    if node.read_state.of(kind).is_behind() { SyncOutcome::Behind } else { SyncOutcome::CaughtUp }
 }
 
 /// Returns a live peer that has read a higher revision, and whether it is in the same failure
@@ -97,14 +111,35 @@
     }
 }
 
-async fn fetch(peer: SocketAddr, kind: Kind) -> anyhow::Result<KindSnapshot> {
-    let limits = CallLimits {
-        connect: PEER_TIMEOUT,
-        timeout: PEER_TIMEOUT,
-        max_response: MAX_RESPONSE_BYTES,
-    };
+/// Fetches and applies what a peer has read of the endpoints beyond this instance; returns false if
+/// the peer is busy.
+async fn sync_endpoints(node: &Node, peer: SocketAddr) -> anyhow::Result<bool> {
+    let state = node.read_state.of(Kind::Endpoints);
+    // A missed change is needed soon, and another peer can send it.
+    let timeout = if state.is_loaded() { PEER_TIMEOUT } else { TRANSFER_TIMEOUT };
+    let path = format!("{ENDPOINTS_PATH}?since={}", state.read());
+    let Some(body) = fetch(peer, &path, timeout).await? else { return Ok(false) };
+    let reply = EndpointsReply::decode(&body).context("decode a peer's endpoints")?;
+    apply_endpoints_reply(node, reply);
+    Ok(true)
+}
+
+/// Fetches and applies a peer's objects of another kind; returns false if the peer is busy.
+async fn sync_objects(node: &Node, peer: SocketAddr, kind: Kind) -> anyhow::Result<bool> {
     let path = format!("{OBJECTS_PATH}?kind={}", kind.name());
-    let response = short_call(peer, Method::GET, &path, Vec::new(), limits).await?;
-    anyhow::ensure!(response.status() == StatusCode::OK, "{}", response.status());
-    serde_json::from_slice(response.body()).context("decode a peer's objects")
+    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(false) };
+    let snapshot = serde_json::from_slice(&body).context("decode a peer's objects")?;
+    apply_peer_objects(node, kind, &snapshot)?;
+    Ok(true)
+}
+
+/// Returns a peer's response, or `None` if it is busy.
+async fn fetch(peer: SocketAddr, path: &str, timeout: Duration) -> anyhow::Result<Option<Bytes>> {
+    let limits = CallLimits { connect: PEER_TIMEOUT, timeout, max_response: MAX_RESPONSE_BYTES };
+    let response = short_call(peer, Method::GET, path, Vec::new(), limits).await?;
+    match response.status() {
+        StatusCode::OK => Ok(Some(response.into_body())),
+        StatusCode::SERVICE_UNAVAILABLE => Ok(None),
+        other => anyhow::bail!("{other}"),
+    }
 }
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -3,6 +3,7 @@
 mod endpoints;
 mod notices;
 mod rollouts;
+mod supply;
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,9 +17,11 @@
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::Dispatcher;
 use nutmeggrade_state::fleet_view::FleetView;
+use nutmeggrade_state::transfers::Transfers;
 use nutmeggrade_wire::store::Store;
 use tokio::sync::{Notify, mpsc, watch};
 
+use self::supply::EncodedEndpoints;
 use crate::clock::Clock;
 use crate::logs::LogBuffer;
 use crate::metrics::Metrics;
@@ -30,6 +33,9 @@
 /// responds in milliseconds, and within this time when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after a start for which this instance can't tell whether the store had an outage.
+const STARTUP_WINDOW: Duration = Duration::from_secs(5);
+
 /// Capacity of the outbox; the socket takes each message in microseconds.
 const OUTBOX_CAPACITY: usize = 16;
 
@@ -72,6 +78,10 @@
     pub heartbeat_due: Notify,
     /// Endpoints that are being probed; never locked together with the tables.
     pub probed: Mutex<BTreeSet<EndpointId>>,
+    /// The last response to a peer that asked for endpoints; locked before the tables.
+    encoded_endpoints: Mutex<Option<EncodedEndpoints>>,
+    /// Transfers to peers in progress.
+    pub transfers: Transfers,
     /// Workspace shared by all requests that need no key.
     pub keyless_workspace: WorkspaceId,
     settings: RwLock<Arc<Settings>>,
@@ -109,6 +119,8 @@
             failures_counted: Notify::new(),
             heartbeat_due: Notify::new(),
             probed: Mutex::default(),
+            encoded_endpoints: Mutex::default(),
+            transfers: Transfers::new(settings.link),
             keyless_workspace: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
             map: RwLock::default(),
@@ -244,6 +256,13 @@
         self.metrics.limited_endpoints.set(i64::try_from(limited).unwrap_or(i64::MAX));
     }
 
+    /// Returns whether endpoints that this instance lacks may only have expired during an outage of
+    /// the store. A listing just after the start may have missed expired entries.
+    pub fn may_have_expired(&self) -> bool {
+        let now = self.now();
+        now.since_start() < STARTUP_WINDOW || self.read_state.may_have_expired(now)
+    }
+
     /// Returns the revisions that this instance has read from the store.
     pub fn revisions(&self) -> Revisions {
         self.read_state.change_revisions()
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -11,8 +11,10 @@
 use super::Node;
 use crate::tables::lock;
 
-/// Changes per datagram of some kilobytes, at two hundred bytes each.
-const MAX_CHANGES_PER_DATAGRAM: usize = 32;
+/// Size of the endpoint changes that are sent in one datagram, in bytes.
+const MAX_CHANGE_BYTES: usize = 6 << 10;
+/// Changes at a time that are logged one by one. A start finds all endpoints at once.
+const MAX_LOGGED_CHANGES: usize = 256;
 /// Endpoint names per datagram. A listing after the store lost its history may find some hundreds
 /// gone, whose names exceed the largest datagram that is read.
 const MAX_NAMES_PER_DATAGRAM: usize = 128;
@@ -26,23 +28,7 @@
     ) -> Vec<EndpointId> {
         let now = self.now();
         let changes = change(&mut lock(&self.tables).registry, now);
-        for change in &changes {
-            match change {
-                Change::Joined(e) => {
-                    let version = e.version.as_ref().map_or("-", VersionId::as_str);
-                    tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
-                        version, domain = %e.domain, cold_ms = e.cold_left.as_millis());
-                }
-                Change::Missing(e) => {
-                    tracing::info!(event = "endpoint_missing", endpoint = %e.id,
-                        service = %e.service, domain = %e.domain);
-                }
-                Change::Left(e, why) => {
-                    tracing::info!(event = "endpoint_left", endpoint = %e.id, service = %e.service,
-                        domain = %e.domain, why = ?why);
-                }
-            }
-        }
+        log_changes(&changes);
         if !changes.is_empty() {
             self.recheck_rollouts(&changes);
             self.refresh();
@@ -86,10 +72,10 @@
 
     /// Forwards endpoint changes to the peers if this instance is a reader and the changes fit into
     /// a datagram. Peers that miss them notice by the next heartbeat.
-    pub fn forward_changes(&self, batch: EndpointUpdateBatch) {
+    pub fn forward_changes(&self, batch: &EndpointUpdateBatch) {
         let is_reader = lock(&self.tables).fleet.is_reader(self.now());
-        if is_reader && batch.changes.len() <= MAX_CHANGES_PER_DATAGRAM {
-            self.broadcast(FleetMessage::News(batch));
+        if is_reader && batch.changes.max_bytes() <= MAX_CHANGE_BYTES {
+            self.broadcast(FleetMessage::News(batch.clone()));
         }
     }
 
@@ -177,3 +163,28 @@
         self.failures_counted.notify_one();
     }
 }
+
+fn log_changes(changes: &[Change]) {
+    if changes.len() > MAX_LOGGED_CHANGES {
+        let joined = changes.iter().filter_map(Change::joined).count();
+        tracing::info!(event = "endpoints_changed", joined, left = changes.len() - joined);
+        return;
+    }
+    for change in changes {
+        match change {
+            Change::Joined(e) => {
+                let version = e.version.as_ref().map_or("-", VersionId::as_str);
+                tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
+                    version, domain = %e.domain, cold_ms = e.cold_left.as_millis());
+            }
+            Change::Missing(e) => {
+                tracing::info!(event = "endpoint_missing", endpoint = %e.id,
+                    service = %e.service, domain = %e.domain);
+            }
+            Change::Left(e, why) => {
+                tracing::info!(event = "endpoint_left", endpoint = %e.id, service = %e.service,
+                    domain = %e.domain, why = ?why);
+            }
+        }
+    }
+}
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -1,12 +1,12 @@
 //! Applies messages received from peers.
 
-use nutmeggrade_core::peer::{EndpointUpdateBatch, FleetBeacon, FleetMessage, InstanceLoad};
+use nutmeggrade_core::peer::{FleetBeacon, FleetMessage, InstanceLoad};
 use nutmeggrade_wire::kinds::Kind;
 
 use crate::fleet_sync::revision;
 use crate::node::Node;
 use crate::tables::lock;
-use crate::watch::apply_endpoint_changes;
+use crate::watch::apply_peer_changes;
 
 /// Counts the bytes of a received message.
 pub fn count_received(node: &Node, message: &FleetMessage, length: usize) {
@@ -17,7 +17,7 @@
 pub fn apply_message(node: &Node, message: FleetMessage) {
     match message {
         FleetMessage::Beacon(beacon) => apply_heartbeat(node, beacon),
-        FleetMessage::News(batch) => apply_endpoint_updates(node, &batch),
+        FleetMessage::News(batch) => apply_peer_changes(node, batch),
         FleetMessage::Leaving(endpoints) => {
             node.note_leaving(&endpoints);
         }
@@ -63,21 +63,3 @@
     }
     node.apply_rollout_notices(beacon.rollouts);
 }
-
-/// Applies endpoint changes that a peer has read.
-///
-/// If this instance has not read up to the revision that they start from, changes in between are
-/// missing, and the follower is woken instead.
-fn apply_endpoint_updates(node: &Node, batch: &EndpointUpdateBatch) {
-    let state = node.read_state.of(Kind::Endpoints);
-    let read = state.read();
-    if read >= batch.revision {
-        return;
-    }
-    if read < batch.since || !state.is_loaded() {
-        state.note_peer_revision(batch.revision);
-        return;
-    }
-    apply_endpoint_changes(node, &batch.changes, batch.lapses);
-    state.note(batch.revision, batch.revision);
-}
--- a/crates/nutmeggrade-relay/src/settings.rs
+++ b/crates/nutmeggrade-relay/src/settings.rs
@@ -16,6 +16,7 @@
 
 const SECONDS: &str = "s";
 const UNITLESS: &str = "1";
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 const SPECS: &[SettingSpec] = &[
     SettingSpec::new("instance", SettingKind::Name, "name of this instance"),
@@ -57,6 +58,8 @@
         "memory that the process may use",
     )
     .with_default("256"),
+    SettingSpec::new("link", decimal("Mbit/s", 1, 1_000_000), "rate of this instance's link")
+        .with_default("20"),
     SettingSpec::new(
         "grace",
         decimal(SECONDS, 1, 3_600),
@@ -154,6 +157,8 @@
     pub descriptors: usize,
     /// Memory that the process may use, in bytes.
     pub memory: usize,
+    /// Rate of the link, in bytes per second.
+    pub link: f64,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
     /// Longest time for which clients cache an instance's address.
@@ -222,6 +227,7 @@
             seeds: values.addresses("seeds").into_iter().map(heartbeat_address).collect(),
             descriptors: usize::try_from(values.number("descriptors")).context("--descriptors")?,
             memory: usize::try_from(values.number("memory") << 20).context("--memory")?,
+            link: values.decimal("link") * BYTES_PER_MEGABIT,
             grace: values.seconds("grace"),
             entry_ttl: values.seconds("entry-keep"),
             resends: ResendLimits {
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -14,7 +14,7 @@
 use nutmeggrade_policy::dispatch::{Backoff, DispatchDecision, DispatchRequest, Dispatcher};
 use nutmeggrade_policy::fleet::{ColdShare, RateShare, ResendBudget};
 use nutmeggrade_policy::pace::Pace;
-use nutmeggrade_policy::rollout::canary_endpoints;
+use nutmeggrade_state::change_log::ChangeLog;
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::registry::Registry;
@@ -38,6 +38,8 @@
 pub struct Tables {
     /// Endpoints, and failure domains that are evacuated.
     pub registry: Registry,
+    /// Recent changes of endpoints.
+    pub change_log: ChangeLog,
     /// Load of each endpoint, and the queue of waiting requests.
     pub dispatcher: Dispatcher,
     /// Peers.
@@ -54,18 +56,19 @@
     pub backoffs: BTreeMap<EndpointId, Backoff>,
     resend_budgets: BTreeMap<ServiceId, ResendBudget>,
     cold_shares: BTreeMap<EndpointId, ColdShare>,
-    waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
-}
     /// Endpoints that had a turn at the last refresh.
     limited: BTreeSet<EndpointId>,
     /// Version of the route map at the last refresh.
     map_version: u64,
+    waiters: BTreeMap<Ticket, oneshot::Sender<EndpointId>>,
+}
 
 impl Tables {
     /// Creates empty tables.
     pub fn new(dispatcher: Dispatcher, fleet: FleetView) -> Self {
         Self {
             registry: Registry::new(),
+            change_log: ChangeLog::new(),
             dispatcher,
             fleet,
             pace: Pace::new(),
@@ -75,11 +78,11 @@
             backoffs: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
             cold_shares: BTreeMap::new(),
+            limited: BTreeSet::new(),
+            map_version: 0,
             waiters: BTreeMap::new(),
         }
     }
-            limited: BTreeSet::new(),
-            map_version: 0,
 
     /// Places a request; the channel delivers its endpoint, also after a wait. A refusal returns
     /// the time after which to retry.
--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -7,7 +7,10 @@
 mod read_state;
 mod store_calls;
 
-pub use apply::{apply_endpoint_changes, apply_peer_objects, objects_for_peer};
+pub use apply::{
+    apply_endpoints_reply, apply_peer_changes, apply_peer_objects, endpoints_since,
+    objects_for_peer,
+};
 pub use follower::start;
 pub use read_state::ReadState;
 pub use store_calls::StoreCalls;
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -1,10 +1,10 @@
 //! Applies objects read from the store or received from peers to the tables.
 
-use std::time::Duration;
-
 use anyhow::Context;
 use bytes::Bytes;
-use nutmeggrade_core::peer::{EndpointUpdate, EndpointUpdateBatch};
+use nutmeggrade_core::peer::{
+    EndpointChange, EndpointChanges, EndpointGroups, EndpointUpdateBatch, EndpointsReply,
+};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::{RolloutNotice, StoredRollout};
 use nutmeggrade_core::routing::EndpointInfo;
@@ -19,9 +19,6 @@
 use crate::node::Node;
 use crate::tables::lock;
 
-/// Time after a start for which this instance can't tell whether the store had an outage.
-const STARTUP_WINDOW: Duration = Duration::from_secs(5);
-
 /// Applies a complete listing.
 pub fn listing(node: &Node, kind: Kind, snapshot: &Snapshot, after_outage: bool) {
     match kind {
@@ -31,6 +28,7 @@
                 snapshot.objects.iter().filter_map(read_endpoint).collect();
             let left =
                 node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
+            lock(&node.tables).change_log.clear();
             // Informs peers whose watches missed the removal; they would otherwise notice it only
             // when their own hold time ends.
             node.broadcast_leaving(&left);
@@ -79,13 +77,13 @@
         changes(node, kind, snapshot, 0, after_outage);
         return;
     }
-    let all: Vec<EndpointUpdate> = snapshot.objects.iter().filter_map(to_update).collect();
-    apply_endpoint_changes(node, &all, after_outage);
+    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(to_change));
+    apply_endpoint_changes(node, &changes, after_outage);
 }
 
-/// Applies changes of endpoints, read here or by a peer. `lapses` means that missing entries may
-/// only have expired during an outage.
-pub fn apply_endpoint_changes(node: &Node, changes: &[EndpointUpdate], lapses: bool) {
+/// Applies changes of endpoints. `lapses` means that missing entries may only have expired during an
+/// outage.
+fn apply_endpoint_changes(node: &Node, changes: &EndpointChanges, lapses: bool) {
     if lapses {
         node.read_state.note_outage(node.now());
     }
@@ -94,6 +92,64 @@
     });
 }
 
+/// Applies endpoint changes that a peer has read.
+///
+/// If this instance has not read up to the revision that they start from, changes in between are
+/// missing, and the follower is woken instead.
+pub fn apply_peer_changes(node: &Node, batch: EndpointUpdateBatch) {
+    let state = node.read_state.of(Kind::Endpoints);
+    let read = state.read();
+    if read >= batch.revision {
+        return;
+    }
+    if read < batch.since || !state.is_loaded() {
+        state.note_peer_revision(batch.revision);
+        return;
+    }
+    apply_endpoint_changes(node, &batch.changes, batch.lapses);
+    let revision = batch.revision;
+    log_changes(node, batch);
+    state.note(revision, revision);
+}
+
+/// Applies a peer's reply about endpoints.
+pub fn apply_endpoints_reply(node: &Node, reply: EndpointsReply) {
+    let state = node.read_state.of(Kind::Endpoints);
+    match reply {
+        EndpointsReply::Changes(batch) => apply_peer_changes(node, batch),
+        EndpointsReply::All { revision, lapses, endpoints } if revision > state.read() => {
+            let all: Vec<EndpointInfo> = endpoints.endpoints().collect();
+            node.change_registry(|registry, now| registry.replace(&all, lapses, now));
+            lock(&node.tables).change_log.clear();
+            state.note(revision, revision);
+        }
+        EndpointsReply::All { .. } => {}
+    }
+}
+
+/// Remembers changes for peers. More changes than there are endpoints are no use to them.
+fn log_changes(node: &Node, batch: EndpointUpdateBatch) {
+    let tables = &mut *lock(&node.tables);
+    tables.change_log.push(batch, tables.registry.len());
+}
+
+/// Returns what this instance has read of the endpoints beyond a peer's revision.
+pub fn endpoints_since(node: &Node, revision: u64) -> EndpointsReply {
+    // Read before the endpoints, which may be newer than this revision but never older.
+    let own_revision = node.read_state.of(Kind::Endpoints).change_revision();
+    let now = node.now();
+    let tables = lock(&node.tables);
+    if let Some(batch) = tables.change_log.since(revision) {
+        return EndpointsReply::Changes(batch);
+    }
+    let lapses = node.may_have_expired();
+    // The remaining cold time in an entry counts from when it was read.
+    let current_entry =
+        |e: &Registered| EndpointInfo { cold_left: e.cold_until.since(now), ..e.info.clone() };
+    let endpoints = EndpointGroups::new(tables.registry.all().map(current_entry));
+    EndpointsReply::All { revision: own_revision, lapses, endpoints }
+}
+
 /// Applies the objects of a peer that has read a higher revision.
 ///
 /// # Errors
@@ -110,9 +166,6 @@
             let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
             node.set_map(config::read(&value)?, raw);
         }
-        KindObjects::Endpoints { all, lapses } => {
-            node.change_registry(|registry, now| registry.replace(all, *lapses, now));
-        }
         KindObjects::Evacuated(evacuated) => node.set_evacuated(evacuated),
         KindObjects::Rollouts(all) => node.change_rollouts(|table, now| table.replace(all, now)),
     }
@@ -121,17 +174,14 @@
 }
 
 fn apply_endpoints(node: &Node, snapshot: &Snapshot, since: u64, lapses: bool) {
-    let changes: Vec<EndpointUpdate> = snapshot.objects.iter().filter_map(to_update).collect();
+    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(to_change));
     if changes.is_empty() {
         return;
     }
     apply_endpoint_changes(node, &changes, lapses);
-    node.forward_changes(EndpointUpdateBatch {
-        since,
-        revision: snapshot.revision,
-        lapses,
-        changes,
-    });
+    let batch = EndpointUpdateBatch { since, revision: snapshot.revision, lapses, changes };
+    node.forward_changes(&batch);
+    log_changes(node, batch);
 }
 
 fn apply_config(node: &Node, objects: &[StoredObject]) {
@@ -147,25 +197,30 @@
 
 fn apply_change(
     registry: &mut Registry,
-    update: &EndpointUpdate,
+    change: EndpointChange,
     lapses: bool,
     now: Moment,
 ) -> Option<Change> {
-    match &update.info {
-        Some(info) => registry.put(info, now),
+    match change {
+        EndpointChange::Entry(info) => registry.put(&info, now),
+        EndpointChange::Leaving(id, born) => registry.leave_incarnation(&id, born, now),
         // The entry may have expired during an outage; a live endpoint writes it again at its next
         // heartbeat.
-        None if lapses => registry.mark_missing(&update.id, now),
-        None => registry.remove(&update.id),
+        EndpointChange::Gone(id) if lapses => registry.mark_missing(&id, now),
+        EndpointChange::Gone(id) => registry.remove(&id),
     }
 }
 
 /// Reads an endpoint's change from an object; `None` if its name is no endpoint's. Content that
 /// can't be read as an endpoint counts as a removed entry.
-fn to_update(object: &StoredObject) -> Option<EndpointUpdate> {
+fn to_change(object: &StoredObject) -> Option<EndpointChange> {
     let id = EndpointId::new(&object.name).ok()?;
     let info = if object.is_gone { None } else { read_endpoint(object) };
-    Some(EndpointUpdate { id, info })
+    Some(match info {
+        Some(info) if info.leaving => EndpointChange::Leaving(id, info.born),
+        Some(info) => EndpointChange::Entry(info),
+        None => EndpointChange::Gone(id),
+    })
 }
 
 fn read_endpoint(object: &StoredObject) -> Option<EndpointInfo> {
@@ -220,30 +275,15 @@
     }
 }
 
-/// Returns all objects of a kind, for a peer.
-pub fn objects_for_peer(node: &Node, kind: Kind) -> KindSnapshot {
+/// Returns all objects of a kind for a peer; `None` for endpoints, which are sent in another form.
+pub fn objects_for_peer(node: &Node, kind: Kind) -> Option<KindSnapshot> {
     // Read before the objects, which may be newer than this revision but never older.
     let revision = node.read_state.of(kind).change_revision();
     let objects = match kind {
         Kind::Config => KindObjects::Config(String::from_utf8_lossy(&node.raw_map()).into_owned()),
-        Kind::Endpoints => {
-            let now = node.now();
-            // A listing just after the start may have missed expired entries.
-            let lapses =
-                now.since_start() < STARTUP_WINDOW || node.read_state.may_have_expired(now);
-            let tables = lock(&node.tables);
-            // The remaining cold time in an entry counts from when it was read.
-            let current_entry = |e: &Registered| EndpointInfo {
-                cold_left: e.cold_until.since(now),
-                ..e.info.clone()
-            };
-            KindObjects::Endpoints {
-                all: tables.registry.all().map(current_entry).collect(),
-                lapses,
-            }
-        }
+        Kind::Endpoints => return None,
         Kind::Evacuations => KindObjects::Evacuated(lock(&node.tables).registry.out().clone()),
         Kind::Rollouts => KindObjects::Rollouts(lock(&node.tables).rollouts.stored()),
     };
-    KindSnapshot { revision, objects }
+    Some(KindSnapshot { revision, objects })
 }
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -107,22 +107,27 @@
         }
     }
 
-    async fn list(&self) -> Result<(), PlatformError> {
-        let (store, state) = (StoreCalls::new(&self.node), self.node.read_state.of(self.kind));
-        // All instances of a fleet may start together: three hundred of them with three thousand
-        // endpoints request 18,300 pages, three seconds' worth of the store's whole call limit.
-        // Pages that may lag don't count towards it. Later listings follow a loss of history, when
-        // no watch can continue from an older page.
+    async fn list(&mut self) -> Result<(), PlatformError> {
+        let node = Arc::clone(&self.node);
+        let (store, state) = (StoreCalls::new(&node), node.read_state.of(self.kind));
         let is_first = !state.is_loaded();
         let reason = if is_first { CallReason::First } else { CallReason::Relist };
-        let mut snapshot = store.list(self.kind, is_first, reason).await?;
+        let first = store.first_page(self.kind, reason).await?;
+        // All instances of a fleet may start together: a thousand of them with ten thousand
+        // endpoints would read 4 GB, half a minute's worth of the store's link.
+        if is_first && first.has_more && self.await_supply().await {
+            return Ok(());
+        }
+        // Pages that may lag don't count towards the store's call limit. Later listings follow a
+        // loss of history, when no watch can continue from an older page.
+        let mut snapshot = store.remaining_pages(self.kind, first, is_first, reason).await?;
         let mut later = None;
         if snapshot.revision < snapshot.newest_revision {
             let since = snapshot.revision;
             match store.watch(self.kind, since, Duration::ZERO, CallReason::AfterListing).await? {
                 WatchResult::Changes(changes) => later = Some(changes),
                 WatchResult::HistoryGone => {
-                    snapshot = store.list(self.kind, false, CallReason::Relist).await?;
+                    snapshot = store.list(self.kind, CallReason::Relist).await?;
                 }
             }
         }
@@ -142,8 +147,9 @@
         Ok(())
     }
 
-    async fn watch(&self) -> Result<(), PlatformError> {
-        let state = self.node.read_state.of(self.kind);
+    async fn watch(&mut self) -> Result<(), PlatformError> {
+        let node = Arc::clone(&self.node);
+        let state = node.read_state.of(self.kind);
         let since = state.read();
         let outcome = tokio::select! {
             result = self.watch_with_hold(since) => Some(result?),
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -4,7 +4,7 @@
 
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::{Snapshot, StatusWrite, WatchResult};
+use nutmeggrade_wire::store::{Listing, Snapshot, StatusWrite, WatchResult};
 use serde_json::Value;
 
 use crate::node::Node;
@@ -53,22 +53,51 @@
         Self(node)
     }
 
-    /// Lists all objects of a kind.
+    /// Reads the first page of a listing.
     ///
     /// # Errors
     ///
     /// Fails if the store's client does.
-    pub async fn list(
+    pub async fn first_page(
         &self,
         kind: Kind,
+        reason: CallReason,
+    ) -> Result<Listing, PlatformError> {
+        let result = self.0.store.first_page(kind).await;
+        self.note(kind, reason, result.as_ref().ok().map(|page| &page.snapshot));
+        result
+    }
+
+    /// Reads the pages of a listing after the first one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store's client does.
+    pub async fn remaining_pages(
+        &self,
+        kind: Kind,
+        first: Listing,
         may_be_stale: bool,
         reason: CallReason,
     ) -> Result<Snapshot, PlatformError> {
-        let result = self.0.store.list(kind, may_be_stale).await;
+        if !first.has_more {
+            return Ok(first.snapshot);
+        }
+        let result = self.0.store.remaining_pages(kind, first, may_be_stale).await;
         self.note(kind, reason, result.as_ref().ok());
         result
     }
 
+    /// Lists all objects of a kind, as they are now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store's client does.
+    pub async fn list(&self, kind: Kind, reason: CallReason) -> Result<Snapshot, PlatformError> {
+        let first = self.first_page(kind, reason).await?;
+        self.remaining_pages(kind, first, false, reason).await
+    }
+
     /// Waits for changes of a kind since a revision, at most `wait`.
     ///
     /// # Errors
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod audit_log;
+pub mod change_log;
 pub mod claiming;
 pub mod cold_load;
 pub mod cold_rights;
@@ -32,3 +33,4 @@
 pub mod rollout;
 pub mod settling;
 pub mod suspects;
+pub mod transfers;
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -22,6 +22,7 @@
 mod stop;
 mod store;
 mod streams;
+mod supply;
 
 use nutmeggrade_fakes::site::{Answer, RawClient};
 use site::Site;
--- a/tests/suite/relay/site.rs
+++ b/tests/suite/relay/site.rs
@@ -4,7 +4,8 @@
 
 use anyhow::Context;
 use nutmeggrade_fakes::site::{
-    Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, StoreListener, request,
+    Answer, Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, StoreListener,
+    request,
 };
 use nutmeggrade_relay::{Instance, LogBuffer, Settings};
 
@@ -162,8 +163,17 @@
 
 /// Gets a path and returns the status and the body.
 pub async fn get_answer(address: SocketAddr, path: &str) -> anyhow::Result<(u16, String)> {
+    let answer = request_path(address, path).await?;
+    Ok((answer.status, String::from_utf8(answer.message.body).context("decode response body")?))
+}
+
+/// Gets a path and returns the body, which need not be text.
+pub async fn get_bytes(address: SocketAddr, path: &str) -> anyhow::Result<Vec<u8>> {
+    Ok(request_path(address, path).await?.message.body)
+}
+
+async fn request_path(address: SocketAddr, path: &str) -> anyhow::Result<Answer> {
     let mut client = RawClient::connect(address).await?;
     client.send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")).await?;
-    let answer = client.answer().await?;
-    Ok((answer.status, String::from_utf8(answer.message.body).context("decode response body")?))
+    client.answer().await
 }
--- a/tests/suite/relay/store.rs
+++ b/tests/suite/relay/store.rs
@@ -1,17 +1,21 @@
 //! Calls to the store, and objects that peers exchange.
 
+use nutmeggrade_core::peer::{EndpointGroups, EndpointsReply};
 use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Fault, Generations, RoutingPlan, Store};
 use nutmeggrade_relay::Instance;
 
 use super::members::{Pair, start_pair};
-use super::site::{Site, get, metric, start_instance};
+use super::site::{Site, get_bytes, metric, start_instance};
 use crate::support::{run, until};
 
 /// Gets all endpoints from an instance, as its peers do.
-async fn get_endpoints(instance: &Instance) -> anyhow::Result<serde_json::Value> {
-    let text = get(instance.addresses().control, "/known?kind=endpoints").await?;
-    let answer: serde_json::Value = serde_json::from_str(&text)?;
-    Ok(answer["known"]["Endpoints"].clone())
+/// Returns the endpoints that an instance tells its peers, and whether missing ones may have lapsed.
+async fn get_endpoints(instance: &Instance) -> anyhow::Result<(EndpointGroups, bool)> {
+    let body = get_bytes(instance.addresses().control, "/known/endpoints?since=0").await?;
+    match EndpointsReply::decode(&body)? {
+        EndpointsReply::All { endpoints, lapses, .. } => Ok((endpoints, lapses)),
+        EndpointsReply::Changes(changes) => anyhow::bail!("changes alone: {changes:?}"),
+    }
 }
 
 // Without a count by reason, operators see how many calls the store gets and not why.
@@ -73,12 +77,12 @@
     run(async {
         let Pair { store, first, other, other_listener, .. } = start_pair().await?;
         let may_lapse = async |instance: &Instance| {
-            let endpoints = get_endpoints(instance).await?;
-            Ok::<_, anyhow::Error>(endpoints["lapses"].clone())
+            let (_, lapses) = get_endpoints(instance).await?;
+            Ok::<_, anyhow::Error>(lapses)
         };
-        until("the store is available", async || Ok(may_lapse(&other).await? == false)).await?;
+        until("the store is available", async || Ok(!may_lapse(&other).await?)).await?;
         other_listener.set(Fault::Refuse);
-        until("the outage is noticed", async || Ok(may_lapse(&other).await? == true)).await?;
+        until("the outage is noticed", async || may_lapse(&other).await).await?;
         let address = "127.0.0.1:9".parse()?;
         let mut number = 0;
         let mut change = || {
@@ -90,7 +94,7 @@
         for instance in [&first, &other] {
             until("the outage is over", async || {
                 change();
-                Ok(may_lapse(instance).await? == false)
+                Ok(!may_lapse(instance).await?)
             })
             .await?;
         }
@@ -110,8 +114,8 @@
         site.store.put("servers", "e-1", content);
         site.until_metric("endpoints", 1).await?;
         until("the endpoint is warm", async || {
-            let endpoints = get_endpoints(&site.instance).await?;
-            Ok(endpoints["all"][0]["cold_left"] == 0)
+            let (endpoints, _) = get_endpoints(&site.instance).await?;
+            Ok(endpoints.endpoints().next().is_some_and(|e| e.cold_left.is_zero()))
         })
         .await
     });
@@ -127,11 +131,11 @@
         let store_listener = store.open_listener().await?;
         let instance = start_instance("i-1", &store_listener, "").await?;
         let may_lapse = async || {
-            let endpoints = get_endpoints(&instance).await?;
-            Ok::<_, anyhow::Error>(endpoints["lapses"].clone())
+            let (_, lapses) = get_endpoints(&instance).await?;
+            Ok::<_, anyhow::Error>(lapses)
         };
-        until("the store is available", async || Ok(may_lapse().await? == false)).await?;
+        until("the store is available", async || Ok(!may_lapse().await?)).await?;
         store_listener.set(Fault::Refuse);
-        until("the outage is noticed", async || Ok(may_lapse().await? == true)).await
+        until("the outage is noticed", async || may_lapse().await).await
     });
 }
--- /dev/null
+++ b/tests/suite/relay/supply.rs
@@ -0,0 +1,115 @@
+//! How instances get the endpoints of a deployment whose listing takes many pages.
+
+use nutmeggrade_core::peer::EndpointsReply;
+use nutmeggrade_fakes::site::{Entry, RoutingPlan, Store};
+
+use super::members::{start_member, until_all_have};
+use super::site::{get_bytes, metric, start_instance};
+use crate::support::{run, until};
+
+/// Number of endpoints; a listing of the fake store has pages of three.
+const ENDPOINTS: u64 = 300;
+
+fn name(number: u64) -> String {
+    format!("endpoint-{number:04}")
+}
+
+fn put_endpoint(store: &Store, number: u64) -> anyhow::Result<()> {
+    let address = format!("127.0.0.1:{}", 20_000 + number).parse()?;
+    store.put("servers", &name(number), Entry::new("desk", address).content());
+    Ok(())
+}
+
+fn store_with_endpoints() -> anyhow::Result<Store> {
+    let store = Store::new();
+    store.put("config", "main", RoutingPlan::default().content());
+    (0..ENDPOINTS).try_for_each(|number| put_endpoint(&store, number))?;
+    Ok(store)
+}
+
+// Guards against a fleet whose instances all list the endpoints themselves when they start: a
+// thousand instances would read ten thousand endpoints each, half a minute's worth of the store's
+// link. One instance lists them, the others get them from it.
+#[test]
+fn endpoints_are_listed_once_for_a_fleet() {
+    run(async {
+        let store = store_with_endpoints()?;
+        let store_listener = store.open_listener().await?;
+        let first = start_instance("i-1", &store_listener, "").await?;
+        until_all_have([&first], "endpoints", ENDPOINTS).await?;
+        let calls = store.calls();
+        let mut members = Vec::new();
+        for number in 2..=6 {
+            members.push(start_member(&first, number, &store_listener).await?);
+        }
+        until_all_have(&members, "endpoints", ENDPOINTS).await?;
+        // First pages of each kind, and watches of those that read for all.
+        let calls = store.calls() - calls;
+        assert!(calls < ENDPOINTS / 3, "{calls} calls");
+        Ok(())
+    });
+}
+
+// Guards against an instance that never serves because its peers don't answer: it lists the
+// endpoints itself.
+#[test]
+fn endpoints_are_listed_where_no_peer_has_them() {
+    run(async {
+        let store = store_with_endpoints()?;
+        let store_listener = store.open_listener().await?;
+        let instance = start_instance("i-1", &store_listener, "127.0.0.9:1").await?;
+        until_all_have([&instance], "endpoints", ENDPOINTS).await
+    });
+}
+
+// Guards against hundreds of changes that make each instance read the store or fetch all endpoints:
+// they don't fit into a datagram, and peers fetch just them.
+#[test]
+fn hundreds_of_changes_are_fetched_from_peers() {
+    run(async {
+        let store = store_with_endpoints()?;
+        let store_listener = store.open_listener().await?;
+        let first = start_instance("i-1", &store_listener, "").await?;
+        let mut members = Vec::new();
+        for number in 2..=6 {
+            members.push(start_member(&first, number, &store_listener).await?);
+        }
+        members.push(first);
+        until_all_have(&members, "endpoints", ENDPOINTS).await?;
+        until_all_have(&members, "peers", 5).await?;
+        let (calls, revision) = (store.calls(), store.revision());
+        (0..250).try_for_each(|number| put_endpoint(&store, ENDPOINTS + number))?;
+        until_all_have(&members, "endpoints", ENDPOINTS + 250).await?;
+        let calls = store.calls() - calls;
+        assert!(calls < 60, "{calls} calls");
+        for member in &members {
+            let path = format!("/known/endpoints?since={revision}");
+            let reply = get_bytes(member.addresses().control, &path).await?;
+            let EndpointsReply::Changes(missed) = EndpointsReply::decode(&reply)? else {
+                anyhow::bail!("all endpoints");
+            };
+            assert_eq!(missed.changes.len(), 250);
+        }
+        Ok(())
+    });
+}
+
+// Guards against an idle instance that recomputes all endpoints ten times a second: with 10,000 of
+// them this took more processor time than the requests.
+#[test]
+fn idle_instance_recomputes_no_endpoints() {
+    run(async {
+        let store = store_with_endpoints()?;
+        let instance = start_instance("i-1", &store.open_listener().await?, "").await?;
+        until_all_have([&instance], "endpoints", ENDPOINTS).await?;
+        let metrics = instance.addresses().metrics;
+        let before = metric(metrics, "refreshed_endpoints_total").await?;
+        tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        assert_eq!(metric(metrics, "refreshed_endpoints_total").await?, before);
+        put_endpoint(&store, ENDPOINTS)?;
+        until("a changed endpoint is recomputed", async || {
+            Ok(metric(metrics, "refreshed_endpoints_total").await? == before + 1)
+        })
+        .await
+    });
+}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -1,12 +1,13 @@
 //! Unit tests of the state tables and state machines.
 
+mod change_log;
 mod cold_rights;
 mod crash_log;
 mod endpoint_table;
 mod fleet_view;
 mod forward_queue;
-mod heartbeat;
 mod gossip;
+mod heartbeat;
 mod intent;
 mod large_fleet;
 mod membership;
@@ -14,3 +15,4 @@
 mod registry;
 mod rollouts;
 mod sources;
+mod transfers;
