Keep the addresses of instances that are only heard of through others

Cause: an address that is not announced for 30 s is dropped, and only heartbeats that arrive directly or introduce others announced one. Since heartbeats are passed on, a remote instance of a large fleet is heard of every few seconds but sends one here every 48 s; a tenth of the addresses would be missing when limits are divided and messages are broadcast.

Found by reading. Test: state::gossip::instances_that_are_only_heard_of_stay_known, 2 of 3 instances known before.

--- a/crates/nutmeggrade-state/src/fleet_view/digest.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/digest.rs
@@ -93,6 +93,10 @@
         if peer.key() == key && sequence > peer.newest_sequence {
             peer.newest_sequence = sequence;
             peer.heard = now;
+            // Addresses that were not announced for long are dropped.
+            if let Some(contact) = self.contacts.get_mut(&peer.addresses.beacon) {
+                contact.last_announced = now;
+            }
             let is_near = peer.addresses.domain == self.own_addresses.domain;
             let queue = if is_near { &mut self.fresh.near } else { &mut self.fresh.far };
             queue.add(key, is_direct);
--- a/tests/suite/state/gossip.rs
+++ b/tests/suite/state/gossip.rs
@@ -158,6 +158,30 @@
     assert!(!view.is_live(&name(peer), now(60)));
 }
 
+// Guards against remote instances that are left out when limits are divided and when messages are
+// broadcast: in a large fleet they are heard of through others only, for minutes.
+#[test]
+fn instances_that_are_only_heard_of_stay_known() {
+    let (own, remote, passer) = (100, 1, 102);
+    let mut view = FleetView::new(&name(own), &addresses(own), &[]);
+    let mut passing = FleetView::new(&name(passer), &addresses(passer), &[]);
+    for number in 150..190 {
+        passing.receive_heartbeat(&heartbeat(&name(number), &addresses(number), 1), now(0));
+    }
+    view.receive_heartbeat(&heartbeat(&name(remote), &addresses(remote), 1), now(0));
+    for turn in (10..400).step_by(10) {
+        passing.receive_heartbeat(&heartbeat(&name(remote), &addresses(remote), turn), now(turn));
+        let passed_on = FleetBeacon {
+            heard: passing.take_digest(),
+            ..heartbeat(&name(passer), &addresses(passer), turn)
+        };
+        view.receive_heartbeat(&passed_on, now(turn));
+        view.remove_silent(now(turn));
+    }
+    assert!(view.is_live(&name(remote), now(391)));
+    assert_eq!(view.instance_count(now(391)), 3);
+}
+
 // Guards against a change that hundreds of neighbours fetch from one instance at the same moment,
 // over a link that is too small for it: it tells few, and they tell others.
 #[rstest]
