Check for silent peers in one pass, and clean up behind them once a second

Cause: ten times a second each instance built a set of all live peers, compared it with the last one, asked it for each peer with placed work and looked for addresses that have not been announced for 30 s.

Change: each peer remembers whether it was live at the last check; only those that fell silent since are logged and lose their placements. What needs 30 s to grow old is looked for once a second.

Tests: silence_is_reported_once, work_of_a_silent_peer_is_dropped (of the new functions).

--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -130,10 +130,8 @@
     fn check_micros(&mut self) -> f64 {
         let start = Instant::now();
         for _ in 0..ROUNDS {
-            self.view.remove_silent(self.now);
-            let live: Vec<&InstanceId> = self.view.live(self.now).collect();
             black_box((
-                live.len(),
+                self.view.check_silence(self.now),
                 self.view.instance_count(self.now),
                 self.view.is_reader(self.now),
             ));
--- a/crates/nutmeggrade-policy/src/dispatch/load_table.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/load_table.rs
@@ -134,6 +134,13 @@
         LoadChanges { placed, is_urgent: std::mem::take(&mut self.is_urgent) }
     }
 
+    /// Removes the load of a peer that is gone.
+    pub fn remove_peer(&mut self, peer: &InstanceId) {
+        for (endpoint, old) in self.peers.remove(peer).unwrap_or_default() {
+            replace(&mut self.peer_totals, &endpoint, old, PlacedLoad::default());
+        }
+    }
+
     /// Removes peers that are gone.
     pub fn retain_peers(&mut self, is_present: impl Fn(&InstanceId) -> bool) {
         let old_count = self.peers.len();
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -1,10 +1,8 @@
 //! Periodic maintenance of the tables.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::registry::{Registered, Registry};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -16,35 +14,47 @@
 /// heartbeat has freed.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Ticks between two checks for what peers left behind long ago.
+const TICKS_PER_CLEANUP: u64 = 10;
+
 /// Runs the maintenance for as long as the process runs.
 pub async fn run(node: Arc<Node>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut live_before = BTreeSet::new();
-    loop {
+    for tick in 0_u64.. {
         ticks.tick().await;
         node.change_registry(Registry::expire);
-        expire_peers(&node, &mut live_before);
+        expire_peers(&node);
+        if tick.is_multiple_of(TICKS_PER_CLEANUP) {
+            remove_forgotten_peers(&node);
+        }
         prune_rollouts(&node);
         node.refresh();
     }
 }
 
-/// Drops peers whose heartbeats stopped, with their placements, and logs them.
-fn expire_peers(node: &Node, live_before: &mut BTreeSet<InstanceId>) {
-    let now = node.now();
+/// Drops the placements of peers whose heartbeats stopped, and logs them.
+fn expire_peers(node: &Node) {
     let mut tables = lock(&node.tables);
-    tables.fleet.remove_silent(now);
-    let live_now: BTreeSet<InstanceId> = tables.fleet.live(now).cloned().collect();
-    for peer in live_before.difference(&live_now) {
+    let (live_count, silent) = tables.fleet.check_silence(node.now());
+    for peer in &silent {
         tracing::info!(event = "peer_silent", %peer);
+        tables.dispatcher.load_table.remove_peer(peer);
     }
-    tables.dispatcher.load_table.retain_peers(|peer| live_now.contains(peer));
     let waiting = tables.dispatcher.waiting();
     drop(tables);
-    node.metrics.peers.set(i64::try_from(live_now.len()).unwrap_or(i64::MAX));
+    node.metrics.peers.set(i64::try_from(live_count).unwrap_or(i64::MAX));
     node.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
-    *live_before = live_now;
+}
+
+/// Drops peers and addresses that nobody has heard of for long, and placements of peers that were
+/// never heard.
+fn remove_forgotten_peers(node: &Node) {
+    let now = node.now();
+    let tables = &mut *lock(&node.tables);
+    tables.fleet.remove_silent(now);
+    let fleet = &tables.fleet;
+    tables.dispatcher.load_table.retain_peers(|peer| fleet.is_live(peer, now));
 }
 
 /// Drops rollouts that were withdrawn and whose version has no endpoints left.
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -47,6 +47,8 @@
     newest_sequence: u64,
     /// When the newest heartbeat was received or passed on.
     heard: Moment,
+    /// Whether the peer was live at the last check.
+    was_live: bool,
     leaving: bool,
     reads: bool,
     revisions: Revisions,
@@ -167,6 +169,7 @@
             sequence: beacon.sequence,
             newest_sequence,
             heard,
+            was_live: old.is_some_and(|p| p.was_live),
             leaving: beacon.leaving,
             reads: beacon.reads,
             revisions: beacon.revisions,
@@ -208,6 +211,24 @@
         }
     }
 
+    /// Returns the number of live peers, and those that were live at the last check and have gone
+    /// silent since.
+    pub fn check_silence(&mut self, now: Moment) -> (usize, Vec<InstanceId>) {
+        let (near_timeout, far_timeout) = (self.near_timeout(), self.far_timeout());
+        let (mut live_count, mut silent) = (0, Vec::new());
+        for (name, peer) in &mut self.peers {
+            let is_near = peer.addresses.domain == self.own_addresses.domain;
+            let timeout = if is_near { near_timeout } else { far_timeout };
+            let is_live = now.since(peer.heard) <= timeout;
+            if peer.was_live && !is_live {
+                silent.push(name.clone());
+            }
+            peer.was_live = is_live;
+            live_count += usize::from(is_live);
+        }
+        (live_count, silent)
+    }
+
     /// Removes peers that have been silent too long to count for limits, and addresses that were
     /// not announced for as long, which may belong to another program by then.
     ///
--- a/crates/nutmeggrade-state/src/fleet_view/recipients.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/recipients.rs
@@ -213,7 +213,8 @@
         }
     }
 
-    fn near_timeout(&self) -> Duration {
+    /// Returns the silence after which a peer in the same failure domain counts as gone.
+    pub(super) fn near_timeout(&self) -> Duration {
         let near = self.near.len();
         self.timeout_for(if self.passes_on() {
             near.div_ceil(NEAR_HEARD_PER_TURN).max(MAX_NEAR_TURNS)
--- a/tests/suite/policy/load_table.rs
+++ b/tests/suite/policy/load_table.rs
@@ -45,3 +45,16 @@
     table.retain_peers(|instance| *instance == other);
     assert_eq!((table.load(&ids[0]).requests, table.load(&ids[1]).requests), (1, 0));
 }
+
+// Guards against work of a dead peer that keeps its engines looking full.
+#[test]
+fn work_of_a_silent_peer_is_dropped() {
+    let engine = EndpointId::new("e-1").expect("an id");
+    let [peer, other] = ["i-2", "i-3"].map(|id| InstanceId::new(id).expect("an id"));
+    let mut table = LoadTable::new();
+    table.set_peer(&peer, &[(engine.clone(), placed())].into());
+    table.set_peer(&other, &[(engine.clone(), placed())].into());
+    table.remove_peer(&peer);
+    table.remove_peer(&peer);
+    assert_eq!(table.load(&engine), placed());
+}
--- a/tests/suite/state/fleet_view.rs
+++ b/tests/suite/state/fleet_view.rs
@@ -47,6 +47,20 @@
     assert_eq!(view.instance_count(later(31_000)), 1);
 }
 
+// Guards against a peer whose work stays counted after it fell silent, or is dropped when it is
+// heard again: its silence is reported once each time.
+#[test]
+fn silence_is_reported_once() {
+    let mut view = view(1);
+    view.receive_heartbeat(&beacon(2, 1), NOW);
+    assert_eq!(view.check_silence(later(100)), (1, Vec::new()));
+    assert_eq!(view.check_silence(later(3_000)), (0, vec![name(2)]));
+    assert_eq!(view.check_silence(later(3_100)), (0, Vec::new()));
+    view.receive_heartbeat(&beacon(2, 2), later(3_200));
+    assert_eq!(view.check_silence(later(3_300)), (1, Vec::new()));
+    assert_eq!(view.check_silence(later(6_500)), (0, vec![name(2)]));
+}
+
 // Guards against clients that are sent to a peer, or to this instance, after it announced that it
 // leaves.
 #[test]
