Send short digests to other failure domains, and to fewer instances there

Worked out, two thirds of it are heartbeats: four a turn from each of 985 instances, each with whom the sender has heard from.

Cause: the digest is sized for the neighbours, of whom each hears few senders. All instances of a failure domain send to the others, so that even eight entries each tell of every instance there many times a turn.

Change: two heartbeats a turn to other failure domains where digests are sent, with eight entries.

Test: state::gossip now bounds the bytes to other failure domains by 2 KiB a second for each instance; by construction the code before it sent 12 KB. Live and dead instances are told apart as before.

--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -15,7 +15,9 @@
     DomainPart, FleetBeacon, FleetMessage, FleetOutcomes, InstanceLoad, Introduction, open, seal,
 };
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_state::fleet_view::{BroadcastRecipients, HEARTBEAT_INTERVAL, RelayOrder};
+use nutmeggrade_state::fleet_view::{
+    BroadcastRecipients, HEARTBEAT_INTERVAL, REMOTE_DIGEST_ENTRIES, RelayOrder,
+};
 use nutmeggrade_state::forward_queue::ForwardQueue;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -108,12 +110,15 @@
             return;
         }
         let mut beacon = self.beacon(node);
-        let targets = {
+        let (near, far): (Vec<SocketAddr>, Vec<SocketAddr>) = {
             let fleet = &mut lock(&node.tables).fleet;
             beacon.heard = fleet.take_digest();
-            fleet.targets()
+            fleet.targets().into_iter().partition(|target| fleet.is_near(target))
         };
-        self.send_to(node, &FleetMessage::Beacon(beacon), &targets).await;
+        let mut remote = beacon.clone();
+        remote.heard.truncate(REMOTE_DIGEST_ENTRIES);
+        self.send_to(node, &FleetMessage::Beacon(beacon), &near).await;
+        self.send_to(node, &FleetMessage::Beacon(remote), &far).await;
     }
 
     /// Sends one heartbeat to all peers.
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -14,6 +14,7 @@
 use nutmeggrade_core::prelude::*;
 
 use digest::FreshPeers;
+pub use digest::REMOTE_DIGEST_ENTRIES;
 pub use recipients::{BroadcastRecipients, RelayOrder};
 pub use sources::SourceScope;
 
--- a/crates/nutmeggrade-state/src/fleet_view/digest.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/digest.rs
@@ -16,6 +16,9 @@
 const MAX_NEAR_ENTRIES: usize = 128;
 /// Number of peers in other failure domains in a heartbeat's digest.
 const FAR_ENTRIES: usize = 16;
+/// Number of neighbours in the digest of a heartbeat to another failure domain, where traffic is
+/// expensive. Hundreds of instances send there, so that few entries each cover the domain.
+pub const REMOTE_DIGEST_ENTRIES: usize = 8;
 /// Maximum number of peers that wait to be passed on; older ones are superseded by later heartbeats.
 const MAX_WAITING: usize = 128;
 
--- a/crates/nutmeggrade-state/src/fleet_view/recipients.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/recipients.rs
@@ -25,6 +25,8 @@
 /// domain, heartbeats were half of it. Clients are offered nearby instances, so a silent remote one
 /// may be detected later.
 const FAR_FANOUT: usize = 4;
+/// The same where heartbeats are passed on: one that reaches a failure domain spreads there.
+const PASSED_ON_FAR_FANOUT: usize = 2;
 /// Maximum number of turns until each neighbour has had a heartbeat without heartbeats that are
 /// passed on. In a failure domain with more instances, peers pass on whom they have heard from, so
 /// that a dead instance is offered to clients for no longer than in a small domain. Without it, it
@@ -79,7 +81,8 @@
             self.contacts.keys().copied().partition(|a| self.near.contains(a));
         let mut targets = next_in_rotation(&near, NEAR_FANOUT, &mut self.near_position);
         // A new instance may have few known neighbours; the remaining slots go to other peers.
-        let far_limit = NEAR_FANOUT + FAR_FANOUT - targets.len();
+        let far_fanout = if self.passes_on() { PASSED_ON_FAR_FANOUT } else { FAR_FANOUT };
+        let far_limit = NEAR_FANOUT + far_fanout - targets.len();
         targets.extend(next_in_rotation(&far, far_limit, &mut self.far_position));
         targets
     }
@@ -223,6 +226,11 @@
         })
     }
 
+    /// Returns whether an address is known to be in the same failure domain.
+    pub fn is_near(&self, address: &SocketAddr) -> bool {
+        self.near.contains(address)
+    }
+
     /// Returns whether heartbeats carry whom their senders have heard from.
     pub(super) fn passes_on(&self) -> bool {
         self.near.len() > NEAR_FANOUT * MAX_NEAR_TURNS
--- a/tests/suite/state/gossip.rs
+++ b/tests/suite/state/gossip.rs
@@ -6,7 +6,7 @@
 
 use nutmeggrade_core::peer::{FleetBeacon, InstanceAddresses};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_state::fleet_view::{FleetView, HEARTBEAT_INTERVAL};
+use nutmeggrade_state::fleet_view::{FleetView, HEARTBEAT_INTERVAL, REMOTE_DIGEST_ENTRIES};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
@@ -18,6 +18,11 @@
 const LOSS: f64 = 0.02;
 /// Heartbeats that an instance may send in a turn, whatever the size of the fleet.
 const MAX_SENT: usize = 12;
+/// Bytes that an instance may send to other failure domains in a turn: 2 KiB a second.
+const MAX_REMOTE_BYTES: usize = 512;
+/// Size of a heartbeat beside its digest, and of an entry of the digest, in bytes.
+const HEARTBEAT_BYTES: usize = 150;
+const ENTRY_BYTES: usize = 13;
 /// Turns before an instance dies.
 const TURNS: usize = 10;
 /// How often at most a live instance may be taken for dead: one pair of instances in so many.
@@ -87,7 +92,18 @@
             };
             let targets = view.targets();
             most = most.max(targets.len());
-            datagrams.extend(targets.iter().map(|t| (self.numbers[t], beacon.clone())));
+            let mut remote = beacon.clone();
+            remote.heard.truncate(REMOTE_DIGEST_ENTRIES);
+            let to = |target: &SocketAddr| {
+                let beacon = if view.is_near(target) { &beacon } else { &remote };
+                (self.numbers[target], beacon.clone())
+            };
+            datagrams.extend(targets.iter().map(to));
+            let far_count = targets.iter().filter(|target| !view.is_near(target)).count();
+            let far_bytes = far_count * (HEARTBEAT_BYTES + remote.heard.len() * ENTRY_BYTES);
+            if own >= usize::from(FAR_INSTANCES) {
+                assert!(far_bytes <= MAX_REMOTE_BYTES, "{far_bytes} bytes to {far_count}");
+            }
         }
         let now = self.now();
         for (to, beacon) in datagrams {
