Let requests wait for the start of the fleet rather than refuse them twice

Load: all instances are killed at once and clients come back at once.

Cause: an instance without a configuration or endpoints refuses at once, whatever the others do. A fleet of seven starts within a second, one of a thousand needs some two and a half after its processes are back.

Change: such a request waits for two fifths of its client's time, three seconds at most, unless most of the peers heard can serve (then another instance is better) or the store has failed this instance's call (then nobody knows when). The decision is policy::dispatch::startup_wait.

Tests: policy::startup; relay::config::request_waits_for_the_start_to_end (503 before).

--- a/crates/nutmeggrade-policy/src/dispatch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod load_table;
 mod room;
 mod service_pools;
+mod startup;
 
 pub use backoff::Backoff;
 pub use candidate::Candidate;
@@ -24,3 +25,4 @@
 pub use nutmeggrade_core::routing::PlacedLoad;
 pub use room::{failure_rate_penalty, fits, score};
 pub use service_pools::ServicePools;
+pub use startup::{StartupView, startup_wait};
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -15,7 +15,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RouteMap;
 use nutmeggrade_policy::Ticket;
-use nutmeggrade_policy::dispatch::Dispatcher;
+use nutmeggrade_policy::dispatch::{Dispatcher, StartupView};
 use nutmeggrade_state::fleet_view::FleetView;
 use nutmeggrade_state::transfers::Transfers;
 use nutmeggrade_wire::store::Store;
@@ -185,7 +185,19 @@
     /// Returns whether requests can be served: a configuration and the endpoints were read, and no
     /// stop has begun.
     pub fn is_ready(&self) -> bool {
-        self.map().version > 0 && self.read_state.has_endpoints() && self.phase() == Phase::Serving
+        self.is_loaded() && self.phase() == Phase::Serving
+    }
+
+    /// Returns whether a configuration and the endpoints were read.
+    pub fn is_loaded(&self) -> bool {
+        self.map().version > 0 && self.read_state.has_endpoints()
+    }
+
+    /// Returns what this instance knows of the others while it starts.
+    pub fn startup_view(&self) -> StartupView {
+        let (live_peers, serving_peers) = lock(&self.tables).fleet.serving_counts(self.now());
+        let is_store_unavailable = !self.read_state.is_available();
+        StartupView { live_peers, serving_peers, is_store_unavailable }
     }
 
     /// Returns the current phase of a graceful stop.
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -10,7 +10,9 @@
 use hyper::body::{Body, Incoming};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{Access, Route, RouteMap, WorkspaceKey};
+use nutmeggrade_policy::dispatch::startup_wait;
 use nutmeggrade_wire::request::{self, ClientHeaders};
+use tokio::time::sleep;
 
 use super::client_request::ClientRequest;
 use super::crash;
@@ -22,6 +24,9 @@
 /// Timeout of a request whose client states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Interval between two checks whether the start of this instance has ended.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// `Retry-After` of a request that another instance can serve at once.
 const OTHER_INSTANCE_DELAY: Duration = Duration::from_millis(20);
 
@@ -42,6 +47,7 @@
     let parsed = request::read(&head).map_err(refuse_without_id)?;
     let id = parsed.id.clone();
     let refuse = |failure| RefusedRequest { id: Some(id.clone()), failure };
+    await_start(node, arrived_at, parsed.timeout.unwrap_or(DEFAULT_TIMEOUT)).await;
     let map = node.map();
     let (route, key) = authorize(node, &map, &head, &parsed).map_err(refuse)?;
     let Some(service) = route.pick(rand::random::<f64>()) else {
@@ -79,6 +85,18 @@
     })
 }
 
+/// Waits until this instance can serve if it has just started, as long as that is best for a client
+/// with this timeout.
+async fn await_start(node: &Node, arrived_at: Moment, timeout: Duration) {
+    while !node.is_loaded() {
+        let wait = startup_wait(timeout, node.startup_view());
+        if node.now() >= arrived_at.after(wait) {
+            return;
+        }
+        sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
 /// Finds the route of a request and the workspace of its key. A public route needs no key.
 fn authorize(
     node: &Node,
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -212,6 +212,14 @@
         }
     }
 
+    /// Returns the number of live peers, and how many of them serve: they accept clients and have
+    /// read a configuration and endpoints.
+    pub fn serving_counts(&self, now: Moment) -> (usize, usize) {
+        let live = self.peers.values().filter(|p| self.is_heard(p, now));
+        let serves = |p: &&Peer| !p.leaving && p.revisions.config > 0 && p.revisions.endpoints > 0;
+        (live.clone().count(), live.filter(serves).count())
+    }
+
     /// Returns the number of live peers, and those that were live at the last check and have gone
     /// silent since.
     pub fn check_silence(&mut self, now: Moment) -> (usize, Vec<InstanceId>) {
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -24,6 +24,7 @@
 mod retries;
 mod rollouts;
 mod routing;
+mod startup;
 
 /// Cache memory of an engine, in tokens.
 const MEMORY_TOKENS: u64 = 40_000;
--- a/tests/suite/relay/config.rs
+++ b/tests/suite/relay/config.rs
@@ -1,6 +1,10 @@
 //! Configurations, keys and outages of the store.
 
-use nutmeggrade_fakes::site::{Behaviour, Fault, RawClient, RoutingPlan, Store, request};
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{
+    Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store, request,
+};
 
 use super::ask;
 use super::site::{Site, get_answer, start_instance};
@@ -88,6 +92,24 @@
     });
 }
 
+// Guards against clients that are refused, and refused again, while the whole fleet starts: the
+// store answers a moment after the request came, and the request is served.
+#[test]
+fn request_waits_for_the_start_to_end() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", RoutingPlan::default().content());
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        store.put("servers", "e-1", Entry::new("desk", endpoint.address).content());
+        let store_listener = store.open_listener().await?;
+        store_listener.set(Fault::Slow(Duration::from_millis(300)));
+        let instance = start_instance("i-1", &store_listener, "").await?;
+        let answer = RawClient::ask(instance.addresses().client, "once", "a1", "").await?;
+        assert_eq!(answer.status, 200);
+        Ok(())
+    });
+}
+
 // The store is unavailable. Known routes and keys are served; unknown ones may exist in a newer
 // configuration, so the instance does not answer that they do not exist.
 #[test]
