Take a peer's word on the store only from its own heartbeats

Cause: engines are polled while any peer heard within 0.8 s says that it has no store. Since heartbeats are passed on, a peer counts as heard long after it last spoke itself, and what it said then, seconds or a minute ago, counted as fresh; so engines were polled long after the outage. Readers are chosen among the same peers.

Change: for both, a peer counts only for 0.8 s after its own heartbeat, as before heartbeats were passed on. That it is alive is still known through others.

Test: state::gossip::what_a_peer_said_of_the_store_is_not_passed_on, red before. Not measured at the fleet's size.

--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -48,6 +48,8 @@
     newest_sequence: u64,
     /// When the newest heartbeat was received or passed on.
     heard: Moment,
+    /// When the last heartbeat was received, with what it says of the store.
+    heard_directly: Moment,
     /// Whether the peer was live at the last check.
     was_live: bool,
     leaving: bool,
@@ -170,6 +172,7 @@
             sequence: beacon.sequence,
             newest_sequence,
             heard,
+            heard_directly: now,
             was_live: old.is_some_and(|p| p.was_live),
             leaving: beacon.leaving,
             reads: beacon.reads,
--- a/crates/nutmeggrade-state/src/fleet_view/readers.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/readers.rs
@@ -93,7 +93,7 @@
 
     /// Lists the peers within [`READER_TIMEOUT`], among which readers are chosen.
     pub(super) fn recently_heard(&self, now: Moment) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        self.peers.iter().filter(move |(_, p)| now.since(p.heard) <= READER_TIMEOUT)
+        self.peers.iter().filter(move |(_, p)| now.since(p.heard_directly) <= READER_TIMEOUT)
     }
 }
 
--- a/tests/suite/state/gossip.rs
+++ b/tests/suite/state/gossip.rs
@@ -198,6 +198,29 @@
     assert_eq!(view.instance_count(now(391)), 3);
 }
 
+// Guards against engines that are polled for a minute after an outage: what a peer said of the store
+// counts only for as long as its own heartbeats do, not while others pass on that it is alive.
+#[test]
+fn what_a_peer_said_of_the_store_is_not_passed_on() {
+    let (own, peer, passer) = (100, 101, 102);
+    let mut view = FleetView::new(&name(own), &addresses(own), &[]);
+    let mut passing = FleetView::new(&name(passer), &addresses(passer), &[]);
+    for number in 150..190 {
+        passing.receive_heartbeat(&heartbeat(&name(number), &addresses(number), 1), now(0));
+    }
+    let cut_off = FleetBeacon { reads: false, ..heartbeat(&name(peer), &addresses(peer), 1) };
+    view.receive_heartbeat(&cut_off, now(0));
+    assert!(view.has_peer_without_store(now(1)));
+    passing.receive_heartbeat(&heartbeat(&name(peer), &addresses(peer), 20), now(19));
+    let passed_on = FleetBeacon {
+        heard: passing.take_digest(),
+        ..heartbeat(&name(passer), &addresses(passer), 20)
+    };
+    view.receive_heartbeat(&passed_on, now(20));
+    assert!(view.is_live(&name(peer), now(20)));
+    assert!(!view.has_peer_without_store(now(20)));
+}
+
 // Guards against a change that hundreds of neighbours fetch from one instance at the same moment,
 // over a link that is too small for it: it tells few, and they tell others.
 #[rstest]
