Take back that the configuration comes from peers when a large fleet starts

The configuration waits for the first page, for the seeds and for its way through the fleet, on links that send the endpoints; a second of the store's link, all at once, is sooner. 985 calls a start are the price.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -112,15 +112,7 @@
         let (store, state) = (StoreCalls::new(&node), node.read_state.of(self.kind));
         let is_first = !state.is_loaded();
         let reason = if is_first { CallReason::First } else { CallReason::Relist };
-        if is_first && self.kind == Kind::Config && self.await_large_listing().await {
-            return Ok(());
-        }
-        let first = store.first_page(self.kind, reason).await;
-        if is_first && self.kind == Kind::Endpoints {
-            let is_large = first.as_ref().is_ok_and(|page| page.has_more);
-            node.read_state.is_large_listing.send_replace(Some(is_large));
-        }
-        let first = first?;
+        let first = store.first_page(self.kind, reason).await?;
         // All instances of a fleet may start together: a thousand of them with ten thousand
         // endpoints would read 4 GB, half a minute's worth of the store's link.
         if is_first && first.has_more && self.await_supply().await {
--- a/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
@@ -7,7 +7,7 @@
 use nutmeggrade_state::fleet_view::SourceScope;
 use nutmeggrade_wire::kinds::Kind;
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::{Follower, PEER_CHANGES_WAIT, ROLE_CHECK_INTERVAL};
 use crate::fleet_sync::{self, SyncOutcome};
@@ -30,9 +30,6 @@
 /// Time after the start in which an instance that others begin with gets a peer's objects rather
 /// than list them itself.
 const SEED_WAIT: Duration = Duration::from_millis(300);
-/// Time to wait for the first page of endpoints, which comes within milliseconds unless the store is
-/// unavailable or a whole fleet starts.
-const LISTING_WAIT: Duration = Duration::from_millis(700);
 /// Time after which an instance lists the objects itself although others should have.
 const SUPPLY_TIMEOUT: Duration = Duration::from_secs(6);
 /// The same while the peers that have the objects are busy sending them to others.
@@ -95,16 +92,6 @@
         }
     }
 
-    /// If the listing of endpoints takes many pages, waits until a peer supplies this kind; returns
-    /// whether it did. In such a deployment the configuration is large too, and read by all instances
-    /// at a start it took a second of the store's link.
-    pub(super) async fn await_large_listing(&mut self) -> bool {
-        let mut listing = self.node.read_state.is_large_listing.subscribe();
-        let known = timeout(LISTING_WAIT, listing.wait_for(Option::is_some)).await;
-        let is_large = known.is_ok_and(|known| known.is_ok_and(|is_large| *is_large == Some(true)));
-        is_large && self.await_supply().await
-    }
-
     /// Waits until a peer supplies a kind that takes many pages to list; returns false if this
     /// instance has to list it.
     ///
--- a/crates/nutmeggrade-relay/src/watch/read_state.rs
+++ b/crates/nutmeggrade-relay/src/watch/read_state.rs
@@ -8,7 +8,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::read_range::ReadRange;
 use nutmeggrade_wire::kinds::Kind;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::tables::lock;
@@ -126,9 +126,6 @@
 pub struct ReadState {
     /// Wakes the engine poller because a response of the store is overdue.
     pub response_overdue: Notify,
-    /// Whether the endpoints take several pages to list; `None` until the first page has come or
-    /// failed.
-    pub is_large_listing: watch::Sender<Option<bool>>,
     config: KindState,
     endpoints: KindState,
     evacuations: KindState,
