Log why a request was not sent to an endpoint

The incident of instances cut off from endpoints could not be told from dead endpoints by the logs: 'send end=not_sent' names the endpoint and not the reason. A dead endpoint refuses the connection, a cut link leaves it unanswered. The line gets 'why'.

--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -165,13 +165,13 @@
             Ok(response) => self.handle_response(response, reservation).await,
             Err(SendError::NotSent(reason)) => {
                 self.attempt.not_sent();
-                self.record_send("not_sent", &endpoint.id);
+                self.record_unsent(&endpoint.id, &reason);
                 self.node.update_health(&endpoint.id, Health::record_loss);
                 self.retry_unsent(&endpoint.id, &reason)
             }
             Err(SendError::ConnectionRefused) => {
                 self.attempt.not_sent();
-                self.record_send("not_sent", &endpoint.id);
+                self.record_unsent(&endpoint.id, "connection refused");
                 self.node.update_health(&endpoint.id, Health::record_loss);
                 self.node.announce_unreachable(&endpoint.id);
                 self.retry_unsent(&endpoint.id, "nobody listens at the endpoint's address")
@@ -334,6 +334,14 @@
         }
     }
 
+    /// Logs that the endpoint could not be connected to, and why: an endpoint that died refuses
+    /// connections, one that is cut off doesn't answer.
+    fn record_unsent(&self, endpoint: &EndpointId, why: &str) {
+        self.node.metrics.sends.with_label_values(&["not_sent"]).inc();
+        tracing::info!(event = "send", request = %self.request.id, endpoint = %endpoint,
+            end = "not_sent", why, sends = self.attempt.sends(), run = self.attempt.run().as_str());
+    }
+
     /// Logs that the client gets a response. One that is still open is logged again when it ends.
     fn log_response(&mut self, head: &Parts, is_open: bool) {
         self.pending.finish();
