Reproduce that an instance cut off from all endpoints serves nobody

Three instances, three plain endpoints and three engines; the first instance reaches them through a proxy each. Once the proxies refuse connections, or leave them unanswered, 0 of 8 requests of a plain route are served there from 3 s on, while its peers reach every endpoint.

The stand-in proxy can refuse connections and leave them unanswered; the stand-in store can list an endpoint under another address to some instances, so that links fail for these alone.

--- a/crates/nutmeggrade-fakes/src/fleet/running.rs
+++ b/crates/nutmeggrade-fakes/src/fleet/running.rs
@@ -66,7 +66,7 @@
             relays: BTreeMap::new(),
             processes: BTreeMap::from([("platform".to_owned(), process)]),
         };
-        fleet.start_relay("platform", platform).await?;
+        fleet.start_relay("platform", platform)?;
         for n in 0..plan.engines {
             fleet.start_engine(n).await?;
         }
@@ -277,7 +277,7 @@
     ) -> anyhow::Result<()> {
         let (process, listening) = start_example(name, program, args)?;
         let address: SocketAddr = listening.parse().context("endpoint address")?;
-        self.start_relay(name, address).await?;
+        self.start_relay(name, address)?;
         let listed_address = self.relays.get(name).map_or(address, |r| r.address);
         let mut registration = json!({
             "id": name,
@@ -299,9 +299,9 @@
         Ok(())
     }
 
-    async fn start_relay(&mut self, name: &str, target: SocketAddr) -> anyhow::Result<()> {
+    fn start_relay(&mut self, name: &str, target: SocketAddr) -> anyhow::Result<()> {
         if self.plan.relayed {
-            self.relays.insert(name.to_owned(), Relay::start(target).await?);
+            self.relays.insert(name.to_owned(), Relay::start(target)?);
         }
         Ok(())
     }
--- a/crates/nutmeggrade-fakes/src/relay.rs
+++ b/crates/nutmeggrade-fakes/src/relay.rs
@@ -1,19 +1,22 @@
 //! A TCP proxy between two processes that injects link failures.
 
+mod listener;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use listener::ProxyListener;
+
 const BUFFER_BYTES: usize = 16 << 10;
 
 /// Behaviour of a proxied link.
@@ -29,6 +32,10 @@
     Delayed(Duration),
     /// Resets open and new connections at once.
     Reset,
+    /// Refuses new connections; open ones are forwarded.
+    Refused,
+    /// Answers no new connection, like a machine that is cut off, and forwards nothing on open ones.
+    Unanswered,
     /// Closes each connection after this many request bytes.
     CutRequest(u64),
     /// Resets each connection after this many response bytes.
@@ -49,18 +56,13 @@
 
 impl Relay {
     /// Listens on a free loopback port and forwards connections to `target`.
-    pub async fn start(target: SocketAddr) -> anyhow::Result<Self> {
-        let socket = TcpListener::bind("127.0.0.1:0").await.context("bind relay")?;
-        let address = socket.local_addr().context("relay address")?;
+    pub fn start(target: SocketAddr) -> anyhow::Result<Self> {
+        let listener = ProxyListener::bind()?;
+        let address = listener.address;
         let link = watch::Sender::new(Link::Open);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
-        let state = (link.subscribe(), Arc::clone(&forwarded_bytes));
-        let task = tokio::spawn(async move {
-            while let Ok((downstream, _)) = socket.accept().await {
-                let (link, forwarded_bytes) = (state.0.clone(), Arc::clone(&state.1));
-                tokio::spawn(proxy_connection(downstream, target, link, forwarded_bytes));
-            }
-        });
+        let task =
+            tokio::spawn(listener.run(target, link.subscribe(), Arc::clone(&forwarded_bytes)));
         Ok(Self { address, link, forwarded_bytes, task })
     }
 
@@ -162,11 +164,11 @@
 
 fn common_action(link: Link) -> Action {
     match link {
-        Link::Open | Link::OneWay | Link::CutRequest(_) | Link::CutAnswer(_) => {
+        Link::Open | Link::OneWay | Link::Refused | Link::CutRequest(_) | Link::CutAnswer(_) => {
             Action::Forward(Duration::ZERO)
         }
         Link::Delayed(time) => Action::Forward(time),
-        Link::Stalled => Action::Pause,
+        Link::Stalled | Link::Unanswered => Action::Pause,
         Link::Closed => Action::CloseAfter(0),
         Link::Reset => Action::Reset,
     }
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -198,7 +198,7 @@
             return;
         }
         self.state().call_count += 1;
-        let (status, body) = match store_listener.fault() {
+        let (status, mut body) = match store_listener.fault() {
             Fault::None => self.handle(&request, store_listener).await,
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
@@ -208,6 +208,7 @@
             }
             Fault::DropResponse => return,
         };
+        store_listener.replace_addresses(&mut body);
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/crates/nutmeggrade-fakes/src/site/store_listener.rs
+++ b/crates/nutmeggrade-fakes/src/site/store_listener.rs
@@ -1,9 +1,12 @@
 //! A listener of the store with its own fault setting.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use serde_json::{Value, json};
+
 /// How a store listener handles calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -27,12 +30,14 @@
     /// Address on which it listens.
     pub address: SocketAddr,
     fault: Arc<Mutex<Fault>>,
+    /// Endpoints' addresses that are listed differently here.
+    addresses: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
 }
 
 impl StoreListener {
     /// Creates the handle of a listener, without a fault.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, fault: Arc::default() }
+        Self { address, fault: Arc::default(), addresses: Arc::default() }
     }
 
     /// Sets the fault for later calls.
@@ -44,4 +49,31 @@
     pub fn fault(&self) -> Fault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Lists an endpoint under another address, such as that of a proxy, so that its links fail for
+    /// the instances that read here and for no others.
+    pub fn list_as(&self, endpoint: SocketAddr, address: SocketAddr) {
+        self.addresses().insert(endpoint.to_string(), address);
+    }
+
+    /// Replaces the addresses of endpoints in the body of a response.
+    pub(super) fn replace_addresses(&self, body: &mut Value) {
+        let addresses = self.addresses();
+        if addresses.is_empty() {
+            return;
+        }
+        for list in ["entries", "events"] {
+            for entry in body[list].as_array_mut().into_iter().flatten() {
+                let object = if list == "events" { &mut entry["resource_object"] } else { entry };
+                let listed = &mut object["specification"]["address"];
+                if let Some(address) = listed.as_str().and_then(|a| addresses.get(a)) {
+                    *listed = json!(address);
+                }
+            }
+        }
+    }
+
+    fn addresses(&self) -> MutexGuard<'_, BTreeMap<String, SocketAddr>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/nutmeggrade-fakes/src/soak/endpoints.rs
+++ b/crates/nutmeggrade-fakes/src/soak/endpoints.rs
@@ -235,7 +235,7 @@
         let number = lock(&self.incarnations).len();
         let id = id.unwrap_or_else(|| format!("e-{slot}-{number}"));
         let endpoint = Endpoint::start(&id, normal_behaviour(service), &self.generations).await?;
-        let relay = Relay::start(endpoint.address).await?;
+        let relay = Relay::start(endpoint.address)?;
         endpoint.set_advertised_address(relay.address);
         let cold_until = (!cold.is_zero()).then(|| Instant::now() + cold);
         let incarnation = {
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod config;
 mod crashers;
+mod cut_off;
 mod endpoints;
 mod fleet;
 mod framing;
