Count a request as sent from its first byte on

Callers of a route whose timeout passed while the instance was connecting to an endpoint got 504, as if the request might have run, and could not repeat a permit or an order, though no byte had been sent. The send was recorded before the connection was opened.

The connection is now opened first; the send is recorded just before the request goes out. Ruled out: that the endpoint got it, as its connection was never established. relay::cut_off:: time_that_passes_while_connecting_is_not_run failed before (504) and passes (503 with Retry-After).

--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,52 @@
 use crate::node::Node;
 use crate::tables::lock;
 
+/// Why no connection could be opened; nothing was sent.
+#[derive(Debug)]
+pub enum ConnectError {
+    /// The connection was refused, so no process listens at the address.
+    Refused,
+    /// The connection failed or was not answered.
+    Failed(String),
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused => f.write_str("connection refused"),
+            Self::Failed(reason) => f.write_str(reason),
+        }
+    }
+}
+
+/// An open connection on which nothing was sent yet.
+#[derive(Debug)]
+pub struct OpenConnection {
+    sender: http1::SendRequest<Full<bytes::Bytes>>,
+    task: AbortOnDrop<()>,
+}
+
+/// Opens a connection for one request.
+///
+/// An endpoint may close a reused connection while the request is being sent, or deliver a late
+/// response to an earlier request on it. On a new connection a failed connect proves that nothing
+/// ran, and every byte received belongs to this request.
+pub async fn open_connection(address: SocketAddr) -> Result<OpenConnection, ConnectError> {
+    let stream = connect(address).await.map_err(|e| match e.kind() {
+        io::ErrorKind::ConnectionRefused => ConnectError::Refused,
+        _ => ConnectError::Failed(e.to_string()),
+    })?;
+    let (sender, connection) = http1::handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
+        .await
+        .map_err(|e| ConnectError::Failed(e.to_string()))?;
+    let task = AbortOnDrop(tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(event = "endpoint_connection_broke", %error);
+        }
+    }));
+    Ok(OpenConnection { sender, task })
+}
+
 /// Parameters of a send that resumes a stream; the default is a first send.
 #[derive(Debug, Clone, Default)]
 pub struct SendOptions {
@@ -57,10 +104,8 @@
 /// Why a send produced no usable response.
 #[derive(Debug)]
 pub enum SendError {
-    /// The connection failed before any byte was sent.
+    /// The request could not be built; no byte was sent.
     NotSent(String),
-    /// The connection was refused, so no process listens at the address; no byte was sent.
-    ConnectionRefused,
     /// The endpoint accepts no new requests; no byte was sent.
     EndpointLeaving,
     /// The endpoint limits its rate or asked for a pause, and this instance has no turn; no byte was
@@ -76,7 +121,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "request not sent: {reason}"),
-            Self::ConnectionRefused => f.write_str("request not sent: connection refused"),
             Self::EndpointLeaving => f.write_str("request not sent: endpoint is leaving"),
             Self::NoTurn => f.write_str("request not sent: no turn at the endpoint"),
             Self::Lost(reason) => write!(f, "response lost: {reason}"),
@@ -85,34 +129,21 @@
     }
 }
 
-/// Sends a request to an endpoint on a new connection and waits up to `timeout` for the response
+/// Sends a request to an endpoint on an open connection and waits up to `timeout` for the response
 /// head.
 ///
-/// An endpoint may close a reused connection while the request is being sent, or deliver a late
-/// response to an earlier request on it. On a new connection a failed connect proves that nothing
-/// ran, and every byte received belongs to this request. The registry is checked after connecting,
-/// immediately before the first byte: the endpoint may start to leave while the connection is set
-/// up.
+/// The registry is checked immediately before the first byte: the endpoint may start to leave while
+/// the connection is set up.
 pub async fn send_request(
     node: &Arc<Node>,
     client_request: &ClientRequest,
     reservation: &Reservation,
     options: &SendOptions,
+    connection: OpenConnection,
     timeout: Duration,
 ) -> Result<EndpointResponse, SendError> {
     let endpoint = &reservation.endpoint;
-    let stream = connect(endpoint.address).await.map_err(|e| match e.kind() {
-        io::ErrorKind::ConnectionRefused => SendError::ConnectionRefused,
-        _ => SendError::NotSent(e.to_string()),
-    })?;
-    let (mut sender, connection) = http1::handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
-        .await
-        .map_err(|e| SendError::NotSent(e.to_string()))?;
-    let connection = AbortOnDrop(tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(event = "endpoint_connection_broke", %error);
-        }
-    }));
+    let OpenConnection { mut sender, task } = connection;
     record_send(node, reservation, options)?;
     let sent_at = node.now();
     let request = build_request(node, client_request, endpoint, options)
@@ -130,7 +161,7 @@
         let asked_at = parsed.status.is_success().then_some(sent_at);
         node.apply_notice(&endpoint.id, parsed.notice, asked_at);
     }
-    Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, connection), sent_at })
+    Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, task), sent_at })
 }
 
 /// Records a send, unless the endpoint accepts it no longer. Resuming from a copy needs neither an
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -14,7 +14,9 @@
 
 use super::client_request::ClientRequest;
 use super::crash;
-use super::exchange::{EndpointResponse, SendError, SendOptions, send_request};
+use super::exchange::{
+    ConnectError, EndpointResponse, SendError, SendOptions, open_connection, send_request,
+};
 use super::pending::PendingRequest;
 use super::reservation::{self, Reservation};
 use super::{refusal, response, stream};
@@ -141,10 +143,16 @@
         // A request that fails at a new version is not sent to that version again.
         self.dispatch_request.is_canary = false;
         self.pending.endpoint = Some(endpoint.id.clone());
+        let connection = match open_connection(endpoint.address).await {
+            Ok(connection) => connection,
+            Err(error) => return self.handle_unreachable(&endpoint.id, &error),
+        };
+        // Not before: a request whose time passes while it connects has not run.
         self.attempt.send();
         let timeout = self.send_timeout();
+        let options = SendOptions::default();
         let result =
-            send_request(&self.node, &self.request, &reservation, &SendOptions::default(), timeout)
+            send_request(&self.node, &self.request, &reservation, &options, connection, timeout)
                 .await;
         match result {
             Ok(response) if response.parsed.misdirected => {
@@ -165,17 +173,8 @@
             Ok(response) => self.handle_response(response, reservation).await,
             Err(SendError::NotSent(reason)) => {
                 self.attempt.not_sent();
-                self.record_unsent(&endpoint.id, &reason);
-                self.node.update_health(&endpoint.id, Health::record_loss);
                 self.retry_unsent(&endpoint.id, &reason)
             }
-            Err(SendError::ConnectionRefused) => {
-                self.attempt.not_sent();
-                self.record_unsent(&endpoint.id, "connection refused");
-                self.node.update_health(&endpoint.id, Health::record_loss);
-                self.node.announce_unreachable(&endpoint.id);
-                self.retry_unsent(&endpoint.id, "nobody listens at the endpoint's address")
-            }
             Err(SendError::EndpointLeaving) => {
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint leaves")
@@ -202,6 +201,21 @@
         }
     }
 
+    /// Retries after the endpoint could not be connected to.
+    fn handle_unreachable(
+        &mut self,
+        endpoint: &EndpointId,
+        error: &ConnectError,
+    ) -> Result<SendStep, Failure> {
+        let reason = error.to_string();
+        self.record_unsent(endpoint, &reason);
+        self.node.update_health(endpoint, Health::record_loss);
+        if matches!(error, ConnectError::Refused) {
+            self.node.announce_unreachable(endpoint);
+        }
+        self.retry_unsent(endpoint, &reason)
+    }
+
     /// Handles a response whose head was received: leaves a stream or a large body open, and reads
     /// any other body.
     async fn handle_response(
--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -1,9 +1,11 @@
 //! Resumes a stream at another endpoint.
 
-use nutmeggrade_core::routing::RouteKind;
+use std::fmt;
+
+use nutmeggrade_core::routing::{EndpointInfo, RouteKind};
 use nutmeggrade_wire::request::ResumeFrom;
 
-use super::exchange::{EndpointResponse, SendOptions, send_request};
+use super::exchange::{EndpointResponse, SendOptions, open_connection, send_request};
 use super::migration::MigratedGeneration;
 use super::reservation::{self, Reservation};
 use super::stream::EventStream;
@@ -56,9 +58,17 @@
     reservation: &Reservation,
     options: &SendOptions,
 ) -> Option<UpstreamBody> {
-    let timeout = stream.request.time_left(stream.node.now());
     let endpoint = &reservation.endpoint;
-    match send_request(&stream.node, &stream.request, reservation, options, timeout).await {
+    let connection = match open_connection(endpoint.address).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log_failed(stream, endpoint, &error);
+            return None;
+        }
+    };
+    let timeout = stream.request.time_left(stream.node.now());
+    let (node, request) = (&stream.node, &stream.request);
+    match send_request(node, request, reservation, options, connection, timeout).await {
         // Appended to the events already sent, a body without events would look like their end.
         Ok(response) if response.is_event_stream() => Some(response.body),
         Ok(EndpointResponse { parsed, .. }) => {
@@ -67,9 +77,13 @@
             None
         }
         Err(error) => {
-            tracing::info!(event = "go_on_failed", request = %stream.request.id,
-                endpoint = %endpoint.id, error = %error);
+            log_failed(stream, endpoint, &error);
             None
         }
     }
 }
+
+fn log_failed(stream: &EventStream, endpoint: &EndpointInfo, error: &impl fmt::Display) {
+    tracing::info!(event = "go_on_failed", request = %stream.request.id,
+        endpoint = %endpoint.id, error = %error);
+}
--- a/tests/suite/relay/cut_off.rs
+++ b/tests/suite/relay/cut_off.rs
@@ -10,9 +10,9 @@
 use nutmeggrade_relay::Instance;
 use tokio::time::sleep;
 
-use super::PROMPT_HEADERS;
 use super::members::{start_member, until_all_have, until_listed};
-use super::site::{metric, start_instance};
+use super::site::{Site, metric, start_instance};
+use super::{PROMPT_HEADERS, ask};
 use crate::support::run;
 
 /// Time after the beginning of a cut from which on clients have to be served as elsewhere.
@@ -118,3 +118,22 @@
     refused: Link::Refused;
     unanswered: Link::Unanswered;
 }}
+
+// The time of a request passes while its connection is not answered, so that no byte was sent. If
+// its client is told that it may have run, it must not come back.
+#[test]
+fn time_that_passes_while_connecting_is_not_run() {
+    run(async {
+        let plan = RoutingPlan { timeout_ms: 600, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let endpoint = Endpoint::start("e-1", Behaviour::Answer, &Generations::default()).await?;
+        let link = Relay::start(endpoint.address)?;
+        link.set(Link::Unanswered);
+        site.store.put("servers", "e-1", Entry::new("desk", link.address).content());
+        site.until_metric("endpoints", 1).await?;
+        let answer = ask(&site, "once", "a1").await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        Ok(())
+    });
+}
