--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -105,6 +105,8 @@
     AnswerNotKept = 3008, "answer_not_kept", 502;
     /// Endpoints repeatedly died while running the request; it is held back for a while.
     CrashHeld = 3009, "crash_held", 503;
+    /// This instance can't connect to the service's endpoints, and no peer could serve the request.
+    CutOff = 3010, "cut_off", 503;
     /// The platform was unreachable, so the call was not started.
     PlatformDown = 4001, "platform_down", 503;
     /// This instance is shutting down; use another instance.
--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -7,6 +7,7 @@
 mod envelope;
 mod fleet_beacon;
 mod fleet_message;
+mod forwarded_request;
 mod suspect;
 mod sync;
 
@@ -21,5 +22,6 @@
 pub use fleet_message::{
     DomainPart, EndpointCrash, Fingerprint, FleetMessage, FleetOutcomes, InstanceLoad, RateLimits,
 };
+pub use forwarded_request::{FORWARDED_HEADER, ForwardedRequest};
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, SyncTopic};
--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{DomainId, EndpointId, InstanceId};
+use crate::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use crate::rollout::RolloutNotice;
 use crate::routing::PlacedLoad;
 
@@ -16,7 +16,7 @@
     pub domain: DomainId,
     /// Address that clients connect to.
     pub client: SocketAddr,
-    /// Address that receives heartbeats.
+    /// Address that receives heartbeats, by UDP, and forwarded requests, by TCP.
     pub beacon: SocketAddr,
     /// Address where peers fetch state that they can't read from the platform.
     pub control: SocketAddr,
@@ -89,6 +89,9 @@
     /// Whether the sender can read the platform's store.
     #[serde(rename = "r")]
     pub reads: bool,
+    /// Services whose endpoints the sender can't connect to while its peers may.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<ServiceId>,
     /// Revisions that the sender has read.
     #[serde(rename = "v")]
     pub revisions: Revisions,
--- a/crates/nutmeggrade-core/src/routing/route_kind.rs
+++ b/crates/nutmeggrade-core/src/routing/route_kind.rs
@@ -1,7 +1,10 @@
 //! Kinds of routes.
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a route's requests may be repeated, and whether its responses are streams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RouteKind {
     /// Requests may run more than once.
     Idempotent,
--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -58,6 +58,7 @@
         introduction: (sequence == 1).then_some(introduction),
         leaving: false,
         reads: true,
+        unreachable: Vec::new(),
         revisions: Revisions::default(),
         placed: placed(number)?,
         rollouts: Vec::new(),
--- a/crates/nutmeggrade-fakes/src/relay.rs
+++ b/crates/nutmeggrade-fakes/src/relay.rs
@@ -34,6 +34,8 @@
     Reset,
     /// Refuses new connections; open ones are forwarded.
     Refused,
+    /// Resets open connections and refuses new ones.
+    Unreachable,
     /// Answers no new connection, like a machine that is cut off, and forwards nothing on open ones.
     Unanswered,
     /// Closes each connection after this many request bytes.
@@ -170,7 +172,7 @@
         Link::Delayed(time) => Action::Forward(time),
         Link::Stalled | Link::Unanswered => Action::Pause,
         Link::Closed => Action::CloseAfter(0),
-        Link::Reset => Action::Reset,
+        Link::Reset | Link::Unreachable => Action::Reset,
     }
 }
 
--- a/crates/nutmeggrade-fakes/src/relay/listener.rs
+++ b/crates/nutmeggrade-fakes/src/relay/listener.rs
@@ -43,7 +43,7 @@
         loop {
             let current = *link.borrow_and_update();
             let is_running = match current {
-                Link::Refused => {
+                Link::Refused | Link::Unreachable => {
                     self.listener = None;
                     link.changed().await.is_ok()
                 }
--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -4,6 +4,7 @@
 mod connection_state;
 mod head_recorder;
 mod in_flight;
+mod origin;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use self::origin::Origin;
 use crate::connect::set_socket_options;
 use crate::node::{Node, Phase};
 
@@ -28,6 +30,9 @@
 const RESERVED_DESCRIPTORS: usize = 300;
 /// File descriptors of a client with a request: its connection and the one to the endpoint.
 const DESCRIPTORS_PER_CLIENT: usize = 2;
+/// Share of the connections that peers may use for the requests that they forward, as a divisor. The
+/// others are left to this instance's own clients.
+const FORWARDED_SHARE_DIVISOR: usize = 4;
 /// Memory of an open connection: hyper's read buffer, as much again for a whole head, and the tasks
 /// and their state. 1,877 connections with 7 KB of a head each took 46 MB, 25 KB each.
 const CONNECTION_BYTES: usize = 24 << 10;
@@ -49,31 +54,39 @@
     socket.listen(BACKLOG).with_context(|| format!("listen on {address}"))
 }
 
-/// Serves clients until the instance enters the closing phase and every connection has ended.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+/// Serves clients, and peers that forward requests, until the instance enters the closing phase and
+/// every connection has ended.
+pub async fn serve(node: Arc<Node>, clients: TcpListener, peers: TcpListener) {
     let max_connections = connection_limit(&node);
     let permits = Arc::new(Semaphore::new(max_connections));
+    let peer_permits = Arc::new(Semaphore::new(max_connections.div_ceil(FORWARDED_SHARE_DIVISOR)));
     let mut phases = node.phases();
     loop {
-        let stream = tokio::select! {
-            stream = accept(&listener) => stream,
+        let (stream, origin) = tokio::select! {
+            stream = accept(&clients) => (stream, Origin::Client),
+            stream = accept(&peers) => (stream, Origin::Peer),
             _ = phases.wait_for(|p| *p >= Phase::Closing) => break,
         };
         let Some(stream) = stream else { continue };
         // Closing before a request is read lets the client safely retry at another instance.
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+        let peer_permit = match origin {
+            Origin::Client => None,
+            Origin::Peer => Some(Arc::clone(&peer_permits).try_acquire_owned()),
+        };
+        let permit = Arc::clone(&permits).try_acquire_owned();
+        let (Ok(permit), Ok(peer_permit)) = (permit, peer_permit.transpose()) else {
             tracing::warn!(event = "connection_refused", most = max_connections);
             continue;
         };
         let node = Arc::clone(&node);
         tokio::spawn(async move {
             node.metrics.connections.inc();
-            connection::serve(&node, stream).await;
+            connection::serve(&node, stream, origin).await;
             node.metrics.connections.dec();
-            drop(permit);
+            drop((permit, peer_permit));
         });
     }
-    drop(listener);
+    drop((clients, peers));
     let all_permits = u32::try_from(max_connections).unwrap_or(u32::MAX);
     // The semaphore is never closed, so this waits for the last connection.
     drop(permits.acquire_many(all_permits).await);
--- a/crates/nutmeggrade-relay/src/front/connection.rs
+++ b/crates/nutmeggrade-relay/src/front/connection.rs
@@ -14,20 +14,26 @@
 use super::connection_state::ConnectionState;
 use super::head_recorder::HeadRecorder;
 use super::in_flight::InFlightBody;
+use super::origin::Origin;
 use crate::node::{Node, Phase};
 use crate::relay;
 use crate::tables::lock;
 
 /// Smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// What a peer adds to the head of a client's request.
+const FORWARDED_HEAD_BYTES: usize = 2_048;
 
 /// Serves one connection until it ends.
-pub async fn serve(node: &Arc<Node>, stream: TcpStream) {
-    let limits = node.map().limits;
+pub async fn serve(node: &Arc<Node>, stream: TcpStream, origin: Origin) {
+    let mut limits = node.map().limits;
+    if origin == Origin::Peer {
+        limits.head_bytes += FORWARDED_HEAD_BYTES;
+    }
     let state = Arc::new(Mutex::new(ConnectionState::new(&limits, node.now())));
     let stream = HeadRecorder::new(stream, Arc::clone(&state), node.clock);
     let service =
-        service_fn(|request| serve_request(Arc::clone(node), Arc::clone(&state), request));
+        service_fn(|request| serve_request(Arc::clone(node), Arc::clone(&state), request, origin));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
@@ -63,9 +69,13 @@
     node: Arc<Node>,
     state: Arc<Mutex<ConnectionState>>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<Response<InFlightBody>, Infallible> {
     let head_bytes = lock(&state).start_request().freeze();
-    let mut response = relay::relay(&node, request, &head_bytes).await;
+    let mut response = match origin {
+        Origin::Client => relay::relay(&node, request, &head_bytes).await,
+        Origin::Peer => relay::relay_forwarded(&node, request).await,
+    };
     // Read after the response is ready: no connection may be kept alive past the leaving phase.
     if node.phase() > Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use nutmeggrade_core::peer::InstanceAddresses;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -26,6 +27,9 @@
 /// Interval between these heartbeats.
 const STOP_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Ports that are drawn until one is free for both protocols, if the settings name none.
+const MAX_PORT_DRAWS: u32 = 16;
+
 /// Addresses on which an instance listens. Port 0 in the settings is replaced by the port that was
 /// chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +42,7 @@
     pub directory: SocketAddr,
     /// Peers' requests over HTTP.
     pub control: SocketAddr,
-    /// Peers' heartbeats over UDP.
+    /// Peers' heartbeats over UDP, and forwarded requests over TCP.
     pub beacon: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
@@ -66,7 +70,8 @@
         incarnation: u64,
     ) -> anyhow::Result<Self> {
         let listener = front::bind(settings.client_address)?;
-        let peers = Arc::new(Peers::bind(settings.beacon_address).await?);
+        let (peers, forwarded) = bind_for_peers(settings.beacon_address).await?;
+        let peers = Arc::new(peers);
         let admin = Admin::bind(settings).await?;
         let addresses = Addresses {
             client: listener.local_addr().context("client address")?,
@@ -97,7 +102,7 @@
         tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         tasks.push(tokio::spawn(engine_watch::run(Arc::clone(&node))));
-        let front = tokio::spawn(front::serve(Arc::clone(&node), listener));
+        let front = tokio::spawn(front::serve(Arc::clone(&node), listener, forwarded));
         Ok(Self { node, peers, front, tasks, addresses })
     }
 
@@ -150,6 +155,20 @@
     }
 }
 
+/// Opens the sockets for heartbeats, by UDP, and for forwarded requests, by TCP, at the same port.
+async fn bind_for_peers(address: SocketAddr) -> anyhow::Result<(Peers, TcpListener)> {
+    let mut attempts = 1;
+    loop {
+        let peers = Peers::bind(address).await?;
+        match front::bind(peers.address()?) {
+            Ok(listener) => return Ok((peers, listener)),
+            // The port that was drawn for one protocol may be in use for the other.
+            Err(_) if address.port() == 0 && attempts < MAX_PORT_DRAWS => attempts += 1,
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 async fn send_heartbeats(node: Arc<Node>, peers: Arc<Peers>) {
     peers.send_heartbeats(&node).await;
 }
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod peers;
 mod probes;
+mod reach;
 mod relay;
 mod reload;
 mod rollouts;
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -25,6 +25,10 @@
     pub first: Histogram,
     /// Requests sent to endpoints, by outcome of the send.
     pub sends: IntCounterVec,
+    /// Requests forwarded to peers, by outcome.
+    pub forwards: IntCounterVec,
+    /// Services whose endpoints can't be connected to.
+    pub cut_off_services: IntGauge,
     /// Resends that the budget did not allow.
     pub over_budget: IntCounter,
     /// Reports of peers that an endpoint's address refuses connections.
@@ -81,6 +85,11 @@
             waits: histogram("wait_seconds", "time that requests waited for room")?,
             first: histogram("first_seconds", "time to an answer's head or first event")?,
             sends: counters("sends_total", "requests handed to endpoints", &["end"])?,
+            forwards: counters("forwards_total", "requests forwarded to peers", &["end"])?,
+            cut_off_services: gauge(
+                "cut_off_services",
+                "services whose endpoints can't be connected to",
+            )?,
             over_budget: counter("over_budget_total", "second sends that were not allowed")?,
             unreachable_notices: counter("told_gone_total", "endpoints that peers found gone")?,
             moves: counters("moves_total", "generations taken along", &["end"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -25,6 +25,7 @@
 use crate::clock::Clock;
 use crate::logs::LogBuffer;
 use crate::metrics::Metrics;
+use crate::reach::ReachChecks;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
 use crate::watch::ReadState;
@@ -76,6 +77,8 @@
     /// Triggers an immediate heartbeat, because this instance has read changes that its neighbours
     /// wait for.
     pub heartbeat_due: Notify,
+    /// Checks whether services can be reached.
+    pub reach_checks: ReachChecks,
     /// Endpoints that are being probed; never locked together with the tables.
     pub probed: Mutex<BTreeSet<EndpointId>>,
     /// The last response to a peer that asked for endpoints; locked before the tables.
@@ -118,6 +121,7 @@
             placed: Notify::new(),
             failures_counted: Notify::new(),
             heartbeat_due: Notify::new(),
+            reach_checks: ReachChecks::default(),
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
             transfers: Transfers::new(settings.link),
@@ -247,6 +251,11 @@
         taken
     }
 
+    /// Returns whether this instance can't connect to any endpoint of a service.
+    pub fn is_cut_off(&self, service: &ServiceId) -> bool {
+        lock(&self.tables).reach.is_cut_off(service)
+    }
+
     /// Takes the receiver of the outbox; later calls return `None`.
     pub fn take_outbox(&self) -> Option<mpsc::Receiver<FleetMessage>> {
         lock(&self.outbox_receiver).take()
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -261,6 +261,7 @@
             introduction,
             leaving: node.phase() > Phase::Serving,
             reads: node.read_state.is_available(),
+            unreachable: tables.reach.cut_off_services(),
             revisions: node.revisions(),
             placed: tables.dispatcher.load_table.own_loads().clone(),
             rollouts: tables.rollouts.notices(now),
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -4,11 +4,13 @@
 mod client_request;
 mod crash;
 mod exchange;
+mod forwarding;
 mod framing;
 mod handler;
 mod migration;
 mod pending;
 mod refusal;
+mod request_log;
 mod reservation;
 mod response;
 mod resume;
@@ -21,6 +23,8 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 
+use self::client_request::ClientRequest;
+use self::refusal::RefusedRequest;
 use crate::answer_body::AnswerBody;
 use crate::node::Node;
 
@@ -30,7 +34,19 @@
     request: Request<Incoming>,
     head_bytes: &[u8],
 ) -> Response<AnswerBody> {
-    match admission::admit(node, request, head_bytes).await {
+    serve(node, admission::admit(node, request, head_bytes).await).await
+}
+
+/// Serves a request that a peer forwards for one of its clients.
+pub async fn relay_forwarded(node: &Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    serve(node, admission::admit_forwarded(node, request).await).await
+}
+
+async fn serve(
+    node: &Arc<Node>,
+    admitted: Result<ClientRequest, RefusedRequest>,
+) -> Response<AnswerBody> {
+    match admitted {
         Ok(request) => handler::serve(node, request).await,
         Err(refused) => {
             refused.log(node);
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, header};
+use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use nutmeggrade_core::peer::{FORWARDED_HEADER, ForwardedRequest};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{Access, Route, RouteMap, WorkspaceKey};
+use nutmeggrade_core::routing::{Access, Route, RouteMap};
 use nutmeggrade_policy::dispatch::startup_wait;
 use nutmeggrade_wire::request::{self, ClientHeaders};
 use tokio::time::sleep;
@@ -33,6 +34,15 @@
 /// `Retry-After` of a request that is held because it is suspected of crashing endpoints.
 const CRASH_HOLD_DELAY: Duration = Duration::from_secs(10);
 
+/// How a request is routed.
+struct Routing {
+    route: Arc<Route>,
+    service: ServiceId,
+    workspace: Option<WorkspaceId>,
+    priority: u8,
+    is_forwarded: bool,
+}
+
 /// Reads a request and determines its route, workspace and service. `head_bytes` holds the bytes of
 /// its head as received.
 pub async fn admit(
@@ -48,33 +58,83 @@
     let id = parsed.id.clone();
     let refuse = |failure| RefusedRequest { id: Some(id.clone()), failure };
     await_start(node, arrived_at, parsed.timeout.unwrap_or(DEFAULT_TIMEOUT)).await;
-    let map = node.map();
-    let (route, key) = authorize(node, &map, &head, &parsed).map_err(refuse)?;
-    let Some(service) = route.pick(rand::random::<f64>()) else {
-        return Err(refuse(Failure::new(Code::NoEndpoint, "the route has no service")));
+    let routing = authorize(node, &node.map(), &head, &parsed).map_err(refuse)?;
+    read(node, (head, body), parsed, routing, arrived_at).await.map_err(refuse)
+}
+
+/// Reads a request that a peer has authorized and routed.
+pub async fn admit_forwarded(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+) -> Result<ClientRequest, RefusedRequest> {
+    let arrived_at = node.now();
+    let (mut head, body) = request.into_parts();
+    let refuse_without_id = |failure| RefusedRequest { id: None, failure };
+    let parsed = request::read(&head).map_err(refuse_without_id)?;
+    let id = parsed.id.clone();
+    let refuse = |failure| RefusedRequest { id: Some(id.clone()), failure };
+    if !node.is_loaded() {
+        return Err(refuse(retry_later(node, Code::NotReady, "no endpoints yet")));
+    }
+    let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let routing = read_forwarded(&mut head.headers, timeout).map_err(refuse)?;
+    read(node, (head, body), parsed, routing, arrived_at).await.map_err(refuse)
+}
+
+/// Takes the routing that a peer has added to a request's headers.
+fn read_forwarded(headers: &mut HeaderMap, timeout: Duration) -> Result<Routing, Failure> {
+    let value = headers.remove(FORWARDED_HEADER);
+    let forwarded: ForwardedRequest = value
+        .and_then(|value| serde_json::from_slice(value.as_bytes()).ok())
+        .ok_or_else(|| Failure::new(Code::BadHeader, "the routing is missing or malformed"))?;
+    let ForwardedRequest { route, kind, target, attempts, service, workspace, priority } =
+        forwarded;
+    let route = Route {
+        name: route,
+        host: String::new(),
+        prefix: String::new(),
+        kind,
+        timeout,
+        target,
+        priority,
+        splits: Vec::new(),
+        attempts,
+        public: workspace.is_none(),
+        sticky: false,
+        gap: Duration::ZERO,
     };
+    Ok(Routing { route: Arc::new(route), service, workspace, priority, is_forwarded: true })
+}
+
+/// Reads the body of a routed request, unless the request must be refused.
+async fn read(
+    node: &Arc<Node>,
+    (head, body): (Parts, Incoming),
+    parsed: ClientHeaders,
+    routing: Routing,
+    arrived_at: Moment,
+) -> Result<ClientRequest, Failure> {
+    let Routing { route, service, workspace, priority, is_forwarded } = routing;
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived_at.after(timeout);
     if let Some(time_left) = node.time_until_end() {
-        check_shutdown(node, &route, &parsed, time_left).map_err(refuse)?;
+        check_shutdown(node, &route, &parsed, time_left)?;
     }
-    let body = read_body(node, body, &map, deadline).await.map_err(refuse)?;
-    let fingerprint = crash::fingerprint(key.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
+    let body = read_body(node, body, &node.map(), deadline).await?;
+    let fingerprint =
+        crash::fingerprint(workspace.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
     if lock(&node.tables).crashes.holds(&fingerprint, arrived_at) {
         let detail = "endpoints died under this request again and again";
-        return Err(refuse(
-            Failure::new(Code::CrashHeld, detail).with_retry_after(CRASH_HOLD_DELAY),
-        ));
+        return Err(Failure::new(Code::CrashHeld, detail).with_retry_after(CRASH_HOLD_DELAY));
     }
-    let priority = key.as_ref().and_then(|k| k.priority).unwrap_or(route.priority);
     Ok(ClientRequest {
         id: parsed.id,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
         body,
-        service: service.clone(),
-        workspace: key.map(|k| k.workspace),
+        service,
+        workspace,
         priority,
         prompt: parsed.prompt,
         fingerprint,
@@ -82,6 +142,7 @@
         arrived_at,
         deadline,
         route,
+        is_forwarded,
     })
 }
 
@@ -97,13 +158,14 @@
     }
 }
 
-/// Finds the route of a request and the workspace of its key. A public route needs no key.
+/// Finds the route of a request and the workspace of its key, and selects a service. A public route
+/// needs no key.
 fn authorize(
     node: &Node,
     map: &RouteMap,
     head: &Parts,
     parsed: &ClientHeaders,
-) -> Result<(Arc<Route>, Option<WorkspaceKey>), Failure> {
+) -> Result<Routing, Failure> {
     if map.version == 0 {
         return Err(retry_later(node, Code::NotReady, "no configuration yet"));
     }
@@ -111,11 +173,23 @@
     let Some(route) = map.route(host, head.uri.path()) else {
         return Err(not_configured(node, Code::NoRoute, "no route has this host and path"));
     };
-    match map.access(route, parsed.key.as_deref()) {
-        Access::Open => Ok((Arc::clone(route), None)),
-        Access::Workspace(key) => Ok((Arc::clone(route), Some(key))),
-        Access::Unknown => Err(not_configured(node, Code::UnknownKey, "no workspace has this key")),
-    }
+    let key = match map.access(route, parsed.key.as_deref()) {
+        Access::Open => None,
+        Access::Workspace(key) => Some(key),
+        Access::Unknown => {
+            return Err(not_configured(node, Code::UnknownKey, "no workspace has this key"));
+        }
+    };
+    let Some(service) = route.pick(rand::random::<f64>()) else {
+        return Err(Failure::new(Code::NoEndpoint, "the route has no service"));
+    };
+    Ok(Routing {
+        route: Arc::clone(route),
+        service: service.clone(),
+        priority: key.as_ref().and_then(|k| k.priority).unwrap_or(route.priority),
+        workspace: key.map(|k| k.workspace),
+        is_forwarded: false,
+    })
 }
 
 /// Returns the failure for a route or key that the configuration lacks.
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -49,6 +49,8 @@
     pub arrived_at: Moment,
     /// When the timeout of the client or the route ends.
     pub deadline: Moment,
+    /// Whether a peer forwards the request for one of its clients.
+    pub is_forwarded: bool,
 }
 
 impl ClientRequest {
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::Uri;
 use nutmeggrade_core::peer::{EndpointCrash, Fingerprint, FleetMessage};
-use nutmeggrade_core::routing::{EndpointInfo, Prompt, WorkspaceKey};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::{EndpointInfo, Prompt};
 
 use super::client_request::ClientRequest;
 use crate::connect::connect;
@@ -16,7 +17,7 @@
 
 /// Returns a hash of a request's workspace, path, prompt and body.
 pub fn fingerprint(
-    key: Option<&WorkspaceKey>,
+    workspace: Option<&WorkspaceId>,
     uri: &Uri,
     prompt: Option<&Prompt>,
     body: &Bytes,
@@ -26,7 +27,7 @@
         hasher.update(&(bytes.len() as u64).to_le_bytes());
         hasher.update(bytes);
     };
-    add(key.map_or("", |k| k.workspace.as_str()).as_bytes());
+    add(workspace.map_or("", |w| w.as_str()).as_bytes());
     add(uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
     for part in prompt.iter().flat_map(|p| &p.parts) {
         add(&part.id.to_le_bytes());
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::response::Parts;
-use http::{Request, header};
+use http::{Request, Response, header};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -30,6 +30,8 @@
     Refused,
     /// The connection failed or was not answered.
     Failed(String),
+    /// The connection was not answered, and this instance can't reach other endpoints either.
+    CutOff,
 }
 
 impl fmt::Display for ConnectError {
@@ -37,6 +39,7 @@
         match self {
             Self::Refused => f.write_str("connection refused"),
             Self::Failed(reason) => f.write_str(reason),
+            Self::CutOff => f.write_str("no endpoint can be reached"),
         }
     }
 }
@@ -48,6 +51,21 @@
     task: AbortOnDrop<()>,
 }
 
+impl OpenConnection {
+    /// Sends a request and waits for the response's head.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if the connection breaks before it.
+    pub async fn send(
+        mut self,
+        request: Request<Full<bytes::Bytes>>,
+    ) -> Result<Response<UpstreamBody>, String> {
+        let response = self.sender.send_request(request).await.map_err(|e| e.to_string())?;
+        Ok(response.map(|body| UpstreamBody::new(body, self.task)))
+    }
+}
+
 /// Opens a connection for one request.
 ///
 /// An endpoint may close a reused connection while the request is being sent, or deliver a late
@@ -94,13 +112,16 @@
 impl EndpointResponse {
     /// Returns whether the response is a successful event stream.
     pub fn is_event_stream(&self) -> bool {
-        let content_type =
-            self.head.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
-        self.parsed.status.is_success()
-            && content_type.is_some_and(|t| t.starts_with("text/event-stream"))
+        is_event_stream(&self.head)
     }
 }
 
+/// Returns whether a response is a successful event stream.
+pub fn is_event_stream(head: &Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    head.status.is_success() && content_type.is_some_and(|t| t.starts_with("text/event-stream"))
+}
+
 /// Why a send produced no usable response.
 #[derive(Debug)]
 pub enum SendError {
@@ -143,16 +164,15 @@
     timeout: Duration,
 ) -> Result<EndpointResponse, SendError> {
     let endpoint = &reservation.endpoint;
-    let OpenConnection { mut sender, task } = connection;
     record_send(node, reservation, options)?;
     let sent_at = node.now();
     let request = build_request(node, client_request, endpoint, options)
         .map_err(|e| SendError::NotSent(e.to_string()))?;
     let response = tokio::select! {
-        response = sender.send_request(request) => response,
+        response = connection.send(request) => response,
         () = tokio::time::sleep(timeout) => return Err(SendError::TimedOut),
     };
-    let response = response.map_err(|e| SendError::Lost(e.to_string()))?;
+    let response = response.map_err(SendError::Lost)?;
     let (head, body) = response.into_parts();
     let parsed = answer::read(&head);
     check_response(&head, &parsed, &client_request.id)?;
@@ -161,7 +181,7 @@
         let asked_at = parsed.status.is_success().then_some(sent_at);
         node.apply_notice(&endpoint.id, parsed.notice, asked_at);
     }
-    Ok(EndpointResponse { head, parsed, body: UpstreamBody::new(body, task), sent_at })
+    Ok(EndpointResponse { head, parsed, body, sent_at })
 }
 
 /// Records a send, unless the endpoint accepts it no longer. Resuming from a copy needs neither an
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -15,13 +15,16 @@
 use super::client_request::ClientRequest;
 use super::crash;
 use super::exchange::{
-    ConnectError, EndpointResponse, SendError, SendOptions, open_connection, send_request,
+    ConnectError, EndpointResponse, OpenConnection, SendError, SendOptions, open_connection,
+    send_request,
 };
+use super::forwarding::PeerResponse;
 use super::pending::PendingRequest;
 use super::reservation::{self, Reservation};
 use super::{refusal, response, stream};
 use crate::answer_body::AnswerBody;
 use crate::node::Node;
+use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Unsent attempts after which a request fails. A crashed endpoint stays in the registry for three
@@ -34,11 +37,13 @@
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// The response that ends the handling of a request.
-enum FinalResponse {
+pub enum FinalResponse {
     /// The body was read completely.
     Buffered(Parts, Bytes),
     /// Only the head was read.
     Open(Box<OpenResponse>),
+    /// Only the head of a response that a peer passes on was read.
+    Forwarded(Box<PeerResponse>),
 }
 
 /// A response whose body is still to be read, with the reservation at its endpoint.
@@ -57,7 +62,8 @@
 
 /// Sends one client's request to endpoints and tracks its attempts.
 pub struct RequestHandler {
-    node: Arc<Node>,
+    /// The instance.
+    pub node: Arc<Node>,
     /// The request.
     pub request: ClientRequest,
     /// Tracks the sends and whether the request may have run.
@@ -65,7 +71,10 @@
     dispatch_request: DispatchRequest,
     unsent_attempts: u32,
     failed_response: Option<(Parts, Bytes)>,
-    pending: PendingRequest,
+    /// Logs a request whose client disconnects before a response.
+    pub pending: PendingRequest,
+    /// Whether peers were asked to serve the request, and none did.
+    pub has_asked_peers: bool,
 }
 
 /// Serves an admitted request.
@@ -89,6 +98,10 @@
                 response::forward(node, &handler.request, *open)
             }
         }
+        Ok(FinalResponse::Forwarded(forwarded)) => {
+            handler.log_response(&forwarded.head, true);
+            response::forward_from_peer(node, &handler.request, *forwarded)
+        }
         Err(failure) => {
             handler.log_failure(&failure);
             refusal::response(&failure)
@@ -100,8 +113,16 @@
     fn new(node: &Arc<Node>, request: ClientRequest) -> Self {
         let settings = node.settings();
         let mut dispatch_request = request.dispatch_request(node.ticket(), &node.keyless_workspace);
-        let canary_share =
-            lock(&node.tables).count_request(&request.service, &settings, request.arrived_at);
+        let now = request.arrived_at;
+        let canary_share = {
+            let mut tables = lock(&node.tables);
+            // A forwarded request was counted by the instance that it arrived at.
+            if request.is_forwarded {
+                tables.rollouts.share(&request.service, now)
+            } else {
+                tables.count_request(&request.service, &settings, now)
+            }
+        };
         dispatch_request.is_canary = canary_share > rand::random();
         Self {
             node: Arc::clone(node),
@@ -111,11 +132,17 @@
             dispatch_request,
             unsent_attempts: 0,
             failed_response: None,
+            has_asked_peers: false,
         }
     }
 
     async fn run(&mut self) -> Result<FinalResponse, Failure> {
         loop {
+            if !self.has_asked_peers
+                && let Some(response) = self.forward_if_cut_off().await?
+            {
+                return Ok(response);
+            }
             let reservation =
                 match reservation::reserve(&self.node, &self.request, &self.dispatch_request).await
                 {
@@ -143,9 +170,9 @@
         // A request that fails at a new version is not sent to that version again.
         self.dispatch_request.is_canary = false;
         self.pending.endpoint = Some(endpoint.id.clone());
-        let connection = match open_connection(endpoint.address).await {
+        let connection = match self.connect(&endpoint).await {
             Ok(connection) => connection,
-            Err(error) => return self.handle_unreachable(&endpoint.id, &error),
+            Err(error) => return self.handle_unreachable(&endpoint, &error).await,
         };
         // Not before: a request whose time passes while it connects has not run.
         self.attempt.send();
@@ -201,19 +228,32 @@
         }
     }
 
+    async fn connect(&self, endpoint: &EndpointInfo) -> Result<OpenConnection, ConnectError> {
+        tokio::select! {
+            connection = open_connection(endpoint.address) => connection,
+            () = reach::until_cut_off(&self.node, endpoint) => Err(ConnectError::CutOff),
+        }
+    }
+
     /// Retries after the endpoint could not be connected to.
-    fn handle_unreachable(
+    async fn handle_unreachable(
         &mut self,
-        endpoint: &EndpointId,
+        endpoint: &EndpointInfo,
         error: &ConnectError,
     ) -> Result<SendStep, Failure> {
         let reason = error.to_string();
-        self.record_unsent(endpoint, &reason);
-        self.node.update_health(endpoint, Health::record_loss);
+        self.record_unsent(&endpoint.id, &reason);
+        if reach::check(&self.node, endpoint).await == Reach::CutOff {
+            if self.has_asked_peers || self.request.is_forwarded {
+                return Err(self.cut_off_failure());
+            }
+            return self.retry_unsent(&endpoint.id, &reason);
+        }
+        self.node.update_health(&endpoint.id, Health::record_loss);
         if matches!(error, ConnectError::Refused) {
-            self.node.announce_unreachable(endpoint);
+            self.node.announce_unreachable(&endpoint.id);
         }
-        self.retry_unsent(endpoint, &reason)
+        self.retry_unsent(&endpoint.id, &reason)
     }
 
     /// Handles a response whose head was received: leaves a stream or a large body open, and reads
@@ -315,7 +355,7 @@
 
     /// Builds the final failure. A request that did not run always gets `NoRoom` and a retry delay;
     /// one that may have run never does.
-    fn failure(&self, code: Code, detail: &str) -> Failure {
+    pub fn failure(&self, code: Code, detail: &str) -> Failure {
         let run = self.attempt.run();
         if run == RunStatus::NotRun {
             return Failure::new(Code::NoRoom, detail).with_retry_after(NOT_RUN_RETRY_DELAY);
@@ -333,49 +373,4 @@
         }
         Failure::new(Code::DeadlinePassed, "the time passed").with_run(self.attempt.run())
     }
-
-    /// Records an outcome for the rollout of the endpoint's version.
-    fn record_outcome(&self, endpoint: &EndpointInfo, outcome: Outcome) {
-        let now = self.node.now();
-        lock(&self.node.tables).note_outcome(endpoint, &self.request.route.name, outcome, now);
-    }
-
-    fn record_send(&self, result: &str, endpoint: &EndpointId) {
-        self.node.metrics.sends.with_label_values(&[result]).inc();
-        if result != "answered" {
-            tracing::info!(event = "send", request = %self.request.id, endpoint = %endpoint,
-                end = result, sends = self.attempt.sends(), run = self.attempt.run().as_str());
-        }
-    }
-
-    /// Logs that the endpoint could not be connected to, and why: an endpoint that died refuses
-    /// connections, one that is cut off doesn't answer.
-    fn record_unsent(&self, endpoint: &EndpointId, why: &str) {
-        self.node.metrics.sends.with_label_values(&["not_sent"]).inc();
-        tracing::info!(event = "send", request = %self.request.id, endpoint = %endpoint,
-            end = "not_sent", why, sends = self.attempt.sends(), run = self.attempt.run().as_str());
-    }
-
-    /// Logs that the client gets a response. One that is still open is logged again when it ends.
-    fn log_response(&mut self, head: &Parts, is_open: bool) {
-        self.pending.finish();
-        let elapsed = self.node.now().since(self.request.arrived_at);
-        self.node.metrics.first.observe(elapsed.as_secs_f64());
-        let status = head.status.as_u16().to_string();
-        self.node.metrics.requests.with_label_values(&["answered", &status]).inc();
-        tracing::info!(event = "answered", request = %self.request.id,
-            route = self.request.route.name, endpoint = self.pending.endpoint_name(), status,
-            open = is_open, sends = self.attempt.sends(), ms = elapsed.as_millis());
-    }
-
-    fn log_failure(&mut self, failure: &Failure) {
-        self.pending.finish();
-        let elapsed = self.node.now().since(self.request.arrived_at);
-        refusal::count(&self.node, "failed", failure.code);
-        tracing::info!(event = "failed", request = %self.request.id,
-            route = self.request.route.name, endpoint = self.pending.endpoint_name(),
-            code = failure.code.number(), name = failure.code.name(), run = failure.run.as_str(),
-            sends = self.attempt.sends(), ms = elapsed.as_millis(),
-            back_ms = failure.retry_after.unwrap_or_default().as_millis(), why = failure.detail);
-    }
 }
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -5,10 +5,13 @@
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http::response::Parts;
+use nutmeggrade_core::failure::CODE_HEADER;
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_wire::answer;
 use tokio::sync::mpsc;
 
 use super::client_request::ClientRequest;
+use super::forwarding::PeerResponse;
 use super::handler::OpenResponse;
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
@@ -24,6 +27,8 @@
 /// Builds the response to a client from an endpoint's response head.
 pub fn from_endpoint(mut head: Parts, body: AnswerBody) -> Response<AnswerBody> {
     answer::remove_connection_headers(&mut head.headers);
+    // Only instances set it; a peer would take the response for a failure of this instance.
+    head.headers.remove(CODE_HEADER);
     Response::from_parts(head, body)
 }
 
@@ -53,11 +58,7 @@
     let OpenResponse { response, reservation } = open;
     let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
     tokio::spawn(async move {
-        let end = tokio::select! {
-            end = forward_body(response.body, &sender) => end,
-            () = sender.closed() => TransferEnd::ClientGone,
-            () = node.clock.until(deadline) => TransferEnd::DeadlinePassed,
-        };
+        let end = forward_until(&node, response.body, &sender, deadline).await;
         tracing::info!(event = "answer_ended", request = %request_id,
             endpoint = %reservation.endpoint.id, end = end.as_str());
         drop(reservation);
@@ -65,6 +66,36 @@
     from_endpoint(response.head, AnswerBody::Chunks(receiver))
 }
 
+/// Forwards the body of a response that a peer passes on in the background as it is received.
+pub fn forward_from_peer(
+    node: &Arc<Node>,
+    request: &ClientRequest,
+    forwarded: PeerResponse,
+) -> Response<AnswerBody> {
+    let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+    let PeerResponse { peer, head, body } = forwarded;
+    let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
+    tokio::spawn(async move {
+        let end = forward_until(&node, body, &sender, deadline).await;
+        tracing::info!(event = "answer_ended", request = %request_id, endpoint = "-", %peer,
+            end = end.as_str());
+    });
+    from_endpoint(head, AnswerBody::Chunks(receiver))
+}
+
+async fn forward_until(
+    node: &Node,
+    body: UpstreamBody,
+    sender: &mpsc::Sender<BodyChunk>,
+    deadline: Moment,
+) -> TransferEnd {
+    tokio::select! {
+        end = forward_body(body, sender) => end,
+        () = sender.closed() => TransferEnd::ClientGone,
+        () = node.clock.until(deadline) => TransferEnd::DeadlinePassed,
+    }
+}
+
 async fn forward_body(mut upstream: UpstreamBody, sender: &mpsc::Sender<BodyChunk>) -> TransferEnd {
     while let Some(chunk) = upstream.next().await {
         let Ok(chunk) = chunk else { return TransferEnd::UpstreamBroken };
--- a/crates/nutmeggrade-relay/src/settings.rs
+++ b/crates/nutmeggrade-relay/src/settings.rs
@@ -37,7 +37,7 @@
     SettingSpec::new(
         "beacon-address",
         SettingKind::Address,
-        "where peers' heartbeats come in, by UDP",
+        "where peers' heartbeats come in, by UDP, and the requests that they forward, by TCP",
     ),
     SettingSpec::new("metrics-address", SettingKind::Address, "where metrics are served"),
     SettingSpec::new(
@@ -147,7 +147,7 @@
     pub directory_address: SocketAddr,
     /// Address for peers' requests for what they can't read from the platform.
     pub control_address: SocketAddr,
-    /// Address for peers' heartbeats, by UDP.
+    /// Address for peers' heartbeats, by UDP, and for requests that they forward, by TCP.
     pub beacon_address: SocketAddr,
     /// Address of the metrics.
     pub metrics_address: SocketAddr,
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -17,6 +17,7 @@
 use nutmeggrade_state::change_log::ChangeLog;
 use nutmeggrade_state::crash_log::CrashLog;
 use nutmeggrade_state::fleet_view::FleetView;
+use nutmeggrade_state::reach_table::ReachTable;
 use nutmeggrade_state::registry::Registry;
 use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, ServiceLoad};
 use tokio::sync::oneshot;
@@ -44,6 +45,8 @@
     pub dispatcher: Dispatcher,
     /// Peers.
     pub fleet: FleetView,
+    /// Services that can't be reached.
+    pub reach: ReachTable,
     /// Durations of responses.
     pub pace: Pace,
     /// Requests that were running when an endpoint crashed.
@@ -71,6 +74,7 @@
             change_log: ChangeLog::new(),
             dispatcher,
             fleet,
+            reach: ReachTable::new(),
             pace: Pace::new(),
             crashes: CrashLog::new(),
             rollouts: RolloutTable::new(),
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! Table of the peer instances that serve routes, built from their heartbeats.
 
 mod digest;
+mod forwarding;
 mod judges;
 mod readers;
 mod recipients;
@@ -54,6 +55,8 @@
     was_live: bool,
     leaving: bool,
     reads: bool,
+    /// Services whose endpoints the peer can't connect to.
+    unreachable: BTreeSet<ServiceId>,
     revisions: Revisions,
     reader_key: u64,
 }
@@ -63,6 +66,11 @@
     const fn key(&self) -> u64 {
         self.reader_key ^ self.incarnation
     }
+
+    /// Returns whether the peer accepts clients and has read a configuration and endpoints.
+    const fn serves(&self) -> bool {
+        !self.leaving && self.revisions.config > 0 && self.revisions.endpoints > 0
+    }
 }
 
 /// An address to send heartbeats to, learned from its instance or from other peers.
@@ -176,6 +184,7 @@
             was_live: old.is_some_and(|p| p.was_live),
             leaving: beacon.leaving,
             reads: beacon.reads,
+            unreachable: beacon.unreachable.iter().cloned().collect(),
             revisions: beacon.revisions,
             reader_key,
         };
@@ -219,8 +228,7 @@
     /// read a configuration and endpoints.
     pub fn serving_counts(&self, now: Moment) -> (usize, usize) {
         let live = self.peers.values().filter(|p| self.is_heard(p, now));
-        let serves = |p: &&Peer| !p.leaving && p.revisions.config > 0 && p.revisions.endpoints > 0;
-        (live.clone().count(), live.filter(serves).count())
+        (live.clone().count(), live.filter(|p| p.serves()).count())
     }
 
     /// Returns the number of live peers, and those that were live at the last check and have gone
--- a/tests/suite/core/fleet_beacon.rs
+++ b/tests/suite/core/fleet_beacon.rs
@@ -22,6 +22,7 @@
         introduction: None,
         leaving: false,
         reads: true,
+        unreachable: Vec::new(),
         revisions: Revisions { config: 812, endpoints: 90_817, out: 7, rollouts: 0 },
         heard: Vec::new(),
         placed: (0..3).map(|n| (endpoint(n), placed)).collect::<BTreeMap<_, _>>(),
--- a/tests/suite/relay/cut_off.rs
+++ b/tests/suite/relay/cut_off.rs
@@ -3,36 +3,51 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use nutmeggrade_core::peer::{Contacts, FleetMessage, seal};
+use nutmeggrade_core::prelude::{DomainId, Secret};
 use nutmeggrade_fakes::relay::{Link, Relay};
 use nutmeggrade_fakes::site::{
-    Answer, Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store,
+    Answer, Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, Store, request,
 };
 use nutmeggrade_relay::Instance;
-use tokio::time::sleep;
+use tokio::net::UdpSocket;
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep};
 
-use super::members::{start_member, until_all_have, until_listed};
+use super::members::{until_all_have, until_listed};
 use super::site::{Site, metric, start_instance};
 use super::{PROMPT_HEADERS, ask};
-use crate::support::run;
+use crate::support::{run, until};
 
 /// Time after the beginning of a cut from which on clients have to be served as elsewhere.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+const FORWARDS_ANSWERED: &str = "forwards_total{end=\"answered\"}";
+
 const SERVICES: [&str; 2] = ["desk", "writers"];
 
-/// Three instances and six endpoints. The first instance reaches each endpoint through a proxy, the
+/// Three instances and six endpoints. The last instances reach each endpoint through a proxy, the
 /// others directly.
 struct CutSite {
     instances: Vec<Instance>,
     endpoints: Vec<Endpoint>,
     links: Vec<Relay>,
+    /// Runs all instances but the last; without it they are gone like killed processes.
+    peers: Option<Runtime>,
+}
+
+impl Drop for CutSite {
+    fn drop(&mut self) {
+        self.kill_peers();
+    }
 }
 
 impl CutSite {
-    async fn start() -> anyhow::Result<Self> {
+    /// Starts the instances; the last `proxied` of them use the proxies.
+    async fn start(proxied: usize) -> anyhow::Result<Self> {
         let store = Store::new();
         store.put("config", "main", RoutingPlan::default().content());
-        let (first_listener, direct) = (store.open_listener().await?, store.open_listener().await?);
+        let (direct, other) = (store.open_listener().await?, store.open_listener().await?);
         let (mut endpoints, mut links) = (Vec::new(), Vec::new());
         for service in SERVICES {
             for number in 0..3 {
@@ -40,38 +55,76 @@
                 let behaviour = if service == "desk" {
                     Behaviour::Answer
                 } else {
-                    Behaviour::Stream { events: 5, pause: Duration::from_millis(10) }
+                    Behaviour::Stream { events: 100, pause: Duration::from_millis(10) }
                 };
                 let endpoint = Endpoint::start(&id, behaviour, &Generations::default()).await?;
                 let link = Relay::start(endpoint.address)?;
-                first_listener.list_as(endpoint.address, link.address);
+                other.list_as(endpoint.address, link.address);
                 store.put("servers", &id, Entry::new(service, endpoint.address).content());
                 endpoints.push(endpoint);
                 links.push(link);
             }
         }
-        let first = start_instance("i-1", &first_listener, "").await?;
-        let mut instances = vec![first];
-        for number in 2..=3 {
-            instances.push(start_member(&instances[0], number, &direct).await?);
+        // An instance that knows others gets the endpoints from them, under the addresses that they
+        // use, so that each lists them by itself first.
+        let peers = Runtime::new()?;
+        let mut instances = Vec::new();
+        for (number, name) in ["i-1", "i-2", "i-3"].into_iter().enumerate() {
+            let listener = if number + proxied < 3 { &direct } else { &other }.clone();
+            let start = async move { start_instance(name, &listener, "").await };
+            let task = if number < 2 { peers.spawn(start) } else { tokio::spawn(start) };
+            instances.push(task.await??);
         }
+        until_all_have(&instances, "endpoints", 6).await?;
+        introduce(&instances).await?;
         for instance in &instances {
             until_listed(instance, 3).await?;
         }
-        until_all_have(&instances, "endpoints", 6).await?;
-        Ok(Self { instances, endpoints, links })
+        Ok(Self { instances, endpoints, links, peers: Some(peers) })
+    }
+
+    /// Returns an instance that reaches the endpoints through the proxies.
+    fn proxied(&self) -> &Instance {
+        &self.instances[self.instances.len() - 1]
+    }
+
+    /// Cuts the links and waits until the instance knows.
+    async fn cut_and_wait(&self, link: Link) -> anyhow::Result<()> {
+        self.cut(link);
+        for route in ["once", "draft"] {
+            self.count_served(route, &format!("early-{route}-"), 1).await;
+        }
+        until_all_have([self.proxied()], "cut_off_services", 2).await
+    }
+
+    /// Sends a request to the instance and waits until an endpoint runs it.
+    async fn begin(&self, route: &str, id: &str) -> anyhow::Result<RawClient> {
+        let mut client = RawClient::connect(self.proxied().addresses().client).await?;
+        client.send(&request(route, id, "key-1", PROMPT_HEADERS)).await?;
+        until("an endpoint runs it", async || Ok(self.runs(id) == 1)).await?;
+        Ok(client)
+    }
+
+    fn open_connections(&self) -> usize {
+        self.endpoints.iter().map(Endpoint::open).sum()
+    }
+
+    fn kill_peers(&mut self) {
+        if let Some(peers) = self.peers.take() {
+            peers.shutdown_background();
+        }
     }
 
     fn cut(&self, link: Link) {
         self.links.iter().for_each(|l| l.set(link));
     }
 
-    /// Asks the first instance for a route, and returns the answer.
+    /// Asks the instance behind the proxies for a route, and returns the answer.
     async fn ask(&self, route: &str, id: &str) -> anyhow::Result<Answer> {
-        RawClient::ask(self.instances[0].addresses().client, route, id, PROMPT_HEADERS).await
+        RawClient::ask(self.proxied().addresses().client, route, id, PROMPT_HEADERS).await
     }
 
-    /// Asks the first instance for several requests at a time; returns how many were served whole.
+    /// Asks it for several requests at a time; returns how many were served whole.
     async fn count_served(&self, route: &str, prefix: &str, count: usize) -> usize {
         let ids: Vec<String> = (0..count).map(|n| format!("{prefix}{n}")).collect();
         let answers = join_all(ids.iter().map(|id| self.ask(route, id))).await;
@@ -88,11 +141,28 @@
     }
 }
 
-/// Cuts the first instance off from all endpoints, and checks that its clients are served as well
-/// as elsewhere from [`CONTACT_TIME`] on, each request by a single run, and directly after the cut.
+/// Sends each instance the heartbeat addresses of all.
+async fn introduce(instances: &[Instance]) -> anyhow::Result<()> {
+    let addresses = instances.iter().map(|i| i.addresses().beacon).collect();
+    let contacts = Contacts::from([(DomainId::new("veluwe")?, addresses)]);
+    let key = Secret::new("nutmeggrade fleet heartbeat 1").key("heartbeats");
+    let frame = seal(&FleetMessage::Met(contacts), &key)?;
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    for instance in instances {
+        socket.send_to(&frame, instance.addresses().beacon).await?;
+    }
+    Ok(())
+}
+
+/// Cuts an instance off from all endpoints, and checks that its clients are served as well as
+/// elsewhere from [`CONTACT_TIME`] on, each request by a single run.
 fn served_like_elsewhere(link: Link) {
     run(async {
-        let site = CutSite::start().await?;
+        let site = CutSite::start(1).await?;
+        let mut running = Vec::new();
+        for number in 0..6 {
+            running.push(site.begin("draft", &format!("running-{number}")).await?);
+        }
         site.cut(link);
         for route in ["once", "draft"] {
             site.count_served(route, &format!("early-{route}-"), 4).await;
@@ -105,9 +175,14 @@
                 assert_eq!(site.runs(&format!("{prefix}{number}")), 1, "{route}");
             }
         }
-        for peer in [1, 2] {
+        for peer in [0, 1] {
             assert_eq!(site.metric(peer, "told_gone_total").await?, 0);
         }
+        site.cut(Link::Open);
+        until_all_have([site.proxied()], "cut_off_services", 0).await?;
+        let before = site.metric(2, FORWARDS_ANSWERED).await?;
+        assert_eq!(site.count_served("once", "after-", 8).await, 8);
+        assert_eq!(site.metric(2, FORWARDS_ANSWERED).await?, before);
         Ok(())
     });
 }
@@ -116,9 +191,79 @@
 // same dead links until its time has passed, while its peers reach all of them.
 cases! {served_like_elsewhere {
     refused: Link::Refused;
+    reset: Link::Unreachable;
     unanswered: Link::Unanswered;
 }}
 
+// A client leaves while a peer serves its request. The endpoint would go on working for nobody.
+#[test]
+fn client_that_left_cancels_at_the_peer() {
+    run(async {
+        let site = CutSite::start(1).await?;
+        site.cut_and_wait(Link::Unreachable).await?;
+        site.endpoints.iter().for_each(|e| e.set(Behaviour::Hang));
+        for route in ["once", "draft"] {
+            let client = site.begin(route, &format!("left-{route}")).await?;
+            drop(client);
+            until("the endpoints are left alone", async || Ok(site.open_connections() == 0))
+                .await?;
+        }
+        Ok(())
+    });
+}
+
+// The peers die while they serve requests of another instance's clients. A permit must not run
+// again, and a stream that broke off must not look complete.
+#[test]
+fn dead_peer_ends_what_it_served() {
+    run(async {
+        let mut site = CutSite::start(1).await?;
+        site.cut_and_wait(Link::Unreachable).await?;
+        let mut stream = site.begin("draft", "stream").await?;
+        site.endpoints[..3].iter().for_each(|e| e.set(Behaviour::Hang));
+        let mut permit = site.begin("once", "permit").await?;
+        site.kill_peers();
+        assert_eq!(permit.answer().await?.status, 502);
+        assert!(!stream.answer().await.is_ok_and(|a| a.is_whole));
+        assert_eq!((site.runs("permit"), site.runs("stream")), (1, 1));
+        Ok(())
+    });
+}
+
+// No instance reaches an endpoint. Requests must not go round among the instances, and are refused
+// soon, as not run.
+#[test]
+fn request_is_refused_if_all_are_cut_off() {
+    run(async {
+        let site = CutSite::start(3).await?;
+        site.cut(Link::Unanswered);
+        site.count_served("once", "early-", 1).await;
+        let started_at = Instant::now();
+        let answer = site.ask("once", "late").await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        assert!(started_at.elapsed() < CONTACT_TIME);
+        assert_eq!(site.runs("late"), 0);
+        Ok(())
+    });
+}
+
+// A peer that serves other instances' requests is stopped as planned. It completes them.
+#[test]
+fn planned_stop_of_a_peer_completes_what_it_serves() {
+    run(async {
+        let mut site = CutSite::start(1).await?;
+        site.cut_and_wait(Link::Unreachable).await?;
+        let mut stream = site.begin("draft", "stream").await?;
+        let runtime = site.peers.as_ref().expect("the peers run").handle().clone();
+        let stops: Vec<_> = site.instances.drain(..2).map(|i| runtime.spawn(i.stop())).collect();
+        join_all(stops).await;
+        let answer = stream.answer().await?;
+        assert!(answer.status == 200 && answer.is_whole);
+        Ok(())
+    });
+}
+
 // The time of a request passes while its connection is not answered, so that no byte was sent. If
 // its client is told that it may have run, it must not come back.
 #[test]
--- a/tests/suite/state/heartbeat.rs
+++ b/tests/suite/state/heartbeat.rs
@@ -18,6 +18,7 @@
         introduction: Some(Introduction { sender: addresses.clone(), contacts: Contacts::new() }),
         leaving: false,
         reads: true,
+        unreachable: Vec::new(),
         revisions: Revisions::default(),
         placed: BTreeMap::new(),
         rollouts: Vec::new(),
