Blame no endpoint for connections that this instance can't open

After three engines the same request counts as one that crashes endpoints, and requests of a route without prompt parts are the same to that check.

An endpoint that is really gone costs one round of connections more, some milliseconds, before it is told.

--- a/crates/nutmeggrade-relay/src/engine_watch.rs
+++ b/crates/nutmeggrade-relay/src/engine_watch.rs
@@ -14,6 +14,7 @@
 
 use crate::engine_call;
 use crate::node::Node;
+use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Interval between two polls of an engine. An engine leaves two seconds after its notice, and
@@ -66,7 +67,8 @@
     let is_engine = |e: &EndpointInfo| map.service(&e.service).is_some_and(|s| s.engine.is_some());
     let all = tables.registry.all().map(|e| &e.info).filter(|e| !e.leaving && is_engine(e));
     let polls_all = node.read_state.of(Kind::Endpoints).is_overdue();
-    let own = all.filter(|e| polls_all || tables.fleet.ranks_first_for(&e.id, now));
+    let all = all.filter(|e| !tables.reach.is_cut_off(&e.service));
+    let own = all.filter(|e| polls_all || tables.fleet.ranks_first_for(e, now));
     let load_table = &tables.dispatcher.load_table;
     let candidates = own.map(|engine| {
         let has_work = load_table.load(&engine.id).requests > 0;
@@ -77,12 +79,15 @@
     polled.into_iter().cloned().collect()
 }
 
-async fn poll(node: &Node, engine: &EndpointInfo) -> Option<EndpointId> {
+async fn poll(node: &Arc<Node>, engine: &EndpointInfo) -> Option<EndpointId> {
     match engine_call::report(node, engine).await {
         Ok(Some(report)) if report.is_leaving => Some(engine.id.clone()),
         Ok(_) => None,
         Err(error) => {
             tracing::info!(event = "no_report", endpoint = %engine.id, error = format!("{error:#}"));
+            if reach::check(node, engine).await == Reach::CutOff {
+                return None;
+            }
             node.update_health(&engine.id, Health::record_loss);
             if error.downcast_ref().is_some_and(CallError::is_refused) {
                 node.announce_unreachable(&engine.id);
--- a/crates/nutmeggrade-relay/src/probes.rs
+++ b/crates/nutmeggrade-relay/src/probes.rs
@@ -12,6 +12,7 @@
 
 use crate::engine_call;
 use crate::node::Node;
+use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Interval between two probes, half of the pause that a report of an unreachable endpoint causes.
@@ -55,7 +56,7 @@
     });
 }
 
-async fn run(node: &Node, endpoint: &EndpointInfo) {
+async fn run(node: &Arc<Node>, endpoint: &EndpointInfo) {
     let mut last_reported = None;
     for _ in 0..MAX_PROBES {
         let reported = {
@@ -69,6 +70,9 @@
         if reported > last_reported || probe(node, endpoint).await == ProbeResult::Responds {
             return;
         }
+        if reach::check(node, endpoint).await == Reach::CutOff {
+            return;
+        }
         node.announce_unreachable(&endpoint.id);
         last_reported = Some(node.now());
         let pause = PROBE_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1));
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -13,6 +13,7 @@
 use crate::connect::connect;
 use crate::node::Node;
 use crate::probes;
+use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Returns a hash of a request's workspace, path, prompt and body.
@@ -61,6 +62,9 @@
             probes::start(&node, &endpoint);
             return;
         };
+        if reach::check(&node, &endpoint).await == Reach::CutOff {
+            return;
+        }
         if error.kind() == io::ErrorKind::ConnectionRefused {
             node.announce_unreachable(&crashed.endpoint);
         }
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -212,17 +212,21 @@
             }
             Err(SendError::TimedOut) => {
                 self.attempt.lost();
-                self.record_outcome(&endpoint, Outcome::Failed);
                 self.record_send("silent", &endpoint.id);
-                self.node.update_health(&endpoint.id, Health::record_failure);
+                if reach::check(&self.node, &endpoint).await == Reach::Reached {
+                    self.record_outcome(&endpoint, Outcome::Failed);
+                    self.node.update_health(&endpoint.id, Health::record_failure);
+                }
                 self.retry_or_finish(&endpoint.id, "no answer in time", Code::DeadlinePassed)
             }
             Err(SendError::Lost(reason)) => {
                 self.attempt.lost();
-                self.record_outcome(&endpoint, Outcome::Failed);
-                crash::check_endpoint(&self.node, &self.request, &endpoint);
                 self.record_send("lost", &endpoint.id);
-                self.node.update_health(&endpoint.id, Health::record_loss);
+                if reach::check(&self.node, &endpoint).await == Reach::Reached {
+                    self.record_outcome(&endpoint, Outcome::Failed);
+                    crash::check_endpoint(&self.node, &self.request, &endpoint);
+                    self.node.update_health(&endpoint.id, Health::record_loss);
+                }
                 self.retry_or_finish(&endpoint.id, &reason, Code::OutcomeUnknown)
             }
         }
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -25,6 +25,7 @@
 use super::upstream::UpstreamBody;
 use crate::answer_body::{AnswerBody, BodyChunk};
 use crate::node::Node;
+use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Body chunks buffered for a slow client; a full buffer stops reading from the engine.
@@ -103,7 +104,7 @@
             route = self.request.route.name, endpoint = %self.reservation.endpoint.id,
             end = end.as_str(), events = self.splitter.passed(), moves = self.moves,
             first_ms = first.as_millis(), ms = now.since(self.request.arrived_at).as_millis());
-        if end == TransferEnd::UpstreamBroken {
+        if end == TransferEnd::UpstreamBroken && !self.node.is_cut_off(&self.request.service) {
             self.record_outcome(Outcome::Failed, now);
         }
         if end == TransferEnd::Completed {
@@ -277,13 +278,15 @@
     /// Runs the request again after its endpoint broke the stream off, if its route allows that;
     /// returns whether the stream continues.
     async fn recover(&mut self, error: Option<hyper::Error>) -> bool {
-        let endpoint = self.reservation.endpoint.id.clone();
-        self.node.update_health(&endpoint, Health::record_loss);
+        let endpoint = self.reservation.endpoint.clone();
         let reason = error.map_or_else(|| "ended".to_owned(), |e| e.to_string());
-        tracing::info!(event = "stream_broke", request = %self.request.id, endpoint = %endpoint,
-            events = self.splitter.passed(), why = reason);
+        tracing::info!(event = "stream_broke", request = %self.request.id,
+            endpoint = %endpoint.id, events = self.splitter.passed(), why = reason);
         self.attempt.lost();
-        crash::check_endpoint(&self.node, &self.request, &self.reservation.endpoint);
+        if reach::check(&self.node, &endpoint).await == Reach::Reached {
+            self.node.update_health(&endpoint.id, Health::record_loss);
+            crash::check_endpoint(&self.node, &self.request, &endpoint);
+        }
         self.splitter.cut();
         match resume::run_again(self).await {
             Some((upstream, reservation)) => {
