Name cut-off instances to clients only while there are few others

Clients of an instance that can't reach endpoints are served through its peers, which costs a second connection and depends on one more process. The directory went on naming it to all clients.

--- a/crates/nutmeggrade-relay/src/reach.rs
+++ b/crates/nutmeggrade-relay/src/reach.rs
@@ -123,8 +123,10 @@
 /// Tells peers and metrics which services can't be reached.
 fn report(node: &Node) {
     let count = {
-        let tables = lock(&node.tables);
-        tables.reach.cut_off_services().len()
+        let tables = &mut *lock(&node.tables);
+        let count = tables.reach.cut_off_services().len();
+        tables.fleet.set_cut_off(count > 0);
+        count
     };
     node.heartbeat_due.notify_one();
     node.metrics.cut_off_services.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -110,6 +110,8 @@
     seeds: BTreeSet<SocketAddr>,
     /// Whether this instance is one of the seeds.
     is_seed: bool,
+    /// Whether this instance can't reach the endpoints of some service.
+    is_cut_off: bool,
     /// Contacts in the same failure domain.
     near: BTreeSet<SocketAddr>,
     near_position: usize,
@@ -142,6 +144,7 @@
             contacts: seeds.iter().map(seed).collect(),
             seeds,
             is_seed,
+            is_cut_off: false,
             near: BTreeSet::new(),
             near_position: first_position,
             far_position: first_position,
@@ -305,9 +308,17 @@
         live.all(|peer| peer.reader_key ^ key > own_key)
     }
 
+    /// Sets whether this instance can't reach the endpoints of some service.
+    pub const fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
     /// Lists the addresses for clients to connect to: instances in the client's failure domain if
     /// there are enough.
     ///
+    /// Instances that can't reach some endpoints serve through their peers, which takes longer, and
+    /// are left out while there are enough others.
+    ///
     /// Traffic between failure domains costs more and is slower. If only a few instances are in the
     /// domain, their common failure would leave the client without any address that works.
     pub fn entries(
@@ -316,10 +327,15 @@
         is_leaving: bool,
         now: Moment,
     ) -> Vec<SocketAddr> {
-        let own = (!is_leaving).then_some(&self.own_addresses);
+        let own = (!is_leaving).then_some((&self.own_addresses, self.is_cut_off));
         let live = self.peers.values().filter(|p| self.is_heard(p, now) && !p.leaving);
-        let all: Vec<&InstanceAddresses> =
-            own.into_iter().chain(live.map(|p| &p.addresses)).collect();
+        let serving =
+            own.into_iter().chain(live.map(|p| (&p.addresses, !p.unreachable.is_empty())));
+        let (cut_off, connected): (Vec<_>, Vec<_>) = serving.partition(|(_, is_cut)| *is_cut);
+        let mut all: Vec<&InstanceAddresses> = connected.into_iter().map(|(a, _)| a).collect();
+        if all.len() < MIN_NEARBY_ENTRIES {
+            all.extend(cut_off.into_iter().map(|(a, _)| a));
+        }
         let is_near = |addresses: &&&InstanceAddresses| near == Some(&addresses.domain);
         let nearby: Vec<SocketAddr> = all.iter().filter(is_near).map(|s| s.client).collect();
         if nearby.len() >= MIN_NEARBY_ENTRIES {
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -3,6 +3,7 @@
 mod change_log;
 mod cold_rights;
 mod crash_log;
+mod cut_off_peers;
 mod endpoint_table;
 mod fleet_view;
 mod forward_queue;
