--- a/crates/nutmegctl/src/logs/cause.rs
+++ b/crates/nutmegctl/src/logs/cause.rs
@@ -34,7 +34,7 @@
 
     /// Determines the cause from a request's own lines and the lines around them.
     pub fn find(logs: &'a InstanceLogs, request_lines: &[&Record]) -> Self {
-        let Some(last) = request_lines.iter().rev().find(|r| is_final(r)) else {
+        let Some(last) = find_final(request_lines) else {
             return request_lines.last().map_or_else(
                 || Self::new("not_seen", "no instance logged the request"),
                 |last| explain_unfinished(logs, last),
@@ -52,6 +52,20 @@
     }
 }
 
+/// Finds the line that records the end of a request. If a peer served it, that is the peer's line,
+/// which names the endpoint.
+fn find_final<'r, 'a>(request_lines: &'r [&'a Record]) -> Option<&'r &'a Record> {
+    let has_forwarded = has_forwarded(request_lines, "answered");
+    let mut finals = request_lines.iter().rev().filter(|r| is_final(r));
+    let by_peer = finals.clone().find(|r| has_forwarded && r.field("endpoint") != "-");
+    by_peer.or_else(|| finals.next())
+}
+
+/// Returns whether the request was forwarded to a peer with this result.
+fn has_forwarded(request_lines: &[&Record], end: &str) -> bool {
+    request_lines.iter().any(|r| r.event == "forwarded" && r.field("end") == end)
+}
+
 /// Returns whether a line records the end of a request.
 fn is_final(record: &Record) -> bool {
     match record.event.as_str() {
@@ -140,6 +154,10 @@
     if has_code(Code::NoRoom) || has_code(Code::TooLate) {
         return explain_no_room(logs, request_lines, last);
     }
+    if has_code(Code::OutcomeUnknown) && has_forwarded(request_lines, "lost") {
+        let detail = "the peer that served it for its instance was lost with the response";
+        return Cause::new("peer_lost", detail);
+    }
     if has_code(Code::OutcomeUnknown) {
         return explain_lost(logs, request_lines, last);
     }
@@ -147,6 +165,9 @@
         let detail = format!("{} had it and did not answer in time", last.field("endpoint"));
         return Cause::new("endpoint_silent", detail);
     }
+    if has_code(Code::CutOff) {
+        return explain_cut_off(logs, last);
+    }
     if has_code(Code::UnknownKey) || has_code(Code::NoRoute) || has_code(Code::Outdated) {
         return explain_by_config(logs, last);
     }
@@ -182,6 +203,14 @@
     Cause::new("no_room", detail).with_evidence(store_lost.into_iter().chain(domains_out))
 }
 
+/// Explains that no endpoint could be connected to, by when that began at the instance.
+fn explain_cut_off<'a>(logs: &'a InstanceLogs, last: &Record) -> Cause<'a> {
+    let of_instance = logs.lines_of(&last.instance).iter();
+    let began = of_instance.rev().find(|r| r.event == "service_cut_off" && r.at <= last.at);
+    let detail = format!("{}; no peer could serve it", last.field("why"));
+    Cause::new("cut_off", detail).with_evidence(began)
+}
+
 /// Explains a refusal by the configuration in force and the next version.
 fn explain_by_config<'a>(logs: &'a InstanceLogs, last: &Record) -> Cause<'a> {
     let of_instance = logs.lines_of(&last.instance).iter();
--- a/crates/nutmeggrade-core/src/peer/forwarded_request.rs
+++ b/crates/nutmeggrade-core/src/peer/forwarded_request.rs
@@ -26,7 +26,7 @@
     /// Target time to the response, or to a stream's first event, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub target: Duration,
-    /// Maximum number of endpoints that the request is sent to.
+    /// Maximum number of endpoints that the peer sends the request to.
     pub attempts: u32,
     /// The service that was selected.
     pub service: ServiceId,
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -118,11 +118,13 @@
         connection: OpenConnection,
     ) -> Result<(Parts, UpstreamBody), String> {
         let client_request = &self.request;
+        // The route's number holds for the sends of both instances together.
+        let attempts_left = client_request.route.attempts + 1 - self.attempt.sends();
         let forwarded = ForwardedRequest {
             route: client_request.route.name.clone(),
             kind: client_request.route.kind,
             target: client_request.route.target,
-            attempts: client_request.route.attempts,
+            attempts: attempts_left,
             service: client_request.service.clone(),
             workspace: client_request.workspace.clone(),
             priority: client_request.priority,
--- a/tests/suite/operators/explain_logs.rs
+++ b/tests/suite/operators/explain_logs.rs
@@ -167,3 +167,26 @@
     assert!(text.starts_with("instance_lost instance=i-1 "), "{text}");
     assert!(String::from_utf8_lossy(&output.stderr).contains("5013"));
 }
+
+// An instance that could not reach the service had a peer serve the request. The endpoint failed it,
+// or the peer died, or no instance could serve it.
+#[rstest]
+fn forwarded_to_a_peer() {
+    let forwarded = "i-1 event=forwarded request=a1b2c3 peer=i-2 end=answered run=not_run";
+    let lines = [
+        "i-2 event=answered request=a1b2c3 endpoint=e-2 status=500 open=false sends=1 ms=40",
+        forwarded,
+        "i-1 event=answered request=a1b2c3 endpoint=- status=500 open=false sends=1 ms=44",
+    ];
+    assert_cause(&lines, "endpoint_failed", &["tried: e-2"]);
+    let lines = [
+        "i-1 event=forwarded request=a1b2c3 peer=i-2 end=lost run=unknown",
+        "i-1 event=failed request=a1b2c3 endpoint=- code=3005 run=unknown sends=1 ms=44",
+    ];
+    assert_cause(&lines, "peer_lost", &["the peer that served it"]);
+    let lines = [
+        "i-1 event=service_cut_off service=w",
+        "i-1 event=failed request=a1b2c3 endpoint=- code=3010 run=not_run sends=0 ms=400",
+    ];
+    assert_cause(&lines, "cut_off", &["step=service_cut_off"]);
+}
