Ask up to six peers to serve a request

An answer of such a peer takes milliseconds, or half a second if it finds out only then; the request's own time still bounds all.

--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -20,7 +20,7 @@
 use crate::tables::lock;
 
 /// Peers that are asked to serve a request, one after the other.
-const MAX_PEERS: usize = 3;
+const MAX_PEERS: usize = 6;
 /// Timeout of a connection to a peer, which takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
