Refuse what a peer forwards beyond its share, rather than close the connection

Clients of a cut-off instance got 502 for requests that had not run, and could not repeat permits: its peers take at most a quarter of their connections from it and closed the others, after which nobody can tell whether the request ran. relay::cut_off::requests_beyond_what_peers_take_are_refused_as_not_run: 502 among 240 requests before, only 200 and 503 now.

Such a connection is served and its request refused with code 2005, after which another peer is asked. The body is read first, also before a refusal of a peer that leaves, as a reset under it would lose the refusal.

--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -64,17 +64,17 @@
     loop {
         let (stream, origin) = tokio::select! {
             stream = accept(&clients) => (stream, Origin::Client),
-            stream = accept(&peers) => (stream, Origin::Peer),
+            stream = accept(&peers) => {
+                // A connection without a permit is served too, and its request refused: after a
+                // closed connection, the peer could not tell whether the request ran.
+                let permit = Arc::clone(&peer_permits).try_acquire_owned().ok();
+                (stream, Origin::Peer(permit))
+            }
             _ = phases.wait_for(|p| *p >= Phase::Closing) => break,
         };
         let Some(stream) = stream else { continue };
         // Closing before a request is read lets the client safely retry at another instance.
-        let peer_permit = match origin {
-            Origin::Client => None,
-            Origin::Peer => Some(Arc::clone(&peer_permits).try_acquire_owned()),
-        };
-        let permit = Arc::clone(&permits).try_acquire_owned();
-        let (Ok(permit), Ok(peer_permit)) = (permit, peer_permit.transpose()) else {
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             tracing::warn!(event = "connection_refused", most = max_connections);
             continue;
         };
@@ -83,7 +83,7 @@
             node.metrics.connections.inc();
             connection::serve(&node, stream, origin).await;
             node.metrics.connections.dec();
-            drop((permit, peer_permit));
+            drop(permit);
         });
     }
     drop((clients, peers));
--- a/crates/nutmeggrade-relay/src/front/connection.rs
+++ b/crates/nutmeggrade-relay/src/front/connection.rs
@@ -27,13 +27,13 @@
 /// Serves one connection until it ends.
 pub async fn serve(node: &Arc<Node>, stream: TcpStream, origin: Origin) {
     let mut limits = node.map().limits;
-    if origin == Origin::Peer {
+    if matches!(origin, Origin::Peer(_)) {
         limits.head_bytes += FORWARDED_HEAD_BYTES;
     }
     let state = Arc::new(Mutex::new(ConnectionState::new(&limits, node.now())));
     let stream = HeadRecorder::new(stream, Arc::clone(&state), node.clock);
     let service =
-        service_fn(|request| serve_request(Arc::clone(node), Arc::clone(&state), request, origin));
+        service_fn(|request| serve_request(Arc::clone(node), Arc::clone(&state), request, &origin));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
@@ -69,12 +69,13 @@
     node: Arc<Node>,
     state: Arc<Mutex<ConnectionState>>,
     request: Request<Incoming>,
-    origin: Origin,
+    origin: &Origin,
 ) -> Result<Response<InFlightBody>, Infallible> {
     let head_bytes = lock(&state).start_request().freeze();
     let mut response = match origin {
         Origin::Client => relay::relay(&node, request, &head_bytes).await,
-        Origin::Peer => relay::relay_forwarded(&node, request).await,
+        Origin::Peer(Some(_)) => relay::relay_forwarded(&node, request).await,
+        Origin::Peer(None) => relay::refuse_forwarded(&node, request).await,
     };
     // Read after the response is ready: no connection may be kept alive past the leaving phase.
     if node.phase() > Phase::Serving {
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -22,6 +22,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
+use nutmeggrade_core::prelude::*;
 
 use self::client_request::ClientRequest;
 use self::refusal::RefusedRequest;
@@ -42,6 +43,16 @@
     serve(node, admission::admit_forwarded(node, request).await).await
 }
 
+/// Refuses a request that a peer forwards beyond its share of the connections.
+pub async fn refuse_forwarded(node: &Node, request: Request<Incoming>) -> Response<AnswerBody> {
+    admission::drop_body(node, request).await;
+    let detail = "peers have as many connections as they may have";
+    let failure = Failure::new(Code::TooManyConnections, detail);
+    let refused = RefusedRequest { id: None, failure };
+    refused.log(node);
+    refusal::response(&refused.failure)
+}
+
 async fn serve(
     node: &Arc<Node>,
     admitted: Result<ClientRequest, RefusedRequest>,
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -81,6 +81,12 @@
     read(node, (head, body), parsed, routing, arrived_at).await.map_err(refuse)
 }
 
+/// Reads and drops the body of a request that is refused.
+pub async fn drop_body(node: &Node, request: Request<Incoming>) {
+    let deadline = node.now().after(DEFAULT_TIMEOUT);
+    drop(read_body(node, request.into_body(), &node.map(), deadline).await);
+}
+
 /// Takes the routing that a peer has added to a request's headers.
 fn read_forwarded(headers: &mut HeaderMap, timeout: Duration) -> Result<Routing, Failure> {
     let value = headers.remove(FORWARDED_HEADER);
@@ -117,10 +123,14 @@
     let Routing { route, service, workspace, priority, is_forwarded } = routing;
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived_at.after(timeout);
-    if let Some(time_left) = node.time_until_end() {
-        check_shutdown(node, &route, &parsed, time_left)?;
+    if !is_forwarded {
+        check_shutdown(node, &route, &parsed)?;
     }
     let body = read_body(node, body, &node.map(), deadline).await?;
+    // A peer has to get the refusal, which is lost if the connection is reset under its body.
+    if is_forwarded {
+        check_shutdown(node, &route, &parsed)?;
+    }
     let fingerprint =
         crash::fingerprint(workspace.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
     if lock(&node.tables).crashes.holds(&fingerprint, arrived_at) {
@@ -207,12 +217,8 @@
 /// Refuses a request that is expected to outlast this instance.
 ///
 /// Its response would be cut off at shutdown, and a client may not repeat a request that ran.
-fn check_shutdown(
-    node: &Node,
-    route: &Route,
-    parsed: &ClientHeaders,
-    time_left: Duration,
-) -> Result<(), Failure> {
+fn check_shutdown(node: &Node, route: &Route, parsed: &ClientHeaders) -> Result<(), Failure> {
+    let Some(time_left) = node.time_until_end() else { return Ok(()) };
     let expected = match &parsed.prompt {
         Some(prompt) => lock(&node.tables).pace.time(prompt.expected(), prompt.max_tokens),
         None => route.target,
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -169,7 +169,7 @@
                 fleet.note_unreachable(peer, &self.request.service);
                 Ok(Forwarded::NotServed)
             }
-            Code::Leaving | Code::NotReady => Ok(Forwarded::NotServed),
+            Code::Leaving | Code::NotReady | Code::TooManyConnections => Ok(Forwarded::NotServed),
             _ => Err(failure),
         }
     }
--- a/tests/suite/relay/cut_off.rs
+++ b/tests/suite/relay/cut_off.rs
@@ -248,6 +248,23 @@
     });
 }
 
+// More requests are forwarded than the peers take. If a peer closed such a connection, nobody could
+// tell whether the request ran.
+#[test]
+fn requests_beyond_what_peers_take_are_refused_as_not_run() {
+    run(async {
+        let site = CutSite::start(1).await?;
+        site.cut_and_wait(Link::Unreachable).await?;
+        site.endpoints.iter().for_each(|e| e.set(Behaviour::Slow(Duration::from_millis(300))));
+        let ids: Vec<String> = (0..240).map(|n| format!("many-{n}")).collect();
+        for answer in join_all(ids.iter().map(|id| site.ask("once", id))).await {
+            let status = answer?.status;
+            assert!([200, 503].contains(&status), "{status}");
+        }
+        Ok(())
+    });
+}
+
 // A peer that serves other instances' requests is stopped as planned. It completes them.
 #[test]
 fn planned_stop_of_a_peer_completes_what_it_serves() {
