Log no endpoint for a request that a peer serves

A request that had first been placed at an endpoint which could not be connected to, and was then served by a peer, was logged as answered by that endpoint. The peer's own lines name the endpoint that served it.

--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -89,6 +89,8 @@
             return Ok(Forwarded::NotServed);
         };
         self.attempt.send();
+        // From here on the peer's lines name the endpoint.
+        self.pending.endpoint = None;
         let (head, body) = match self.send_to_peer(connection).await {
             Ok(response) => response,
             Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
