Refuse a request as not run only if no earlier send of it may have run

Clients of a cut-off instance were told 503, 'has not run', for a repeatable request of which an earlier send had reached an endpoint before the cut. Cause: the refusal of a peer, and that of an instance which finds neither an endpoint nor a peer, were handed to the client as they came; they speak only of the last send.

Both now end like a request that finds no room: with an earlier endpoint's error response if there is one, or as of unknown outcome. Requests that may not be repeated were not concerned, as they are never sent after a lost response. relay::cut_off::request_that_ran_is_not_refused_as_not_run, both cases: 503 before, 502 now.

--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -53,7 +53,7 @@
             return Ok(None);
         }
         if self.request.is_forwarded {
-            return Err(self.cut_off_failure());
+            return self.finish_cut_off().map(Some);
         }
         for (peer, address) in self.draw_peers() {
             if let Forwarded::Response(response) = self.forward(&peer, address).await? {
@@ -64,13 +64,6 @@
         Ok(None)
     }
 
-    /// Returns the failure of a request that neither this instance nor a peer can send.
-    pub fn cut_off_failure(&self) -> Failure {
-        let delay = lock(&self.node.tables).dispatcher.draw_retry_delay();
-        Failure::new(Code::CutOff, "this instance can't connect to the service's endpoints")
-            .with_retry_after(delay)
-    }
-
     /// Draws peers at random: a cut often takes a whole failure domain, and the requests of all its
     /// instances should spread evenly.
     fn draw_peers(&self) -> Vec<(InstanceId, SocketAddr)> {
@@ -172,10 +165,18 @@
                 Ok(Forwarded::NotServed)
             }
             Code::Leaving | Code::NotReady | Code::TooManyConnections => Ok(Forwarded::NotServed),
-            _ => Err(failure),
+            // An earlier send may have run, whatever became of this one.
+            _ => self.finish_without_room(failure).map(Forwarded::Response),
         }
     }
 
+    /// Ends a request that neither this instance nor a peer can send.
+    pub fn finish_cut_off(&mut self) -> Result<FinalResponse, Failure> {
+        let delay = lock(&self.node.tables).dispatcher.draw_retry_delay();
+        let detail = "this instance can't connect to the service's endpoints";
+        self.finish_without_room(Failure::new(Code::CutOff, detail).with_retry_after(delay))
+    }
+
     /// Records that the peer's response was lost, and returns the client's failure. The peer may
     /// have used up the sends that the route allows.
     fn lose_forwarded(&mut self, peer: &InstanceId, reason: &str) -> Failure {
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -156,10 +156,12 @@
         }
     }
 
-    /// Returns an earlier endpoint's error response, if there is one, or the failure.
-    fn finish_without_room(&mut self, failure: Failure) -> Result<FinalResponse, Failure> {
+    /// Returns an earlier endpoint's error response, if there is one, or the failure. A request that
+    /// may have run gets no failure which says that it has not.
+    pub fn finish_without_room(&mut self, failure: Failure) -> Result<FinalResponse, Failure> {
         match self.failed_response.take() {
             Some((head, body)) => Ok(FinalResponse::Buffered(head, body)),
+            None if failure.run != RunStatus::NotRun => Err(failure),
             None if self.attempt.run() == RunStatus::NotRun => Err(failure),
             None => Err(self.failure(Code::OutcomeUnknown, &failure.detail)),
         }
@@ -249,7 +251,7 @@
         self.record_unsent(&endpoint.id, &reason);
         if reach::check(&self.node, endpoint).await == Reach::CutOff {
             if self.has_asked_peers || self.request.is_forwarded {
-                return Err(self.cut_off_failure());
+                return self.finish_cut_off().map(SendStep::Done);
             }
             return self.retry_unsent(&endpoint.id, &reason);
         }
--- a/tests/suite/relay/cut_off.rs
+++ b/tests/suite/relay/cut_off.rs
@@ -248,6 +248,29 @@
     });
 }
 
+/// Breaks the connection of a request that runs, in a cut in which peers reject it or are gone, and
+/// checks that its client isn't told that it has not run.
+fn request_that_ran_is_not_refused_as_not_run(has_peers: bool) {
+    run(async {
+        let mut site = CutSite::start(1).await?;
+        site.endpoints.iter().for_each(|e| e.set(Behaviour::Hang));
+        let mut client = site.begin("read", "a1").await?;
+        site.endpoints.iter().for_each(|e| e.set(Behaviour::Shed));
+        if !has_peers {
+            site.kill_peers();
+        }
+        site.cut(Link::Unreachable);
+        assert_eq!(client.answer().await?.status, 502);
+        Ok(())
+    });
+}
+
+// A repeatable request ran before the cut. Its second send finds no endpoint that takes it.
+cases! {request_that_ran_is_not_refused_as_not_run {
+    rejected_by_the_peers_endpoints: true;
+    without_peers: false;
+}}
+
 // More requests are forwarded than the peers take. If a peer closed such a connection, nobody could
 // tell whether the request ran.
 #[test]
