Log how an answer states its end, and the bytes of an event that its end left over

'answered', 'stream_ended', 'stream_broke' and 'answer_ended' say so now, and body_ends_total counts ends by framing.

A transfer coding other than chunks ends with the connection (it counted as framed). Nothing else of the logic changes.

--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! types into scope.
 
 pub mod audit;
+pub mod body_framing;
 pub mod code;
 pub mod config;
 pub mod endpoint;
--- a/crates/nutmeggrade-core/src/prelude.rs
+++ b/crates/nutmeggrade-core/src/prelude.rs
@@ -1,5 +1,6 @@
 //! Re-exports of the most commonly used types.
 
+pub use crate::body_framing::BodyFraming;
 pub use crate::code::Code;
 pub use crate::config::{Configuration, Preset};
 pub use crate::endpoint::{Endpoint, EndpointKind, EndpointState};
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -17,6 +17,8 @@
     registry: Registry,
     /// Requests by outcome and code.
     pub requests: IntCounterVec,
+    /// Bodies that endpoints sent piece by piece, by framing and end.
+    pub body_ends: IntCounterVec,
     /// Requests that wait for a free slot.
     pub waiting: IntGauge,
     /// Time that requests waited for a free slot.
@@ -81,6 +83,11 @@
         };
         Ok(Self {
             requests: counters("requests_total", "requests by outcome", &["outcome", "code"])?,
+            body_ends: counters(
+                "body_ends_total",
+                "ends of bodies that were passed on as they came",
+                &["framing", "end"],
+            )?,
             waiting: gauge("waiting", "requests that wait for room")?,
             waits: histogram("wait_seconds", "time that requests waited for room")?,
             first: histogram("first_seconds", "time to an answer's head or first event")?,
--- a/crates/nutmeggrade-relay/src/relay/request_log.rs
+++ b/crates/nutmeggrade-relay/src/relay/request_log.rs
@@ -4,6 +4,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_wire::answer;
 
 use super::handler::RequestHandler;
 use super::refusal;
@@ -38,10 +39,11 @@
         let elapsed = self.node.now().since(self.request.arrived_at);
         self.node.metrics.first.observe(elapsed.as_secs_f64());
         let status = head.status.as_u16().to_string();
+        let framing = answer::read_framing(&head.headers).as_str();
         self.node.metrics.requests.with_label_values(&["answered", &status]).inc();
         tracing::info!(event = "answered", request = %self.request.id,
             route = self.request.route.name, endpoint = self.pending.endpoint_name(), status,
-            open = is_open, sends = self.attempt.sends(), ms = elapsed.as_millis());
+            open = is_open, framing, sends = self.attempt.sends(), ms = elapsed.as_millis());
     }
 
     pub(super) fn log_failure(&mut self, failure: &Failure) {
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -57,10 +57,12 @@
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let OpenResponse { response, reservation } = open;
     let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
+    let framing = response.parsed.framing.as_str();
     tokio::spawn(async move {
         let end = forward_until(&node, response.body, &sender, deadline).await;
+        node.metrics.body_ends.with_label_values(&[framing, end.as_str()]).inc();
         tracing::info!(event = "answer_ended", request = %request_id,
-            endpoint = %reservation.endpoint.id, end = end.as_str());
+            endpoint = %reservation.endpoint.id, end = end.as_str(), framing);
         drop(reservation);
     });
     from_endpoint(response.head, AnswerBody::Chunks(receiver))
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -11,7 +11,6 @@
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
 use nutmeggrade_state::event_splitter::EventSplitter;
-use nutmeggrade_wire::answer::ResponseHead;
 use tokio::sync::{mpsc, watch};
 
 use super::client_request::ClientRequest;
@@ -51,12 +50,13 @@
     /// The engine settings of the service; `None` for plain services.
     pub engine: Option<EngineSpec>,
     upstream: Option<UpstreamBody>,
-    is_framed: bool,
+    framing: BodyFraming,
     sender: mpsc::Sender<BodyChunk>,
     sent_at: Moment,
     first_event: Option<Moment>,
     pace_recorded: bool,
     moves: u32,
+    partial_bytes: usize,
 }
 
 /// Starts to forward an event stream in the background and returns the response to the client.
@@ -76,33 +76,31 @@
         attempt,
         reservation,
         engine,
-        is_framed: is_framed(&response.parsed, &response.head.headers),
+        framing: response.parsed.framing,
         upstream: Some(response.body),
         sent_at: response.sent_at,
         sender,
         first_event: None,
         pace_recorded: false,
         moves: 0,
+        partial_bytes: 0,
     };
     tokio::spawn(stream.run());
     response::from_endpoint(response.head, AnswerBody::Chunks(receiver))
 }
 
-/// Returns whether the response states where its body ends, other than by closing the connection.
-fn is_framed(parsed: &ResponseHead, headers: &http::HeaderMap) -> bool {
-    parsed.length.is_some() || headers.contains_key(http::header::TRANSFER_ENCODING)
-}
-
 impl EventStream {
     async fn run(mut self) {
         let end = self.forward().await;
         self.attempt.end();
         let now = self.node.now();
         self.node.metrics.requests.with_label_values(&["stream", end.as_str()]).inc();
+        self.node.metrics.body_ends.with_label_values(&[self.framing.as_str(), end.as_str()]).inc();
         let first = self.first_event.map_or(Duration::ZERO, |at| at.since(self.request.arrived_at));
         tracing::info!(event = "stream_ended", request = %self.request.id,
             route = self.request.route.name, endpoint = %self.reservation.endpoint.id,
             end = end.as_str(), events = self.splitter.passed(), moves = self.moves,
+            framing = self.framing.as_str(), partial = self.partial_bytes,
             first_ms = first.as_millis(), ms = now.since(self.request.arrived_at).as_millis());
         if end == TransferEnd::UpstreamBroken && !self.node.is_cut_off(&self.request.service) {
             self.record_outcome(Outcome::Failed, now);
@@ -147,8 +145,9 @@
                 }
                 StreamEvent::Bytes(end) => {
                     self.upstream = None;
+                    self.partial_bytes = self.splitter.partial_bytes();
                     let is_stopping = migration.as_ref().is_some_and(Migration::is_stopping);
-                    if end.is_none() && (self.is_framed || !is_stopping) {
+                    if end.is_none() && (self.framing.is_declared() || !is_stopping) {
                         return tokio::select! {
                             end = self.finish() => end,
                             () = clock.until(deadline) => TransferEnd::DeadlinePassed,
@@ -281,7 +280,8 @@
         let endpoint = self.reservation.endpoint.clone();
         let reason = error.map_or_else(|| "ended".to_owned(), |e| e.to_string());
         tracing::info!(event = "stream_broke", request = %self.request.id,
-            endpoint = %endpoint.id, events = self.splitter.passed(), why = reason);
+            endpoint = %endpoint.id, events = self.splitter.passed(),
+            framing = self.framing.as_str(), partial = self.partial_bytes, why = reason);
         self.attempt.lost();
         if reach::check(&self.node, &endpoint).await == Reach::Reached {
             self.node.update_health(&endpoint.id, Health::record_loss);
--- a/crates/nutmeggrade-state/src/event_splitter.rs
+++ b/crates/nutmeggrade-state/src/event_splitter.rs
@@ -45,6 +45,11 @@
         (!self.partial.is_empty()).then(|| self.partial.split().freeze())
     }
 
+    /// Returns the size of the buffered partial event in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the id of the last event that was passed on.
     pub const fn position(&self) -> Option<EventPosition> {
         self.last_position
