Reproduce that a stream closed within an event is given out as complete

relay::broken_streams::closed_within_event: an engine sends five events and a part of the next with neither a length nor chunks, and closes the connection.

The stand-in endpoint sends streams in part, framed or not, and ends them by their last chunk, a close, a reset or a crash; it can also end its complete streams with their connection.

--- a/crates/nutmeggrade-fakes/src/site.rs
+++ b/crates/nutmeggrade-fakes/src/site.rs
@@ -6,6 +6,7 @@
 mod backoff_check;
 mod behaviour;
 mod endpoint;
+mod event_writer;
 mod generation;
 mod leaving_check;
 mod limit_check;
@@ -16,6 +17,7 @@
 mod routing;
 mod store;
 mod store_listener;
+mod stream_end;
 
 pub use backoff_check::find_backoff_violation;
 pub use behaviour::Behaviour;
@@ -30,3 +32,4 @@
 pub use routing::{Entry, RoutingPlan};
 pub use store::Store;
 pub use store_listener::{Fault, StoreListener};
+pub use stream_end::StreamEnd;
--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::stream_end::StreamEnd;
+
 /// How a simulated endpoint handles requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -49,4 +51,13 @@
         /// Number of complete events that are sent.
         events: u64,
     },
+    /// Streams events and a rest, and ends the stream.
+    StreamPart {
+        /// Number of complete events that are sent.
+        events: u64,
+        /// What is sent after the complete events.
+        rest: &'static str,
+        /// How the stream ends.
+        end: StreamEnd,
+    },
 }
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -1,5 +1,7 @@
 //! A simulated endpoint: an inference engine or a plain service.
 
+mod streaming;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -28,6 +30,7 @@
     leaves_ms: Option<u64>,
     open_connections: usize,
     advertised_address: SocketAddr,
+    ends_with_connection: bool,
 }
 
 /// An endpoint with configurable behaviour.
@@ -40,6 +43,7 @@
     notices: Arc<Mutex<Notices>>,
     generations: Generations,
     crashed: watch::Sender<bool>,
+    holds_ends: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -57,6 +61,7 @@
             leaves_ms: None,
             open_connections: 0,
             advertised_address: address,
+            ends_with_connection: false,
         };
         let endpoint = Self {
             address,
@@ -65,6 +70,7 @@
             notices: Arc::default(),
             generations: generations.clone(),
             crashed: watch::Sender::new(false),
+            holds_ends: watch::Sender::new(false),
         };
         let server = endpoint.clone();
         tokio::spawn(async move {
@@ -102,6 +108,16 @@
         self.state().advertised_address = address;
     }
 
+    /// Makes it send complete streams with neither a length nor chunks, ended by their connection.
+    pub fn end_streams_with_connection(&self) {
+        self.state().ends_with_connection = true;
+    }
+
+    /// Sets whether it keeps streams open that it sends in part, before it ends them.
+    pub fn hold_ends(&self, holds: bool) {
+        self.holds_ends.send_replace(holds);
+    }
+
     /// Returns what it asks of its callers, for changes too.
     pub fn notices(&self) -> MutexGuard<'_, Notices> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
@@ -302,47 +318,12 @@
                 self.send_stream(stream, id, position, events, pause).await
             }
             Behaviour::StreamCut { events } => {
-                self.send_stream_head(stream, id).await?;
-                for event in position + 1..=events {
-                    send_event(stream, id, event).await?;
-                }
-                send(stream, "9\r\nid: 77\nda").await?;
-                sleep(Duration::from_millis(50)).await;
-                reset(stream)
+                self.send_cut_stream(stream, id, position, events).await
             }
-        }
-    }
-
-    async fn send_stream(
-        &self,
-        stream: &mut TcpStream,
-        id: &str,
-        position: u64,
-        events: u64,
-        pause: Duration,
-    ) -> anyhow::Result<()> {
-        self.send_stream_head(stream, id).await?;
-        let mut stopped = self.generations.start(self.advertised_address(), id, events);
-        let mut crashed = self.crashed.subscribe();
-        for event in position + 1..=events {
-            tokio::select! {
-                () = sleep(pause) => {}
-                _ = crashed.wait_for(|c| *c) => return reset(stream),
-                _ = stopped.wait_for(|s| *s) => {
-                    self.generations.remove(self.advertised_address(), id);
-                    anyhow::bail!("stopped");
-                }
+            Behaviour::StreamPart { events, rest, end } => {
+                self.send_stream_part(stream, id, position, (events, rest), end).await
             }
-            send_event(stream, id, event).await?;
-            self.generations.set_events(self.advertised_address(), id, event);
         }
-        self.generations.remove(self.advertised_address(), id);
-        send(stream, "0\r\n\r\n").await
-    }
-
-    async fn send_stream_head(&self, stream: &mut TcpStream, id: &str) -> anyhow::Result<()> {
-        let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-        send(stream, &self.response(200, id, headers, "")).await
     }
 
     fn response(&self, status: u16, id: &str, headers: &str, body: &str) -> String {
@@ -365,11 +346,6 @@
     }
 }
 
-async fn send_event(stream: &mut TcpStream, id: &str, event: u64) -> anyhow::Result<()> {
-    let text = format!("id: {event}\ndata: {id}.{event}\n\n");
-    send(stream, &format!("{:x}\r\n{text}\r\n", text.len())).await
-}
-
 async fn send(stream: &mut TcpStream, text: &str) -> anyhow::Result<()> {
     stream.write_all(text.as_bytes()).await.context("send")
 }
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -0,0 +1,99 @@
+//! Event streams of a simulated endpoint.
+
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::{Endpoint, reset};
+use crate::site::event_writer::EventWriter;
+use crate::site::stream_end::StreamEnd;
+
+impl Endpoint {
+    /// Streams the events behind `position` with a pause before each, until they are complete or
+    /// the generation is stopped.
+    pub(super) async fn send_stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        position: u64,
+        events: u64,
+        pause: Duration,
+    ) -> anyhow::Result<()> {
+        let is_chunked = !self.state().ends_with_connection;
+        let mut writer = self.start_stream(stream, id, is_chunked).await?;
+        let mut stopped = self.generations.start(self.advertised_address(), id, events);
+        let mut crashed = self.crashed.subscribe();
+        for event in position + 1..=events {
+            tokio::select! {
+                () = sleep(pause) => {}
+                _ = crashed.wait_for(|c| *c) => return reset(writer.connection()),
+                _ = stopped.wait_for(|s| *s) => {
+                    self.generations.remove(self.advertised_address(), id);
+                    anyhow::bail!("stopped");
+                }
+            }
+            writer.send_event(id, event).await?;
+            self.generations.set_events(self.advertised_address(), id, event);
+        }
+        self.generations.remove(self.advertised_address(), id);
+        writer.finish().await
+    }
+
+    /// Streams events, resets the connection within the next one.
+    pub(super) async fn send_cut_stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        position: u64,
+        events: u64,
+    ) -> anyhow::Result<()> {
+        let mut writer = self.start_stream(stream, id, true).await?;
+        for event in position + 1..=events {
+            writer.send_event(id, event).await?;
+        }
+        writer.send_text("id: 77\nda").await?;
+        sleep(Duration::from_millis(50)).await;
+        reset(writer.connection())
+    }
+
+    /// Streams events and `rest`, and ends the stream.
+    pub(super) async fn send_stream_part(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        position: u64,
+        (events, rest): (u64, &str),
+        end: StreamEnd,
+    ) -> anyhow::Result<()> {
+        let mut writer = self.start_stream(stream, id, end.is_chunked()).await?;
+        for event in position + 1..=events {
+            writer.send_event(id, event).await?;
+        }
+        writer.send_text(rest).await?;
+        // The bytes reach the instance before a reset would discard them.
+        sleep(Duration::from_millis(50)).await;
+        self.holds_ends.subscribe().wait_for(|holds| !holds).await?;
+        match end {
+            StreamEnd::LastChunk => writer.finish().await,
+            StreamEnd::Closed => anyhow::bail!("closed"),
+            StreamEnd::Reset => reset(writer.connection()),
+            StreamEnd::Crashed => {
+                self.crashed.send_replace(true);
+                anyhow::bail!("crashed")
+            }
+        }
+    }
+
+    async fn start_stream<'a>(
+        &self,
+        stream: &'a mut TcpStream,
+        id: &str,
+        is_chunked: bool,
+    ) -> anyhow::Result<EventWriter<'a>> {
+        let mut writer = EventWriter::new(stream, is_chunked);
+        let head = self.response(200, id, writer.headers(), "");
+        writer.send_head(&head).await?;
+        Ok(writer)
+    }
+}
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -3,6 +3,7 @@
 
 mod answer_body;
 mod backoff;
+mod broken_streams;
 mod clients;
 mod config;
 mod crashers;
--- /dev/null
+++ b/tests/suite/relay/broken_streams.rs
@@ -0,0 +1,48 @@
+//! Streams that end before their last event.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{Answer, Behaviour, RawClient, RoutingPlan, StreamEnd, request};
+
+use super::PROMPT_HEADERS;
+use super::site::Site;
+use super::streams::events;
+use crate::support::{run, until};
+
+const COMPLETE: Behaviour = Behaviour::Stream { events: 9, pause: Duration::from_millis(1) };
+
+/// Requests a stream that its engine ends after five events and `rest`. A second engine, which
+/// joins only then, would send nine events. Returns the client's response.
+async fn answer_to_part(route: &str, rest: &'static str, end: StreamEnd) -> anyhow::Result<Answer> {
+    let site = Site::start(&RoutingPlan::default()).await?;
+    let part = Behaviour::StreamPart { events: 5, rest, end };
+    let first = site.add_endpoint("writers", "e-1", part).await?;
+    first.hold_ends(true);
+    let mut client = RawClient::connect(site.client()).await?;
+    client.send(&request(route, "a1", "key-1", PROMPT_HEADERS)).await?;
+    until("the first engine runs the request", async || Ok(first.runs("a1") == 1)).await?;
+    let second = site.add_endpoint("writers", "e-2", COMPLETE).await?;
+    first.hold_ends(false);
+    let answer = client.answer().await?;
+    let has_run_again = second.runs("a1") > 0;
+    assert_eq!(has_run_again, route == "sort" && answer.is_whole);
+    Ok(answer)
+}
+
+// An engine's stream without length or chunks that is closed within an event is given out as
+// complete, with the part of the event.
+fn closed_within_event(route: &str) {
+    run(async {
+        let answer = answer_to_part(route, "id: 6\nda", StreamEnd::Closed).await?;
+        let is_resumable = route == "sort";
+        assert_eq!(answer.is_whole, is_resumable);
+        let count = if is_resumable { 9 } else { 5 };
+        assert_eq!(events(&answer.message.body), (1..=count).collect::<Vec<u64>>());
+        Ok(())
+    });
+}
+
+cases! {closed_within_event {
+    single_run: "draft";
+    resumable: "sort";
+}}
