Treat a stream that ends within an event as broken off

A stream that may be resumed wasn't run again.

Cause: a crash closes the connections of a process in order. Of an answer with neither a length nor chunks that is its regular end, and the instance took the end of the connection for the end of the answer without a look at the bytes: what was left of an event went to the client, followed by the last chunk.

Fix: body_end::judge decides from the framing, how the bytes ended and where. An end within an event is a break whatever the framing; the client's answer is cut visibly, or goes on at another engine where the route allows it. Lines may end with a carriage return alone, so that a stream of such lines isn't taken for one partial event.

--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -10,6 +10,7 @@
 use nutmeggrade_core::routing::EngineSpec;
 use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
+use nutmeggrade_state::body_end::{self, BytesEnd, Completeness};
 use nutmeggrade_state::event_splitter::EventSplitter;
 use tokio::sync::{mpsc, watch};
 
@@ -35,6 +36,11 @@
 /// Events that suffice to record the pace of a finished stream.
 const FINISHED_PACE_EVENTS: u64 = 8;
 
+/// Why a stream broke off whose generation was stopped to be moved, and was not.
+const STOPPED: &str = "stopped and not moved";
+/// Why a stream broke off whose generation was moved.
+const NOT_RESUMED: &str = "moved and not resumed";
+
 /// An event stream that is forwarded to a client.
 pub struct EventStream {
     /// The instance.
@@ -147,14 +153,22 @@
                     self.upstream = None;
                     self.partial_bytes = self.splitter.partial_bytes();
                     let is_stopping = migration.as_ref().is_some_and(Migration::is_stopping);
-                    if end.is_none() && (self.framing.is_declared() || !is_stopping) {
-                        return tokio::select! {
-                            end = self.finish() => end,
-                            () = clock.until(deadline) => TransferEnd::DeadlinePassed,
-                        };
-                    }
-                    if migration.is_none() && !self.recover(end.and_then(Result::err)).await {
-                        return TransferEnd::UpstreamBroken;
+                    let bytes_end = if end.is_none() { BytesEnd::Closed } else { BytesEnd::Broken };
+                    match body_end::judge(self.framing, bytes_end, self.splitter.place()) {
+                        Completeness::Undeclared if is_stopping => {}
+                        Completeness::Complete | Completeness::Undeclared => {
+                            return tokio::select! {
+                                end = self.finish() => end,
+                                () = clock.until(deadline) => TransferEnd::DeadlinePassed,
+                            };
+                        }
+                        Completeness::Truncated(reason) => {
+                            let why = end.and_then(Result::err).map(|e| e.to_string());
+                            let why = why.as_deref().unwrap_or(reason.as_str());
+                            if migration.is_none() && !self.recover(why).await {
+                                return TransferEnd::UpstreamBroken;
+                            }
+                        }
                     }
                 }
                 StreamEvent::RoutingChanged => migration = self.migrate_if_leaving(),
@@ -230,7 +244,7 @@
     }
 
     async fn finish(&mut self) -> TransferEnd {
-        if let Some(rest) = self.splitter.take_partial()
+        if let Some(rest) = self.splitter.take_rest()
             && self.sender.send(BodyChunk::Bytes(rest)).await.is_err()
         {
             return TransferEnd::ClientGone;
@@ -252,7 +266,7 @@
     async fn finish_migration(&mut self, outcome: MigrationOutcome) -> bool {
         match outcome {
             MigrationOutcome::NotMigrated if self.upstream.is_some() => true,
-            MigrationOutcome::NotMigrated => self.recover(None).await,
+            MigrationOutcome::NotMigrated => self.recover(STOPPED).await,
             MigrationOutcome::Migrated(generation) => {
                 self.upstream = None;
                 self.splitter.cut();
@@ -261,7 +275,7 @@
                         self.switch_upstream(upstream, reservation);
                         true
                     }
-                    None => self.recover(None).await,
+                    None => self.recover(NOT_RESUMED).await,
                 }
             }
         }
@@ -276,9 +290,8 @@
 
     /// Runs the request again after its endpoint broke the stream off, if its route allows that;
     /// returns whether the stream continues.
-    async fn recover(&mut self, error: Option<hyper::Error>) -> bool {
+    async fn recover(&mut self, reason: &str) -> bool {
         let endpoint = self.reservation.endpoint.clone();
-        let reason = error.map_or_else(|| "ended".to_owned(), |e| e.to_string());
         tracing::info!(event = "stream_broke", request = %self.request.id,
             endpoint = %endpoint.id, events = self.splitter.passed(),
             framing = self.framing.as_str(), partial = self.partial_bytes, why = reason);
--- /dev/null
+++ b/crates/nutmeggrade-state/src/body_end.rs
@@ -0,0 +1,73 @@
+//! Judges from the end of a response's bytes whether the response is complete.
+
+use nutmeggrade_core::prelude::*;
+
+/// How the bytes of a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BytesEnd {
+    /// At the declared end, or with a connection that was closed in order where none is declared.
+    Closed,
+    /// Before the declared end, or with a connection that was reset or timed out.
+    Broken,
+}
+
+/// Where the bytes of a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndPlace {
+    /// Within an event of a stream.
+    WithinEvent,
+    /// In a stream whose events are all complete.
+    BetweenEvents,
+    /// In a response that is no stream.
+    Plain,
+}
+
+/// Whether a response is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completeness {
+    /// All of it arrived.
+    Complete,
+    /// Its end is missing.
+    Truncated(Truncation),
+    /// Its bytes don't tell: the connection that was closed is their only end.
+    Undeclared,
+}
+
+/// Why a response counts as truncated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Truncation {
+    /// Its connection broke.
+    ConnectionBroke,
+    /// It ended within an event.
+    PartialEvent,
+}
+
+impl Truncation {
+    /// Returns the text used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionBroke => "connection broke",
+            Self::PartialEvent => "ended within an event",
+        }
+    }
+}
+
+/// Judges whether a response is complete.
+///
+/// A crash closes the connections of a process in order. If a response states its end in no other
+/// way, the close alone doesn't show that it is complete.
+pub const fn judge(framing: BodyFraming, end: BytesEnd, place: EndPlace) -> Completeness {
+    match (end, place) {
+        (BytesEnd::Broken, _) => Completeness::Truncated(Truncation::ConnectionBroke),
+        (BytesEnd::Closed, EndPlace::WithinEvent) => {
+            Completeness::Truncated(Truncation::PartialEvent)
+        }
+        (BytesEnd::Closed, EndPlace::BetweenEvents | EndPlace::Plain) => {
+            if framing.is_declared() {
+                Completeness::Complete
+            } else {
+                Completeness::Undeclared
+            }
+        }
+    }
+}
--- a/crates/nutmeggrade-state/src/event_splitter.rs
+++ b/crates/nutmeggrade-state/src/event_splitter.rs
@@ -1,8 +1,13 @@
 //! Splits the bytes of an event stream into complete events.
 
-use bytes::{Buf, Bytes, BytesMut};
+mod line_scanner;
+
+use bytes::{Bytes, BytesMut};
 use nutmeggrade_core::routing::EventPosition;
 
+use self::line_scanner::LineScanner;
+use crate::body_end::EndPlace;
+
 /// Maximum size of an event that is buffered, in bytes; longer ones are passed on in pieces.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -15,6 +20,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    scanner: LineScanner,
     last_position: Option<EventPosition>,
     passed: u64,
 }
@@ -22,30 +28,48 @@
 impl EventSplitter {
     /// Creates a splitter for a client that already has the event at `position`, if any.
     pub fn new(position: Option<EventPosition>) -> Self {
-        Self { partial: BytesMut::new(), last_position: position, passed: 0 }
+        Self { last_position: position, ..Self::default() }
     }
 
     /// Adds bytes of the stream and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let start = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let end = last_boundary(&self.partial)
-            .or((self.partial.len() > MAX_EVENT_BYTES).then_some(self.partial.len()))?;
-        let complete = self.partial.split_to(end).freeze();
-        let events = self.drop_repeats(&complete);
+        let mut ends = self.scanner.event_ends(bytes, start);
+        if ends.is_empty() && self.partial.len() > MAX_EVENT_BYTES {
+            ends.push(self.partial.len());
+        }
+        let complete = self.partial.split_to(*ends.last()?).freeze();
+        let events = self.drop_repeats(complete, &ends);
         (!events.is_empty()).then_some(events)
     }
 
     /// Drops a buffered partial event, because the stream continues elsewhere.
     pub fn cut(&mut self) {
         self.partial.clear();
+        self.scanner = LineScanner::default();
     }
 
-    /// Removes and returns the buffered partial event at the end of the stream, unchanged.
-    pub fn take_partial(&mut self) -> Option<Bytes> {
+    /// Removes and returns what follows the last event at the end of the stream, unchanged.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
         (!self.partial.is_empty()).then(|| self.partial.split().freeze())
     }
 
-    /// Returns the size of the buffered partial event in bytes.
+    /// Returns where the stream would end if no more bytes arrived.
+    ///
+    /// Empty lines and comments belong to no event.
+    pub fn place(&self) -> EndPlace {
+        if self.scanner.is_end_pending() {
+            return EndPlace::BetweenEvents;
+        }
+        let mut lines = self.partial.as_ref().split(|b| matches!(b, b'\n' | b'\r'));
+        if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
+            return EndPlace::WithinEvent;
+        }
+        EndPlace::BetweenEvents
+    }
+
+    /// Returns the number of bytes that belong to no complete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
     }
@@ -61,12 +85,10 @@
     }
 
     /// Removes events that were already passed on, and records the others as passed on.
-    fn drop_repeats(&mut self, complete: &Bytes) -> Bytes {
-        let mut start = 0;
-        let mut events = complete.clone();
+    fn drop_repeats(&mut self, complete: Bytes, ends: &[usize]) -> Bytes {
         let mut copied: Option<BytesMut> = None;
-        while start < complete.len() {
-            let end = first_boundary(&complete[start..]).map_or(complete.len(), |e| start + e);
+        let mut start = 0;
+        for &end in ends {
             let event = &complete[start..end];
             match event_id(event) {
                 Some(id) if self.last_position.is_some_and(|last| id <= last) => {
@@ -83,35 +105,14 @@
             }
             start = end;
         }
-        if let Some(mut copied) = copied {
-            events = copied.copy_to_bytes(copied.len());
-        }
-        events
-    }
-}
-
-/// Returns the end of the first event.
-fn first_boundary(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len()).find_map(|at| boundary_at(bytes, at))
-}
-
-/// Returns the end of the last complete event.
-fn last_boundary(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len()).rev().find_map(|at| boundary_at(bytes, at))
-}
-
-/// Returns the end of an event if the empty line that terminates it starts at `at`.
-fn boundary_at(bytes: &[u8], at: usize) -> Option<usize> {
-    let tail = &bytes[at..];
-    if tail.starts_with(b"\n\n") {
-        return Some(at + 2);
+        copied.map_or(complete, BytesMut::freeze)
     }
-    tail.starts_with(b"\n\r\n").then_some(at + 3)
 }
 
 /// Parses the id of an event.
 fn event_id(event: &[u8]) -> Option<EventPosition> {
-    let line = event.split(|b| *b == b'\n').find_map(|l| l.strip_prefix(b"id:"))?;
+    let mut lines = event.split(|b| matches!(b, b'\n' | b'\r'));
+    let line = lines.find_map(|l| l.strip_prefix(b"id:"))?;
     let text = std::str::from_utf8(line).ok()?;
     text.trim().parse().ok().map(EventPosition)
 }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod audit_log;
+pub mod body_end;
 pub mod change_log;
 pub mod claiming;
 pub mod cold_load;
--- a/tests/suite/relay/broken_streams.rs
+++ b/tests/suite/relay/broken_streams.rs
@@ -29,11 +29,11 @@
     Ok(answer)
 }
 
-// An engine's stream without length or chunks that is closed within an event is given out as
-// complete, with the part of the event.
-fn closed_within_event(route: &str) {
+// An engine's stream that ends within an event, by its connection alone or by its last chunk, is
+// given out as complete with the part of the event.
+fn closed_within_event(route: &str, end: StreamEnd) {
     run(async {
-        let answer = answer_to_part(route, "id: 6\nda", StreamEnd::Closed).await?;
+        let answer = answer_to_part(route, "id: 6\nda", end).await?;
         let is_resumable = route == "sort";
         assert_eq!(answer.is_whole, is_resumable);
         let count = if is_resumable { 9 } else { 5 };
@@ -43,6 +43,20 @@
 }
 
 cases! {closed_within_event {
-    single_run: "draft";
-    resumable: "sort";
+    single_run: "draft", StreamEnd::Closed;
+    resumable: "sort", StreamEnd::Closed;
+    single_run_in_chunks: "draft", StreamEnd::LastChunk;
+    resumable_in_chunks: "sort", StreamEnd::LastChunk;
 }}
+
+// A complete stream without length or chunks is given out as broken, though its engine is well.
+#[test]
+fn closed_between_events() {
+    run(async {
+        let answer = answer_to_part("draft", ": done\n", StreamEnd::Closed).await?;
+        assert!(answer.is_whole);
+        assert_eq!(events(&answer.message.body), [1, 2, 3, 4, 5]);
+        assert!(answer.message.body.ends_with(b"\n\n: done\n"));
+        Ok(())
+    });
+}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the state tables and state machines.
 
+mod body_end;
 mod change_log;
 mod cold_rights;
 mod crash_log;
