Judge the end of a stream by the framing of the run that ended

A client got a generation that was moved twice as a complete answer of its first 18 events. Cause: the framing that is remembered was that of the first engine's response; the second engine's stream ended with its connection, so that the close by which a move stops a run looked like a declared end.

The stand-in engine takes 20 ms for the last copy, after the stream was closed, as engines do; without it the order of the two decided whether the test fails.

Fix: the framing belongs to the body that is read, and changes with it.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -21,6 +21,8 @@
 
 /// Duration of the first copy of a generation's cache.
 const FIRST_COPY_TIME: Duration = Duration::from_millis(40);
+/// Duration of the last copy, after the generation was stopped.
+const LAST_COPY_TIME: Duration = Duration::from_millis(20);
 const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -212,6 +214,9 @@
         }
         match self.generations.create_copy(self.advertised_address(), id, is_final) {
             Some(events) => {
+                if is_final {
+                    sleep(LAST_COPY_TIME).await;
+                }
                 send_json(stream, 200, &json!({ "cache_handle": id, "created": events })).await
             }
             None => send_json(stream, 404, &Value::Null).await,
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -62,7 +62,9 @@
         request: Request<Full<bytes::Bytes>>,
     ) -> Result<Response<UpstreamBody>, String> {
         let response = self.sender.send_request(request).await.map_err(|e| e.to_string())?;
-        Ok(response.map(|body| UpstreamBody::new(body, self.task)))
+        let (head, body) = response.into_parts();
+        let body = UpstreamBody::new(body, &head.headers, self.task);
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -57,7 +57,7 @@
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let OpenResponse { response, reservation } = open;
     let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
-    let framing = response.parsed.framing.as_str();
+    let framing = response.body.framing().as_str();
     tokio::spawn(async move {
         let end = forward_until(&node, response.body, &sender, deadline).await;
         node.metrics.body_ends.with_label_values(&[framing, end.as_str()]).inc();
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -82,7 +82,7 @@
         attempt,
         reservation,
         engine,
-        framing: response.parsed.framing,
+        framing: response.body.framing(),
         upstream: Some(response.body),
         sent_at: response.sent_at,
         sender,
@@ -282,6 +282,7 @@
     }
 
     fn switch_upstream(&mut self, upstream: UpstreamBody, reservation: Reservation) {
+        self.framing = upstream.framing();
         self.upstream = Some(upstream);
         self.reservation = reservation;
         self.moves += 1;
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -1,8 +1,11 @@
 //! The body of an endpoint's response.
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_wire::answer;
 use tokio::task::JoinHandle;
 
 /// Aborts a task when dropped.
@@ -20,16 +23,23 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     body: Incoming,
+    framing: BodyFraming,
     _connection: AbortOnDrop<()>,
 }
 
 impl UpstreamBody {
-    /// Wraps a body and the task that drives its connection.
-    pub fn new(body: Incoming, connection: AbortOnDrop<()>) -> Self {
-        Self { body, _connection: connection }
+    /// Wraps the body of a response with these headers, and the task that drives its connection.
+    pub fn new(body: Incoming, headers: &HeaderMap, connection: AbortOnDrop<()>) -> Self {
+        Self { body, framing: answer::read_framing(headers), _connection: connection }
     }
 
-    /// Returns the next bytes, or `None` at the end of a complete body.
+    /// Returns how the response states where the body ends.
+    pub const fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
+    /// Returns the next bytes, or `None` at the end of the body. If the body ends with its connection,
+    /// this doesn't show that it is complete.
     ///
     /// # Errors
     ///
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -35,7 +35,11 @@
 }
 
 fn remove_entry(site: &Site, _: &Endpoint) {
-    site.store.remove("servers", "e-1");
+    remove_entry_of(site, "e-1");
+}
+
+fn remove_entry_of(site: &Site, id: &str) {
+    site.store.remove("servers", id);
 }
 
 /// Checks that a stream is complete, in order and without repeats when its engine leaves.
@@ -188,3 +192,24 @@
         Ok(())
     });
 }
+
+// A generation moves from an engine that sends chunks to one whose stream ends with its connection,
+// and on to a third one. The close that ends the second run is taken for the end of the answer.
+#[test]
+fn framing_of_each_run_counts() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 200, pause: PAUSE };
+        let first = site.add_endpoint("writers", "e-1", stream).await?;
+        let mut client = start_on_leaving(&site, "draft", &first).await?;
+        let second = site.add_endpoint("writers", "e-2", stream).await?;
+        second.end_streams_with_connection();
+        drain(&site, &first);
+        until("the generation is moved", async || Ok(second.runs("a1") == 1)).await?;
+        let third = site.add_endpoint("writers", "e-3", stream).await?;
+        remove_entry_of(&site, "e-2");
+        assert_complete(&mut client, 200).await?;
+        assert_eq!(third.runs("a1"), 1);
+        Ok(())
+    });
+}
