Treat a large event that was passed on in part as unfinished

An event above 1 MiB is passed on in pieces. If its stream ended before the event did, the client got the pieces and a last chunk; a run that went on elsewhere was joined to them, behind the id that the first piece had stated. A large event also counted once a piece.

Fix: the splitter keeps a large event until its end, states that the stream is within it, and says that no other run can continue the stream while the client has a part of it.

--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -269,6 +269,9 @@
             MigrationOutcome::NotMigrated => self.recover(STOPPED).await,
             MigrationOutcome::Migrated(generation) => {
                 self.upstream = None;
+                if !self.splitter.can_continue() {
+                    return self.recover(NOT_RESUMED).await;
+                }
                 self.splitter.cut();
                 match resume::resume_copy(self, *generation).await {
                     Some((upstream, reservation)) => {
@@ -301,6 +304,9 @@
             self.node.update_health(&endpoint.id, Health::record_loss);
             crash::check_endpoint(&self.node, &self.request, &endpoint);
         }
+        if !self.splitter.can_continue() {
+            return false;
+        }
         self.splitter.cut();
         match resume::run_again(self).await {
             Some((upstream, reservation)) => {
--- a/crates/nutmeggrade-state/src/event_splitter.rs
+++ b/crates/nutmeggrade-state/src/event_splitter.rs
@@ -1,10 +1,12 @@
 //! Splits the bytes of an event stream into complete events.
 
+mod large_event;
 mod line_scanner;
 
 use bytes::{Bytes, BytesMut};
 use nutmeggrade_core::routing::EventPosition;
 
+use self::large_event::LargeEvent;
 use self::line_scanner::LineScanner;
 use crate::body_end::EndPlace;
 
@@ -21,6 +23,7 @@
 pub struct EventSplitter {
     partial: BytesMut,
     scanner: LineScanner,
+    large: Option<LargeEvent>,
     last_position: Option<EventPosition>,
     passed: u64,
 }
@@ -35,18 +38,24 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let start = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let mut ends = self.scanner.event_ends(bytes, start);
-        if ends.is_empty() && self.partial.len() > MAX_EVENT_BYTES {
-            ends.push(self.partial.len());
-        }
-        let complete = self.partial.split_to(*ends.last()?).freeze();
-        let events = self.drop_repeats(complete, &ends);
+        let ends = self.scanner.event_ends(bytes, start);
+        let events = match ends.last() {
+            Some(end) => {
+                let complete = self.partial.split_to(*end).freeze();
+                self.drop_repeats(complete, &ends)
+            }
+            None if self.large.is_some() || self.partial.len() > MAX_EVENT_BYTES => {
+                self.take_piece()
+            }
+            None => return None,
+        };
         (!events.is_empty()).then_some(events)
     }
 
     /// Drops a buffered partial event, because the stream continues elsewhere.
     pub fn cut(&mut self) {
         self.partial.clear();
+        self.large = None;
         self.scanner = LineScanner::default();
     }
 
@@ -62,6 +71,9 @@
         if self.scanner.is_end_pending() {
             return EndPlace::BetweenEvents;
         }
+        if self.large.is_some() {
+            return EndPlace::WithinEvent;
+        }
         let mut lines = self.partial.as_ref().split(|b| matches!(b, b'\n' | b'\r'));
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return EndPlace::WithinEvent;
@@ -69,6 +81,12 @@
         EndPlace::BetweenEvents
     }
 
+    /// Returns whether another run can continue the stream behind its last complete event. It can't
+    /// while the client has a part of the next one.
+    pub fn can_continue(&self) -> bool {
+        self.large.is_none_or(|large| large.is_repeat)
+    }
+
     /// Returns the number of bytes that belong to no complete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
@@ -90,23 +108,37 @@
         let mut start = 0;
         for &end in ends {
             let event = &complete[start..end];
-            match event_id(event) {
-                Some(id) if self.last_position.is_some_and(|last| id <= last) => {
-                    // From the first duplicate on, the remaining events are copied one by one.
-                    copied.get_or_insert_with(|| BytesMut::from(&complete[..start]));
-                }
-                id => {
-                    self.last_position = id.or(self.last_position);
-                    self.passed += 1;
-                    if let Some(copied) = &mut copied {
-                        copied.extend_from_slice(event);
-                    }
+            let large = self.large.take();
+            let id = large.and_then(|l| l.id).or_else(|| event_id(event));
+            if large.map_or_else(|| self.is_repeat(id), |l| l.is_repeat) {
+                // From the first duplicate on, the remaining events are copied one by one.
+                copied.get_or_insert_with(|| BytesMut::from(&complete[..start]));
+            } else {
+                self.last_position = id.or(self.last_position);
+                self.passed += 1;
+                if let Some(copied) = &mut copied {
+                    copied.extend_from_slice(event);
                 }
             }
             start = end;
         }
         copied.map_or(complete, BytesMut::freeze)
     }
+
+    /// Removes what is buffered of a large event, and returns it unless the event is a repeat.
+    fn take_piece(&mut self) -> Bytes {
+        let piece = self.partial.split().freeze();
+        let large = self.large.unwrap_or_else(|| {
+            let id = event_id(&piece);
+            LargeEvent { id, is_repeat: self.is_repeat(id) }
+        });
+        self.large = Some(large);
+        if large.is_repeat { Bytes::new() } else { piece }
+    }
+
+    fn is_repeat(&self, id: Option<EventPosition>) -> bool {
+        id.zip(self.last_position).is_some_and(|(id, last)| id <= last)
+    }
 }
 
 /// Parses the id of an event.
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -6,6 +6,7 @@
 mod crash_log;
 mod cut_off_peers;
 mod endpoint_table;
+mod event_splitter;
 mod fleet_view;
 mod forward_queue;
 mod gossip;
