Complete a stream whose generation ended as it was ordered to stop

A client got a complete answer as broken off: its generation ended in the moment in which its engine was ordered to stop it for a move. Cause: a stream without length or chunks that closes after that order counts as stopped; that the engine answers 'no such run', and so has stopped nothing, was read as a move that failed.

Streams in chunks, or with a length, weren't concerned.

What becomes of a stream when a run ends moves to a file of its own, relay/stream/ending.rs.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -33,6 +33,7 @@
     open_connections: usize,
     advertised_address: SocketAddr,
     ends_with_connection: bool,
+    finishes_at_stop: bool,
 }
 
 /// An endpoint with configurable behaviour.
@@ -46,6 +47,7 @@
     generations: Generations,
     crashed: watch::Sender<bool>,
     holds_ends: watch::Sender<bool>,
+    listens: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -64,6 +66,7 @@
             open_connections: 0,
             advertised_address: address,
             ends_with_connection: false,
+            finishes_at_stop: false,
         };
         let endpoint = Self {
             address,
@@ -73,6 +76,7 @@
             generations: generations.clone(),
             crashed: watch::Sender::new(false),
             holds_ends: watch::Sender::new(false),
+            listens: watch::Sender::new(true),
         };
         let server = endpoint.clone();
         tokio::spawn(async move {
@@ -80,7 +84,11 @@
             loop {
                 let stream = tokio::select! {
                     accepted = listener.accept() => accepted,
-                    _ = crashed.wait_for(|c| *c) => return,
+                    _ = crashed.wait_for(|c| *c) => {
+                        drop(listener);
+                        server.listens.send_replace(false);
+                        return;
+                    }
                 };
                 let Ok((stream, _)) = stream else { return };
                 let endpoint = server.clone();
@@ -115,6 +123,11 @@
         self.state().ends_with_connection = true;
     }
 
+    /// Makes its generations end by themselves at the moment in which they are ordered to stop.
+    pub fn finish_at_stop(&self) {
+        self.state().finishes_at_stop = true;
+    }
+
     /// Sets whether it keeps streams open that it sends in part, before it ends them.
     pub fn hold_ends(&self, holds: bool) {
         self.holds_ends.send_replace(holds);
@@ -212,11 +225,13 @@
         if !is_final {
             self.generations.simulate_first_copy(FIRST_COPY_TIME).await;
         }
-        match self.generations.create_copy(self.advertised_address(), id, is_final) {
+        let copied = self.generations.create_copy(self.advertised_address(), id, is_final);
+        if is_final {
+            sleep(LAST_COPY_TIME).await;
+        }
+        let has_ended = is_final && self.state().finishes_at_stop;
+        match copied.filter(|_| !has_ended) {
             Some(events) => {
-                if is_final {
-                    sleep(LAST_COPY_TIME).await;
-                }
                 send_json(stream, 200, &json!({ "cache_handle": id, "created": events })).await
             }
             None => send_json(stream, 404, &Value::Null).await,
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -30,7 +30,8 @@
                 _ = crashed.wait_for(|c| *c) => return reset(writer.connection()),
                 _ = stopped.wait_for(|s| *s) => {
                     self.generations.remove(self.advertised_address(), id);
-                    anyhow::bail!("stopped");
+                    anyhow::ensure!(self.state().finishes_at_stop, "stopped");
+                    break;
                 }
             }
             writer.send_event(id, event).await?;
@@ -80,6 +81,7 @@
             StreamEnd::Reset => reset(writer.connection()),
             StreamEnd::Crashed => {
                 self.crashed.send_replace(true);
+                self.listens.subscribe().wait_for(|listens| !listens).await?;
                 anyhow::bail!("crashed")
             }
         }
--- a/crates/nutmeggrade-relay/src/relay/migration.rs
+++ b/crates/nutmeggrade-relay/src/relay/migration.rs
@@ -53,8 +53,10 @@
 /// The result of a migration.
 #[derive(Debug)]
 pub enum MigrationOutcome {
-    /// The generation still runs at its engine or has ended there.
+    /// The generation still runs at its engine, or was stopped and not copied.
     NotMigrated,
+    /// The generation had ended at its engine before the order to stop it arrived.
+    Ended,
     /// The generation was stopped and can resume at another engine.
     Migrated(Box<MigratedGeneration>),
 }
@@ -255,6 +257,7 @@
         };
         match result {
             MoveOutcome::Copied(copied) | MoveOutcome::NoRoom(Some(copied)) => migrated(copied),
+            MoveOutcome::NoSuchRun => MigrationOutcome::Ended,
             _ => MigrationOutcome::NotMigrated,
         }
     }
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -1,5 +1,8 @@
 //! Forwards an event stream, and migrates its generation when its endpoint leaves.
 
+mod ending;
+mod run_end;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,24 +11,20 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
 use nutmeggrade_core::routing::EngineSpec;
-use nutmeggrade_policy::dispatch::Health;
 use nutmeggrade_state::attempt::Attempt;
-use nutmeggrade_state::body_end::{self, BytesEnd, Completeness};
 use nutmeggrade_state::event_splitter::EventSplitter;
 use tokio::sync::{mpsc, watch};
 
+use self::run_end::RunEnd;
 use super::client_request::ClientRequest;
-use super::crash;
 use super::handler::{OpenResponse, RequestHandler};
 use super::migration::{Migration, MigrationOutcome};
 use super::reservation::Reservation;
 use super::response;
-use super::resume;
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
 use crate::answer_body::{AnswerBody, BodyChunk};
 use crate::node::Node;
-use crate::reach::{self, Reach};
 use crate::tables::lock;
 
 /// Body chunks buffered for a slow client; a full buffer stops reading from the engine.
@@ -36,11 +35,6 @@
 /// Events that suffice to record the pace of a finished stream.
 const FINISHED_PACE_EVENTS: u64 = 8;
 
-/// Why a stream broke off whose generation was stopped to be moved, and was not.
-const STOPPED: &str = "stopped and not moved";
-/// Why a stream broke off whose generation was moved.
-const NOT_RESUMED: &str = "moved and not resumed";
-
 /// An event stream that is forwarded to a client.
 pub struct EventStream {
     /// The instance.
@@ -62,7 +56,7 @@
     first_event: Option<Moment>,
     pace_recorded: bool,
     moves: u32,
-    partial_bytes: usize,
+    run_end: RunEnd,
 }
 
 /// Starts to forward an event stream in the background and returns the response to the client.
@@ -89,7 +83,7 @@
         first_event: None,
         pace_recorded: false,
         moves: 0,
-        partial_bytes: 0,
+        run_end: RunEnd::default(),
     };
     tokio::spawn(stream.run());
     response::from_endpoint(response.head, AnswerBody::Chunks(receiver))
@@ -106,7 +100,7 @@
         tracing::info!(event = "stream_ended", request = %self.request.id,
             route = self.request.route.name, endpoint = %self.reservation.endpoint.id,
             end = end.as_str(), events = self.splitter.passed(), moves = self.moves,
-            framing = self.framing.as_str(), partial = self.partial_bytes,
+            framing = self.framing.as_str(), partial = self.run_end.partial_bytes,
             first_ms = first.as_millis(), ms = now.since(self.request.arrived_at).as_millis());
         if end == TransferEnd::UpstreamBroken && !self.node.is_cut_off(&self.request.service) {
             self.record_outcome(Outcome::Failed, now);
@@ -150,32 +144,20 @@
                     }
                 }
                 StreamEvent::Bytes(end) => {
-                    self.upstream = None;
-                    self.partial_bytes = self.splitter.partial_bytes();
-                    let is_stopping = migration.as_ref().is_some_and(Migration::is_stopping);
-                    let bytes_end = if end.is_none() { BytesEnd::Closed } else { BytesEnd::Broken };
-                    match body_end::judge(self.framing, bytes_end, self.splitter.place()) {
-                        Completeness::Undeclared if is_stopping => {}
-                        Completeness::Complete | Completeness::Undeclared => {
-                            return tokio::select! {
-                                end = self.finish() => end,
-                                () = clock.until(deadline) => TransferEnd::DeadlinePassed,
-                            };
-                        }
-                        Completeness::Truncated(reason) => {
-                            let why = end.and_then(Result::err).map(|e| e.to_string());
-                            let why = why.as_deref().unwrap_or(reason.as_str());
-                            if migration.is_none() && !self.recover(why).await {
-                                return TransferEnd::UpstreamBroken;
-                            }
-                        }
+                    self.note_run_end(end.and_then(Result::err));
+                    let ended = match &migration {
+                        Some(migration) if !self.run_end.is_final(migration.is_stopping()) => None,
+                        _ => self.end_run().await,
+                    };
+                    if let Some(end) = ended {
+                        return end;
                     }
                 }
                 StreamEvent::RoutingChanged => migration = self.migrate_if_leaving(),
                 StreamEvent::MigrationEnded(outcome) => {
                     migration = None;
-                    if !self.finish_migration(outcome).await {
-                        return TransferEnd::UpstreamBroken;
+                    if let Some(end) = self.finish_migration(outcome).await {
+                        return end;
                     }
                     // The target may have started to leave during the migration.
                     if self.moves > 0 {
@@ -243,17 +225,6 @@
         self.request.prompt.as_ref().map_or(0, |p| p.tokens) + self.generated_tokens()
     }
 
-    async fn finish(&mut self) -> TransferEnd {
-        if let Some(rest) = self.splitter.take_rest()
-            && self.sender.send(BodyChunk::Bytes(rest)).await.is_err()
-        {
-            return TransferEnd::ClientGone;
-        }
-        // With a Content-Length, the receiver may close once the last byte is sent.
-        drop(self.sender.send(BodyChunk::End).await);
-        TransferEnd::Completed
-    }
-
     /// Starts to migrate the generation if its endpoint is leaving and its engine supports it.
     fn migrate_if_leaving(&self) -> Option<Migration> {
         self.engine.filter(|e| e.can_move)?;
@@ -262,60 +233,14 @@
         is_leaving.then(|| Migration::start(self))
     }
 
-    /// Resumes the stream after a migration ended; returns whether the stream continues.
-    async fn finish_migration(&mut self, outcome: MigrationOutcome) -> bool {
-        match outcome {
-            MigrationOutcome::NotMigrated if self.upstream.is_some() => true,
-            MigrationOutcome::NotMigrated => self.recover(STOPPED).await,
-            MigrationOutcome::Migrated(generation) => {
-                self.upstream = None;
-                if !self.splitter.can_continue() {
-                    return self.recover(NOT_RESUMED).await;
-                }
-                self.splitter.cut();
-                match resume::resume_copy(self, *generation).await {
-                    Some((upstream, reservation)) => {
-                        self.switch_upstream(upstream, reservation);
-                        true
-                    }
-                    None => self.recover(NOT_RESUMED).await,
-                }
-            }
-        }
-    }
-
     fn switch_upstream(&mut self, upstream: UpstreamBody, reservation: Reservation) {
         self.framing = upstream.framing();
+        self.run_end = RunEnd::default();
         self.upstream = Some(upstream);
         self.reservation = reservation;
         self.moves += 1;
         lock(&self.node.tables).dispatcher.load_table.record_prompt_read(self.reservation.ticket);
     }
-
-    /// Runs the request again after its endpoint broke the stream off, if its route allows that;
-    /// returns whether the stream continues.
-    async fn recover(&mut self, reason: &str) -> bool {
-        let endpoint = self.reservation.endpoint.clone();
-        tracing::info!(event = "stream_broke", request = %self.request.id,
-            endpoint = %endpoint.id, events = self.splitter.passed(),
-            framing = self.framing.as_str(), partial = self.partial_bytes, why = reason);
-        self.attempt.lost();
-        if reach::check(&self.node, &endpoint).await == Reach::Reached {
-            self.node.update_health(&endpoint.id, Health::record_loss);
-            crash::check_endpoint(&self.node, &self.request, &endpoint);
-        }
-        if !self.splitter.can_continue() {
-            return false;
-        }
-        self.splitter.cut();
-        match resume::run_again(self).await {
-            Some((upstream, reservation)) => {
-                self.switch_upstream(upstream, reservation);
-                true
-            }
-            None => false,
-        }
-    }
 }
 
 enum StreamEvent {
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -213,3 +213,24 @@
         Ok(())
     });
 }
+
+// A generation ends at the moment in which it is stopped to be moved, and its stream ends with its
+// connection. The complete answer is given out as broken.
+#[test]
+fn generation_that_ends_as_it_is_stopped_is_complete() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 200, pause: PAUSE };
+        let first = site.add_endpoint("writers", "e-1", stream).await?;
+        first.end_streams_with_connection();
+        first.finish_at_stop();
+        let mut client = start_on_leaving(&site, "draft", &first).await?;
+        let second = site.add_endpoint("writers", "e-2", stream).await?;
+        drain(&site, &first);
+        let answer = client.answer().await?;
+        assert!(answer.is_whole);
+        assert!(!events(&answer.message.body).is_empty());
+        assert_eq!(second.runs("a1"), 0);
+        Ok(())
+    });
+}
