Treat a stream that ends as its endpoint goes as broken off

A client got a draft whose engine had crashed between two events as complete, if it had neither length nor chunks; one that may be resumed wasn't run again. The bytes don't tell such an end from that of a complete stream.

What else tells: the process that crashed closes its listening socket in the same moment. If a stream's bytes leave its end open, the instance connects to the endpoint before it sends the last chunk, and takes a refused connection for a crash, unless it can't reach others of the service either. An endpoint that doesn't answer within 300 ms is no sign: a machine without power closes nothing. Only streams that end with their connection between two events pay for it.

relay::broken_streams::crashed_between_events: both cases red before (complete with 5 of 9 events; no second run), green now; closed_between_events, the same on an engine that is well, stays complete.

--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Uri;
 use nutmeggrade_core::peer::{EndpointCrash, Fingerprint, FleetMessage};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, Prompt};
+use tokio::time::timeout;
 
 use super::client_request::ClientRequest;
 use crate::connect::connect;
@@ -16,6 +18,18 @@
 use crate::reach::{self, Reach};
 use crate::tables::lock;
 
+/// Timeout of a connection that shows whether an endpoint is there; it takes milliseconds.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Returns whether an endpoint refuses connections, while others of its service accept them.
+pub async fn refuses_connections(node: &Arc<Node>, endpoint: &EndpointInfo) -> bool {
+    let Ok(Err(error)) = timeout(PRESENCE_TIMEOUT, connect(endpoint.address)).await else {
+        return false;
+    };
+    error.kind() == io::ErrorKind::ConnectionRefused
+        && reach::check(node, endpoint).await == Reach::Reached
+}
+
 /// Returns a hash of a request's workspace, path, prompt and body.
 pub fn fingerprint(
     workspace: Option<&WorkspaceId>,
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -26,6 +26,10 @@
     /// Completes the stream, or continues it at another endpoint if its run broke off. Returns the
     /// end of the stream, or `None` if it continues.
     pub(super) async fn end_run(&mut self) -> Option<TransferEnd> {
+        if self.run_end.completeness == Completeness::Undeclared {
+            let is_gone = crash::refuses_connections(&self.node, &self.reservation.endpoint).await;
+            self.run_end.completeness = body_end::judge_undeclared(is_gone);
+        }
         if let Completeness::Truncated(_) = self.run_end.completeness {
             let reason = self.run_end.reason();
             return self.recover(&reason).await;
--- a/crates/nutmeggrade-state/src/body_end.rs
+++ b/crates/nutmeggrade-state/src/body_end.rs
@@ -40,6 +40,8 @@
     ConnectionBroke,
     /// It ended within an event.
     PartialEvent,
+    /// Its endpoint refuses connections since its end.
+    EndpointGone,
 }
 
 impl Truncation {
@@ -48,6 +50,7 @@
         match self {
             Self::ConnectionBroke => "connection broke",
             Self::PartialEvent => "ended within an event",
+            Self::EndpointGone => "ended as its endpoint went",
         }
     }
 }
@@ -71,3 +74,16 @@
         }
     }
 }
+
+/// Judges whether a response is complete whose bytes don't tell, from whether its endpoint refuses
+/// connections right after its end.
+///
+/// A process that goes closes all its sockets in the same moment. A leaving endpoint too: it stays
+/// for a time that doesn't depend on its last response.
+pub const fn judge_undeclared(refuses_connections: bool) -> Completeness {
+    if refuses_connections {
+        Completeness::Truncated(Truncation::EndpointGone)
+    } else {
+        Completeness::Complete
+    }
+}
--- a/tests/suite/relay/broken_streams.rs
+++ b/tests/suite/relay/broken_streams.rs
@@ -60,3 +60,21 @@
         Ok(())
     });
 }
+
+// An engine crashes between two events of a stream without length or chunks. The end of its
+// connection is taken for the end of the answer.
+fn crashed_between_events(route: &str) {
+    run(async {
+        let answer = answer_to_part(route, "", StreamEnd::Crashed).await?;
+        let is_resumable = route == "sort";
+        assert_eq!(answer.is_whole, is_resumable);
+        let count = if is_resumable { 9 } else { 5 };
+        assert_eq!(events(&answer.message.body), (1..=count).collect::<Vec<u64>>());
+        Ok(())
+    });
+}
+
+cases! {crashed_between_events {
+    single_run: "draft";
+    resumable: "sort";
+}}
