Pass on large answers that declare no length

Clients got 502 for an answer above 256 KiB in chunks or without any framing, though the endpoint had sent all of it. Cause: only a declared length showed that an answer is large; any other was read into memory up to that size and then counted as broken, for a peer's responses too.

Found in looking at what else reads a body without a length. relay::outcomes::client_outcome::once_large_unframed and once_large_in_chunks: 502 before, 200 and whole now.

Fix: an answer that turns out to be large is passed on from its first byte as it comes, like one that declares it.

--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -23,6 +23,13 @@
     Truncate,
     /// Executes the request and sends a response without a length, delimited by the connection's end.
     CloseDelimited,
+    /// Sends a response of this many bytes without a length, in chunks or ended by the connection.
+    Large {
+        /// Size of the body.
+        bytes: usize,
+        /// Whether it comes in chunks.
+        is_chunked: bool,
+    },
     /// Sends part of a response without a length and resets the connection.
     CloseDelimitedReset,
     /// Executes the request and sends the response twice.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -314,6 +314,15 @@
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
                 anyhow::bail!("closed to end the response")
             }
+            Behaviour::Large { bytes, is_chunked: true } => {
+                let body = format!("{bytes:x}\r\n{}\r\n0\r\n\r\n", "x".repeat(bytes));
+                send(stream, &self.response(200, id, "Transfer-Encoding: chunked\r\n", &body)).await
+            }
+            Behaviour::Large { bytes, is_chunked: false } => {
+                let body = "x".repeat(bytes);
+                send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
+                anyhow::bail!("closed to end the response")
+            }
             Behaviour::CloseDelimitedReset => {
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body[..4])).await?;
                 reset(stream)
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -15,7 +15,7 @@
 
 use super::exchange::{OpenConnection, is_event_stream, open_connection};
 use super::handler::{FinalResponse, RequestHandler};
-use super::response;
+use super::response::{self, ReadBody};
 use super::upstream::UpstreamBody;
 use crate::tables::lock;
 
@@ -93,19 +93,23 @@
         }
         let length = answer::read(&head).length;
         let is_large = length.is_some_and(|l| l > response::MAX_BUFFERED_BYTES as u64);
-        if is_large || is_event_stream(&head) {
-            self.log_forwarded(peer, "answered");
-            self.attempt.begin_response();
-            let response = PeerResponse { peer: peer.clone(), head, body };
-            return Ok(Forwarded::Response(FinalResponse::Forwarded(Box::new(response))));
-        }
-        let body = match response::read_body(body).await {
-            Ok(body) => body,
-            Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
+        let body = if is_large || is_event_stream(&head) {
+            ReadBody::Large(body)
+        } else {
+            match response::read_body(body).await {
+                Ok(body) => body,
+                Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
+            }
         };
         self.log_forwarded(peer, "answered");
         self.attempt.begin_response();
-        Ok(Forwarded::Response(FinalResponse::Buffered(head, body)))
+        let response = match body {
+            ReadBody::Whole(body) => FinalResponse::Buffered(head, body),
+            ReadBody::Large(body) => {
+                FinalResponse::Forwarded(Box::new(PeerResponse { peer: peer.clone(), head, body }))
+            }
+        };
+        Ok(Forwarded::Response(response))
     }
 
     async fn send_to_peer(
@@ -145,9 +149,13 @@
         peer: &InstanceId,
         body: UpstreamBody,
     ) -> Result<Forwarded, Failure> {
-        let body = response::read_body(body).await;
-        let failure = body
-            .and_then(|body| serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string()));
+        let failure = match response::read_body(body).await {
+            Ok(ReadBody::Whole(body)) => {
+                serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
+            }
+            Ok(ReadBody::Large(_)) => Err("the peer's failure is too large".to_owned()),
+            Err(reason) => Err(reason),
+        };
         let failure = match failure {
             Ok(failure) => failure,
             Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -21,6 +21,7 @@
 use super::forwarding::PeerResponse;
 use super::pending::PendingRequest;
 use super::reservation::{self, Reservation};
+use super::response::ReadBody;
 use super::{refusal, response, stream};
 use crate::answer_body::AnswerBody;
 use crate::node::Node;
@@ -269,25 +270,20 @@
         response: EndpointResponse,
         reservation: Reservation,
     ) -> Result<SendStep, Failure> {
-        let is_stream = response.is_event_stream();
         let is_large =
             response.parsed.length.is_some_and(|l| l > response::MAX_BUFFERED_BYTES as u64);
         let elapsed = self.node.now().since(response.sent_at);
-        if is_stream || is_large {
-            self.attempt.begin_response();
-            if !is_stream {
-                self.record_outcome(&reservation.endpoint, Outcome::FirstResponse(elapsed));
-            }
-            self.record_send("answered", &reservation.endpoint.id);
-            return Ok(SendStep::Done(FinalResponse::Open(Box::new(OpenResponse {
-                response,
-                reservation,
-            }))));
+        if is_large || response.is_event_stream() {
+            return Ok(self.leave_open(response, reservation, elapsed));
         }
         let endpoint = reservation.endpoint.id.clone();
-        let EndpointResponse { head, parsed, body, .. } = response;
+        let EndpointResponse { head, parsed, body, sent_at } = response;
         let body = match response::read_body(body).await {
-            Ok(body) => body,
+            Ok(ReadBody::Whole(body)) => body,
+            Ok(ReadBody::Large(body)) => {
+                let response = EndpointResponse { head, parsed, body, sent_at };
+                return Ok(self.leave_open(response, reservation, elapsed));
+            }
             Err(reason) => {
                 self.attempt.lost();
                 self.record_outcome(&reservation.endpoint, Outcome::Failed);
@@ -315,6 +311,21 @@
         Ok(SendStep::Done(FinalResponse::Buffered(head, body)))
     }
 
+    /// Ends the handling with a response whose body is passed on as it comes.
+    fn leave_open(
+        &mut self,
+        response: EndpointResponse,
+        reservation: Reservation,
+        elapsed: Duration,
+    ) -> SendStep {
+        self.attempt.begin_response();
+        if !response.is_event_stream() {
+            self.record_outcome(&reservation.endpoint, Outcome::FirstResponse(elapsed));
+        }
+        self.record_send("answered", &reservation.endpoint.id);
+        SendStep::Done(FinalResponse::Open(Box::new(OpenResponse { response, reservation })))
+    }
+
     /// Excludes the endpoint and retries after an unsent attempt, up to [`MAX_UNSENT_ATTEMPTS`].
     fn retry_unsent(&mut self, endpoint: &EndpointId, detail: &str) -> Result<SendStep, Failure> {
         self.dispatch_request.avoid.insert(endpoint.clone());
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -32,20 +32,30 @@
     Response::from_parts(head, body)
 }
 
-/// Reads a body completely.
+/// A body that was read as far as it is buffered.
+#[derive(Debug)]
+pub enum ReadBody {
+    /// The complete body.
+    Whole(Bytes),
+    /// A body larger than [`MAX_BUFFERED_BYTES`], still to be read from its start.
+    Large(UpstreamBody),
+}
+
+/// Reads a body completely, unless it is larger than [`MAX_BUFFERED_BYTES`].
 ///
 /// # Errors
 ///
-/// Fails with the reason if the body breaks off or exceeds [`MAX_BUFFERED_BYTES`].
-pub async fn read_body(mut upstream: UpstreamBody) -> Result<Bytes, String> {
+/// Fails with the reason if the body breaks off.
+pub async fn read_body(mut upstream: UpstreamBody) -> Result<ReadBody, String> {
     let mut body = BytesMut::new();
     while let Some(chunk) = upstream.next().await {
         body.extend_from_slice(&chunk.map_err(|e| e.to_string())?);
         if body.len() > MAX_BUFFERED_BYTES {
-            return Err("an answer without a length is too large".to_owned());
+            upstream.put_back(body.freeze());
+            return Ok(ReadBody::Large(upstream));
         }
     }
-    Ok(body.freeze())
+    Ok(ReadBody::Whole(body.freeze()))
 }
 
 /// Forwards a large body in the background as it is received.
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -24,13 +24,19 @@
 pub struct UpstreamBody {
     body: Incoming,
     framing: BodyFraming,
+    unread: Option<Bytes>,
     _connection: AbortOnDrop<()>,
 }
 
 impl UpstreamBody {
     /// Wraps the body of a response with these headers, and the task that drives its connection.
     pub fn new(body: Incoming, headers: &HeaderMap, connection: AbortOnDrop<()>) -> Self {
-        Self { body, framing: answer::read_framing(headers), _connection: connection }
+        Self { body, framing: answer::read_framing(headers), unread: None, _connection: connection }
+    }
+
+    /// Puts bytes back, which are then the next to be read.
+    pub fn put_back(&mut self, bytes: Bytes) {
+        self.unread = Some(bytes);
     }
 
     /// Returns how the response states where the body ends.
@@ -45,6 +51,9 @@
     ///
     /// Fails if the body breaks off.
     pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        if let Some(bytes) = self.unread.take() {
+            return Some(Ok(bytes));
+        }
         loop {
             match self.body.frame().await? {
                 Ok(frame) => {
--- a/tests/suite/relay/outcomes.rs
+++ b/tests/suite/relay/outcomes.rs
@@ -34,6 +34,8 @@
 cases! {client_outcome {
     once_answered: "once", Behaviour::Answer, 200, 1;
     once_unframed: "once", Behaviour::CloseDelimited, 200, 1;
+    once_large_unframed: "once", Behaviour::Large { bytes: 1 << 20, is_chunked: false }, 200, 1;
+    once_large_in_chunks: "once", Behaviour::Large { bytes: 1 << 20, is_chunked: true }, 200, 1;
     once_with_extra_bytes: "once", Behaviour::ExtraResponse, 200, 1;
     once_shed: "once", Behaviour::Shed, 503, 0;
     once_early: "once", Behaviour::EarlyResponse, 503, 0;
