Refuse a waiting request once it is expected to outlast a stopping instance

Cause: whether an answer can still end was asked when the request arrived, and never again.

Fix: while a request waits, the same question is asked again from the beginning of the stop on, and answered in the moment in which the time left becomes too short: the client gets 503, 'not run', with the short time after which another instance can serve it, rather than a place in the queue. Before a request is handed to a peer it is asked too (by reading; no test).

relay::stop::waiting_request_that_could_not_end_is_refused: sent and 200 before, refused at once now.

FinalResponse and OpenResponse move to files of their own below the handler; the check moves to relay/shutdown.rs.

--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -19,6 +19,7 @@
 use super::crash;
 use super::framing;
 use super::refusal::RefusedRequest;
+use super::shutdown;
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -28,9 +29,6 @@
 /// Interval between two checks whether the start of this instance has ended.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// `Retry-After` of a request that another instance can serve at once.
-const OTHER_INSTANCE_DELAY: Duration = Duration::from_millis(20);
-
 /// `Retry-After` of a request that is held because it is suspected of crashing endpoints.
 const CRASH_HOLD_DELAY: Duration = Duration::from_secs(10);
 
@@ -124,12 +122,12 @@
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived_at.after(timeout);
     if !is_forwarded {
-        check_shutdown(node, &route, &parsed)?;
+        shutdown::check(node, &route, parsed.prompt.as_ref())?;
     }
     let body = read_body(node, body, &node.map(), deadline).await?;
     // A peer has to get the refusal, which is lost if the connection is reset under its body.
     if is_forwarded {
-        check_shutdown(node, &route, &parsed)?;
+        shutdown::check(node, &route, parsed.prompt.as_ref())?;
     }
     let fingerprint =
         crash::fingerprint(workspace.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
@@ -214,22 +212,6 @@
     Failure::new(code, detail)
 }
 
-/// Refuses a request that is expected to outlast this instance.
-///
-/// Its response would be cut off at shutdown, and a client may not repeat a request that ran.
-fn check_shutdown(node: &Node, route: &Route, parsed: &ClientHeaders) -> Result<(), Failure> {
-    let Some(time_left) = node.time_until_end() else { return Ok(()) };
-    let expected = match &parsed.prompt {
-        Some(prompt) => lock(&node.tables).pace.time(prompt.expected(), prompt.max_tokens),
-        None => route.target,
-    };
-    if expected < time_left {
-        return Ok(());
-    }
-    let detail = format!("this instance ends in {} ms; use another", time_left.as_millis());
-    Err(Failure::new(Code::Leaving, &detail).with_retry_after(OTHER_INSTANCE_DELAY))
-}
-
 fn retry_later(node: &Node, code: Code, detail: &str) -> Failure {
     let delay = lock(&node.tables).dispatcher.draw_retry_delay();
     Failure::new(code, detail).with_retry_after(delay)
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -14,8 +14,10 @@
 use tokio::time::timeout;
 
 use super::exchange::{OpenConnection, is_event_stream, open_connection};
-use super::handler::{FinalResponse, RequestHandler};
+use super::final_response::FinalResponse;
+use super::handler::RequestHandler;
 use super::response::{self, ReadBody};
+use super::shutdown;
 use super::upstream::UpstreamBody;
 use crate::tables::lock;
 
@@ -56,6 +58,12 @@
             return self.finish_cut_off().map(Some);
         }
         for (peer, address) in self.draw_peers() {
+            let request = &self.request;
+            if let Err(refusal) =
+                shutdown::check(&self.node, &request.route, request.prompt.as_ref())
+            {
+                return self.finish_without_room(refusal).map(Some);
+            }
             if let Forwarded::Response(response) = self.forward(&peer, address).await? {
                 return Ok(Some(response));
             }
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -18,11 +18,12 @@
     ConnectError, EndpointResponse, OpenConnection, SendError, SendOptions, open_connection,
     send_request,
 };
-use super::forwarding::PeerResponse;
+use super::final_response::FinalResponse;
+use super::open_response::OpenResponse;
 use super::pending::PendingRequest;
 use super::reservation::{self, Reservation};
 use super::response::ReadBody;
-use super::{refusal, response, stream};
+use super::{refusal, response, shutdown, stream};
 use crate::answer_body::AnswerBody;
 use crate::node::Node;
 use crate::reach::{self, Reach};
@@ -37,24 +38,6 @@
 /// `Retry-After` of a request that did not run: the time of a few engine steps.
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// The response that ends the handling of a request.
-pub enum FinalResponse {
-    /// The body was read completely.
-    Buffered(Parts, Bytes),
-    /// Only the head was read.
-    Open(Box<OpenResponse>),
-    /// Only the head of a response that a peer passes on was read.
-    Forwarded(Box<PeerResponse>),
-}
-
-/// A response whose body is still to be read, with the reservation at its endpoint.
-pub struct OpenResponse {
-    /// The response.
-    pub response: EndpointResponse,
-    /// The reservation at the endpoint.
-    pub reservation: Reservation,
-}
-
 /// Whether another endpoint is tried after a send.
 enum SendStep {
     Done(FinalResponse),
@@ -144,12 +127,16 @@
             {
                 return Ok(response);
             }
-            let reservation =
-                match reservation::reserve(&self.node, &self.request, &self.dispatch_request).await
-                {
-                    Ok(reservation) => reservation,
-                    Err(failure) => return self.finish_without_room(failure),
-                };
+            let reserved = tokio::select! {
+                biased;
+                refusal = shutdown::until_too_late(&self.node, &self.request) => Err(refusal),
+                reserved = reservation::reserve(&self.node, &self.request, &self.dispatch_request)
+                    => reserved,
+            };
+            let reservation = match reserved {
+                Ok(reservation) => reservation,
+                Err(failure) => return self.finish_without_room(failure),
+            };
             match self.send(reservation).await? {
                 SendStep::Done(response) => return Ok(response),
                 SendStep::Retry => self.dispatch_request.ticket = self.node.ticket(),
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -12,7 +12,7 @@
 
 use super::client_request::ClientRequest;
 use super::forwarding::PeerResponse;
-use super::handler::OpenResponse;
+use super::open_response::OpenResponse;
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
 use crate::answer_body::{AnswerBody, BodyChunk};
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -17,8 +17,9 @@
 
 use self::run_end::RunEnd;
 use super::client_request::ClientRequest;
-use super::handler::{OpenResponse, RequestHandler};
+use super::handler::RequestHandler;
 use super::migration::{Migration, MigrationOutcome};
+use super::open_response::OpenResponse;
 use super::reservation::Reservation;
 use super::response;
 use super::transfer_end::TransferEnd;
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 
 use super::PROMPT_HEADERS;
-use super::site::{Site, get_answer};
+use super::site::{Site, get_answer, metric};
 use super::streams::events;
 use crate::support::{run, until};
 
@@ -93,3 +93,38 @@
         Ok(())
     });
 }
+
+// A request waits for room when the stop begins. It would be sent as soon as there is room, though
+// its answer could be cut at the end of the grace period.
+#[test]
+fn waiting_request_that_could_not_end_is_refused() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let slow = Behaviour::Slow(Duration::from_millis(1_500));
+        let endpoint = site.add_endpoint("desk", "e-1", slow).await?;
+        let addresses = site.instance.addresses();
+        let mut clients = Vec::new();
+        while metric(addresses.metrics, "waiting").await? == 0 {
+            let id = format!("a{}", clients.len());
+            let mut client = RawClient::connect(addresses.client).await?;
+            client.send(&request("once", &id, "key-1", "")).await?;
+            until("the request is placed or waits", async || {
+                let waiting = metric(addresses.metrics, "waiting").await?;
+                Ok(waiting > 0 || endpoint.runs(&id) == 1)
+            })
+            .await?;
+            clients.push((id, client));
+        }
+        let (id, mut waiting) = clients.pop().expect("a request waits");
+        let stopping = begin_stop(site.instance).await?;
+        let answer = waiting.answer().await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        assert_eq!(endpoint.runs(&id), 0);
+        for (_, mut client) in clients {
+            assert_eq!(client.answer().await?.status, 200);
+        }
+        stopping.await?;
+        Ok(())
+    });
+}
