Let the soak's engines end streams within events

Engines now end streams within an event by a last chunk, by a close without any framing, or by a reset, drawn from random numbers of their own so that the faults of earlier seeds stay as they are. Ends between two events that only the close declares aren't drawn: the checker couldn't tell them either. One seed joins the suite.

--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -53,6 +53,7 @@
             .with_length(length)
             .with_gap(gap)
             .with_notices()
+            .with_stream_ends()
     });
     let runs =
         futures::stream::iter(plans.map(|plan| async move { (plan.seed, run(&plan).await) }));
--- a/crates/nutmeggrade-fakes/src/soak/action.rs
+++ b/crates/nutmeggrade-fakes/src/soak/action.rs
@@ -5,15 +5,18 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::endpoints::EVENTS_PER_STREAM;
 use super::plan::Plan;
 use crate::relay::Link;
-use crate::site::{Behaviour, Fault};
+use crate::site::{Behaviour, Fault, StreamEnd};
 
 /// Shortest time from an endpoint's leave notice to its exit.
 const MIN_LEAVE_DELAY: Duration = Duration::from_secs(2);
 
 /// Mean time between two moments at which an endpoint asks something of its callers.
 const MEAN_NOTICE_GAP_MS: u64 = 1_200;
+/// Mean time between two moments at which an engine begins to end streams early.
+const MEAN_STREAM_END_GAP_MS: u64 = 1_500;
 
 /// One injected fault or operator action.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -91,18 +94,46 @@
 /// Draws what endpoints ask of their callers, from random numbers of its own: the other actions of a
 /// seed stay as they are without it.
 pub fn draw_notices(plan: &Plan) -> Vec<(Duration, Action)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(!plan.seed);
+    draw_apart(plan, !plan.seed, MEAN_NOTICE_GAP_MS, draw_notice)
+}
+
+/// Draws engines that end streams early, from random numbers of its own as well.
+pub fn draw_stream_ends(plan: &Plan) -> Vec<(Duration, Action)> {
+    draw_apart(plan, plan.seed.rotate_left(32), MEAN_STREAM_END_GAP_MS, draw_stream_end)
+}
+
+fn draw_apart(
+    plan: &Plan,
+    seed: u64,
+    mean_gap_ms: u64,
+    draw: fn(&Plan, &mut ChaCha8Rng) -> Action,
+) -> Vec<(Duration, Action)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut at = Duration::ZERO;
     let mut actions = Vec::new();
     loop {
-        at += Duration::from_millis(rng.random_range(0..2 * MEAN_NOTICE_GAP_MS));
+        at += Duration::from_millis(rng.random_range(0..2 * mean_gap_ms));
         if at >= plan.length {
             return actions;
         }
-        actions.push((at, draw_notice(plan, &mut rng)));
+        actions.push((at, draw(plan, &mut rng)));
     }
 }
 
+/// Draws an end within an event, or one that breaks the connection: an end between two events that
+/// closes it in order can't be told from that of a complete stream.
+fn draw_stream_end(plan: &Plan, rng: &mut ChaCha8Rng) -> Action {
+    const RESTS: [&str; 5] = ["i", "id: 77", "id: 77\n", "id: 77\nda", "id: 77\r\ndata: x\r\n"];
+    const ENDS: [StreamEnd; 3] = [StreamEnd::LastChunk, StreamEnd::Closed, StreamEnd::Reset];
+    let part = Behaviour::StreamPart {
+        events: rng.random_range(0..EVENTS_PER_STREAM),
+        rest: RESTS[rng.random_range(0..RESTS.len())],
+        end: ENDS[rng.random_range(0..ENDS.len())],
+    };
+    let time = Duration::from_millis(rng.random_range(200..3_000));
+    Action::Misbehave(rng.random_range(0..plan.engines), part, time)
+}
+
 fn draw_notice(plan: &Plan, rng: &mut ChaCha8Rng) -> Action {
     let endpoint = rng.random_range(0..plan.engines + plan.services);
     if rng.random_bool(0.6) {
--- a/crates/nutmeggrade-fakes/src/soak/plan.rs
+++ b/crates/nutmeggrade-fakes/src/soak/plan.rs
@@ -23,6 +23,8 @@
     pub gap_ms: u64,
     /// Whether endpoints limit their rates and ask for pauses.
     pub has_notices: bool,
+    /// Whether engines end streams early, also in ways that look like their end.
+    pub ends_streams: bool,
     /// Whether guarantees with a time limit are checked. On an overloaded machine, processes are
     /// scheduled too late for these checks to be meaningful.
     pub is_timed: bool,
@@ -40,6 +42,7 @@
             clients: 16,
             gap_ms: 350,
             has_notices: false,
+            ends_streams: false,
             is_timed: true,
         }
     }
@@ -73,6 +76,13 @@
         self
     }
 
+    /// Lets engines end streams early, also in ways that look like their end.
+    #[must_use]
+    pub const fn with_stream_ends(mut self) -> Self {
+        self.ends_streams = true;
+        self
+    }
+
     /// Disables the checks of guarantees with a time limit.
     #[must_use]
     pub const fn without_time_limits(mut self) -> Self {
--- a/crates/nutmeggrade-fakes/src/soak/runner.rs
+++ b/crates/nutmeggrade-fakes/src/soak/runner.rs
@@ -40,8 +40,11 @@
     let mut actions = action::draw_schedule(plan, &mut rng);
     if plan.has_notices {
         actions.extend(action::draw_notices(plan));
-        actions.sort_by_key(|(at, _)| *at);
     }
+    if plan.ends_streams {
+        actions.extend(action::draw_stream_ends(plan));
+    }
+    actions.sort_by_key(|(at, _)| *at);
     run_actions(plan, &actions).await
 }
 
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -34,11 +34,13 @@
 // Seed 102 never failed. With seed 101 the responses of two endpoints were joined, and a signal to
 // reload the settings ended an instance during its start. With the others a search that found no
 // capacity, after an endpoint may have run the request, was nearly reported as a refusal. With seed
-// 62003, instances that read no rate limits and no pauses exceeded both.
+// 62003, instances that read no rate limits and no pauses exceeded both. With seed 98001, streams that
+// ended within an event were given out as complete.
 cases! {keeps_promises {
     never_failed: Plan::new(102);
     joined_answers_and_early_signal: Plan::new(101);
     no_room_after_a_run: Plan::new(106);
     no_room_after_a_run_again: Plan::new(120);
     limits_and_pauses: Plan::new(62003).with_notices();
+    streams_ended_early: Plan::new(98001).with_stream_ends();
 }}
