--- a/crates/nutmegctl/src/logs/cause.rs
+++ b/crates/nutmegctl/src/logs/cause.rs
@@ -136,6 +136,10 @@
             "endpoint_died",
             format!("{endpoint} crashed while it processed the request"),
         ),
+        EndpointChange::Unchanged if has_ended_within_event(request_lines) => {
+            let detail = format!("{endpoint} ended its response within an event, and remained");
+            Cause::new("answer_truncated", detail)
+        }
         EndpointChange::Unchanged => {
             let detail = format!("the connection to {endpoint} broke, but the endpoint remained");
             Cause::new("connection_lost", detail)
@@ -144,6 +148,12 @@
     cause.with_evidence(evidence)
 }
 
+/// Returns whether the stream's last run ended within an event.
+fn has_ended_within_event(request_lines: &[&Record]) -> bool {
+    let last = request_lines.iter().rev().find(|r| r.event == "stream_broke");
+    last.is_some_and(|r| r.field("why") == "ended within an event")
+}
+
 fn explain_failure<'a>(
     logs: &'a InstanceLogs,
     request_lines: &[&Record],
--- a/tests/suite/operators/explain_logs.rs
+++ b/tests/suite/operators/explain_logs.rs
@@ -99,6 +99,17 @@
     );
 }
 
+// An endpoint ended a stream without a length within an event, and served on.
+#[rstest]
+fn stream_that_ended_within_an_event() {
+    let lines = [
+        "i-1 event=answered request=a1b2c3 endpoint=e-1 status=200 open=true framing=connection sends=1 ms=544",
+        "i-1 event=stream_broke request=a1b2c3 endpoint=e-1 events=9 framing=connection partial=7 why=\"ended within an event\"",
+        "i-1 event=stream_ended request=a1b2c3 endpoint=e-1 end=broken events=9 ms=900 framing=connection partial=7",
+    ];
+    assert_cause(&lines, "answer_truncated", &["e-1"]);
+}
+
 // The instance was killed while it waited for the endpoint. Its next log line is from the next
 // process.
 #[rstest]
