Judge only streams in body_end, and guard streams that declare their length

What reads other bodies has no choice to make between two ends: a body is complete or its connection broke, so that the case of a plain answer had no caller.

--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -1,12 +1,13 @@
 //! Event streams of a simulated endpoint.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::{Endpoint, reset};
-use crate::site::event_writer::EventWriter;
+use super::{Endpoint, reset, send};
+use crate::site::event_writer::{EventWriter, event_text};
 use crate::site::stream_end::StreamEnd;
 
 impl Endpoint {
@@ -67,6 +68,10 @@
         (events, rest): (u64, &str),
         end: StreamEnd,
     ) -> anyhow::Result<()> {
+        if end == StreamEnd::Length {
+            self.holds_ends.subscribe().wait_for(|holds| !holds).await?;
+            return self.send_declared_stream(stream, id, position + 1..=events, rest).await;
+        }
         let mut writer = self.start_stream(stream, id, end.is_chunked()).await?;
         for event in position + 1..=events {
             writer.send_event(id, event).await?;
@@ -76,7 +81,7 @@
         sleep(Duration::from_millis(50)).await;
         self.holds_ends.subscribe().wait_for(|holds| !holds).await?;
         match end {
-            StreamEnd::LastChunk => writer.finish().await,
+            StreamEnd::LastChunk | StreamEnd::Length => writer.finish().await,
             StreamEnd::Closed => anyhow::bail!("closed"),
             StreamEnd::Reset => reset(writer.connection()),
             StreamEnd::Crashed => {
@@ -87,6 +92,20 @@
         }
     }
 
+    async fn send_declared_stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        events: RangeInclusive<u64>,
+        rest: &str,
+    ) -> anyhow::Result<()> {
+        let mut body: String = events.map(|event| event_text(id, event)).collect();
+        body.push_str(rest);
+        let headers =
+            format!("Content-Type: text/event-stream\r\nContent-Length: {}\r\n", body.len());
+        send(stream, &self.response(200, id, &headers, &body)).await
+    }
+
     async fn start_stream<'a>(
         &self,
         stream: &'a mut TcpStream,
--- a/crates/nutmeggrade-fakes/src/site/event_writer.rs
+++ b/crates/nutmeggrade-fakes/src/site/event_writer.rs
@@ -5,6 +5,11 @@
 
 use anyhow::Context;
 
+/// Returns an event of the request `id`.
+pub fn event_text(id: &str, event: u64) -> String {
+    format!("id: {event}\ndata: {id}.{event}\n\n")
+}
+
 /// Writes the body of an event stream, in chunks or ended by its connection.
 #[derive(Debug)]
 pub struct EventWriter<'a> {
@@ -34,7 +39,7 @@
 
     /// Sends an event of the request `id`.
     pub async fn send_event(&mut self, id: &str, event: u64) -> anyhow::Result<()> {
-        self.send_text(&format!("id: {event}\ndata: {id}.{event}\n\n")).await
+        self.send_text(&event_text(id, event)).await
     }
 
     /// Sends a part of the body.
--- a/crates/nutmeggrade-fakes/src/site/stream_end.rs
+++ b/crates/nutmeggrade-fakes/src/site/stream_end.rs
@@ -5,6 +5,8 @@
 pub enum StreamEnd {
     /// Sends the last chunk of a stream in chunks.
     LastChunk,
+    /// Sends the last byte of a stream that declares its length.
+    Length,
     /// Closes the connection of a stream that ends with it.
     Closed,
     /// Resets the connection of a stream that ends with it.
--- a/crates/nutmeggrade-relay/src/relay/shutdown.rs
+++ b/crates/nutmeggrade-relay/src/relay/shutdown.rs
@@ -30,7 +30,7 @@
     let mut phases = node.phases();
     let is_stopping = phases.wait_for(|phase| *phase >= Phase::Leaving).await.is_ok();
     if !is_stopping {
-        // The phase is never dropped before the requests.
+        // The sender lives as long as the node, so this isn't reached.
         std::future::pending::<()>().await;
     }
     loop {
--- a/crates/nutmeggrade-state/src/body_end.rs
+++ b/crates/nutmeggrade-state/src/body_end.rs
@@ -1,8 +1,8 @@
-//! Judges from the end of a response's bytes whether the response is complete.
+//! Judges from the end of an event stream's bytes whether the stream is complete.
 
 use nutmeggrade_core::prelude::*;
 
-/// How the bytes of a response ended.
+/// How the bytes of a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BytesEnd {
     /// At the declared end, or with a connection that was closed in order where none is declared.
@@ -11,18 +11,16 @@
     Broken,
 }
 
-/// Where the bytes of a response ended.
+/// Where the bytes of a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndPlace {
-    /// Within an event of a stream.
+    /// Within an event.
     WithinEvent,
-    /// In a stream whose events are all complete.
+    /// Where all events are complete.
     BetweenEvents,
-    /// In a response that is no stream.
-    Plain,
 }
 
-/// Whether a response is complete.
+/// Whether a stream is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Completeness {
     /// All of it arrived.
@@ -33,7 +31,7 @@
     Undeclared,
 }
 
-/// Why a response counts as truncated.
+/// Why a stream counts as truncated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Truncation {
     /// Its connection broke.
@@ -55,9 +53,9 @@
     }
 }
 
-/// Judges whether a response is complete.
+/// Judges whether a stream is complete.
 ///
-/// A crash closes the connections of a process in order. If a response states its end in no other
+/// A crash closes the connections of a process in order. If a stream states its end in no other
 /// way, the close alone doesn't show that it is complete.
 pub const fn judge(framing: BodyFraming, end: BytesEnd, place: EndPlace) -> Completeness {
     match (end, place) {
@@ -65,21 +63,18 @@
         (BytesEnd::Closed, EndPlace::WithinEvent) => {
             Completeness::Truncated(Truncation::PartialEvent)
         }
-        (BytesEnd::Closed, EndPlace::BetweenEvents | EndPlace::Plain) => {
-            if framing.is_declared() {
-                Completeness::Complete
-            } else {
-                Completeness::Undeclared
-            }
+        (BytesEnd::Closed, EndPlace::BetweenEvents) if framing.is_declared() => {
+            Completeness::Complete
         }
+        (BytesEnd::Closed, EndPlace::BetweenEvents) => Completeness::Undeclared,
     }
 }
 
-/// Judges whether a response is complete whose bytes don't tell, from whether its endpoint refuses
+/// Judges whether a stream is complete whose bytes don't tell, from whether its endpoint refuses
 /// connections right after its end.
 ///
 /// A process that goes closes all its sockets in the same moment. A leaving endpoint too: it stays
-/// for a time that doesn't depend on its last response.
+/// for a time that doesn't depend on its last stream.
 pub const fn judge_undeclared(refuses_connections: bool) -> Completeness {
     if refuses_connections {
         Completeness::Truncated(Truncation::EndpointGone)
--- a/tests/suite/relay/broken_streams.rs
+++ b/tests/suite/relay/broken_streams.rs
@@ -29,8 +29,8 @@
     Ok(answer)
 }
 
-// An engine's stream that ends within an event, by its connection alone or by its last chunk, is
-// given out as complete with the part of the event.
+// An engine's stream that ends within an event, by its connection alone or where it declares its end,
+// is given out as complete with the part of the event.
 fn closed_within_event(route: &str, end: StreamEnd) {
     run(async {
         let answer = answer_to_part(route, "id: 6\nda", end).await?;
@@ -47,6 +47,8 @@
     resumable: "sort", StreamEnd::Closed;
     single_run_in_chunks: "draft", StreamEnd::LastChunk;
     resumable_in_chunks: "sort", StreamEnd::LastChunk;
+    single_run_with_length: "draft", StreamEnd::Length;
+    resumable_with_length: "sort", StreamEnd::Length;
 }}
 
 // A complete stream without length or chunks is given out as broken, though its engine is well.
--- a/tests/suite/state/body_end.rs
+++ b/tests/suite/state/body_end.rs
@@ -1,4 +1,4 @@
-//! Judgement of the ends of responses.
+//! Judgement of the ends of streams.
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::body_end::{BytesEnd, Completeness, EndPlace, Truncation, judge};
@@ -10,19 +10,17 @@
 const FRAMINGS: [BodyFraming; 3] =
     [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::Connection];
 
-// A response is taken for complete though its connection broke or its last event is partial.
+// A stream is taken for complete though its connection broke or its last event is partial.
 #[rstest]
-fn truncated_responses_are_not_complete() {
+fn truncated_streams_are_not_complete() {
     for framing in FRAMINGS {
-        for place in [EndPlace::WithinEvent, EndPlace::BetweenEvents, EndPlace::Plain] {
+        for place in [EndPlace::WithinEvent, EndPlace::BetweenEvents] {
             assert_eq!(judge(framing, BytesEnd::Broken, place), BROKE);
         }
         assert_eq!(judge(framing, BytesEnd::Closed, EndPlace::WithinEvent), TRUNCATED);
         let is_declared = framing != BodyFraming::Connection;
         let expected = if is_declared { Completeness::Complete } else { Completeness::Undeclared };
-        for place in [EndPlace::BetweenEvents, EndPlace::Plain] {
-            assert_eq!(judge(framing, BytesEnd::Closed, place), expected);
-        }
+        assert_eq!(judge(framing, BytesEnd::Closed, EndPlace::BetweenEvents), expected);
     }
 }
 
