Treat a stream that is closed before its first event as broken off

A client got an answer of no events as complete where an engine's stream without length or chunks was closed before the first of them.

A generation begins with its first event, so nothing was there to be complete. A stream that declares an end without events is passed on as before, and so is one that a client resumes behind its last event.

relay::broken_streams::closed_before_the_first_event, both cases red before (complete without events; no second run).

--- a/crates/nutmeggrade-state/src/body_end.rs
+++ b/crates/nutmeggrade-state/src/body_end.rs
@@ -18,6 +18,8 @@
     WithinEvent,
     /// Where all events are complete.
     BetweenEvents,
+    /// Before the first event.
+    BeforeEvents,
 }
 
 /// Whether a stream is complete.
@@ -38,6 +40,8 @@
     ConnectionBroke,
     /// It ended within an event.
     PartialEvent,
+    /// It ended before its first event.
+    NoEvent,
     /// Its endpoint refuses connections since its end.
     EndpointGone,
 }
@@ -48,6 +52,7 @@
         match self {
             Self::ConnectionBroke => "connection broke",
             Self::PartialEvent => "ended within an event",
+            Self::NoEvent => "ended before its first event",
             Self::EndpointGone => "ended as its endpoint went",
         }
     }
@@ -56,16 +61,16 @@
 /// Judges whether a stream is complete.
 ///
 /// A crash closes the connections of a process in order. If a stream states its end in no other
-/// way, the close alone doesn't show that it is complete.
+/// way, the close alone doesn't show that it is complete. A generation begins with its first event, so
+/// a stream that is closed before it isn't complete.
 pub const fn judge(framing: BodyFraming, end: BytesEnd, place: EndPlace) -> Completeness {
     match (end, place) {
         (BytesEnd::Broken, _) => Completeness::Truncated(Truncation::ConnectionBroke),
         (BytesEnd::Closed, EndPlace::WithinEvent) => {
             Completeness::Truncated(Truncation::PartialEvent)
         }
-        (BytesEnd::Closed, EndPlace::BetweenEvents) if framing.is_declared() => {
-            Completeness::Complete
-        }
+        (BytesEnd::Closed, _) if framing.is_declared() => Completeness::Complete,
+        (BytesEnd::Closed, EndPlace::BeforeEvents) => Completeness::Truncated(Truncation::NoEvent),
         (BytesEnd::Closed, EndPlace::BetweenEvents) => Completeness::Undeclared,
     }
 }
--- a/crates/nutmeggrade-state/src/event_splitter.rs
+++ b/crates/nutmeggrade-state/src/event_splitter.rs
@@ -78,6 +78,9 @@
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return EndPlace::WithinEvent;
         }
+        if self.passed == 0 && self.last_position.is_none() {
+            return EndPlace::BeforeEvents;
+        }
         EndPlace::BetweenEvents
     }
 
--- a/tests/suite/relay/broken_streams.rs
+++ b/tests/suite/relay/broken_streams.rs
@@ -11,11 +11,15 @@
 
 const COMPLETE: Behaviour = Behaviour::Stream { events: 9, pause: Duration::from_millis(1) };
 
-/// Requests a stream that its engine ends after five events and `rest`. A second engine, which
-/// joins only then, would send nine events. Returns the client's response.
+/// Requests a stream that its engine ends after five events and `rest`, as [`answer_to`] does.
 async fn answer_to_part(route: &str, rest: &'static str, end: StreamEnd) -> anyhow::Result<Answer> {
+    answer_to(route, Behaviour::StreamPart { events: 5, rest, end }).await
+}
+
+/// Requests a stream that its engine ends early. A second engine, which joins only then, would send
+/// nine events. Returns the client's response.
+async fn answer_to(route: &str, part: Behaviour) -> anyhow::Result<Answer> {
     let site = Site::start(&RoutingPlan::default()).await?;
-    let part = Behaviour::StreamPart { events: 5, rest, end };
     let first = site.add_endpoint("writers", "e-1", part).await?;
     first.hold_ends(true);
     let mut client = RawClient::connect(site.client()).await?;
@@ -80,3 +84,22 @@
     single_run: "draft";
     resumable: "sort";
 }}
+
+// A stream without length or chunks that is closed before its first event is given out as a complete
+// answer without events.
+fn closed_before_the_first_event(route: &str) {
+    run(async {
+        let part = Behaviour::StreamPart { events: 0, rest: "", end: StreamEnd::Closed };
+        let answer = answer_to(route, part).await?;
+        let is_resumable = route == "sort";
+        assert_eq!(answer.is_whole, is_resumable);
+        let count = if is_resumable { 9 } else { 0 };
+        assert_eq!(events(&answer.message.body), (1..=count).collect::<Vec<u64>>());
+        Ok(())
+    });
+}
+
+cases! {closed_before_the_first_event {
+    single_run: "draft";
+    resumable: "sort";
+}}
--- a/tests/suite/state/body_end.rs
+++ b/tests/suite/state/body_end.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 
 const TRUNCATED: Completeness = Completeness::Truncated(Truncation::PartialEvent);
+const EMPTY: Completeness = Completeness::Truncated(Truncation::NoEvent);
 const BROKE: Completeness = Completeness::Truncated(Truncation::ConnectionBroke);
 const FRAMINGS: [BodyFraming; 3] =
     [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::Connection];
@@ -14,13 +15,15 @@
 #[rstest]
 fn truncated_streams_are_not_complete() {
     for framing in FRAMINGS {
-        for place in [EndPlace::WithinEvent, EndPlace::BetweenEvents] {
+        for place in [EndPlace::WithinEvent, EndPlace::BetweenEvents, EndPlace::BeforeEvents] {
             assert_eq!(judge(framing, BytesEnd::Broken, place), BROKE);
         }
         assert_eq!(judge(framing, BytesEnd::Closed, EndPlace::WithinEvent), TRUNCATED);
         let is_declared = framing != BodyFraming::Connection;
         let expected = if is_declared { Completeness::Complete } else { Completeness::Undeclared };
         assert_eq!(judge(framing, BytesEnd::Closed, EndPlace::BetweenEvents), expected);
+        let expected = if is_declared { Completeness::Complete } else { EMPTY };
+        assert_eq!(judge(framing, BytesEnd::Closed, EndPlace::BeforeEvents), expected);
     }
 }
 
@@ -59,7 +62,11 @@
             }
             assert!(bytes.starts_with(&delivered), "cut {cut} piece {piece}");
             let is_partial = has_partial_event(&bytes[..cut]);
-            let place = if is_partial { EndPlace::WithinEvent } else { EndPlace::BetweenEvents };
+            let place = match (is_partial, cut) {
+                (true, _) => EndPlace::WithinEvent,
+                (false, 0) => EndPlace::BeforeEvents,
+                (false, _) => EndPlace::BetweenEvents,
+            };
             assert_eq!(splitter.place(), place, "cut {cut} piece {piece}");
             if is_partial {
                 let complete = ends.iter().rfind(|end| **end <= cut).copied().unwrap_or_default();
