Log which content a crash counts against, and lost requests that count against none

A lost request that was no evidence left no line, peers logged nothing of the crashes they were told, and no line named the content that a crash counts against. No behaviour changes.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod beacon;
+mod content_id;
 mod endpoint_changes;
 mod endpoint_groups;
 mod envelope;
@@ -13,6 +14,7 @@
 
 pub use assignment::{ASSIGNMENT_KEY, Assignment};
 pub use beacon::{Beacon, Echo, InstanceEntry};
+pub use content_id::ContentId;
 pub use endpoint_changes::{EndpointChange, EndpointChanges, EndpointUpdateBatch, EndpointsReply};
 pub use endpoint_groups::EndpointGroups;
 pub use envelope::{EnvelopeError, MAX_FRAME_BYTES, WIRE_VERSION, open, seal};
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -31,6 +31,10 @@
     pub forwards: IntCounterVec,
     /// Services whose endpoints can't be connected to.
     pub cut_off_services: IntGauge,
+    /// Crashes of endpoints under requests, by the instance that saw them.
+    pub crashes: IntCounterVec,
+    /// Lost requests that are no evidence of a crash, by reason.
+    pub uncounted_losses: IntCounterVec,
     /// Resends that the budget did not allow.
     pub over_budget: IntCounter,
     /// Reports of peers that an endpoint's address refuses connections.
@@ -97,6 +101,16 @@
                 "cut_off_services",
                 "services whose endpoints can't be connected to",
             )?,
+            crashes: counters(
+                "crashes_total",
+                "endpoints that crashed under a request",
+                &["source"],
+            )?,
+            uncounted_losses: counters(
+                "uncounted_losses_total",
+                "lost requests that are no evidence of a crash",
+                &["why"],
+            )?,
             over_budget: counter("over_budget_total", "second sends that were not allowed")?,
             unreachable_notices: counter("told_gone_total", "endpoints that peers found gone")?,
             moves: counters("moves_total", "generations taken along", &["end"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one instance: settings, tables, the store's client and metrics.
 
+mod crashes;
 mod endpoints;
 mod notices;
 mod rollouts;
@@ -21,6 +22,7 @@
 use nutmeggrade_wire::store::Store;
 use tokio::sync::{Notify, mpsc, watch};
 
+pub use self::crashes::CrashSource;
 use self::supply::EncodedEndpoints;
 use crate::clock::Clock;
 use crate::logs::LogBuffer;
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -4,7 +4,7 @@
 use nutmeggrade_wire::kinds::Kind;
 
 use crate::fleet_sync::revision;
-use crate::node::Node;
+use crate::node::{CrashSource, Node};
 use crate::tables::lock;
 use crate::watch::apply_peer_changes;
 
@@ -23,7 +23,7 @@
         }
         FleetMessage::Gone(endpoints) => node.note_unreachable(&endpoints),
         FleetMessage::Met(contacts) => lock(&node.tables).fleet.add_contacts(&contacts, node.now()),
-        FleetMessage::Crashed(crashed) => lock(&node.tables).crashes.note(&crashed, node.now()),
+        FleetMessage::Crashed(crash) => node.note_crash(&crash, CrashSource::Peer),
         FleetMessage::Outcomes(outcomes) => node.add_peer_outcomes(&outcomes),
         FleetMessage::RateLimits(limits) => node.note_peer_limits(&limits),
         FleetMessage::Rollout(notice) => node.apply_rollout_notices(vec![notice]),
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use nutmeggrade_core::peer::{FORWARDED_HEADER, ForwardedRequest};
+use nutmeggrade_core::peer::{ContentId, FORWARDED_HEADER, ForwardedRequest};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{Access, Route, RouteMap};
 use nutmeggrade_policy::dispatch::startup_wait;
@@ -132,6 +132,8 @@
     let fingerprint =
         crash::fingerprint(workspace.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
     if lock(&node.tables).crashes.holds(&fingerprint, arrived_at) {
+        tracing::info!(event = "request_held", request = %parsed.id,
+            content = %ContentId(&fingerprint));
         let detail = "endpoints died under this request again and again";
         return Err(Failure::new(Code::CrashHeld, detail).with_retry_after(CRASH_HOLD_DELAY));
     }
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -6,14 +6,14 @@
 
 use bytes::Bytes;
 use http::Uri;
-use nutmeggrade_core::peer::{EndpointCrash, Fingerprint, FleetMessage};
+use nutmeggrade_core::peer::{ContentId, EndpointCrash, Fingerprint, FleetMessage};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, Prompt};
 use tokio::time::timeout;
 
 use super::client_request::ClientRequest;
 use crate::connect::connect;
-use crate::node::Node;
+use crate::node::{CrashSource, Node};
 use crate::probes;
 use crate::reach::{self, Reach};
 use crate::tables::lock;
@@ -61,10 +61,11 @@
 pub fn check_endpoint(node: &Arc<Node>, request: &ClientRequest, endpoint: &EndpointInfo) {
     let is_staying = lock(&node.tables).registry.get(&endpoint.id).is_some_and(|e| !e.info.leaving);
     if !is_staying {
+        log_uncounted(node, request, endpoint, "leaving");
         return;
     }
     let node = Arc::clone(node);
-    let request_id = request.id.clone();
+    let request = request.clone();
     let endpoint = endpoint.clone();
     let crashed = EndpointCrash {
         request: request.fingerprint,
@@ -73,18 +74,32 @@
     };
     tokio::spawn(async move {
         let Err(error) = connect(endpoint.address).await else {
+            log_uncounted(&node, &request, &endpoint, "accepts_connections");
             probes::start(&node, &endpoint);
             return;
         };
         if reach::check(&node, &endpoint).await == Reach::CutOff {
+            log_uncounted(&node, &request, &endpoint, "cut_off");
             return;
         }
         if error.kind() == io::ErrorKind::ConnectionRefused {
             node.announce_unreachable(&crashed.endpoint);
         }
-        tracing::info!(event = "endpoint_crashed", request = %request_id,
+        tracing::info!(event = "endpoint_crashed", request = %request.id,
             endpoint = %crashed.endpoint);
-        lock(&node.tables).crashes.note(&crashed, node.now());
+        node.note_crash(&crashed, CrashSource::Own);
         node.broadcast(FleetMessage::Crashed(crashed));
     });
 }
+
+/// Logs a lost request that is no evidence of a crash, and why.
+pub fn log_uncounted(
+    node: &Node,
+    request: &ClientRequest,
+    endpoint: &EndpointInfo,
+    why: &'static str,
+) {
+    node.metrics.uncounted_losses.with_label_values(&[why]).inc();
+    tracing::info!(event = "loss_uncounted", request = %request.id, endpoint = %endpoint.id,
+        content = %ContentId(&request.fingerprint), why);
+}
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -216,6 +216,8 @@
                     self.record_outcome(&endpoint, Outcome::Failed);
                     crash::check_endpoint(&self.node, &self.request, &endpoint);
                     self.node.update_health(&endpoint.id, Health::record_loss);
+                } else {
+                    crash::log_uncounted(&self.node, &self.request, &endpoint, "cut_off");
                 }
                 self.retry_or_finish(&endpoint.id, &reason, Code::OutcomeUnknown)
             }
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -94,6 +94,8 @@
         if reach::check(&self.node, &endpoint).await == Reach::Reached {
             self.node.update_health(&endpoint.id, Health::record_loss);
             crash::check_endpoint(&self.node, &self.request, &endpoint);
+        } else {
+            crash::log_uncounted(&self.node, &self.request, &endpoint, "cut_off");
         }
         if !self.splitter.can_continue() {
             return Some(TransferEnd::UpstreamBroken);
--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -39,15 +39,17 @@
         Self::default()
     }
 
-    /// Records that an endpoint crashed under a request.
-    pub fn note(&mut self, crashed: &EndpointCrash, now: Moment) {
+    /// Records that an endpoint crashed under a request; returns the number of endpoints that have
+    /// crashed under it if this one is new.
+    pub fn note(&mut self, crashed: &EndpointCrash, now: Moment) -> Option<usize> {
         self.remove_expired(now);
         if self.records.len() >= MAX_REQUESTS && !self.records.contains_key(&crashed.request) {
-            return;
+            return None;
         }
         let record = self.records.entry(crashed.request).or_default();
-        record.endpoints.insert((crashed.endpoint.clone(), crashed.born));
         record.last_crash = now;
+        let is_new = record.endpoints.insert((crashed.endpoint.clone(), crashed.born));
+        is_new.then_some(record.endpoints.len())
     }
 
     /// Returns whether a request is blocked.
