Reproduce that a request crashes whole services round after round

A client sends the same request at two instances in turn; all endpoints of the service crash under it and are replaced, four times. The last endpoint of the only service is counted already, as there is nothing to compare it with. The stand-in closes its listening socket before the connection of the request that crashes it, as the end of a process does.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -303,6 +303,7 @@
             Behaviour::Close | Behaviour::CloseAll => anyhow::bail!("closed"),
             Behaviour::Crash => {
                 self.crashed.send_replace(true);
+                self.listens.subscribe().wait_for(|listens| !listens).await?;
                 anyhow::bail!("crashed")
             }
             Behaviour::Truncate => {
--- a/tests/suite/relay/crashers.rs
+++ b/tests/suite/relay/crashers.rs
@@ -1,8 +1,9 @@
 //! A request that crashes each endpoint that runs it.
 
-use nutmeggrade_fakes::site::{Behaviour, RoutingPlan};
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan};
 
 use super::ask;
+use super::members::{start_pair, until_all_have};
 use super::site::Site;
 use crate::support::{run, until};
 
@@ -32,3 +33,56 @@
         Ok(())
     });
 }
+
+/// Rounds in which all endpoints of the service crash and are replaced.
+const ROUNDS: usize = 4;
+/// Requests of a round, more than it takes to crash its endpoints.
+const ROUND_REQUESTS: usize = 5;
+
+/// Checks how many endpoints a request crashes if it crashes whole services, which are replaced, and
+/// comes again at two instances in turn.
+fn crashes_of_replaced_services(route: &str, round_endpoints: usize) {
+    run(async {
+        let pair = start_pair().await?;
+        let instances = [&pair.first, &pair.other];
+        let mut crashed = 0;
+        let mut sent = 0;
+        let mut last_body = String::new();
+        for round in 0..ROUNDS {
+            let mut endpoints = Vec::new();
+            for number in 0..round_endpoints {
+                let id = format!("e-{round}-{number}");
+                let endpoint =
+                    Endpoint::start(&id, Behaviour::Crash, &Generations::default()).await?;
+                let entry = Entry::new("desk", endpoint.address).content();
+                pair.store.put("servers", &id, entry);
+                endpoints.push(endpoint);
+            }
+            until_all_have(instances, "endpoints", round_endpoints as u64).await?;
+            for _ in 0..ROUND_REQUESTS {
+                sent += 1;
+                let client = instances[sent % 2].addresses().client;
+                let answer = RawClient::ask(client, route, &format!("a{sent}"), "").await?;
+                assert_ne!(answer.status, 200);
+                last_body = String::from_utf8_lossy(&answer.message.body).into_owned();
+            }
+            crashed += endpoints.iter().filter(|e| e.is_dead()).count();
+            for endpoint in &endpoints {
+                pair.store.remove("servers", endpoint.id());
+            }
+            until_all_have(instances, "endpoints", 0).await?;
+        }
+        assert!(crashed <= 3, "{crashed} endpoints crashed");
+        assert!(last_body.contains("crash_held"), "{last_body}");
+        Ok(())
+    });
+}
+
+// Guards against crashes that don't count because every endpoint of the service is down, so that the
+// instance takes itself for cut off.
+cases! {crashes_of_replaced_services {
+    three_endpoints: "once", 3;
+    three_endpoints_and_retries: "read", 3;
+    two_endpoints: "once", 2;
+    only_endpoint: "once", 1;
+}}
