Count losses at endpoints that turn out to have ended as crashes

Cause: a lost request counted as a crash only if the instance reached another endpoint of the service. The last endpoint of a service, and any that is examined after the others are down too, was taken for a sign that the instance itself is cut off, and the evidence was dropped. Class: uncertain evidence is thrown away where it could be kept until it is decided. By the same class evidence was lost for an endpoint whose address accepts connections again, for a break within a plain answer, while the mark of a cut outlasts the cut, and at sends that follow the admission. Ruled out: differing knowledge of peers (equal counts at seven instances). Why it works: a loss that isn't clear is kept with the endpoint's incarnation and counts once that has ended (its entry is gone, or a later process has its id or address), which every instance learns before the successors get work. A living endpoint behind a cut link stays registered, so its losses expire. The examination ends before the next send, and each send asks whether the request is held. A request that completes is cleared; one that completed shortly before may run at several endpoints that fail together, which count once then.

--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -30,6 +30,8 @@
         let changes = change(&mut lock(&self.tables).registry, now);
         log_changes(&changes);
         if !changes.is_empty() {
+            // Before the successors of endpoints that crashed may get work.
+            self.settle_losses();
             self.recheck_rollouts(&changes);
             self.refresh();
         }
--- a/crates/nutmeggrade-relay/src/reach.rs
+++ b/crates/nutmeggrade-relay/src/reach.rs
@@ -113,9 +113,11 @@
     });
 }
 
-fn end_cut(node: &Node, service: &ServiceId) {
+/// Ends the cut of a service, if there is one: an endpoint was connected to.
+pub fn end_cut(node: &Node, service: &ServiceId) {
     let since = lock(&node.tables).reach.set_reached(service);
-    let elapsed = since.map_or(Duration::ZERO, |since| node.now().since(since));
+    let Some(since) = since else { return };
+    let elapsed = node.now().since(since);
     tracing::info!(event = "service_reached", %service, ms = elapsed.as_millis());
     report(node);
 }
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -29,9 +29,6 @@
 /// Interval between two checks whether the start of this instance has ended.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// `Retry-After` of a request that is held because it is suspected of crashing endpoints.
-const CRASH_HOLD_DELAY: Duration = Duration::from_secs(10);
-
 /// How a request is routed.
 struct Routing {
     route: Arc<Route>,
@@ -134,8 +131,7 @@
     if lock(&node.tables).crashes.holds(&fingerprint, arrived_at) {
         tracing::info!(event = "request_held", request = %parsed.id,
             content = %ContentId(&fingerprint));
-        let detail = "endpoints died under this request again and again";
-        return Err(Failure::new(Code::CrashHeld, detail).with_retry_after(CRASH_HOLD_DELAY));
+        return Err(crash::held());
     }
     Ok(ClientRequest {
         id: parsed.id,
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -131,6 +131,8 @@
     NotSent(String),
     /// The endpoint accepts no new requests; no byte was sent.
     EndpointLeaving,
+    /// The request is blocked because it crashed endpoints; no byte was sent.
+    Held,
     /// The endpoint limits its rate or asked for a pause, and this instance has no turn; no byte was
     /// sent.
     NoTurn,
@@ -145,6 +147,7 @@
         match self {
             Self::NotSent(reason) => write!(f, "request not sent: {reason}"),
             Self::EndpointLeaving => f.write_str("request not sent: endpoint is leaving"),
+            Self::Held => f.write_str("request not sent: it crashed endpoints"),
             Self::NoTurn => f.write_str("request not sent: no turn at the endpoint"),
             Self::Lost(reason) => write!(f, "response lost: {reason}"),
             Self::TimedOut => f.write_str("no response before the timeout"),
@@ -166,7 +169,7 @@
     timeout: Duration,
 ) -> Result<EndpointResponse, SendError> {
     let endpoint = &reservation.endpoint;
-    record_send(node, reservation, options)?;
+    record_send(node, client_request, reservation, options)?;
     let sent_at = node.now();
     let request = build_request(node, client_request, endpoint, options)
         .map_err(|e| SendError::NotSent(e.to_string()))?;
@@ -186,21 +189,26 @@
     Ok(EndpointResponse { head, parsed, body, sent_at })
 }
 
-/// Records a send, unless the endpoint accepts it no longer. Resuming from a copy needs neither an
+/// Records a send, unless the endpoint accepts it no longer or the request is blocked: endpoints may
+/// have crashed under it while it waited or at earlier sends. Resuming from a copy needs neither an
 /// endpoint in service nor a turn, since the generation is there already.
 fn record_send(
     node: &Node,
+    client_request: &ClientRequest,
     reservation: &Reservation,
     options: &SendOptions,
 ) -> Result<(), SendError> {
     let endpoint = &reservation.endpoint;
     let mut tables = lock(&node.tables);
+    let now = node.now();
+    if tables.crashes.holds(&client_request.fingerprint, now) {
+        return Err(SendError::Held);
+    }
     let is_resume = options.resume.is_some();
     if !is_resume && !tables.registry.may_send(&endpoint.id) {
         return Err(SendError::EndpointLeaving);
     }
     // The endpoint may have stated its limit or asked for a pause after the request was placed.
-    let now = node.now();
     let is_open = if is_resume {
         tables.take_essential(&endpoint.id, now)
     } else {
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -176,6 +176,7 @@
                 self.attempt.misdirected();
                 self.record_send("misdirected", &endpoint.id);
                 // The intended endpoint is gone, even if the registry still lists it.
+                self.node.settle_losses_at(&endpoint.id);
                 self.node.announce_leaving(std::slice::from_ref(&endpoint.id));
                 if !self.node.take_resend(&self.request.service) {
                     return Err(self.failure(Code::NoRoom, "another endpoint has the address"));
@@ -196,6 +197,10 @@
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint leaves")
             }
+            Err(SendError::Held) => {
+                self.attempt.not_sent();
+                self.finish_without_room(crash::held()).map(SendStep::Done)
+            }
             Err(SendError::NoTurn) => {
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint takes no more requests")
@@ -212,23 +217,25 @@
             Err(SendError::Lost(reason)) => {
                 self.attempt.lost();
                 self.record_send("lost", &endpoint.id);
-                if reach::check(&self.node, &endpoint).await == Reach::Reached {
+                let reach = reach::check(&self.node, &endpoint).await;
+                if reach == Reach::Reached {
                     self.record_outcome(&endpoint, Outcome::Failed);
-                    crash::check_endpoint(&self.node, &self.request, &endpoint);
                     self.node.update_health(&endpoint.id, Health::record_loss);
-                } else {
-                    crash::log_uncounted(&self.node, &self.request, &endpoint, "cut_off");
                 }
+                crash::examine(&self.node, &self.request, &endpoint, reach).await;
                 self.retry_or_finish(&endpoint.id, &reason, Code::OutcomeUnknown)
             }
         }
     }
 
     async fn connect(&self, endpoint: &EndpointInfo) -> Result<OpenConnection, ConnectError> {
-        tokio::select! {
-            connection = open_connection(endpoint.address) => connection,
-            () = reach::until_cut_off(&self.node, endpoint) => Err(ConnectError::CutOff),
-        }
+        let connection = tokio::select! {
+            connection = open_connection(endpoint.address) => connection?,
+            () = reach::until_cut_off(&self.node, endpoint) => return Err(ConnectError::CutOff),
+        };
+        // While the service counts as cut off, nothing that is lost there is evidence of a crash.
+        reach::end_cut(&self.node, &endpoint.service);
+        Ok(connection)
     }
 
     /// Retries after the endpoint could not be connected to.
@@ -278,9 +285,12 @@
                 self.record_outcome(&reservation.endpoint, Outcome::Failed);
                 self.record_send("broken", &endpoint);
                 self.node.update_health(&endpoint, Health::record_failure);
+                let reach = reach::check(&self.node, &reservation.endpoint).await;
+                crash::examine(&self.node, &self.request, &reservation.endpoint, reach).await;
                 return self.retry_or_finish(&endpoint, &reason, Code::OutcomeUnknown);
             }
         };
+        self.node.note_completed(&self.request.fingerprint);
         if parsed.is_failure() {
             self.attempt.failed();
             self.record_outcome(&reservation.endpoint, Outcome::Failed);
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -107,6 +107,7 @@
             self.record_outcome(Outcome::Failed, now);
         }
         if end == TransferEnd::Completed {
+            self.node.note_completed(&self.request.fingerprint);
             self.record_pace(FINISHED_PACE_EVENTS, now);
             let mut tables = lock(&self.node.tables);
             tables.pace.ended(self.generated_tokens(), now.since(self.request.arrived_at));
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -91,12 +91,11 @@
             endpoint = %endpoint.id, events = self.splitter.passed(),
             framing = self.framing.as_str(), partial = self.run_end.partial_bytes, why = reason);
         self.attempt.lost();
-        if reach::check(&self.node, &endpoint).await == Reach::Reached {
+        let reach = reach::check(&self.node, &endpoint).await;
+        if reach == Reach::Reached {
             self.node.update_health(&endpoint.id, Health::record_loss);
-            crash::check_endpoint(&self.node, &self.request, &endpoint);
-        } else {
-            crash::log_uncounted(&self.node, &self.request, &endpoint, "cut_off");
         }
+        crash::examine(&self.node, &self.request, &endpoint, reach).await;
         if !self.splitter.can_continue() {
             return Some(TransferEnd::UpstreamBroken);
         }
--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -1,24 +1,54 @@
 //! Log of requests that repeatedly crash endpoints.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use nutmeggrade_core::peer::{EndpointCrash, Fingerprint};
 use nutmeggrade_core::prelude::*;
 
-/// Number of endpoints that must have crashed under a request before it is blocked. A request that
-/// only happened to run at a crashing endpoint is unlikely to be at two others too.
-const MIN_CRASHED_ENDPOINTS: usize = 3;
+use crate::completed_log::CompletedLog;
+
+/// Number of crashes after which a request is blocked. A request that only happened to run at a
+/// crashing endpoint is unlikely to be at two others too.
+const MIN_CRASHES: usize = 3;
 /// Time after its last crash for which a request is blocked: longer than its client keeps resending
 /// it, and short enough that a repaired endpoint is tried again.
 const BLOCK_PERIOD: Duration = Duration::from_mins(2);
+/// Time within which it has to turn out whether an endpoint that lost a request has crashed: the
+/// entry of an endpoint outlives it by some seconds, and by an outage of the store.
+const LOSS_RETENTION: Duration = Duration::from_secs(30);
+/// Longest time between two crashes that may have one cause other than the request, such as a
+/// failure domain that loses power.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
 /// Maximum number of stored requests; each crash is recorded for all requests at the endpoint.
 const MAX_REQUESTS: usize = 1_024;
 
+/// An incarnation of an endpoint: its id and start time.
+type Incarnation = (EndpointId, u64);
+
 #[derive(Debug, Clone, Default)]
 struct CrashRecord {
-    endpoints: BTreeSet<(EndpointId, u64)>,
-    last_crash: Moment,
+    crashes: BTreeMap<Incarnation, Moment>,
+    losses: BTreeMap<Incarnation, Moment>,
+}
+
+impl CrashRecord {
+    fn last_crash(&self) -> Option<Moment> {
+        self.crashes.values().max().copied()
+    }
+
+    /// Returns the number of crashes, those that may have one common cause counted as one.
+    fn separate_crashes(&self) -> usize {
+        let mut times: Vec<Moment> = self.crashes.values().copied().collect();
+        times.sort_unstable();
+        times.dedup_by(|later, earlier| later.since(*earlier) <= COMMON_CAUSE_WINDOW);
+        times.len()
+    }
+
+    fn is_expired(&self, now: Moment) -> bool {
+        self.losses.is_empty()
+            && self.last_crash().is_none_or(|last| now.since(last) > BLOCK_PERIOD)
+    }
 }
 
 /// Log of requests that were running at endpoints when these crashed.
@@ -28,9 +58,18 @@
 /// the symptom is restarts that move through all endpoints. Instances announce to each other which
 /// requests were at an endpoint when it crashed, and a request with three such endpoints is
 /// blocked.
+///
+/// Whether an endpoint that lost a request has crashed can't always be seen at once: if no endpoint
+/// of the service accepts connections, this instance may have lost its links, and an endpoint that
+/// accepts some may be the next process at its address. Such a loss counts once the endpoint's
+/// incarnation turns out to have ended.
+///
+/// A request that completes does not crash endpoints. One that completed shortly before may still
+/// run at several endpoints that fail together, so that crashes at the same time count as one.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     records: BTreeMap<Fingerprint, CrashRecord>,
+    completed: CompletedLog,
 }
 
 impl CrashLog {
@@ -41,26 +80,77 @@
 
     /// Records that an endpoint crashed under a request; returns the number of endpoints that have
     /// crashed under it if this one is new.
-    pub fn note(&mut self, crashed: &EndpointCrash, now: Moment) -> Option<usize> {
-        self.remove_expired(now);
-        if self.records.len() >= MAX_REQUESTS && !self.records.contains_key(&crashed.request) {
+    pub fn note(&mut self, crash: &EndpointCrash, now: Moment) -> Option<usize> {
+        let record = self.record(&crash.request, now)?;
+        let incarnation = (crash.endpoint.clone(), crash.born);
+        record.losses.remove(&incarnation);
+        if record.crashes.contains_key(&incarnation) {
             return None;
         }
-        let record = self.records.entry(crashed.request).or_default();
-        record.last_crash = now;
-        let is_new = record.endpoints.insert((crashed.endpoint.clone(), crashed.born));
-        is_new.then_some(record.endpoints.len())
+        record.crashes.insert(incarnation, now);
+        Some(record.crashes.len())
+    }
+
+    /// Records that an endpoint lost a request, and that it isn't known whether it crashed.
+    pub fn note_loss(&mut self, loss: &EndpointCrash, now: Moment) {
+        let Some(record) = self.record(&loss.request, now) else { return };
+        let incarnation = (loss.endpoint.clone(), loss.born);
+        if !record.crashes.contains_key(&incarnation) {
+            record.losses.insert(incarnation, now);
+        }
+    }
+
+    /// Counts the losses at endpoints whose incarnation has ended as crashes; returns these, each
+    /// with the number of endpoints that have crashed under its request.
+    pub fn settle(
+        &mut self,
+        has_ended: impl Fn(&EndpointId, u64) -> bool,
+        now: Moment,
+    ) -> Vec<(EndpointCrash, usize)> {
+        self.remove_expired(now);
+        let mut settled = Vec::new();
+        for (request, record) in &mut self.records {
+            let ended =
+                record.losses.extract_if(.., |(endpoint, born), _| has_ended(endpoint, *born));
+            for ((endpoint, born), lost_at) in ended {
+                record.crashes.insert((endpoint.clone(), born), lost_at);
+                let crash = EndpointCrash { request: *request, endpoint, born };
+                settled.push((crash, record.crashes.len()));
+            }
+        }
+        settled
+    }
+
+    /// Records that an endpoint completed a request, which clears it.
+    pub fn note_completed(&mut self, request: &Fingerprint, now: Moment) {
+        self.records.remove(request);
+        self.completed.note(request, now);
     }
 
     /// Returns whether a request is blocked.
     pub fn holds(&self, request: &Fingerprint, now: Moment) -> bool {
-        let record = self.records.get(request);
-        record.is_some_and(|r| {
-            r.endpoints.len() >= MIN_CRASHED_ENDPOINTS && now.since(r.last_crash) <= BLOCK_PERIOD
-        })
+        let Some(record) = self.records.get(request) else { return false };
+        let crashes = if self.completed.contains(request) {
+            record.separate_crashes()
+        } else {
+            record.crashes.len()
+        };
+        crashes >= MIN_CRASHES && !record.is_expired(now)
+    }
+
+    /// Returns the record of a request, or `None` if there are too many.
+    fn record(&mut self, request: &Fingerprint, now: Moment) -> Option<&mut CrashRecord> {
+        self.remove_expired(now);
+        if self.records.len() >= MAX_REQUESTS && !self.records.contains_key(request) {
+            return None;
+        }
+        Some(self.records.entry(*request).or_default())
     }
 
     fn remove_expired(&mut self, now: Moment) {
-        self.records.retain(|_, r| now.since(r.last_crash) <= BLOCK_PERIOD);
+        self.records.retain(|_, record| {
+            record.losses.retain(|_, lost_at| now.since(*lost_at) <= LOSS_RETENTION);
+            !record.is_expired(now)
+        });
     }
 }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claiming;
 pub mod cold_load;
 pub mod cold_rights;
+pub mod completed_log;
 pub mod config_table;
 pub mod crash_log;
 pub mod delivery;
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -264,6 +264,16 @@
         missing * MAX_MISSING_DIVISOR <= of_service.count()
     }
 
+    /// Returns whether an incarnation of an endpoint has ended: its entry is gone, or a later process
+    /// has its id or its address.
+    pub fn has_ended(&self, id: &EndpointId, born: u64) -> bool {
+        let Some(entry) = self.endpoints.get(id) else { return true };
+        let is_successor = |other: &Registered| {
+            other.info.address == entry.info.address && other.info.born > entry.info.born
+        };
+        entry.info.born > born || self.endpoints.values().any(is_successor)
+    }
+
     /// Returns a registered endpoint.
     pub fn get(&self, id: &EndpointId) -> Option<&Registered> {
         self.endpoints.get(id)
--- a/tests/suite/relay/crashers.rs
+++ b/tests/suite/relay/crashers.rs
@@ -86,3 +86,69 @@
     two_endpoints: "once", 2;
     only_endpoint: "once", 1;
 }}
+
+/// Checks that losses count once the entries of their endpoints are gone, although the endpoints still
+/// accepted connections when they were examined.
+fn losses_of_replaced_endpoints_count(behaviour: Behaviour) {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        for number in 0..3 {
+            let id = format!("e-{number}");
+            let endpoint = site.add_endpoint("desk", &id, behaviour).await?;
+            assert_eq!(ask(&site, "once", &format!("a{number}")).await?.status, 502);
+            assert_eq!(endpoint.runs(&format!("a{number}")), 1);
+            site.store.remove("servers", &id);
+            site.until_metric("endpoints", 0).await?;
+        }
+        let last = site.add_endpoint("desk", "e-last", Behaviour::Answer).await?;
+        assert_eq!(ask(&site, "once", "held").await?.status, 503);
+        assert_eq!(last.runs("held"), 0);
+        Ok(())
+    });
+}
+
+// Guards against crashes that don't count because the next process listens at the address already, or
+// because the answer had begun.
+cases! {losses_of_replaced_endpoints_count {
+    before_the_answer: Behaviour::Close;
+    within_the_answer: Behaviour::Truncate;
+}}
+
+// Guards against holding requests because of endpoints that break answers off and live on.
+#[test]
+fn losses_of_living_endpoints_hold_nothing() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let mut endpoints = Vec::new();
+        for number in 0..4 {
+            let id = format!("e-{number}");
+            endpoints.push(site.add_endpoint("desk", &id, Behaviour::Close).await?);
+        }
+        for number in 0..8 {
+            assert_eq!(ask(&site, "once", &format!("a{number}")).await?.status, 502);
+        }
+        for endpoint in &endpoints {
+            endpoint.set(Behaviour::Answer);
+        }
+        assert_eq!(ask(&site, "once", "last").await?.status, 200);
+        Ok(())
+    });
+}
+
+// Guards against further sends of a request that was admitted before it had crashed three endpoints.
+#[test]
+fn request_is_held_before_its_next_send() {
+    run(async {
+        let plan = RoutingPlan { attempts: 6, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let mut endpoints = Vec::new();
+        for number in 0..8 {
+            let id = format!("e-{number}");
+            endpoints.push(site.add_endpoint("desk", &id, Behaviour::Crash).await?);
+        }
+        // It may have run, so that its client isn't told that it did not.
+        assert_eq!(ask(&site, "read", "a1").await?.status, 502);
+        assert_eq!(endpoints.iter().filter(|e| e.is_dead()).count(), 3);
+        Ok(())
+    });
+}
--- a/tests/suite/state/crash_log.rs
+++ b/tests/suite/state/crash_log.rs
@@ -47,3 +47,58 @@
     }
     assert!(!log.holds(&[7; 16], NOW.after(Duration::from_mins(3))));
 }
+
+fn note_losses(log: &mut CrashLog, endpoints: std::ops::RangeInclusive<u8>, now: Moment) {
+    for endpoint in endpoints {
+        log.note_loss(&crashed(7, endpoint, 5), now);
+    }
+}
+
+// Guards against crashes that are forgotten because the instance reached no other endpoint.
+#[test]
+fn loss_counts_once_its_endpoint_has_ended() {
+    let mut log = CrashLog::new();
+    note_losses(&mut log, 1..=3, NOW);
+    assert!(!log.holds(&[7; 16], NOW));
+    let first = EndpointId::new("e-1").expect("an id");
+    assert_eq!(log.settle(|id, _| *id == first, NOW), vec![(crashed(7, 1, 5), 1)]);
+    assert_eq!(log.settle(|id, _| *id == first, NOW), vec![]);
+    assert_eq!(log.settle(|_, _| true, NOW).len(), 2);
+    assert!(log.holds(&[7; 16], NOW));
+}
+
+// Guards against endpoints that ended long after they lost a request and count as crashed by it.
+#[test]
+fn old_loss_does_not_count() {
+    let mut log = CrashLog::new();
+    note_losses(&mut log, 1..=3, NOW);
+    assert_eq!(log.settle(|_, _| true, NOW.after(Duration::from_secs(31))), vec![]);
+}
+
+// Guards against holding a popular request that ran at several endpoints as they failed together.
+#[test]
+fn request_that_completed_is_not_held_by_one_common_failure() {
+    let mut log = CrashLog::new();
+    log.note_completed(&[7; 16], NOW);
+    let later = |seconds| NOW.after(Duration::from_secs(seconds));
+    for endpoint in 1..=5 {
+        log.note(&crashed(7, endpoint, 5), later(10));
+    }
+    assert!(!log.holds(&[7; 16], later(11)));
+    for (endpoint, seconds) in [(6, 20), (7, 30)] {
+        log.note(&crashed(7, endpoint, 5), later(seconds));
+    }
+    assert!(log.holds(&[7; 16], later(31)));
+}
+
+// Guards against crashes that still count against a request which endpoints complete.
+#[test]
+fn completed_request_is_cleared() {
+    let mut log = CrashLog::new();
+    for endpoint in 1..=2 {
+        log.note(&crashed(7, endpoint, 5), NOW);
+    }
+    log.note_completed(&[7; 16], NOW);
+    log.note(&crashed(7, 3, 5), NOW);
+    assert!(!log.holds(&[7; 16], NOW));
+}
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -162,3 +162,20 @@
     registry.set_versions(registry.provisional_rules(true, later(6_000)));
     assert_eq!([1, 2].map(|n| registry.may_send(&id(n))), [true, true]);
 }
+
+// Guards against crashed endpoints that pass for running until their entries expire, while their
+// successors at the same addresses get requests.
+#[test]
+fn incarnation_ends_with_its_entry_or_successor() {
+    let mut registry = Registry::new();
+    registry.put(&info(1), NOW);
+    registry.put(&info(2), NOW);
+    assert!(!registry.has_ended(&id(1), 5));
+    assert!(registry.has_ended(&id(1), 4));
+    assert!(registry.has_ended(&id(3), 5));
+    registry.put(&EndpointInfo { address: info(1).address, born: 9, ..info(3) }, NOW);
+    assert!(registry.has_ended(&id(1), 5));
+    assert!(!registry.has_ended(&id(3), 9));
+    registry.mark_missing(&id(2), NOW);
+    assert!(!registry.has_ended(&id(2), 5));
+}
