Log the size of configurations, and what fetching from peers takes

`caught_up` said neither how many bytes came nor how long that took, `config` not how large the text is. No behaviour changes.

--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -71,20 +71,23 @@
 /// those instances alone.
 pub async fn catch_up(node: &Node, kind: Kind, scope: SourceScope) -> SyncOutcome {
     let Some((peer, is_local)) = source(node, kind, scope) else { return SyncOutcome::Behind };
-    let is_applied = match kind {
+    let started_at = node.now();
+    let fetched = match kind {
         Kind::Endpoints => sync_endpoints(node, peer).await,
         _ => sync_objects(node, peer, kind).await,
     };
-    match is_applied {
-        Ok(true) => {}
-        Ok(false) => return SyncOutcome::Busy,
+    let bytes = match fetched {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return SyncOutcome::Busy,
         Err(error) => {
             tracing::warn!(event = "catch_up_failed", kind = kind.name(), %peer,
                 error = format!("{error:#}"));
             return SyncOutcome::Behind;
         }
-    }
-    tracing::info!(event = "caught_up", kind = kind.name(), %peer);
+    };
+    node.metrics.fetched_bytes.with_label_values(&[kind.name()]).inc_by(bytes as u64);
+    tracing::info!(event = "caught_up", kind = kind.name(), %peer, bytes,
+        ms = node.now().since(started_at).as_millis());
     if !is_local || lock(&node.tables).fleet.announcement_rounds() > 1 {
         node.heartbeat_due.notify_one();
     }
@@ -111,26 +114,27 @@
     }
 }
 
-/// Fetches and applies what a peer has read of the endpoints beyond this instance; returns false if
-/// the peer is busy.
-async fn sync_endpoints(node: &Node, peer: SocketAddr) -> anyhow::Result<bool> {
+/// Fetches and applies what a peer has read of the endpoints beyond this instance; returns how many
+/// bytes that took, or `None` if the peer is busy.
+async fn sync_endpoints(node: &Node, peer: SocketAddr) -> anyhow::Result<Option<usize>> {
     let state = node.read_state.of(Kind::Endpoints);
     // A missed change is needed soon, and another peer can send it.
     let timeout = if state.is_loaded() { PEER_TIMEOUT } else { TRANSFER_TIMEOUT };
     let path = format!("{ENDPOINTS_PATH}?since={}", state.read());
-    let Some(body) = fetch(peer, &path, timeout).await? else { return Ok(false) };
+    let Some(body) = fetch(peer, &path, timeout).await? else { return Ok(None) };
     let reply = EndpointsReply::decode(&body).context("decode a peer's endpoints")?;
     apply_endpoints_reply(node, reply);
-    Ok(true)
+    Ok(Some(body.len()))
 }
 
-/// Fetches and applies a peer's objects of another kind; returns false if the peer is busy.
-async fn sync_objects(node: &Node, peer: SocketAddr, kind: Kind) -> anyhow::Result<bool> {
+/// Fetches and applies a peer's objects of another kind; returns how many bytes that took, or
+/// `None` if the peer is busy.
+async fn sync_objects(node: &Node, peer: SocketAddr, kind: Kind) -> anyhow::Result<Option<usize>> {
     let path = format!("{OBJECTS_PATH}?kind={}", kind.name());
-    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(false) };
+    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(None) };
     let snapshot = serde_json::from_slice(&body).context("decode a peer's objects")?;
     apply_peer_objects(node, kind, &snapshot)?;
-    Ok(true)
+    Ok(Some(body.len()))
 }
 
 /// Returns a peer's response, or `None` if it is busy.
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -63,6 +63,8 @@
     pub store_call_reasons: IntCounterVec,
     /// Bytes of messages between instances by kind and direction.
     pub peer_bytes: IntCounterVec,
+    /// Bytes that were fetched from peers by kind of object.
+    pub fetched_bytes: IntCounterVec,
     /// Bytes of the store's responses by kind.
     pub store_bytes: IntCounterVec,
     /// Phase of each service's rollout, as a number.
@@ -133,6 +135,11 @@
                 "bytes of messages between instances",
                 &["message", "direction"],
             )?,
+            fetched_bytes: counters(
+                "fetched_bytes_total",
+                "bytes fetched from peers by kind of object",
+                &["kind"],
+            )?,
             store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
             store_calls: counters("store_calls_total", "calls to the store", &["kind", "end"])?,
             store_call_reasons: counters(
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -178,7 +178,8 @@
             event = "config",
             old = current.version,
             new = map.version,
-            routes = map.len()
+            routes = map.len(),
+            bytes = raw.len()
         );
         self.metrics.config.set(i64::try_from(map.version).unwrap_or(i64::MAX));
         *self.raw_map.write().unwrap_or_else(PoisonError::into_inner) = raw;
