Reproduce that a change of a large configuration costs its whole text at each instance

A second instance that depends on its peer fetches 410,598 bytes for 1,400 routes more (text: 359,946), and 410,306 when one route is removed after that.

--- a/crates/nutmeggrade-fakes/src/site/routing.rs
+++ b/crates/nutmeggrade-fakes/src/site/routing.rs
@@ -21,6 +21,8 @@
     pub has_late: bool,
     /// Maximum body size, in bytes.
     pub body_bytes: u64,
+    /// Number of further routes, each on a host of its own.
+    pub further_routes: usize,
 }
 
 impl Default for RoutingPlan {
@@ -33,6 +35,7 @@
             memory: 30_000,
             has_late: false,
             body_bytes: 100_000,
+            further_routes: 0,
         }
     }
 }
@@ -49,6 +52,14 @@
         if self.has_late {
             routes.push(self.route("late", "idempotent", 2, "desk", false));
         }
+        routes.extend((0..self.further_routes).map(|number| {
+            let mut route = self.route("further", "idempotent", 2, "desk", false);
+            // Names of real hosts don't resemble each other.
+            let name = blake3::hash(&number.to_le_bytes()).to_hex();
+            route["name"] = json!(format!("r-{}", &name[..7]));
+            route["host"] = json!(format!("{}.example", &name[7..15]));
+            route
+        }));
         json!({
             "version": self.version,
             "routes": routes,
--- a/tests/suite/relay/supply.rs
+++ b/tests/suite/relay/supply.rs
@@ -1,9 +1,10 @@
 //! How instances get the endpoints of a deployment whose listing takes many pages.
 
 use nutmeggrade_core::peer::EndpointsReply;
-use nutmeggrade_fakes::site::{Entry, RoutingPlan, Store};
+use nutmeggrade_fakes::site::{Entry, Fault, RoutingPlan, Store};
+use nutmeggrade_relay::Instance;
 
-use super::members::{start_member, until_all_have};
+use super::members::{start_member, start_pair, until_all_have};
 use super::site::{get_bytes, metric, start_instance};
 use crate::support::{run, until};
 
@@ -113,3 +114,41 @@
         .await
     });
 }
+
+/// Returns the bytes of configurations that an instance has fetched from its peers.
+async fn fetched_config_bytes(instance: &Instance) -> anyhow::Result<u64> {
+    metric(instance.addresses().metrics, "fetched_bytes_total{kind=\"config\"}").await
+}
+
+/// Checks how many bytes an instance fetches from its peer when a configuration of 1,400 routes
+/// changes. The plans are in force one after the other.
+fn fetched_for_a_change(before: &RoutingPlan, after: &RoutingPlan, max_share: f64) {
+    run(async {
+        let pair = start_pair().await?;
+        let instances = [&pair.first, &pair.other];
+        pair.store.put("config", "main", before.content());
+        until_all_have(instances, "config_version", before.version).await?;
+        // From here on the second instance depends on the first.
+        pair.other_listener.set(Fault::Refuse);
+        pair.store.put("config", "other", serde_json::Value::Null);
+        let fetched = fetched_config_bytes(&pair.other).await?;
+        pair.store.put("config", "main", after.content());
+        until_all_have(instances, "config_version", after.version).await?;
+        let fetched = fetched_config_bytes(&pair.other).await? - fetched;
+        let size = after.content().to_string().len();
+        let share = fetched as f64 / size as f64;
+        assert!(fetched > 0 && share < max_share, "{fetched} bytes of {size}");
+        Ok(())
+    });
+}
+
+fn plan(version: u64, further_routes: usize, timeout_ms: u64) -> RoutingPlan {
+    RoutingPlan { version, further_routes, timeout_ms, ..RoutingPlan::default() }
+}
+
+// Guards against configurations that take the longer to be in force everywhere the larger they are:
+// each instance on the way fetched and sent the whole text.
+cases! {fetched_for_a_change {
+    many_routes_more: &plan(2, 0, 20_000), &plan(3, 1_400, 20_000), 0.25;
+    one_route_less: &plan(2, 1_400, 20_000), &plan(3, 1_399, 20_000), 0.01;
+}}
