Pass configurations on as packed changes

What callers saw: 3.1 and 3.7 s after a configuration with 1,400 more routes was acknowledged, two of 70 instances still served by the version before. Cause: the whole text passed from instance to instance, as a string within JSON: 410 KB for a text of 360 KB, on links of 1.25 MB a second that take one such transfer at a time, for a change of one field too. Class: the cost of handing on a change grows with what is there instead of with what changed, and is paid at each hop. Why it works: a text travels compressed, against the text that the peer names by its hash where the change from that is known, by itself otherwise. Each form is packed once by an instance that reads the store and passed on unchanged. The hash of the base and of the result are checked. Only endpoints have changes that come by themselves, so that the wait for these is left out for other kinds.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod beacon;
+mod config_reply;
 mod content_id;
 mod endpoint_changes;
 mod endpoint_groups;
@@ -9,11 +10,14 @@
 mod fleet_beacon;
 mod fleet_message;
 mod forwarded_request;
+mod packed_text;
 mod suspect;
 mod sync;
+mod text_hash;
 
 pub use assignment::{ASSIGNMENT_KEY, Assignment};
 pub use beacon::{Beacon, Echo, InstanceEntry};
+pub use config_reply::ConfigReply;
 pub use content_id::ContentId;
 pub use endpoint_changes::{EndpointChange, EndpointChanges, EndpointUpdateBatch, EndpointsReply};
 pub use endpoint_groups::EndpointGroups;
@@ -25,5 +29,7 @@
     DomainPart, EndpointCrash, Fingerprint, FleetMessage, FleetOutcomes, InstanceLoad, RateLimits,
 };
 pub use forwarded_request::{FORWARDED_HEADER, ForwardedRequest};
+pub use packed_text::PackedText;
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, SyncTopic};
+pub use text_hash::{TextHash, TextHashError};
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -23,11 +23,11 @@
 use tokio::time::sleep;
 use viz::{Body, Request, RequestExt, Responder, Response, Result as VizResult, Router, Tree};
 
-use crate::fleet_sync::{ENDPOINTS_PATH, OBJECTS_PATH};
+use crate::fleet_sync::{CONFIG_PATH, ENDPOINTS_PATH, OBJECTS_PATH};
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::tables::lock;
-use crate::watch::objects_for_peer;
+use crate::watch::{config_for_peer, objects_for_peer};
 
 /// Timeout of a request's head, also on an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -102,6 +102,7 @@
 
 fn control(node: &Arc<Node>) -> Router {
     let router = add_route(route(node, OBJECTS_PATH, objects), node, ENDPOINTS_PATH, endpoints);
+    let router = add_route(router, node, CONFIG_PATH, config);
     add_route(router, node, ROLLOUTS_PATH, rollouts)
 }
 
@@ -164,6 +165,19 @@
     }
 }
 
+/// Responds with the configuration, as a change of the text that the peer names if that is known.
+fn config(node: &Node, query: &Query) -> Response {
+    let base = query.text.strip_prefix("base=").and_then(|text| text.parse().ok());
+    let encoded = config_for_peer(node, base).and_then(|reply| Ok(reply.encode()?));
+    match encoded {
+        Ok(encoded) => transfer(node, encoded.into()),
+        Err(error) => {
+            tracing::error!(event = "config_unsendable", error = format!("{error:#}"));
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
 /// Responds with the endpoints that changed since a revision, or with all.
 fn endpoints(node: &Node, query: &Query) -> Response {
     let since = query.text.strip_prefix("since=").and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use nutmeggrade_core::peer::{EndpointsReply, Revisions};
+use nutmeggrade_core::peer::{ConfigReply, EndpointsReply, Revisions};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::StoredRollout;
 use nutmeggrade_state::fleet_view::SourceScope;
@@ -17,10 +17,12 @@
 use crate::node::Node;
 use crate::short_call::{CallLimits, short_call};
 use crate::tables::lock;
-use crate::watch::{apply_endpoints_reply, apply_peer_objects};
+use crate::watch::{apply_endpoints_reply, apply_peer_config, apply_peer_objects};
 
 /// Path at which an instance serves the objects that it has read, except endpoints.
 pub const OBJECTS_PATH: &str = "/known";
+/// Path at which an instance serves the configuration that it has read.
+pub const CONFIG_PATH: &str = "/known/config";
 /// Path at which an instance serves the endpoints that it has read.
 pub const ENDPOINTS_PATH: &str = "/known/endpoints";
 /// Timeout of connecting to a peer, and of a short response; peers respond in milliseconds.
@@ -73,8 +75,9 @@
     let Some((peer, is_local)) = source(node, kind, scope) else { return SyncOutcome::Behind };
     let started_at = node.now();
     let fetched = match kind {
+        Kind::Config => sync_config(node, peer).await,
         Kind::Endpoints => sync_endpoints(node, peer).await,
-        _ => sync_objects(node, peer, kind).await,
+        Kind::Evacuations | Kind::Rollouts => sync_objects(node, peer, kind).await,
     };
     let bytes = match fetched {
         Ok(Some(bytes)) => bytes,
@@ -114,6 +117,17 @@
     }
 }
 
+/// Fetches and applies a peer's configuration; returns how many bytes that took, or `None` if the
+/// peer is busy.
+async fn sync_config(node: &Node, peer: SocketAddr) -> anyhow::Result<Option<usize>> {
+    let base = node.config_source().hash().map(|hash| hash.to_string()).unwrap_or_default();
+    let path = format!("{CONFIG_PATH}?base={base}");
+    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(None) };
+    let reply = ConfigReply::decode(&body).context("decode a peer's configuration")?;
+    apply_peer_config(node, reply)?;
+    Ok(Some(body.len()))
+}
+
 /// Fetches and applies what a peer has read of the endpoints beyond this instance; returns how many
 /// bytes that took, or `None` if the peer is busy.
 async fn sync_endpoints(node: &Node, peer: SocketAddr) -> anyhow::Result<Option<usize>> {
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod answer_body;
 mod clock;
+mod config_source;
 mod connect;
 mod engine_call;
 mod engine_watch;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -11,7 +11,6 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use nutmeggrade_core::peer::{FleetMessage, InstanceAddresses, Revisions};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RouteMap;
@@ -25,6 +24,7 @@
 pub use self::crashes::CrashSource;
 use self::supply::EncodedEndpoints;
 use crate::clock::Clock;
+use crate::config_source::ConfigSource;
 use crate::logs::LogBuffer;
 use crate::metrics::Metrics;
 use crate::reach::ReachChecks;
@@ -91,7 +91,7 @@
     pub keyless_workspace: WorkspaceId,
     settings: RwLock<Arc<Settings>>,
     map: RwLock<Arc<RouteMap>>,
-    raw_map: RwLock<Bytes>,
+    config_source: RwLock<Arc<ConfigSource>>,
     phase: watch::Sender<Phase>,
     routing_changes: watch::Sender<u64>,
     tickets: AtomicU64,
@@ -130,7 +130,7 @@
             keyless_workspace: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
             map: RwLock::default(),
-            raw_map: RwLock::default(),
+            config_source: RwLock::default(),
             phase: watch::Sender::new(Phase::Serving),
             routing_changes: watch::Sender::new(0),
             tickets: AtomicU64::new(1),
@@ -160,16 +160,16 @@
         Arc::clone(&self.map.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Returns the routing configuration as the platform wrote it, for peers.
-    pub fn raw_map(&self) -> Bytes {
-        self.raw_map.read().unwrap_or_else(PoisonError::into_inner).clone()
+    /// Returns the text of the routing configuration in force, for peers.
+    pub fn config_source(&self) -> Arc<ConfigSource> {
+        Arc::clone(&self.config_source.read().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Applies a routing configuration unless its version is older or the same; returns whether it
     /// did.
     ///
     /// Responses may arrive out of order, and an instance must never go back to an older version.
-    pub fn set_map(&self, map: RouteMap, raw: Bytes) -> bool {
+    pub fn set_map(&self, map: RouteMap, source: ConfigSource) -> bool {
         let mut current = self.map.write().unwrap_or_else(PoisonError::into_inner);
         if map.version <= current.version {
             return false;
@@ -179,10 +179,10 @@
             old = current.version,
             new = map.version,
             routes = map.len(),
-            bytes = raw.len()
+            bytes = source.text().len()
         );
         self.metrics.config.set(i64::try_from(map.version).unwrap_or(i64::MAX));
-        *self.raw_map.write().unwrap_or_else(PoisonError::into_inner) = raw;
+        *self.config_source.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(source);
         *current = Arc::new(map);
         drop(current);
         self.refresh();
--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -8,8 +8,8 @@
 mod store_calls;
 
 pub use apply::{
-    apply_endpoints_reply, apply_peer_changes, apply_peer_objects, endpoints_since,
-    objects_for_peer,
+    apply_endpoints_reply, apply_peer_changes, apply_peer_config, apply_peer_objects,
+    config_for_peer, endpoints_since, objects_for_peer,
 };
 pub use follower::start;
 pub use read_state::ReadState;
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -3,18 +3,20 @@
 use anyhow::Context;
 use bytes::Bytes;
 use nutmeggrade_core::peer::{
-    EndpointChange, EndpointChanges, EndpointGroups, EndpointUpdateBatch, EndpointsReply,
+    ConfigReply, EndpointChange, EndpointChanges, EndpointGroups, EndpointUpdateBatch,
+    EndpointsReply, PackedText, TextHash,
 };
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::{RolloutNotice, StoredRollout};
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_state::packing;
 use nutmeggrade_state::registry::{Change, Registered, Registry};
 use nutmeggrade_state::rollout::RolloutTable;
 use nutmeggrade_wire::kinds::{CONFIG_NAME, Kind};
 use nutmeggrade_wire::store::{Snapshot, StoredObject};
 use nutmeggrade_wire::{config, endpoint, rollout};
-use serde_json::Value;
 
+use crate::config_source::ConfigSource;
 use crate::fleet_sync::{KindObjects, KindSnapshot};
 use crate::node::Node;
 use crate::tables::lock;
@@ -150,6 +152,38 @@
     EndpointsReply::All { revision: own_revision, lapses, endpoints }
 }
 
+/// Applies the configuration of a peer that has read a higher revision.
+///
+/// # Errors
+///
+/// Fails if the peer's configuration can't be unpacked or read.
+pub fn apply_peer_config(node: &Node, reply: ConfigReply) -> anyhow::Result<()> {
+    let state = node.read_state.of(Kind::Config);
+    if reply.revision <= state.read() {
+        return Ok(());
+    }
+    let own = node.config_source();
+    if own.hash() != Some(reply.text.hash) {
+        let text = Bytes::from(packing::unpack(&reply.text, own.text())?);
+        let map = config::read_text(&text).context("a peer's configuration")?;
+        node.set_map(map, ConfigSource::received(text, reply.text));
+    }
+    state.note(reply.revision, reply.revision);
+    Ok(())
+}
+
+/// Returns the configuration for a peer that has the text with the hash `base`.
+///
+/// # Errors
+///
+/// Fails if the compressor does.
+pub fn config_for_peer(node: &Node, base: Option<TextHash>) -> anyhow::Result<ConfigReply> {
+    // Read before the configuration, which may be newer than this revision but never older.
+    let revision = node.read_state.of(Kind::Config).change_revision();
+    let text = node.config_source().packed_for(base).context("pack the configuration")?;
+    Ok(ConfigReply { revision, text: PackedText::clone(&text) })
+}
+
 /// Applies the objects of a peer that has read a higher revision.
 ///
 /// # Errors
@@ -162,9 +196,9 @@
     }
     match &snapshot.objects {
         KindObjects::Config(config) => {
-            let raw = Bytes::from(config.clone().into_bytes());
-            let value: Value = serde_json::from_slice(&raw).context("a peer's configuration")?;
-            node.set_map(config::read(&value)?, raw);
+            let text = Bytes::from(config.clone().into_bytes());
+            let map = config::read_text(&text).context("a peer's configuration")?;
+            node.set_map(map, ConfigSource::new(text));
         }
         KindObjects::Evacuated(evacuated) => node.set_evacuated(evacuated),
         KindObjects::Rollouts(all) => node.change_rollouts(|table, now| table.replace(all, now)),
@@ -189,7 +223,8 @@
     let Some(object) = newest else { return };
     match config::read(&object.content) {
         Ok(map) => {
-            node.set_map(map, Bytes::from(object.content.to_string()));
+            let source = ConfigSource::new(Bytes::from(object.content.to_string()));
+            node.set_map(map, source.with_previous(&node.config_source()));
         }
         Err(error) => tracing::error!(event = "config_unreadable", error = format!("{error:#}")),
     }
@@ -280,7 +315,10 @@
     // Read before the objects, which may be newer than this revision but never older.
     let revision = node.read_state.of(kind).change_revision();
     let objects = match kind {
-        Kind::Config => KindObjects::Config(String::from_utf8_lossy(&node.raw_map()).into_owned()),
+        Kind::Config => {
+            let source = node.config_source();
+            KindObjects::Config(String::from_utf8_lossy(source.text()).into_owned())
+        }
         Kind::Endpoints => return None,
         Kind::Evacuations => KindObjects::Evacuated(lock(&node.tables).registry.out().clone()),
         Kind::Rollouts => KindObjects::Rollouts(lock(&node.tables).rollouts.stored()),
--- a/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
@@ -136,11 +136,11 @@
     }
 
     /// Waits until a peer is ahead, or until this instance may have become a reader. A peer's
-    /// changes mostly arrive with its heartbeat; only missing ones are requested.
+    /// changes of endpoints mostly arrive with its heartbeat; only missing ones are requested.
     pub(super) async fn await_peer_changes(&self) {
+        let wait = if self.kind == Kind::Endpoints { PEER_CHANGES_WAIT } else { Duration::ZERO };
         tokio::select! {
-            () = self.node.read_state.of(self.kind).peer_ahead.notified() =>
-                sleep(PEER_CHANGES_WAIT).await,
+            () = self.node.read_state.of(self.kind).peer_ahead.notified() => sleep(wait).await,
             () = sleep(ROLE_CHECK_INTERVAL) => {}
         }
     }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod order_table;
 pub mod orphans;
 pub mod own_intents;
+pub mod packing;
 pub mod reach_table;
 pub mod read_range;
 pub mod recent_changes;
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -14,6 +14,7 @@
 mod intent;
 mod large_fleet;
 mod membership;
+mod packing;
 mod read_range;
 mod registry;
 mod rollouts;
