--- a/crates/nutmeggrade-core/src/routing/endpoint_info.rs
+++ b/crates/nutmeggrade-core/src/routing/endpoint_info.rs
@@ -33,3 +33,10 @@
     /// Start time in Unix milliseconds; distinguishes restarts under the same id.
     pub born: u64,
 }
+
+impl EndpointInfo {
+    /// Returns the software version for logs.
+    pub fn version_name(&self) -> &str {
+        self.version.as_ref().map_or("-", VersionId::as_str)
+    }
+}
--- a/crates/nutmeggrade-relay/src/node/endpoints.rs
+++ b/crates/nutmeggrade-relay/src/node/endpoints.rs
@@ -175,7 +175,7 @@
     for change in changes {
         match change {
             Change::Joined(e) => {
-                let version = e.version.as_ref().map_or("-", VersionId::as_str);
+                let version = e.version_name();
                 tracing::info!(event = "endpoint_joined", endpoint = %e.id, service = %e.service,
                     version, domain = %e.domain, cold_ms = e.cold_left.as_millis());
             }
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -145,6 +145,7 @@
         prompt: parsed.prompt,
         fingerprint,
         position: parsed.position,
+        resumes: parsed.resumes,
         arrived_at,
         deadline,
         route,
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -45,6 +45,8 @@
     pub prompt: Option<Prompt>,
     /// The last event that the client has received.
     pub position: Option<EventPosition>,
+    /// The attempt that brought the first event of the stream that the client resumes.
+    pub resumes: Option<RequestId>,
     /// When the request arrived.
     pub arrived_at: Moment,
     /// When the timeout of the client or the route ends.
--- a/crates/nutmeggrade-relay/src/relay/reservation.rs
+++ b/crates/nutmeggrade-relay/src/relay/reservation.rs
@@ -109,9 +109,9 @@
     waited: Duration,
 ) {
     let load = lock(&node.tables).dispatcher.load_table.load(endpoint);
-    let version =
-        reservation.and_then(|r| r.endpoint.version.as_ref()).map_or("-", VersionId::as_str);
-    tracing::info!(event = "placed", request = %request.id, endpoint = %endpoint, version,
+    let version = reservation.map_or("-", |r| r.endpoint.version_name());
+    let resumes = request.resumes.as_ref().map_or("-", RequestId::as_str);
+    tracing::info!(event = "placed", request = %request.id, endpoint = %endpoint, version, resumes,
         canary = dispatch_request.is_canary, waited_ms = waited.as_millis(),
         requests = load.requests, memory = load.memory, prompt = dispatch_request.prompt,
         config = node.map().version, endpoints = node.revisions().endpoints);
--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -25,6 +25,8 @@
     stream.node.metrics.moves.with_label_values(&["moved"]).inc();
     tracing::info!(event = "moved", request = %stream.request.id,
         from = %stream.reservation.endpoint.id, to = %generation.reservation.endpoint.id,
+        from_version = stream.reservation.endpoint.version_name(),
+        to_version = generation.reservation.endpoint.version_name(),
         events = stream.splitter.passed(), made = generation.events);
     Some((upstream, generation.reservation))
 }
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -88,7 +88,8 @@
     async fn recover(&mut self, reason: &str) -> Option<TransferEnd> {
         let endpoint = self.reservation.endpoint.clone();
         tracing::info!(event = "stream_broke", request = %self.request.id,
-            endpoint = %endpoint.id, events = self.splitter.passed(),
+            endpoint = %endpoint.id, version = endpoint.version_name(),
+            events = self.splitter.passed(),
             framing = self.framing.as_str(), partial = self.run_end.partial_bytes, why = reason);
         self.attempt.lost();
         let reach = reach::check(&self.node, &endpoint).await;
