--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -25,6 +25,7 @@
 mod store;
 mod streams;
 mod supply;
+mod versions;
 
 use nutmeggrade_fakes::site::{Answer, RawClient};
 use site::Site;
--- /dev/null
+++ b/tests/suite/relay/versions.rs
@@ -0,0 +1,124 @@
+//! Streams of engines that serve side by side in several software versions.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{
+    Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, request,
+};
+
+use super::PROMPT_HEADERS;
+use super::members::{Pair, start_pair, until_all_have};
+use super::site::{Site, start_generation};
+use super::streams::events;
+use crate::support::{run, until};
+
+const STREAM: Behaviour = Behaviour::Stream { events: 80, pause: Duration::from_millis(10) };
+
+/// Starts engines with these versions beside the first one, and waits until the instance lists them.
+async fn add_engines(site: &Site, versions: &[&str]) -> anyhow::Result<Vec<Endpoint>> {
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let id = format!("other-{number}");
+        engines.push(site.add_versioned_endpoint("writers", &id, version, STREAM).await?);
+    }
+    site.until_metric("endpoints", versions.len() as u64 + 1).await?;
+    Ok(engines)
+}
+
+/// Returns the versions of the engines that got a request.
+fn versions_of<'a>(engines: &[Endpoint], versions: &[&'a str], id: &str) -> Vec<&'a str> {
+    let got = |engine: &Endpoint| engine.seen().iter().any(|seen| seen.id() == id);
+    engines.iter().zip(versions).filter(|(engine, _)| got(engine)).map(|(_, v)| *v).collect()
+}
+
+/// Kills the engine of a stream beside engines of these versions; checks that the stream goes on at its
+/// own version or nowhere.
+fn goes_on_after_a_crash(versions: &'static [&'static str], goes_on: bool) {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let first = site.add_endpoint("writers", "e-1", STREAM).await?;
+        let mut client = start_generation(site.client(), "sort", "a1", &first).await?;
+        until("events are sent", async || Ok(site.generations.max_generated_events() > 5)).await?;
+        let others = add_engines(&site, versions).await?;
+        first.kill();
+        let answer = client.answer().await?;
+        assert_eq!(answer.is_whole, goes_on);
+        let expected: &[&str] = if goes_on { &["v1"] } else { &[] };
+        assert_eq!(versions_of(&others, versions, "a1"), expected);
+        Ok(())
+    });
+}
+
+// Guards against answers that hold events of two software versions, whose texts don't fit together.
+cases! {goes_on_after_a_crash {
+    without_its_version: &["v2", "v2"], false;
+}}
+
+/// Lets the engine of a stream leave beside engines of these versions; checks that the stream moves to
+/// its own version or stays.
+fn moves_from_a_leaving_engine(versions: &'static [&'static str], moves: bool) {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let first = site.add_endpoint("writers", "e-1", STREAM).await?;
+        let mut client = start_generation(site.client(), "draft", "a1", &first).await?;
+        let others = add_engines(&site, versions).await?;
+        let entry = Entry::new("writers", first.address).with_leaving(true);
+        site.store.put("servers", "e-1", entry.content());
+        let answer = client.answer().await?;
+        assert!(answer.is_whole);
+        assert_eq!(events(&answer.message.body), (1..=80).collect::<Vec<u64>>());
+        let expected: &[&str] = if moves { &["v1"] } else { &[] };
+        assert_eq!(versions_of(&others, versions, "a1"), expected);
+        Ok(())
+    });
+}
+
+// Guards against generations that are moved to another software version.
+cases! {moves_from_a_leaving_engine {
+    without_its_version: &["v2", "v2"], false;
+}}
+
+/// Starts engines with these versions and waits until both instances list them.
+async fn add_to_pair(pair: &Pair, versions: &[&str]) -> anyhow::Result<Vec<Endpoint>> {
+    let generations = Generations::default();
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let id = format!("e-{number}");
+        let engine = Endpoint::start(&id, STREAM, &generations).await?;
+        let entry = Entry::new("writers", engine.address).with_version(version);
+        pair.store.put("servers", &id, entry.content());
+        engines.push(engine);
+    }
+    until_all_have([&pair.first, &pair.other], "endpoints", versions.len() as u64).await?;
+    Ok(engines)
+}
+
+/// Headers of a request that takes up the stream of an attempt behind the second event.
+fn taking_up(attempt: &str) -> String {
+    format!("{PROMPT_HEADERS}Last-Event-Id: 2\r\nResumes: {attempt}\r\n")
+}
+
+// Guards against streams that clients take up at another instance, which go on at another software
+// version than the one that began them.
+#[test]
+fn stream_that_is_taken_up_elsewhere_keeps_its_version() {
+    run(async {
+        let versions = ["v1", "v2", "v3"];
+        let pair = start_pair().await?;
+        let engines = add_to_pair(&pair, &versions).await?;
+        for number in 0..12 {
+            let (begun, taken_up) = (format!("a{number}"), format!("b{number}"));
+            let mut client = RawClient::connect(pair.first.addresses().client).await?;
+            client.send(&request("sort", &begun, "key-1", PROMPT_HEADERS)).await?;
+            client.read_at_least(300).await?;
+            drop(client);
+            let address = pair.other.addresses().client;
+            let answer = RawClient::ask(address, "sort", &taken_up, &taking_up(&begun)).await?;
+            assert_eq!(answer.status, 200, "{number}");
+            assert_eq!(events(&answer.message.body), (3..=80).collect::<Vec<u64>>());
+            let version = versions_of(&engines, &versions, &begun);
+            assert_eq!(versions_of(&engines, &versions, &taken_up), version, "{number}");
+        }
+        Ok(())
+    });
+}
