Let a stream go on only at the version that began it

Cause: placement doesn't know versions. A run that resumes within an answer, and a generation that is moved, go to the best engine of the service. Class: state that is bound to where it was made is treated as if any member of the group could take it over. Why it works: a request may be bound to a version; every comparison of endpoints, the queue and the refusal leave out the others. A stream that finds none ends where it is, or is broken off.

--- a/crates/nutmeggrade-fakes/src/rollout/instance.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/instance.rs
@@ -127,7 +127,7 @@
             slots: info.slots,
             running: Endpoints::number(&info.id).map_or(0, |number| endpoints.running[number]),
             own: 0,
-            is_movable: plan.is_stream,
+            is_engine: plan.is_stream,
         };
         let is_counted = |at: &Option<Moment>| {
             at.is_some_and(|at| at >= *since && now.since(at) <= PEER_TIMEOUT)
@@ -141,7 +141,7 @@
             phase: view.phase,
             tally: view.tally,
             capacity: service_load.capacity,
-            movable: service_load.movable,
+            generations: service_load.generations,
             has_quorum: heard * 2 > 1 + members.len(),
             is_clear: self.table.is_clear(&self.service, self.running, members.into_iter()),
         };
--- a/crates/nutmeggrade-fakes/src/rollout/plan.rs
+++ b/crates/nutmeggrade-fakes/src/rollout/plan.rs
@@ -63,7 +63,7 @@
     pub slots: u32,
     /// Requests per second.
     pub rate: f64,
-    /// Whether responses are long streams that can move to another endpoint.
+    /// Whether responses are long streams.
     pub is_stream: bool,
     /// Time within which the rollout must be decided.
     pub duration: Duration,
--- a/crates/nutmeggrade-policy/src/dispatch/candidate.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/candidate.rs
@@ -11,6 +11,8 @@
     pub id: EndpointId,
     /// Failure domain.
     pub domain: DomainId,
+    /// Software version, if it states one.
+    pub version: Option<VersionId>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Capacity of its key/value cache in tokens, if it is an engine.
--- a/crates/nutmeggrade-policy/src/dispatch/candidate_pool.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/candidate_pool.rs
@@ -97,6 +97,15 @@
         sample
     }
 
+    /// Returns the endpoints to compare for a request that only one version may run: all of these, or
+    /// a random sample of many.
+    pub fn sample_version(&self, version: &VersionId, rng: &mut ChaCha8Rng) -> Vec<&Candidate> {
+        let has_version = |c: &&Candidate| c.version.as_ref() == Some(version);
+        let all: Vec<&Candidate> = self.iter().filter(has_version).collect();
+        let chosen = index::sample(rng, all.len(), all.len().min(MAX_COMPARED));
+        chosen.into_iter().map(|i| all[i]).collect()
+    }
+
     /// Returns the endpoints to compare after none of the first sample had room; none in a pool
     /// that was compared completely.
     pub fn wide_sample(&self, rng: &mut ChaCha8Rng) -> Vec<&Candidate> {
--- a/crates/nutmeggrade-policy/src/dispatch/comparison.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/comparison.rs
@@ -39,7 +39,7 @@
         let is_available =
             |c: &&Candidate| !self.load_table.health(&c.id).is_some_and(|h| h.is_paused(self.now));
         let mut open = candidates;
-        open.retain(|c| !self.request.avoid.contains(&c.id));
+        open.retain(|c| self.request.allows(c));
         let usable: Vec<&Candidate> = open.iter().copied().filter(is_available).collect();
         // A paused endpoint is better than none.
         let usable = if usable.is_empty() { open } else { usable };
--- a/crates/nutmeggrade-policy/src/dispatch/dispatch_request.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatch_request.rs
@@ -4,6 +4,7 @@
 
 use nutmeggrade_core::prelude::*;
 
+use super::Candidate;
 use crate::Ticket;
 use crate::queue::Queued;
 
@@ -28,10 +29,26 @@
     pub start_deadline: Moment,
     /// Failure domain that its memory is copied from, if it continues on another endpoint.
     pub from: Option<DomainId>,
+    /// The only version that may run it, because a stream began there.
+    pub version: Option<VersionId>,
     /// Whether the request is selected for a new version, provided that this has room.
     pub is_canary: bool,
 }
 
+impl DispatchRequest {
+    /// Returns whether an endpoint may run the request: it has not failed it, and has the version that
+    /// its stream began at.
+    pub fn allows(&self, candidate: &Candidate) -> bool {
+        !self.avoid.contains(&candidate.id)
+            && (self.version.is_none() || self.version == candidate.version)
+    }
+
+    /// Returns whether some endpoints may not run the request.
+    pub fn is_restricted(&self) -> bool {
+        !self.avoid.is_empty() || self.version.is_some()
+    }
+}
+
 impl Queued for DispatchRequest {
     fn ticket(&self) -> Ticket {
         self.ticket
--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -224,11 +224,12 @@
 
     /// Lists the endpoints that could run the request if they had no other load.
     fn able<'a>(&'a self, request: &'a DispatchRequest) -> impl Iterator<Item = &'a Candidate> {
-        let can_run = |c: &&Candidate| {
-            !request.avoid.contains(&c.id) && c.memory.is_none_or(|m| request.memory <= m)
-        };
-        let pool = self.pools.get(&request.service, false);
-        pool.into_iter().flat_map(CandidatePool::iter).filter(can_run)
+        let can_run =
+            |c: &&Candidate| request.allows(c) && c.memory.is_none_or(|m| request.memory <= m);
+        let regular = self.pools.get(&request.service, false);
+        // A stream that began at a new version goes on there.
+        let canaries = self.pools.get(&request.service, true).filter(|_| request.version.is_some());
+        regular.into_iter().chain(canaries).flat_map(CandidatePool::iter).filter(can_run)
     }
 
     /// Returns the time until the next turn at an endpoint that could run the request, and the turns
@@ -253,17 +254,18 @@
             if let Some(endpoint) = self.choose(&request, now) {
                 return Some((request, endpoint));
             }
-            if request.avoid.is_empty() {
+            if !request.is_restricted() {
                 rejected.push(request);
             }
         }
         None
     }
 
-    /// Selects among the endpoints of a new version if the request is selected for it. Otherwise,
-    /// or if none of them has room, selects among all others.
+    /// Selects among the endpoints of a new version if the request is selected for it or may run at
+    /// one version only. Otherwise, or if none of them has room, selects among all others.
     fn choose(&mut self, request: &DispatchRequest, now: Moment) -> Option<EndpointId> {
-        let canary = if request.is_canary { self.choose_among(request, true, now) } else { None };
+        let includes_canaries = request.is_canary || request.version.is_some();
+        let canary = if includes_canaries { self.choose_among(request, true, now) } else { None };
         canary.or_else(|| self.choose_among(request, false, now))
     }
 
@@ -274,12 +276,15 @@
         now: Moment,
     ) -> Option<EndpointId> {
         let pool = self.pools.get(&request.service, is_canary)?;
-        let sample = pool.sample(request.from.as_ref().unwrap_or(&self.domain), &mut self.rng);
+        let sample = match &request.version {
+            Some(version) => pool.sample_version(version, &mut self.rng),
+            None => pool.sample(request.from.as_ref().unwrap_or(&self.domain), &mut self.rng),
+        };
         self.compared += sample.len() as u64;
         let comparison =
             Comparison { load_table: &self.load_table, domain: &self.domain, request, now };
         let best = comparison.best(sample, &mut self.rng);
-        if best.is_some() {
+        if best.is_some() || request.version.is_some() {
             return best.map(|c| c.id.clone());
         }
         let sample = pool.wide_sample(&mut self.rng);
@@ -293,7 +298,7 @@
 /// most of the time under load.
 fn needs_as_much(request: &DispatchRequest, smaller: &DispatchRequest) -> bool {
     !request.is_canary
-        && request.avoid.is_empty()
+        && !request.is_restricted()
         && request.memory >= smaller.memory
         && request.prompt >= smaller.prompt
 }
--- a/crates/nutmeggrade-policy/src/rollout/inputs.rs
+++ b/crates/nutmeggrade-policy/src/rollout/inputs.rs
@@ -32,8 +32,8 @@
     pub tally: RolloutTally,
     /// Capacity of the endpoints.
     pub capacity: Capacity,
-    /// Generations at other versions that have to move before these may stop.
-    pub movable: u32,
+    /// Generations at other versions, which have to end before these may stop.
+    pub generations: u32,
     /// Whether a majority of the instances heard from in the last 30 seconds is still heard from.
     /// In a network partition each side has a deciding instance, and only the larger side may
     /// proceed.
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -70,6 +70,7 @@
             avoid: std::collections::BTreeSet::new(),
             start_deadline: self.arrived_at.after(self.route.target.mul_f64(FRESH_SHARE)),
             from: None,
+            version: None,
             is_canary: false,
         }
     }
--- a/crates/nutmeggrade-relay/src/relay/migration.rs
+++ b/crates/nutmeggrade-relay/src/relay/migration.rs
@@ -88,6 +88,7 @@
             stream.request.dispatch_request(stream.node.ticket(), &stream.node.keyless_workspace);
         dispatch_request.avoid.insert(source.id.clone());
         dispatch_request.from = Some(source.domain.clone());
+        dispatch_request.version.clone_from(&source.version);
         dispatch_request.memory = dispatch_request.memory.max(memory);
         dispatch_request.prompt = 0;
         let task = MigrationTask {
--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -33,7 +33,8 @@
 
 /// Runs the request again from the last forwarded event, on routes that allow it.
 ///
-/// Only endpoints of a resumable route start after that event. A second run of a request that is
+/// Only endpoints of the version that began the stream are used: what two versions write doesn't fit
+/// together. Only those of a resumable route start after that event. A second run of a request that is
 /// merely idempotent would be appended to the start of the first one, and the client would take
 /// both for one response.
 pub async fn run_again(stream: &mut EventStream) -> Option<(UpstreamBody, Reservation)> {
@@ -46,6 +47,7 @@
     let mut dispatch_request =
         stream.request.dispatch_request(stream.node.ticket(), &stream.node.keyless_workspace);
     dispatch_request.avoid.insert(stream.reservation.endpoint.id.clone());
+    dispatch_request.version.clone_from(&stream.reservation.endpoint.version);
     let reservation =
         reservation::reserve(&stream.node, &stream.request, &dispatch_request).await.ok()?;
     stream.attempt.send();
--- a/crates/nutmeggrade-relay/src/rollouts/judging.rs
+++ b/crates/nutmeggrade-relay/src/rollouts/judging.rs
@@ -72,7 +72,7 @@
             phase: view.phase,
             tally: view.tally,
             capacity: service_load.capacity,
-            movable: service_load.movable,
+            generations: service_load.generations,
             has_quorum: tables.fleet.has_quorum(since, now),
             is_clear: tables.rollouts.is_clear(service, service_load.own_running, members.iter()),
         };
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -186,7 +186,7 @@
             slots: engine.map_or(info.slots, |e| e.slots),
             running: load_table.load(&info.id).requests,
             own: load_table.own_loads().get(&info.id).map_or(0, |p| p.requests),
-            is_movable: engine.is_some_and(|e| e.can_move),
+            is_engine: engine.is_some(),
         };
         ServiceLoad::new(&self.registry, (service, version), load, now)
     }
--- a/crates/nutmeggrade-relay/src/tables/candidates.rs
+++ b/crates/nutmeggrade-relay/src/tables/candidates.rs
@@ -128,6 +128,7 @@
     Candidate {
         id: entry.info.id.clone(),
         domain: entry.info.domain.clone(),
+        version: entry.info.version.clone(),
         slots,
         memory: spec.engine.map(|e| e.memory),
         cold_left: None,
--- a/crates/nutmeggrade-state/src/rollout/service_load.rs
+++ b/crates/nutmeggrade-state/src/rollout/service_load.rs
@@ -15,8 +15,8 @@
     pub running: u32,
     /// Number of requests of this instance at the endpoint.
     pub own: u32,
-    /// Whether its running work can move.
-    pub is_movable: bool,
+    /// Whether it is an engine, whose requests are generations.
+    pub is_engine: bool,
 }
 
 /// Load of the endpoints of a service during a rollout.
@@ -26,8 +26,8 @@
     pub capacity: Capacity,
     /// Number of requests of this instance at other versions.
     pub own_running: u32,
-    /// Number of generations at other versions that have to move.
-    pub movable: u32,
+    /// Number of generations at other versions, which have to end there.
+    pub generations: u32,
 }
 
 impl ServiceLoad {
@@ -40,7 +40,7 @@
     ) -> Self {
         let mut sums = Self::default();
         for entry in registry.all().filter(|e| e.info.service == *service) {
-            let EndpointLoad { slots, running, own, is_movable } = load(&entry.info);
+            let EndpointLoad { slots, running, own, is_engine } = load(&entry.info);
             let is_open = registry.is_open(entry);
             let capacity = &mut sums.capacity;
             capacity.running += running;
@@ -51,7 +51,7 @@
                 capacity.has_old = true;
                 capacity.old_slots += if is_open { slots } else { 0 };
                 sums.own_running += own;
-                sums.movable += if is_movable { running } else { 0 };
+                sums.generations += if is_engine { running } else { 0 };
             }
         }
         sums
--- a/tests/suite/policy/dispatch.rs
+++ b/tests/suite/policy/dispatch.rs
@@ -26,6 +26,7 @@
     Candidate {
         id: endpoint(number),
         domain: domain("near"),
+        version: None,
         slots: 24,
         memory: Some(30_000),
         cold_left: None,
@@ -55,6 +56,7 @@
         avoid: BTreeSet::new(),
         start_deadline: Moment::from_millis(3_600_000),
         from: None,
+        version: None,
         is_canary: false,
     }
 }
--- a/tests/suite/relay/versions.rs
+++ b/tests/suite/relay/versions.rs
@@ -51,6 +51,7 @@
 
 // Guards against answers that hold events of two software versions, whose texts don't fit together.
 cases! {goes_on_after_a_crash {
+    at_its_version: &["v2", "v2", "v1", "v2"], true;
     without_its_version: &["v2", "v2"], false;
 }}
 
@@ -75,6 +76,7 @@
 
 // Guards against generations that are moved to another software version.
 cases! {moves_from_a_leaving_engine {
+    to_its_version: &["v2", "v2", "v1", "v2"], true;
     without_its_version: &["v2", "v2"], false;
 }}
 
