Let clients take streams up only at the version that began them

Cause: no instance looked up where the stream began; a request with a position was placed like a new one. Evidence: relay::versions::stream_that_is_taken_up_elsewhere_keeps_its_version was red in the first or second of twelve take-ups. Why it works: the instance that passes a stream's first event on tells two peers, chosen by the stream's key and in two failure domains, at which version it began, and again each minute while it runs; whoever gets a request that names the attempt asks the four that should know, unless it does itself. The key holds the workspace. Where nobody knows, the only version that the service has had within two minutes counts; if there were several, or the version has no endpoint left, the request is refused at once as not run (3011), so that the client may begin again.

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -107,6 +107,8 @@
     CrashHeld = 3009, "crash_held", 503;
     /// This instance can't connect to the service's endpoints, and no peer could serve the request.
     CutOff = 3010, "cut_off", 503;
+    /// The version that began the stream is unknown or no longer serves; the client may begin again.
+    StreamEnded = 3011, "stream_ended", 503;
     /// The platform was unreachable, so the call was not started.
     PlatformDown = 4001, "platform_down", 503;
     /// This instance is shutting down; use another instance.
--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -11,6 +11,8 @@
 mod fleet_message;
 mod forwarded_request;
 mod packed_text;
+mod stream_key;
+mod stream_version;
 mod suspect;
 mod sync;
 mod text_hash;
@@ -30,6 +32,8 @@
 };
 pub use forwarded_request::{FORWARDED_HEADER, ForwardedRequest};
 pub use packed_text::PackedText;
+pub use stream_key::StreamKey;
+pub use stream_version::StreamVersion;
 pub use suspect::{Crash, PromptHash, Suspect};
 pub use sync::{SYNC_PATH, SyncReply, SyncRequest, SyncTopic};
 pub use text_hash::{TextHash, TextHashError};
--- a/crates/nutmeggrade-core/src/peer/fleet_message.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Contacts, EndpointUpdateBatch, FleetBeacon};
+use super::{Contacts, EndpointUpdateBatch, FleetBeacon, StreamVersion};
 use crate::id::{DomainId, EndpointId, InstanceId};
 use crate::rollout::{RolloutNotice, RolloutReport};
 use crate::routing::{PlacedLoad, RateLimit};
@@ -70,6 +70,8 @@
     Rollout(RolloutNotice),
     /// The sender's counts of a rollout, for the instances that evaluate it.
     RolloutReport(RolloutReport),
+    /// Versions at which streams began, for the instances that know of them.
+    Streams(Vec<StreamVersion>),
     /// Heartbeat addresses of other instances, for a newly started instance.
     Met(Contacts),
     /// A message that the receiver forwards to a part of its own failure domain.
@@ -100,6 +102,7 @@
             Self::RateLimits(_) => "rate_limits",
             Self::Rollout(_) => "rollout",
             Self::RolloutReport(_) => "rollout_report",
+            Self::Streams(_) => "streams",
             Self::Met(_) => "met",
             Self::HandOn(message, _) => message.name(),
         }
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmeggrade_core::prelude::ServiceId;
 use nutmeggrade_core::rollout::{ROLLOUTS_PATH, RolloutStatus};
 use nutmeggrade_policy::fleet::client_part;
 use nutmeggrade_state::rollout::RolloutView;
@@ -26,6 +27,7 @@
 use crate::fleet_sync::{CONFIG_PATH, ENDPOINTS_PATH, OBJECTS_PATH};
 use crate::node::Node;
 use crate::settings::Settings;
+use crate::stream_origin::{self, STREAM_PATH, StreamOrigin};
 use crate::tables::lock;
 use crate::watch::{config_for_peer, objects_for_peer};
 
@@ -103,6 +105,7 @@
 fn control(node: &Arc<Node>) -> Router {
     let router = add_route(route(node, OBJECTS_PATH, objects), node, ENDPOINTS_PATH, endpoints);
     let router = add_route(router, node, CONFIG_PATH, config);
+    let router = add_route(router, node, STREAM_PATH, stream);
     add_route(router, node, ROLLOUTS_PATH, rollouts)
 }
 
@@ -178,6 +181,22 @@
     }
 }
 
+/// Responds with what this instance knows of where a stream began.
+fn stream(node: &Node, query: &Query) -> Response {
+    let parts = query.text.strip_prefix("key=").and_then(|text| text.split_once("&service="));
+    let Some((key, service)) = parts else { return respond(StatusCode::BAD_REQUEST, Vec::new()) };
+    let (Ok(key), Ok(service)) = (key.parse(), ServiceId::new(service)) else {
+        return respond(StatusCode::BAD_REQUEST, Vec::new());
+    };
+    match stream_origin::local(node, Some(key), &service) {
+        StreamOrigin::Version(version) => {
+            respond(StatusCode::OK, version.as_str().as_bytes().to_vec())
+        }
+        StreamOrigin::Only(_) => respond(StatusCode::NOT_FOUND, Vec::new()),
+        StreamOrigin::Ambiguous => respond(StatusCode::CONFLICT, Vec::new()),
+    }
+}
+
 /// Responds with the endpoints that changed since a revision, or with all.
 fn endpoints(node: &Node, query: &Query) -> Response {
     let since = query.text.strip_prefix("since=").and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -98,6 +98,7 @@
         tasks.push(tokio::spawn(send_outbox(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(send_placements(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(send_failures(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(send_streams(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(forward_placements(Arc::clone(&node), Arc::clone(&peers))));
         tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
@@ -189,6 +190,10 @@
     peers.forward_placements(&node).await;
 }
 
+async fn send_streams(node: Arc<Node>, peers: Arc<Peers>) {
+    peers.send_streams(&node).await;
+}
+
 async fn send_failures(node: Arc<Node>, peers: Arc<Peers>) {
     peers.send_failures(&node).await;
 }
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod server;
 mod settings;
 mod short_call;
+mod stream_origin;
 mod tables;
 mod ticker;
 mod watch;
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -5,6 +5,7 @@
 
 mod inbox;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,7 +13,8 @@
 
 use anyhow::Context;
 use nutmeggrade_core::peer::{
-    DomainPart, FleetBeacon, FleetMessage, FleetOutcomes, InstanceLoad, Introduction, open, seal,
+    DomainPart, FleetBeacon, FleetMessage, FleetOutcomes, InstanceLoad, Introduction,
+    StreamVersion, open, seal,
 };
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::fleet_view::{
@@ -38,6 +40,13 @@
 /// batched. It limits the datagrams per second, which would otherwise take most of an instance's
 /// processor time in a large fleet.
 const FORWARD_PAUSE_PER_DATAGRAM: Duration = Duration::from_millis(1);
+/// Number of peers that know of a stream beside the instance that serves it.
+const STREAM_KEEPERS: usize = 2;
+/// Minimum interval between two messages about streams. A client takes a stream up some milliseconds
+/// after its first event at the earliest.
+const STREAMS_INTERVAL: Duration = Duration::from_millis(5);
+/// Streams per datagram, some 50 bytes each.
+const STREAMS_PER_DATAGRAM: usize = 100;
 /// Largest datagram that is received; heartbeats stay far below.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Key of the checksum. The platform gives instances no secret, so the checksum only detects damage
@@ -170,6 +179,28 @@
         }
     }
 
+    /// Tells peers at which versions streams began that clients may take up.
+    pub async fn send_streams(&self, node: &Arc<Node>) {
+        loop {
+            let streams = node.begun_streams.take().await;
+            let mut by_peer: BTreeMap<SocketAddr, Vec<StreamVersion>> = BTreeMap::new();
+            for began in streams {
+                let now = node.now();
+                let keepers =
+                    lock(&node.tables).fleet.stream_keepers(began.stream, STREAM_KEEPERS, now);
+                for keeper in keepers {
+                    by_peer.entry(keeper.beacon).or_default().push(began.clone());
+                }
+            }
+            for (peer, streams) in by_peer {
+                for batch in streams.chunks(STREAMS_PER_DATAGRAM) {
+                    self.send_to(node, &FleetMessage::Streams(batch.to_vec()), &[peer]).await;
+                }
+            }
+            sleep(STREAMS_INTERVAL).await;
+        }
+    }
+
     /// Forwards other instances' placements to neighbours.
     pub async fn forward_placements(&self, node: &Arc<Node>) {
         loop {
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -24,6 +24,7 @@
         FleetMessage::Gone(endpoints) => node.note_unreachable(&endpoints),
         FleetMessage::Met(contacts) => lock(&node.tables).fleet.add_contacts(&contacts, node.now()),
         FleetMessage::Crashed(crash) => node.note_crash(&crash, CrashSource::Peer),
+        FleetMessage::Streams(streams) => streams.iter().for_each(|s| node.note_stream(s)),
         FleetMessage::Outcomes(outcomes) => node.add_peer_outcomes(&outcomes),
         FleetMessage::RateLimits(limits) => node.note_peer_limits(&limits),
         FleetMessage::Rollout(notice) => node.apply_rollout_notices(vec![notice]),
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -18,6 +18,7 @@
 mod resume;
 mod shutdown;
 mod stream;
+mod taking_up;
 mod transfer_end;
 mod upstream;
 
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use nutmeggrade_core::peer::Fingerprint;
+use nutmeggrade_core::peer::{Fingerprint, StreamKey};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EventPosition, Prompt, Route};
 use nutmeggrade_policy::Ticket;
@@ -80,6 +80,13 @@
         self.prompt.as_ref().map(|_| self.priority.min(LOWEST_ENGINE_PRIORITY))
     }
 
+    /// Returns the key of the stream that the request begins or takes up; `None` if the client doesn't
+    /// say which one it takes up.
+    pub fn stream_key(&self) -> Option<StreamKey> {
+        let attempt = if self.position.is_some() { self.resumes.as_ref()? } else { &self.id };
+        Some(StreamKey::new(self.workspace.as_ref(), attempt))
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: Moment) -> Duration {
         self.deadline.since(now)
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -52,7 +52,8 @@
     pub request: ClientRequest,
     /// Tracks the sends and whether the request may have run.
     pub attempt: Attempt,
-    dispatch_request: DispatchRequest,
+    /// The request as the dispatcher sees it.
+    pub dispatch_request: DispatchRequest,
     unsent_attempts: u32,
     failed_response: Option<(Parts, Bytes)>,
     /// Logs a request whose client disconnects before a response.
@@ -121,6 +122,7 @@
     }
 
     async fn run(&mut self) -> Result<FinalResponse, Failure> {
+        self.bind_version().await?;
         loop {
             if !self.has_asked_peers
                 && let Some(response) = self.forward_if_cut_off().await?
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use http::Response;
+use nutmeggrade_core::peer::StreamVersion;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::Outcome;
-use nutmeggrade_core::routing::EngineSpec;
+use nutmeggrade_core::routing::{EngineSpec, RouteKind};
 use nutmeggrade_state::attempt::Attempt;
 use nutmeggrade_state::event_splitter::EventSplitter;
 use tokio::sync::{mpsc, watch};
@@ -33,6 +34,9 @@
 
 /// Events after which the pace of a running stream is recorded.
 const PACE_EVENTS: u64 = 24;
+/// Interval between two announcements of a stream's version, a part of the time for which it is
+/// remembered.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_mins(1);
 /// Events that suffice to record the pace of a finished stream.
 const FINISHED_PACE_EVENTS: u64 = 8;
 
@@ -55,6 +59,7 @@
     sender: mpsc::Sender<BodyChunk>,
     sent_at: Moment,
     first_event: Option<Moment>,
+    announced_at: Option<Moment>,
     pace_recorded: bool,
     moves: u32,
     run_end: RunEnd,
@@ -82,6 +87,7 @@
         sent_at: response.sent_at,
         sender,
         first_event: None,
+        announced_at: None,
         pace_recorded: false,
         moves: 0,
         run_end: RunEnd::default(),
@@ -179,6 +185,7 @@
 
     fn record_progress(&mut self) {
         let now = self.node.now();
+        self.announce_version(now);
         let mut tables = lock(&self.node.tables);
         if self.first_event.is_none() {
             self.first_event = Some(now);
@@ -197,6 +204,19 @@
         self.record_pace(PACE_EVENTS, now);
     }
 
+    /// Announces at which version the stream began, for as long as its client may take it up.
+    fn announce_version(&mut self, now: Moment) {
+        let is_due = self.announced_at.is_none_or(|at| now.since(at) > ANNOUNCEMENT_INTERVAL);
+        if !is_due || self.request.route.kind != RouteKind::Resumable {
+            return;
+        }
+        self.announced_at = Some(now);
+        let version = self.reservation.endpoint.version.clone();
+        if let Some((stream, version)) = self.request.stream_key().zip(version) {
+            self.node.announce_stream(StreamVersion { stream, version });
+        }
+    }
+
     /// Records the time per event once, after `min_events`. A stream that moved is skipped, since
     /// its pace mixes two engines.
     fn record_pace(&mut self, min_events: u64, now: Moment) {
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -20,6 +20,7 @@
 use nutmeggrade_state::reach_table::ReachTable;
 use nutmeggrade_state::registry::Registry;
 use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, ServiceLoad};
+use nutmeggrade_state::stream_table::StreamTable;
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -51,6 +52,8 @@
     pub pace: Pace,
     /// Requests that were running when an endpoint crashed.
     pub crashes: CrashLog,
+    /// Versions at which streams began.
+    pub streams: StreamTable,
     /// Rollouts of services to another version.
     pub rollouts: RolloutTable,
     /// This instance's shares in the rate limits that endpoints state.
@@ -77,6 +80,7 @@
             reach: ReachTable::new(),
             pace: Pace::new(),
             crashes: CrashLog::new(),
+            streams: StreamTable::new(),
             rollouts: RolloutTable::new(),
             rate_shares: BTreeMap::new(),
             backoffs: BTreeMap::new(),
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -242,7 +242,7 @@
         // The entry may have expired during an outage; a live endpoint writes it again at its next
         // heartbeat.
         EndpointChange::Gone(id) if lapses => registry.mark_missing(&id, now),
-        EndpointChange::Gone(id) => registry.remove(&id),
+        EndpointChange::Gone(id) => registry.remove(&id, now),
     }
 }
 
--- a/crates/nutmeggrade-state/src/fleet_view.rs
+++ b/crates/nutmeggrade-state/src/fleet_view.rs
@@ -3,6 +3,7 @@
 mod digest;
 mod forwarding;
 mod judges;
+mod ranking;
 mod readers;
 mod recipients;
 mod sources;
@@ -13,7 +14,6 @@
 
 use nutmeggrade_core::peer::{Contacts, FleetBeacon, HeardPeer, InstanceAddresses, Revisions};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::EndpointInfo;
 
 use digest::FreshPeers;
 pub use digest::REMOTE_DIGEST_ENTRIES;
@@ -298,16 +298,6 @@
         self.peers.iter().filter(move |(_, p)| self.is_heard(p, now)).map(|(i, _)| i)
     }
 
-    /// Returns whether this instance ranks first for the endpoint among the live instances that can
-    /// reach its service. The ranking differs between endpoints.
-    pub fn ranks_first_for(&self, endpoint: &EndpointInfo, now: Moment) -> bool {
-        let key = hash_key(endpoint.id.as_str());
-        let own_key = self.reader_key ^ key;
-        let reaches = |p: &&Peer| !p.unreachable.contains(&endpoint.service);
-        let mut live = self.peers.values().filter(|p| self.is_heard(p, now)).filter(reaches);
-        live.all(|peer| peer.reader_key ^ key > own_key)
-    }
-
     /// Sets whether this instance can't reach the endpoints of some service.
     pub const fn set_cut_off(&mut self, is_cut_off: bool) {
         self.is_cut_off = is_cut_off;
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod registry;
 pub mod rollout;
 pub mod settling;
+pub mod stream_table;
 pub mod suspects;
 pub mod transfers;
--- a/crates/nutmeggrade-state/src/registry.rs
+++ b/crates/nutmeggrade-state/src/registry.rs
@@ -1,6 +1,7 @@
 //! Table of the registered endpoints and of the restrictions on new work.
 
 mod changed_ids;
+mod removed_versions;
 mod versions;
 
 use std::cmp::Ordering;
@@ -13,6 +14,7 @@
 use crate::rollout::{VersionRole, VersionRule};
 
 pub use changed_ids::ChangedIds;
+use removed_versions::RemovedVersions;
 
 /// Time for which an endpoint stays usable after it lost its entry in a platform outage. Entries of
 /// live endpoints lapse during an outage and are back within two seconds after it; the margin is
@@ -101,6 +103,8 @@
     versions: BTreeMap<ServiceId, VersionRule>,
     /// Start times of endpoints that announced their shutdown, and when.
     departures: BTreeMap<EndpointId, (u64, Moment)>,
+    /// Versions of endpoints that were removed, and when the last one was.
+    removed_versions: RemovedVersions,
     /// Endpoints whose entries are missing.
     missing: BTreeSet<EndpointId>,
     changed: ChangedIds,
@@ -125,7 +129,8 @@
             self.endpoints.keys().filter(|id| !listed.contains(id)).cloned().collect();
         let mut changes: Vec<Change> = all.iter().filter_map(|e| self.put(e, now)).collect();
         for id in missing {
-            let change = if after_outage { self.mark_missing(&id, now) } else { self.remove(&id) };
+            let change =
+                if after_outage { self.mark_missing(&id, now) } else { self.remove(&id, now) };
             changes.extend(change);
         }
         changes
@@ -149,6 +154,9 @@
             self.departures.insert(info.id.clone(), (info.born, now));
         }
         let cold_until = now.after(info.cold_left);
+        if let Some(ended) = old.filter(|_| !was_known) {
+            self.removed_versions.note(&ended.info, now);
+        }
         let joined = old.filter(|_| was_known).map_or(now, |o| o.joined);
         let entry = Registered { info: info.clone(), cold_until, joined, missing_until: None };
         self.missing.remove(&info.id);
@@ -175,7 +183,7 @@
     pub fn leave_incarnation(&mut self, id: &EndpointId, born: u64, now: Moment) -> Option<Change> {
         let entry = self.endpoints.get_mut(id)?;
         match entry.info.born.cmp(&born) {
-            Ordering::Less => self.remove(id),
+            Ordering::Less => self.remove(id, now),
             Ordering::Equal => {
                 // Its entry is there again.
                 entry.missing_until = None;
@@ -193,8 +201,9 @@
     }
 
     /// Removes an endpoint whose entry is gone.
-    pub fn remove(&mut self, id: &EndpointId) -> Option<Change> {
+    pub fn remove(&mut self, id: &EndpointId, now: Moment) -> Option<Change> {
         let old = self.endpoints.remove(id)?;
+        self.removed_versions.note(&old.info, now);
         self.missing.remove(id);
         self.changed.add(id);
         Some(Change::Left(old.info, Leaving::Removed))
@@ -212,10 +221,11 @@
     /// Removes entries that did not come back in time.
     pub fn expire(&mut self, now: Moment) -> Vec<Change> {
         self.departures.retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
+        self.removed_versions.forget(now);
         let is_expired = |e: &Registered| e.missing_until.is_some_and(|until| until <= now);
         let is_over = |id: &&EndpointId| self.get(id).is_some_and(is_expired);
         let expired: Vec<EndpointId> = self.missing.iter().filter(is_over).cloned().collect();
-        expired.iter().filter_map(|id| self.remove(id)).collect()
+        expired.iter().filter_map(|id| self.remove(id, now)).collect()
     }
 
     /// Replaces the failure domains that are out of service.
--- a/crates/nutmeggrade-state/src/registry/versions.rs
+++ b/crates/nutmeggrade-state/src/registry/versions.rs
@@ -75,6 +75,30 @@
         assigned
     }
 
+    /// Returns the version at which every stream of the service that a client may take up began, or
+    /// `None` if there are endpoints of several versions or were until lately.
+    pub fn only_version(&self, service: &ServiceId) -> Option<&VersionId> {
+        let of_service = self.endpoints.values().filter(|e| e.info.service == *service);
+        let registered = of_service.filter_map(|e| e.info.version.as_ref());
+        let mut versions = registered.chain(self.removed_versions.of(service));
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
+    /// Returns whether a service has endpoints that state a version, or lately had.
+    pub fn has_versions(&self, service: &ServiceId) -> bool {
+        let states_version =
+            |e: &Registered| e.info.service == *service && e.info.version.is_some();
+        self.endpoints.values().any(states_version)
+            || self.removed_versions.of(service).next().is_some()
+    }
+
+    /// Returns whether a service has versions, but no endpoint of this one that may get work.
+    pub fn lacks_version(&self, service: &ServiceId, version: &VersionId) -> bool {
+        let mut others = self.usable().filter(|e| e.info.service == *service).peekable();
+        others.peek().is_some() && others.all(|e| e.info.version.as_ref() != Some(version))
+    }
+
     /// Returns whether the service has a registered endpoint of another version.
     pub fn has_other_version(&self, service: &ServiceId, version: &VersionId) -> bool {
         let is_other =
--- a/tests/suite/relay/versions.rs
+++ b/tests/suite/relay/versions.rs
@@ -6,6 +6,8 @@
     Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, request,
 };
 
+use serde_json::json;
+
 use super::PROMPT_HEADERS;
 use super::members::{Pair, start_pair, until_all_have};
 use super::site::{Site, start_generation};
@@ -124,3 +126,103 @@
         Ok(())
     });
 }
+
+/// Checks that a request which names a stream that it can't go on with is refused and runs nowhere.
+fn taking_up_is_refused(key: &'static str, headers: fn() -> String) {
+    run(async {
+        let versions = ["v1", "v2"];
+        let pair = start_pair().await?;
+        let mut content = RoutingPlan { version: 2, ..RoutingPlan::default() }.content();
+        let further = json!({ "name": "further", "api_keys": ["key-2"] });
+        content["tenants"].as_array_mut().expect("a list").push(further);
+        pair.store.put("config", "main", content);
+        until_all_have([&pair.first, &pair.other], "config_version", 2).await?;
+        let engines = add_to_pair(&pair, &versions).await?;
+        let mut begun = RawClient::connect(pair.first.addresses().client).await?;
+        begun.send(&request("sort", "a1", "key-1", PROMPT_HEADERS)).await?;
+        begun.read_at_least(300).await?;
+        let mut client = RawClient::connect(pair.other.addresses().client).await?;
+        client.send(&request("sort", "b1", key, &headers())).await?;
+        let answer = client.answer().await?;
+        let body = String::from_utf8_lossy(&answer.message.body).into_owned();
+        assert_eq!(answer.status, 503, "{body}");
+        assert!(body.contains("stream_ended"), "{body}");
+        assert_eq!(answer.message.header("retry-after"), None);
+        assert_eq!(versions_of(&engines, &versions, "b1"), Vec::<&str>::new());
+        Ok(())
+    });
+}
+
+// Guards against streams of two versions where nobody knows which one began the stream, and against
+// clients that take up streams of other workspaces.
+cases! {taking_up_is_refused {
+    of_an_unknown_attempt: "key-1", || taking_up("never");
+    of_no_attempt: "key-1", || format!("{PROMPT_HEADERS}Last-Event-Id: 2\r\n");
+    of_another_workspace: "key-2", || taking_up("a1");
+}}
+
+// Guards against a client that waits for a version whose last endpoint is gone.
+#[test]
+fn stream_of_a_version_that_is_gone_is_refused() {
+    run(async {
+        let versions = ["v1", "v2"];
+        let pair = start_pair().await?;
+        let engines = add_to_pair(&pair, &versions).await?;
+        let client = pair.first.addresses().client;
+        assert!(RawClient::ask(client, "sort", "a1", PROMPT_HEADERS).await?.is_whole);
+        let version = versions_of(&engines, &versions, "a1")[0];
+        let gone = versions.iter().position(|v| *v == version).expect("a known version");
+        pair.store.remove("servers", engines[gone].id());
+        until_all_have([&pair.first, &pair.other], "endpoints", 1).await?;
+        let address = pair.other.addresses().client;
+        let answer = RawClient::ask(address, "sort", "b1", &taking_up("a1")).await?;
+        assert_eq!(answer.status, 503);
+        assert_eq!(versions_of(&engines, &versions, "b1"), Vec::<&str>::new());
+        Ok(())
+    });
+}
+
+// Guards against streams that nobody knows after the instances that served them were restarted, where
+// the service has one version only.
+#[test]
+fn stream_of_the_only_version_is_taken_up() {
+    run(async {
+        let versions = ["v1", "v1"];
+        let pair = start_pair().await?;
+        add_to_pair(&pair, &versions).await?;
+        let address = pair.other.addresses().client;
+        let answer = RawClient::ask(address, "sort", "b1", &taking_up("never")).await?;
+        assert_eq!(answer.status, 200);
+        assert_eq!(events(&answer.message.body), (3..=80).collect::<Vec<u64>>());
+        Ok(())
+    });
+}
+
+// Guards against streams whose version is forgotten with the instance that served them.
+#[test]
+fn stream_of_a_killed_instance_keeps_its_version() {
+    run(async {
+        let versions = ["v1", "v2", "v3"];
+        let pair = start_pair().await?;
+        let engines = add_to_pair(&pair, &versions).await?;
+        let mut clients = Vec::new();
+        for number in 0..6 {
+            let mut client = RawClient::connect(pair.first.addresses().client).await?;
+            let id = format!("a{number}");
+            client.send(&request("sort", &id, "key-1", PROMPT_HEADERS)).await?;
+            client.read_at_least(300).await?;
+            clients.push(client);
+        }
+        let address = pair.other.addresses().client;
+        let Pair { first, .. } = pair;
+        drop(first);
+        for number in 0..6 {
+            let (begun, taken_up) = (format!("a{number}"), format!("b{number}"));
+            let answer = RawClient::ask(address, "sort", &taken_up, &taking_up(&begun)).await?;
+            assert_eq!(answer.status, 200, "{number}");
+            let version = versions_of(&engines, &versions, &begun);
+            assert_eq!(versions_of(&engines, &versions, &taken_up), version, "{number}");
+        }
+        Ok(())
+    });
+}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -19,4 +19,6 @@
 mod registry;
 mod rollouts;
 mod sources;
+mod stream_keepers;
+mod stream_table;
 mod transfers;
--- a/tests/suite/state/change_log.rs
+++ b/tests/suite/state/change_log.rs
@@ -39,7 +39,7 @@
     let change = |change| match change {
         EndpointChange::Entry(info) => registry.put(&info, NOW),
         EndpointChange::Leaving(id, born) => registry.leave_incarnation(&id, born, NOW),
-        EndpointChange::Gone(id) => registry.remove(&id),
+        EndpointChange::Gone(id) => registry.remove(&id, NOW),
     };
     changes.iter().filter_map(change).collect()
 }
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -53,7 +53,7 @@
     registry.put(&info(1), NOW);
     assert!(matches!(registry.leave(&id(1), NOW), Some(Change::Left(_, Leaving::Draining))));
     assert_eq!(registry.leave(&id(1), NOW), None);
-    assert!(matches!(registry.remove(&id(1)), Some(Change::Left(_, Leaving::Removed))));
+    assert!(matches!(registry.remove(&id(1), NOW), Some(Change::Left(_, Leaving::Removed))));
     let later = NOW.after(Duration::from_secs(5));
     registry.expire(later);
     registry.replace(&[info(1)], false, later);
@@ -179,3 +179,28 @@
     registry.mark_missing(&id(2), NOW);
     assert!(!registry.has_ended(&id(2), 5));
 }
+
+// Guards against streams that go on at the only version left, though another one that served until
+// lately may have begun them.
+#[test]
+fn service_has_one_version_once_others_are_long_gone() {
+    let mut registry = Registry::new();
+    let service = ServiceId::new("desk").expect("an id");
+    let only = |registry: &Registry| registry.only_version(&service).map(ToString::to_string);
+    assert!(!registry.has_versions(&service));
+    registry.put(&versioned(1, "v1", 5), NOW);
+    assert_eq!(only(&registry).as_deref(), Some("v1"));
+    registry.put(&versioned(2, "v2", 5), NOW);
+    assert_eq!(only(&registry), None);
+    registry.remove(&id(1), NOW);
+    assert_eq!(only(&registry), None);
+    let v1 = VersionId::new("v1").expect("an id");
+    assert!(registry.lacks_version(&service, &v1));
+    registry.expire(NOW.after(Duration::from_mins(1)));
+    assert_eq!(only(&registry), None);
+    registry.expire(NOW.after(Duration::from_secs(121)));
+    assert_eq!(only(&registry).as_deref(), Some("v2"));
+    // The next process with the id has another version.
+    registry.put(&versioned(2, "v3", 6), NOW.after(Duration::from_secs(130)));
+    assert_eq!(only(&registry), None);
+}
