Repeat crashes in heartbeats while they count

Cause: a crash was told once, in a datagram. An instance that starts, or misses it, sends a request on that all others hold: up to three endpoints more for each such instance. Evidence: relay::crashers::crashes_are_known_to_an_instance_that_has_just_started fails (times out) with no crash repeated. Why it works: each heartbeat carries up to four crashes of requests with two or more, others each time, with the time for which they still count, so that no instance keeps them alive. Nothing is added while no request has crashed two endpoints. Evidence is lost only if all instances are.

--- a/crates/nutmeggrade-core/src/peer.rs
+++ b/crates/nutmeggrade-core/src/peer.rs
@@ -11,6 +11,7 @@
 mod fleet_message;
 mod forwarded_request;
 mod packed_text;
+mod shared_crash;
 mod stream_key;
 mod stream_version;
 mod suspect;
@@ -32,6 +33,7 @@
 };
 pub use forwarded_request::{FORWARDED_HEADER, ForwardedRequest};
 pub use packed_text::PackedText;
+pub use shared_crash::SharedCrash;
 pub use stream_key::StreamKey;
 pub use stream_version::StreamVersion;
 pub use suspect::{Crash, PromptHash, Suspect};
--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::SharedCrash;
 use crate::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use crate::rollout::RolloutNotice;
 use crate::routing::PlacedLoad;
@@ -101,6 +102,9 @@
     /// Rollouts in the sender's state.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutNotice>,
+    /// Some of the crashes that count against requests which may soon be blocked or are.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<SharedCrash>,
     /// Peers that the sender has recently heard from, in a large fleet.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub heard: Vec<HeardPeer>,
--- a/crates/nutmeggrade-core/src/peer/fleet_message.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_message.rs
@@ -48,7 +48,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetMessage {
     /// A heartbeat.
-    Beacon(FleetBeacon),
+    Beacon(Box<FleetBeacon>),
     /// Changes of endpoints.
     News(EndpointUpdateBatch),
     /// Load that instances have just placed; forwarded in batches with that of other instances.
--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -62,6 +62,7 @@
         revisions: Revisions::default(),
         placed: placed(number)?,
         rollouts: Vec::new(),
+        crashes: Vec::new(),
         heard: Vec::new(),
     })
 }
@@ -95,8 +96,8 @@
     fn heartbeat_micros(&mut self) -> anyhow::Result<f64> {
         let frame = |round| {
             let number = 1 + round % (self.size - 1);
-            Ok(seal(&FleetMessage::Beacon(beacon(number, u64::from(round) + 2)?), &PEER_KEY)
-                .unwrap_or_default())
+            let beacon = Box::new(beacon(number, u64::from(round) + 2)?);
+            Ok(seal(&FleetMessage::Beacon(beacon), &PEER_KEY).unwrap_or_default())
         };
         let frames: Vec<Vec<u8>> = (0..ROUNDS).map(frame).collect::<anyhow::Result<_>>()?;
         let start = Instant::now();
--- a/crates/nutmeggrade-relay/src/node/crashes.rs
+++ b/crates/nutmeggrade-relay/src/node/crashes.rs
@@ -1,6 +1,6 @@
 //! Records crashes of endpoints under requests, as seen by this instance or its peers.
 
-use nutmeggrade_core::peer::{ContentId, EndpointCrash, Fingerprint, FleetMessage};
+use nutmeggrade_core::peer::{ContentId, EndpointCrash, Fingerprint, FleetMessage, SharedCrash};
 use nutmeggrade_core::prelude::*;
 
 use super::Node;
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Records a crash that a peer repeats.
+    pub fn note_shared_crash(&self, shared: &SharedCrash) {
+        let noted = lock(&self.tables).crashes.note_shared(shared, self.now());
+        if let Some(crashes) = noted {
+            self.log_crash(&shared.crash, crashes, CrashSource::Peer);
+        }
+    }
+
     /// Counts losses at endpoints that are registered no longer as crashes.
     pub fn settle_losses(&self) {
         let settled = {
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -40,6 +40,8 @@
 /// batched. It limits the datagrams per second, which would otherwise take most of an instance's
 /// processor time in a large fleet.
 const FORWARD_PAUSE_PER_DATAGRAM: Duration = Duration::from_millis(1);
+/// Crashes per heartbeat, some 70 bytes each.
+const SHARED_CRASHES: usize = 4;
 /// Number of peers that know of a stream beside the instance that serves it.
 const STREAM_KEEPERS: usize = 2;
 /// Minimum interval between two messages about streams. A client takes a stream up some milliseconds
@@ -106,7 +108,7 @@
             }
             fleet.announcement_targets()
         };
-        self.send_to(node, &FleetMessage::Beacon(self.beacon(node)), &neighbours).await;
+        self.send_to(node, &FleetMessage::Beacon(Box::new(self.beacon(node))), &neighbours).await;
     }
 
     /// Sends one heartbeat.
@@ -126,13 +128,13 @@
         };
         let mut remote = beacon.clone();
         remote.heard.truncate(REMOTE_DIGEST_ENTRIES);
-        self.send_to(node, &FleetMessage::Beacon(beacon), &near).await;
-        self.send_to(node, &FleetMessage::Beacon(remote), &far).await;
+        self.send_to(node, &FleetMessage::Beacon(Box::new(beacon)), &near).await;
+        self.send_to(node, &FleetMessage::Beacon(Box::new(remote)), &far).await;
     }
 
     /// Sends one heartbeat to all peers.
     pub async fn send_heartbeat_to_all(&self, node: &Arc<Node>) {
-        let beacon = self.beacon(node);
+        let beacon = Box::new(self.beacon(node));
         self.send_to_all(node, FleetMessage::Beacon(beacon)).await;
     }
 
@@ -278,7 +280,7 @@
 
     fn beacon(&self, node: &Node) -> FleetBeacon {
         let now = node.now();
-        let tables = lock(&node.tables);
+        let tables = &mut *lock(&node.tables);
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let introduction = FleetBeacon::includes_introduction(sequence, rand::random::<f64>())
             .then(|| Introduction {
@@ -296,6 +298,7 @@
             revisions: node.revisions(),
             placed: tables.dispatcher.load_table.own_loads().clone(),
             rollouts: tables.rollouts.notices(now),
+            crashes: tables.crashes.shared(SHARED_CRASHES, now),
             heard: Vec::new(),
         }
     }
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -16,7 +16,7 @@
 /// Applies a message of a peer.
 pub fn apply_message(node: &Node, message: FleetMessage) {
     match message {
-        FleetMessage::Beacon(beacon) => apply_heartbeat(node, beacon),
+        FleetMessage::Beacon(beacon) => apply_heartbeat(node, *beacon),
         FleetMessage::News(batch) => apply_peer_changes(node, batch),
         FleetMessage::Leaving(endpoints) => {
             node.note_leaving(&endpoints);
@@ -59,6 +59,9 @@
                 incarnation = beacon.incarnation);
         }
     }
+    for shared in &beacon.crashes {
+        node.note_shared_crash(shared);
+    }
     for kind in Kind::ALL {
         node.read_state.of(kind).note_peer_revision(revision(&beacon.revisions, kind));
     }
--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{EndpointCrash, Fingerprint};
+use nutmeggrade_core::peer::{EndpointCrash, Fingerprint, SharedCrash};
 use nutmeggrade_core::prelude::*;
 
 use crate::completed_log::CompletedLog;
@@ -20,6 +20,9 @@
 /// Longest time between two crashes that may have one cause other than the request, such as a
 /// failure domain that loses power.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
+/// Number of crashes from which on they are repeated to the peers. Of most requests that ran at a
+/// crashing endpoint nothing more is heard.
+const MIN_SHARED_CRASHES: usize = 2;
 /// Maximum number of stored requests; each crash is recorded for all requests at the endpoint.
 const MAX_REQUESTS: usize = 1_024;
 
@@ -28,12 +31,15 @@
 
 #[derive(Debug, Clone, Default)]
 struct CrashRecord {
+    /// Crashes, each with the end of the block that it causes.
     crashes: BTreeMap<Incarnation, Moment>,
+    /// Losses and their times.
     losses: BTreeMap<Incarnation, Moment>,
 }
 
 impl CrashRecord {
-    fn last_crash(&self) -> Option<Moment> {
+    /// Returns the end of the block after the last crash.
+    fn block_end(&self) -> Option<Moment> {
         self.crashes.values().max().copied()
     }
 
@@ -46,8 +52,7 @@
     }
 
     fn is_expired(&self, now: Moment) -> bool {
-        self.losses.is_empty()
-            && self.last_crash().is_none_or(|last| now.since(last) > BLOCK_PERIOD)
+        self.losses.is_empty() && self.block_end().is_none_or(|end| end <= now)
     }
 }
 
@@ -70,6 +75,8 @@
 pub struct CrashLog {
     records: BTreeMap<Fingerprint, CrashRecord>,
     completed: CompletedLog,
+    /// The last crash that was shared.
+    last_shared: Option<(Fingerprint, Incarnation)>,
 }
 
 impl CrashLog {
@@ -81,13 +88,57 @@
     /// Records that an endpoint crashed under a request; returns the number of endpoints that have
     /// crashed under it if this one is new.
     pub fn note(&mut self, crash: &EndpointCrash, now: Moment) -> Option<usize> {
+        self.note_until(crash, now.after(BLOCK_PERIOD), now)
+    }
+
+    /// Records a crash that a peer repeats.
+    pub fn note_shared(&mut self, shared: &SharedCrash, now: Moment) -> Option<usize> {
+        // Otherwise instances would keep a crash alive by telling it to each other.
+        let time_left = shared.time_left.min(BLOCK_PERIOD);
+        if time_left.is_zero() {
+            return None;
+        }
+        self.note_until(&shared.crash, now.after(time_left), now)
+    }
+
+    /// Returns some of the crashes under requests that may soon be blocked or are, others at each call,
+    /// so that instances learn of them that have just started or missed a message.
+    pub fn shared(&mut self, max: usize, now: Moment) -> Vec<SharedCrash> {
+        self.remove_expired(now);
+        let all: Vec<(Fingerprint, &Incarnation, Moment)> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.crashes.len() >= MIN_SHARED_CRASHES)
+            .flat_map(|(request, record)| {
+                record.crashes.iter().map(|(incarnation, end)| (*request, incarnation, *end))
+            })
+            .filter(|(_, _, end)| *end > now)
+            .collect();
+        let is_later = |(request, incarnation, _): &&(Fingerprint, &Incarnation, Moment)| {
+            self.last_shared.as_ref().is_some_and(|(r, i)| (request, *incarnation) > (r, i))
+        };
+        let first = all.iter().position(|crash| is_later(&crash)).unwrap_or(0);
+        let chosen: Vec<_> = all.iter().cycle().skip(first).take(max.min(all.len())).collect();
+        let last_shared = chosen.last().map(|(r, i, _)| (*r, Incarnation::clone(i)));
+        let shared = chosen
+            .iter()
+            .map(|(request, (endpoint, born), end)| SharedCrash {
+                crash: EndpointCrash { request: *request, endpoint: endpoint.clone(), born: *born },
+                time_left: end.since(now),
+            })
+            .collect();
+        self.last_shared = last_shared;
+        shared
+    }
+
+    fn note_until(&mut self, crash: &EndpointCrash, end: Moment, now: Moment) -> Option<usize> {
         let record = self.record(&crash.request, now)?;
         let incarnation = (crash.endpoint.clone(), crash.born);
         record.losses.remove(&incarnation);
         if record.crashes.contains_key(&incarnation) {
             return None;
         }
-        record.crashes.insert(incarnation, now);
+        record.crashes.insert(incarnation, end);
         Some(record.crashes.len())
     }
 
@@ -113,7 +164,8 @@
             let ended =
                 record.losses.extract_if(.., |(endpoint, born), _| has_ended(endpoint, *born));
             for ((endpoint, born), lost_at) in ended {
-                record.crashes.insert((endpoint.clone(), born), lost_at);
+                let block_end = lost_at.after(BLOCK_PERIOD);
+                record.crashes.insert((endpoint.clone(), born), block_end);
                 let crash = EndpointCrash { request: *request, endpoint, born };
                 settled.push((crash, record.crashes.len()));
             }
@@ -135,7 +187,7 @@
         } else {
             record.crashes.len()
         };
-        crashes >= MIN_CRASHES && !record.is_expired(now)
+        crashes >= MIN_CRASHES && record.block_end().is_some_and(|end| end > now)
     }
 
     /// Returns the record of a request, or `None` if there are too many.
--- a/tests/suite/core/fleet_beacon.rs
+++ b/tests/suite/core/fleet_beacon.rs
@@ -24,6 +24,7 @@
         reads: true,
         unreachable: Vec::new(),
         revisions: Revisions { config: 812, endpoints: 90_817, out: 7, rollouts: 0 },
+        crashes: Vec::new(),
         heard: Vec::new(),
         placed: (0..3).map(|n| (endpoint(n), placed)).collect::<BTreeMap<_, _>>(),
         rollouts: Vec::new(),
@@ -34,14 +35,14 @@
 // saturate the links of small machines.
 #[rstest]
 fn stays_small() {
-    let frame = seal(&FleetMessage::Beacon(beacon()), &KEY).expect("seal");
+    let frame = seal(&FleetMessage::Beacon(Box::new(beacon())), &KEY).expect("seal");
     assert!(frame.len() <= MAX_HEARTBEAT_BYTES, "{} bytes", frame.len());
 }
 
 #[rstest]
 fn comes_back_as_it_was() {
     for leaving in [false, true] {
-        let sent = FleetMessage::Beacon(FleetBeacon { leaving, ..beacon() });
+        let sent = FleetMessage::Beacon(Box::new(FleetBeacon { leaving, ..beacon() }));
         let frame = seal(&sent, &KEY).expect("seal");
         assert_eq!(open::<FleetMessage>(&frame, &KEY), Ok(sent));
     }
--- a/tests/suite/relay/crashers.rs
+++ b/tests/suite/relay/crashers.rs
@@ -3,7 +3,7 @@
 use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan};
 
 use super::ask;
-use super::members::{start_pair, until_all_have};
+use super::members::{start_member, start_pair, until_all_have};
 use super::site::Site;
 use crate::support::{run, until};
 
@@ -152,3 +152,33 @@
         Ok(())
     });
 }
+
+// Guards against requests that crash further endpoints at instances which started after the crashes.
+#[test]
+fn crashes_are_known_to_an_instance_that_has_just_started() {
+    run(async {
+        let pair = start_pair().await?;
+        let mut endpoints = Vec::new();
+        for number in 0..6 {
+            let id = format!("e-{number}");
+            let endpoint = Endpoint::start(&id, Behaviour::Crash, &Generations::default()).await?;
+            pair.store.put("servers", &id, Entry::new("desk", endpoint.address).content());
+            endpoints.push(endpoint);
+        }
+        until_all_have([&pair.first, &pair.other], "endpoints", 6).await?;
+        for number in 0..4 {
+            let client = pair.first.addresses().client;
+            RawClient::ask(client, "once", &format!("a{number}"), "").await?;
+        }
+        let late = start_member(&pair.first, 3, &pair.first_listener).await?;
+        until_all_have([&late], "endpoints", 6).await?;
+        until_all_have([&late], "crashes_total{source=\"peer\"}", 3).await?;
+        for number in 0..3 {
+            let client = late.addresses().client;
+            let answer = RawClient::ask(client, "once", &format!("b{number}"), "").await?;
+            assert_eq!(answer.status, 503);
+        }
+        assert_eq!(endpoints.iter().filter(|e| e.is_dead()).count(), 3);
+        Ok(())
+    });
+}
--- a/tests/suite/state/crash_log.rs
+++ b/tests/suite/state/crash_log.rs
@@ -102,3 +102,42 @@
     log.note(&crashed(7, 3, 5), NOW);
     assert!(!log.holds(&[7; 16], NOW));
 }
+
+// Guards against requests that an instance sends on which has just started or missed a message.
+#[test]
+fn crashes_are_learnt_from_heartbeats() {
+    let later = |seconds| NOW.after(Duration::from_secs(seconds));
+    let mut log = CrashLog::new();
+    log.note(&crashed(9, 1, 5), NOW);
+    assert_eq!(log.shared(4, NOW), vec![]);
+    for endpoint in 1..=6 {
+        log.note(&crashed(7, endpoint, 5), NOW);
+    }
+    let mut other = CrashLog::new();
+    for _ in 0..3 {
+        for shared in log.shared(2, later(10)) {
+            other.note_shared(&shared, NOW);
+        }
+    }
+    assert!(other.holds(&[7; 16], NOW));
+    assert_eq!(other.shared(9, NOW).len(), 6);
+}
+
+// Guards against blocks that instances keep alive by telling each other of the same crashes.
+#[test]
+fn shared_crashes_expire() {
+    let later = |seconds| NOW.after(Duration::from_secs(seconds));
+    let mut logs = [CrashLog::new(), CrashLog::new()];
+    for endpoint in 1..=3 {
+        logs[0].note(&crashed(7, endpoint, 5), NOW);
+    }
+    for second in 0..300 {
+        for from in 0..2 {
+            for shared in logs[from].shared(4, later(second)) {
+                logs[1 - from].note_shared(&shared, later(second));
+            }
+        }
+        let is_blocked = second < 120;
+        assert_eq!(logs[1].holds(&[7; 16], later(second)), is_blocked, "{second}");
+    }
+}
--- a/tests/suite/state/heartbeat.rs
+++ b/tests/suite/state/heartbeat.rs
@@ -22,6 +22,7 @@
         revisions: Revisions::default(),
         placed: BTreeMap::new(),
         rollouts: Vec::new(),
+        crashes: Vec::new(),
         heard: Vec::new(),
     }
 }
