--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -132,7 +132,7 @@
     }
 
     fn note_until(&mut self, crash: &EndpointCrash, end: Moment, now: Moment) -> Option<usize> {
-        let record = self.record(&crash.request, now)?;
+        let record = self.record(&crash.request, now);
         let incarnation = (crash.endpoint.clone(), crash.born);
         record.losses.remove(&incarnation);
         if record.crashes.contains_key(&incarnation) {
@@ -144,7 +144,7 @@
 
     /// Records that an endpoint lost a request, and that it isn't known whether it crashed.
     pub fn note_loss(&mut self, loss: &EndpointCrash, now: Moment) {
-        let Some(record) = self.record(&loss.request, now) else { return };
+        let record = self.record(&loss.request, now);
         let incarnation = (loss.endpoint.clone(), loss.born);
         if !record.crashes.contains_key(&incarnation) {
             record.losses.insert(incarnation, now);
@@ -190,13 +190,18 @@
         crashes >= MIN_CRASHES && record.block_end().is_some_and(|end| end > now)
     }
 
-    /// Returns the record of a request, or `None` if there are too many.
-    fn record(&mut self, request: &Fingerprint, now: Moment) -> Option<&mut CrashRecord> {
+    /// Returns the record of a request. If there are too many, the one with the fewest crashes is
+    /// dropped.
+    fn record(&mut self, request: &Fingerprint, now: Moment) -> &mut CrashRecord {
         self.remove_expired(now);
         if self.records.len() >= MAX_REQUESTS && !self.records.contains_key(request) {
-            return None;
+            let weight = |record: &CrashRecord| (record.crashes.len(), record.block_end());
+            let least = self.records.iter().min_by_key(|(_, record)| weight(record));
+            if let Some(least) = least.map(|(request, _)| *request) {
+                self.records.remove(&least);
+            }
         }
-        Some(self.records.entry(*request).or_default())
+        self.records.entry(*request).or_default()
     }
 
     fn remove_expired(&mut self, now: Moment) {
--- a/tests/suite/state/crash_log.rs
+++ b/tests/suite/state/crash_log.rs
@@ -123,6 +123,22 @@
     assert_eq!(other.shared(9, NOW).len(), 6);
 }
 
+// Guards against a request that isn't blocked because many others were at endpoints that failed.
+#[test]
+fn full_log_keeps_the_requests_with_most_crashes() {
+    let mut log = CrashLog::new();
+    for endpoint in 1..=2 {
+        log.note(&crashed(7, endpoint, 5), NOW);
+    }
+    for number in 0..3_000_u32 {
+        let mut crash = crashed(0, 9, 5);
+        crash.request[..4].copy_from_slice(&number.to_le_bytes());
+        log.note(&crash, NOW.after(Duration::from_secs(1)));
+    }
+    log.note(&crashed(7, 3, 5), NOW.after(Duration::from_secs(2)));
+    assert!(log.holds(&[7; 16], NOW.after(Duration::from_secs(2))));
+}
+
 // Guards against blocks that instances keep alive by telling each other of the same crashes.
 #[test]
 fn shared_crashes_expire() {
