Count fetched bytes before they are applied

relay::supply::fetched_for_a_change::one_route_less failed once, with 16,840 bytes. Traced: that is 16,728, the whole text of the version before (its reply, packed again by itself), and 112, the change of the test. Bytes are counted as they are fetched now, also where applying them fails.

--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -88,7 +88,6 @@
             return SyncOutcome::Behind;
         }
     };
-    node.metrics.fetched_bytes.with_label_values(&[kind.name()]).inc_by(bytes as u64);
     tracing::info!(event = "caught_up", kind = kind.name(), %peer, bytes,
         ms = node.now().since(started_at).as_millis());
     if !is_local || lock(&node.tables).fleet.announcement_rounds() > 1 {
@@ -122,7 +121,9 @@
 async fn sync_config(node: &Node, peer: SocketAddr) -> anyhow::Result<Option<usize>> {
     let base = node.config_source().hash().map(|hash| hash.to_string()).unwrap_or_default();
     let path = format!("{CONFIG_PATH}?base={base}");
-    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(None) };
+    let Some(body) = fetch(node, peer, Kind::Config, &path, PEER_TIMEOUT).await? else {
+        return Ok(None);
+    };
     let reply = ConfigReply::decode(&body).context("decode a peer's configuration")?;
     apply_peer_config(node, reply)?;
     Ok(Some(body.len()))
@@ -135,7 +136,9 @@
     // A missed change is needed soon, and another peer can send it.
     let timeout = if state.is_loaded() { PEER_TIMEOUT } else { TRANSFER_TIMEOUT };
     let path = format!("{ENDPOINTS_PATH}?since={}", state.read());
-    let Some(body) = fetch(peer, &path, timeout).await? else { return Ok(None) };
+    let Some(body) = fetch(node, peer, Kind::Endpoints, &path, timeout).await? else {
+        return Ok(None);
+    };
     let reply = EndpointsReply::decode(&body).context("decode a peer's endpoints")?;
     apply_endpoints_reply(node, reply);
     Ok(Some(body.len()))
@@ -145,18 +148,29 @@
 /// `None` if the peer is busy.
 async fn sync_objects(node: &Node, peer: SocketAddr, kind: Kind) -> anyhow::Result<Option<usize>> {
     let path = format!("{OBJECTS_PATH}?kind={}", kind.name());
-    let Some(body) = fetch(peer, &path, PEER_TIMEOUT).await? else { return Ok(None) };
+    let Some(body) = fetch(node, peer, kind, &path, PEER_TIMEOUT).await? else { return Ok(None) };
     let snapshot = serde_json::from_slice(&body).context("decode a peer's objects")?;
     apply_peer_objects(node, kind, &snapshot)?;
     Ok(Some(body.len()))
 }
 
-/// Returns a peer's response, or `None` if it is busy.
-async fn fetch(peer: SocketAddr, path: &str, timeout: Duration) -> anyhow::Result<Option<Bytes>> {
+/// Returns a peer's response, or `None` if it is busy. Its bytes are counted before anything is
+/// applied.
+async fn fetch(
+    node: &Node,
+    peer: SocketAddr,
+    kind: Kind,
+    path: &str,
+    timeout: Duration,
+) -> anyhow::Result<Option<Bytes>> {
     let limits = CallLimits { connect: PEER_TIMEOUT, timeout, max_response: MAX_RESPONSE_BYTES };
     let response = short_call(peer, Method::GET, path, Vec::new(), limits).await?;
     match response.status() {
-        StatusCode::OK => Ok(Some(response.into_body())),
+        StatusCode::OK => {
+            let body = response.into_body();
+            node.metrics.fetched_bytes.with_label_values(&[kind.name()]).inc_by(body.len() as u64);
+            Ok(Some(body))
+        }
         StatusCode::SERVICE_UNAVAILABLE => Ok(None),
         other => anyhow::bail!("{other}"),
     }
