Share the map of recent entries and the rotation through a list

Which crashes are shared next was found with a remembered key, a search and a cycle; heartbeats and introductions had next_in_rotation for that already, which moves to a module of its own.

--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -6,7 +6,8 @@
 use nutmeggrade_core::peer::{EndpointCrash, Fingerprint, SharedCrash};
 use nutmeggrade_core::prelude::*;
 
-use crate::completed_log::CompletedLog;
+use crate::recent_map::RecentMap;
+use crate::rotation::next_in_rotation;
 
 /// Number of crashes after which a request is blocked. A request that only happened to run at a
 /// crashing endpoint is unlikely to be at two others too.
@@ -25,6 +26,8 @@
 const MIN_SHARED_CRASHES: usize = 2;
 /// Maximum number of stored requests; each crash is recorded for all requests at the endpoint.
 const MAX_REQUESTS: usize = 1_024;
+/// Maximum number of completed requests in each half of their map, some 200 KB.
+const MAX_COMPLETED_HALF: usize = 4_096;
 
 /// An incarnation of an endpoint: its id and start time.
 type Incarnation = (EndpointId, u64);
@@ -64,25 +67,28 @@
 /// requests were at an endpoint when it crashed, and a request with three such endpoints is
 /// blocked.
 ///
-/// Whether an endpoint that lost a request has crashed can't always be seen at once: if no endpoint
-/// of the service accepts connections, this instance may have lost its links, and an endpoint that
-/// accepts some may be the next process at its address. Such a loss counts once the endpoint's
-/// incarnation turns out to have ended.
-///
-/// A request that completes does not crash endpoints. One that completed shortly before may still
-/// run at several endpoints that fail together, so that crashes at the same time count as one.
-#[derive(Debug, Default)]
+/// An endpoint that lost a request may have crashed or not; the loss counts once the endpoint's
+/// incarnation has ended. A request that completes is cleared; if it completed shortly before, crashes
+/// at the same time count as one.
+#[derive(Debug)]
 pub struct CrashLog {
     records: BTreeMap<Fingerprint, CrashRecord>,
-    completed: CompletedLog,
-    /// The last crash that was shared.
-    last_shared: Option<(Fingerprint, Incarnation)>,
+    /// When requests were last completed.
+    completed: RecentMap<Fingerprint, Moment>,
+    share_position: usize,
+}
+
+impl Default for CrashLog {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl CrashLog {
     /// Creates an empty log.
-    pub fn new() -> Self {
-        Self::default()
+    pub const fn new() -> Self {
+        let completed = RecentMap::new(BLOCK_PERIOD, MAX_COMPLETED_HALF);
+        Self { records: BTreeMap::new(), completed, share_position: 0 }
     }
 
     /// Records that an endpoint crashed under a request; returns the number of endpoints that have
@@ -97,7 +103,7 @@
         let time_left = shared.time_left.min(BLOCK_PERIOD);
         let age = BLOCK_PERIOD.saturating_sub(time_left);
         let is_refuted =
-            self.completed.last(&shared.crash.request).is_some_and(|at| now.since(at) <= age);
+            self.completed.get(&shared.crash.request).is_some_and(|at| now.since(*at) <= age);
         if time_left.is_zero() || is_refuted {
             return None;
         }
@@ -108,30 +114,16 @@
     /// so that instances learn of them that have just started or missed a message.
     pub fn shared(&mut self, max: usize, now: Moment) -> Vec<SharedCrash> {
         self.remove_expired(now);
-        let all: Vec<(Fingerprint, &Incarnation, Moment)> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.crashes.len() >= MIN_SHARED_CRASHES)
-            .flat_map(|(request, record)| {
-                record.crashes.iter().map(|(incarnation, end)| (*request, incarnation, *end))
-            })
-            .filter(|(_, _, end)| *end > now)
-            .collect();
-        let is_later = |(request, incarnation, _): &&(Fingerprint, &Incarnation, Moment)| {
-            self.last_shared.as_ref().is_some_and(|(r, i)| (request, *incarnation) > (r, i))
-        };
-        let first = all.iter().position(|crash| is_later(&crash)).unwrap_or(0);
-        let chosen: Vec<_> = all.iter().cycle().skip(first).take(max.min(all.len())).collect();
-        let last_shared = chosen.last().map(|(r, i, _)| (*r, Incarnation::clone(i)));
-        let shared = chosen
-            .iter()
-            .map(|(request, (endpoint, born), end)| SharedCrash {
+        let records = self.records.iter().filter(|(_, r)| r.crashes.len() >= MIN_SHARED_CRASHES);
+        let crashes = records.flat_map(|(request, r)| r.crashes.iter().map(move |c| (request, c)));
+        let counting: Vec<_> = crashes.filter(|(_, (_, end))| **end > now).collect();
+        next_in_rotation(&counting, max, &mut self.share_position)
+            .into_iter()
+            .map(|(request, ((endpoint, born), end))| SharedCrash {
                 crash: EndpointCrash { request: *request, endpoint: endpoint.clone(), born: *born },
                 time_left: end.since(now),
             })
-            .collect();
-        self.last_shared = last_shared;
-        shared
+            .collect()
     }
 
     fn note_until(&mut self, crash: &EndpointCrash, end: Moment, now: Moment) -> Option<usize> {
@@ -179,13 +171,13 @@
     /// Records that an endpoint completed a request, which clears it.
     pub fn note_completed(&mut self, request: &Fingerprint, now: Moment) {
         self.records.remove(request);
-        self.completed.note(request, now);
+        self.completed.insert(*request, now, now);
     }
 
     /// Returns whether a request is blocked.
     pub fn holds(&self, request: &Fingerprint, now: Moment) -> bool {
         let Some(record) = self.records.get(request) else { return false };
-        let crashes = if self.completed.last(request).is_some() {
+        let crashes = if self.completed.get(request).is_some() {
             record.separate_crashes()
         } else {
             record.crashes.len()
--- a/crates/nutmeggrade-state/src/fleet_view/recipients.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/recipients.rs
@@ -8,6 +8,7 @@
 use nutmeggrade_core::prelude::*;
 
 use super::{Contact, FleetView, HEARTBEAT_INTERVAL, Peer};
+use crate::rotation::next_in_rotation;
 
 /// Base silence after which a peer is not offered to clients; the interval between its heartbeats
 /// to this instance is added. It spans a few heartbeats, so that lost datagrams do not cost a
@@ -259,11 +260,3 @@
     let hash = blake3::hash(address.to_string().as_bytes());
     u32::from_be_bytes(std::array::from_fn(|i| hash.as_bytes()[i]))
 }
-
-/// Returns up to `limit` next items of a list in rotation and advances `position`.
-fn next_in_rotation<T: Clone>(all: &[T], limit: usize, position: &mut usize) -> Vec<T> {
-    let count = all.len().min(limit);
-    let start = *position;
-    *position = start.wrapping_add(count);
-    (0..count).map(|i| all[(start + i) % all.len()].clone()).collect()
-}
