Take simpler ways for versions, begun streams and packed texts

The registry is asked once for the recent versions of a service, in place of two scans that told three cases apart. Streams that peers are to be told of wait in their table and wake their task as failures do, without a queue and a lock of their own. The hash of the previous text is kept, not computed for each peer that asks. Replies of encoded objects share their failure. Applying a configuration among other objects, which no instance asks for any more, is refused; serving it to instances of the code before stays. The wide sample needs no exception for requests that are bound to a version, since the comparison leaves the others out. No behaviour changes otherwise; state::registry asks the same of the one question.

--- a/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/dispatcher.rs
@@ -284,7 +284,7 @@
         let comparison =
             Comparison { load_table: &self.load_table, domain: &self.domain, request, now };
         let best = comparison.best(sample, &mut self.rng);
-        if best.is_some() || request.version.is_some() {
+        if best.is_some() {
             return best.map(|c| c.id.clone());
         }
         let sample = pool.wide_sample(&mut self.rng);
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -159,26 +159,15 @@
     let Some(snapshot) = objects_for_peer(node, kind) else {
         return respond(StatusCode::NOT_FOUND, Vec::new());
     };
-    match serde_json::to_vec(&snapshot) {
-        Ok(encoded) => transfer(node, encoded.into()),
-        Err(error) => {
-            tracing::error!(event = "knowledge_unsendable", %error);
-            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    }
+    let encoded = serde_json::to_vec(&snapshot).context("encode objects");
+    transfer_encoded(node, encoded, "knowledge_unsendable")
 }
 
 /// Responds with the configuration, as a change of the text that the peer names if that is known.
 fn config(node: &Node, query: &Query) -> Response {
     let base = query.text.strip_prefix("base=").and_then(|text| text.parse().ok());
     let encoded = config_for_peer(node, base).and_then(|reply| Ok(reply.encode()?));
-    match encoded {
-        Ok(encoded) => transfer(node, encoded.into()),
-        Err(error) => {
-            tracing::error!(event = "config_unsendable", error = format!("{error:#}"));
-            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    }
+    transfer_encoded(node, encoded, "config_unsendable")
 }
 
 /// Responds with what this instance knows of where a stream began.
@@ -203,6 +192,17 @@
     transfer(node, node.encode_endpoints(since))
 }
 
+/// Responds to a peer with encoded objects; if they can't be encoded, `event` is logged.
+fn transfer_encoded(node: &Node, encoded: anyhow::Result<Vec<u8>>, event: &str) -> Response {
+    match encoded {
+        Ok(encoded) => transfer(node, encoded.into()),
+        Err(error) => {
+            tracing::error!(event, error = format!("{error:#}"));
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
 /// Responds to a peer unless the link is occupied. The transfer counts against the link until the
 /// connection ends.
 fn transfer(node: &Node, encoded: Bytes) -> Response {
--- a/crates/nutmeggrade-relay/src/config_source.rs
+++ b/crates/nutmeggrade-relay/src/config_source.rs
@@ -14,7 +14,8 @@
 pub struct ConfigSource {
     text: Bytes,
     hash: Option<TextHash>,
-    previous: Option<Bytes>,
+    /// The text before and its hash, against which the change is packed.
+    previous: Option<(TextHash, Bytes)>,
     whole: OnceLock<Arc<PackedText>>,
     change: OnceLock<Arc<PackedText>>,
 }
@@ -36,7 +37,7 @@
     /// Sets the text that was in force before, against which changes are packed.
     #[must_use]
     pub fn with_previous(mut self, previous: &Self) -> Self {
-        self.previous = (!previous.text.is_empty()).then(|| previous.text.clone());
+        self.previous = previous.hash.map(|hash| (hash, previous.text.clone()));
         self
     }
 
@@ -72,7 +73,7 @@
         if let Some(change) = self.change.get() {
             return Ok((change.base == Some(base)).then(|| Arc::clone(change)));
         }
-        let Some(previous) = self.previous.as_ref().filter(|p| TextHash::of(p) == base) else {
+        let Some((_, previous)) = self.previous.as_ref().filter(|(hash, _)| *hash == base) else {
             return Ok(None);
         };
         let packed = Arc::new(packing::pack_change(previous, &self.text)?);
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -23,7 +23,6 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 pub use self::crashes::CrashSource;
-use self::streams::BegunStreams;
 use self::supply::EncodedEndpoints;
 use crate::clock::Clock;
 use crate::config_source::ConfigSource;
@@ -76,8 +75,8 @@
     pub incarnation: u64,
     /// Wakes the task that sends changed placements to the peers.
     pub placed: Notify,
-    /// Streams that began and of which peers are to be told.
-    pub begun_streams: BegunStreams,
+    /// Wakes the task that tells peers of streams that began.
+    pub streams_begun: Notify,
     /// Wakes the task that reports failing endpoints to the peers.
     pub failures_counted: Notify,
     /// Triggers an immediate heartbeat, because this instance has read changes that its neighbours
@@ -125,7 +124,7 @@
             own_addresses: own_addresses.clone(),
             incarnation,
             placed: Notify::new(),
-            begun_streams: BegunStreams::default(),
+            streams_begun: Notify::new(),
             failures_counted: Notify::new(),
             heartbeat_due: Notify::new(),
             reach_checks: ReachChecks::default(),
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -184,14 +184,15 @@
     /// Tells peers at which versions streams began that clients may take up.
     pub async fn send_streams(&self, node: &Arc<Node>) {
         loop {
-            let streams = node.begun_streams.take().await;
+            node.streams_begun.notified().await;
             let mut by_peer: BTreeMap<SocketAddr, Vec<StreamVersion>> = BTreeMap::new();
-            for began in streams {
-                let now = node.now();
-                let keepers =
-                    lock(&node.tables).fleet.stream_keepers(began.stream, STREAM_KEEPERS, now);
-                for keeper in keepers {
-                    by_peer.entry(keeper.beacon).or_default().push(began.clone());
+            {
+                let tables = &mut *lock(&node.tables);
+                for began in tables.streams.take_begun() {
+                    let stream = began.stream;
+                    for keeper in tables.fleet.stream_keepers(stream, STREAM_KEEPERS, node.now()) {
+                        by_peer.entry(keeper.beacon).or_default().push(began.clone());
+                    }
                 }
             }
             for (peer, streams) in by_peer {
--- a/crates/nutmeggrade-relay/src/stream_origin.rs
+++ b/crates/nutmeggrade-relay/src/stream_origin.rs
@@ -44,11 +44,11 @@
     if let Some(version) = stream.and_then(|stream| tables.streams.version(stream)) {
         return StreamOrigin::Version(version.clone());
     }
-    match tables.registry.only_version(service) {
-        Some(version) => StreamOrigin::Only(Some(version.clone())),
-        None if tables.registry.has_versions(service) => StreamOrigin::Ambiguous,
-        None => StreamOrigin::Only(None),
+    let versions = tables.registry.recent_versions(service);
+    if versions.len() > 1 {
+        return StreamOrigin::Ambiguous;
     }
+    StreamOrigin::Only(versions.first().map(|version| VersionId::clone(version)))
 }
 
 /// Finds where a stream began, if necessary by asking the peers that should know.
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -184,22 +184,19 @@
     Ok(ConfigReply { revision, text: PackedText::clone(&text) })
 }
 
-/// Applies the objects of a peer that has read a higher revision.
+/// Applies the objects of a peer that has read a higher revision. Configurations and endpoints come in
+/// other forms.
 ///
 /// # Errors
 ///
-/// Fails if the peer's configuration can't be read.
+/// Fails if the peer sent a configuration.
 pub fn apply_peer_objects(node: &Node, kind: Kind, snapshot: &KindSnapshot) -> anyhow::Result<()> {
     let state = node.read_state.of(kind);
     if snapshot.revision <= state.read() {
         return Ok(());
     }
     match &snapshot.objects {
-        KindObjects::Config(config) => {
-            let text = Bytes::from(config.clone().into_bytes());
-            let map = config::read_text(&text).context("a peer's configuration")?;
-            node.set_map(map, ConfigSource::new(text));
-        }
+        KindObjects::Config(_) => anyhow::bail!("a configuration among {}", kind.name()),
         KindObjects::Evacuated(evacuated) => node.set_evacuated(evacuated),
         KindObjects::Rollouts(all) => node.change_rollouts(|table, now| table.replace(all, now)),
     }
--- a/crates/nutmeggrade-state/src/registry/versions.rs
+++ b/crates/nutmeggrade-state/src/registry/versions.rs
@@ -1,6 +1,6 @@
 //! Restrictions on endpoints by their version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
@@ -75,22 +75,12 @@
         assigned
     }
 
-    /// Returns the version at which every stream of the service that a client may take up began, or
-    /// `None` if there are endpoints of several versions or were until lately.
-    pub fn only_version(&self, service: &ServiceId) -> Option<&VersionId> {
+    /// Returns the versions at which streams of the service may have begun that clients take up: those of
+    /// its endpoints, and of endpoints that were removed lately.
+    pub fn recent_versions(&self, service: &ServiceId) -> BTreeSet<&VersionId> {
         let of_service = self.endpoints.values().filter(|e| e.info.service == *service);
         let registered = of_service.filter_map(|e| e.info.version.as_ref());
-        let mut versions = registered.chain(self.removed_versions.of(service));
-        let first = versions.next()?;
-        versions.all(|version| version == first).then_some(first)
-    }
-
-    /// Returns whether a service has endpoints that state a version, or lately had.
-    pub fn has_versions(&self, service: &ServiceId) -> bool {
-        let states_version =
-            |e: &Registered| e.info.service == *service && e.info.version.is_some();
-        self.endpoints.values().any(states_version)
-            || self.removed_versions.of(service).next().is_some()
+        registered.chain(self.removed_versions.of(service)).collect()
     }
 
     /// Returns whether a service has versions, but no endpoint of this one that may get work.
--- a/crates/nutmeggrade-state/src/stream_table.rs
+++ b/crates/nutmeggrade-state/src/stream_table.rs
@@ -12,6 +12,8 @@
 pub const STREAM_RETENTION: Duration = Duration::from_mins(2);
 /// Maximum number of streams in each half, some megabyte.
 const MAX_HALF: usize = 8_192;
+/// Maximum number of streams that wait until peers are told of them; of more, none is told.
+const MAX_BEGUN: usize = 4_096;
 
 /// Table of the versions at which streams began, at this instance or at those that it stands in for.
 ///
@@ -21,6 +23,8 @@
 #[derive(Debug)]
 pub struct StreamTable {
     versions: RecentMap<StreamKey, VersionId>,
+    /// Streams of which peers are to be told.
+    begun: Vec<StreamVersion>,
 }
 
 impl Default for StreamTable {
@@ -31,8 +35,8 @@
 
 impl StreamTable {
     /// Creates an empty table.
-    pub const fn new() -> Self {
-        Self { versions: RecentMap::new(STREAM_RETENTION, MAX_HALF) }
+    pub fn new() -> Self {
+        Self { versions: RecentMap::new(STREAM_RETENTION, MAX_HALF), begun: Vec::new() }
     }
 
     /// Records the version at which a stream began. The first one that is known counts.
@@ -41,6 +45,19 @@
         self.versions.insert(began.stream, version, now);
     }
 
+    /// Records the version of a stream that began here, and that peers are to be told of it.
+    pub fn begin(&mut self, began: StreamVersion, now: Moment) {
+        self.note(&began, now);
+        if self.begun.len() < MAX_BEGUN {
+            self.begun.push(began);
+        }
+    }
+
+    /// Takes the streams of which peers are to be told.
+    pub fn take_begun(&mut self) -> Vec<StreamVersion> {
+        std::mem::take(&mut self.begun)
+    }
+
     /// Returns the version at which a stream began, if it is known.
     pub fn version(&self, stream: StreamKey) -> Option<&VersionId> {
         self.versions.get(&stream)
--- a/tests/suite/state/registry.rs
+++ b/tests/suite/state/registry.rs
@@ -186,8 +186,11 @@
 fn service_has_one_version_once_others_are_long_gone() {
     let mut registry = Registry::new();
     let service = ServiceId::new("desk").expect("an id");
-    let only = |registry: &Registry| registry.only_version(&service).map(ToString::to_string);
-    assert!(!registry.has_versions(&service));
+    let only = |registry: &Registry| {
+        let versions = registry.recent_versions(&service);
+        versions.first().filter(|_| versions.len() == 1).map(ToString::to_string)
+    };
+    assert!(registry.recent_versions(&service).is_empty());
     registry.put(&versioned(1, "v1", 5), NOW);
     assert_eq!(only(&registry).as_deref(), Some("v1"));
     registry.put(&versioned(2, "v2", 5), NOW);
