Share the steps of the tests of crashes and versions

Starting an endpoint of a pair stood in four places, and taking a stream up at its version in two; the second place checks the events now as well. No assertion is dropped.

--- a/tests/suite/relay/crashers.rs
+++ b/tests/suite/relay/crashers.rs
@@ -1,6 +1,8 @@
 //! A request that crashes each endpoint that runs it.
 
-use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan};
+use std::net::SocketAddr;
+
+use nutmeggrade_fakes::site::{Behaviour, Entry, RawClient, RoutingPlan};
 
 use super::ask;
 use super::members::{start_member, start_pair, until_all_have};
@@ -34,6 +36,10 @@
     });
 }
 
+fn desk_entry(address: SocketAddr) -> Entry {
+    Entry::new("desk", address)
+}
+
 /// Rounds in which all endpoints of the service crash and are replaced.
 const ROUNDS: usize = 4;
 /// Requests of a round, more than it takes to crash its endpoints.
@@ -52,11 +58,7 @@
             let mut endpoints = Vec::new();
             for number in 0..round_endpoints {
                 let id = format!("e-{round}-{number}");
-                let endpoint =
-                    Endpoint::start(&id, Behaviour::Crash, &Generations::default()).await?;
-                let entry = Entry::new("desk", endpoint.address).content();
-                pair.store.put("servers", &id, entry);
-                endpoints.push(endpoint);
+                endpoints.push(pair.start_endpoint(&id, Behaviour::Crash, desk_entry).await?);
             }
             until_all_have(instances, "endpoints", round_endpoints as u64).await?;
             for _ in 0..ROUND_REQUESTS {
@@ -161,9 +163,7 @@
         let mut endpoints = Vec::new();
         for number in 0..6 {
             let id = format!("e-{number}");
-            let endpoint = Endpoint::start(&id, Behaviour::Crash, &Generations::default()).await?;
-            pair.store.put("servers", &id, Entry::new("desk", endpoint.address).content());
-            endpoints.push(endpoint);
+            endpoints.push(pair.start_endpoint(&id, Behaviour::Crash, desk_entry).await?);
         }
         until_all_have([&pair.first, &pair.other], "endpoints", 6).await?;
         for number in 0..4 {
--- a/tests/suite/relay/members.rs
+++ b/tests/suite/relay/members.rs
@@ -1,5 +1,7 @@
 //! Instances of a test deployment that receive each other's heartbeats.
 
+use std::net::SocketAddr;
+
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, Entry, Generations, RoutingPlan, Store, StoreListener,
 };
@@ -70,14 +72,26 @@
 }
 
 impl Pair {
+    /// Starts and registers an endpoint, without waiting until the instances list it.
+    pub async fn start_endpoint(
+        &self,
+        id: &str,
+        behaviour: Behaviour,
+        entry: impl FnOnce(SocketAddr) -> Entry,
+    ) -> anyhow::Result<Endpoint> {
+        let endpoint = Endpoint::start(id, behaviour, &Generations::default()).await?;
+        self.store.put("servers", id, entry(endpoint.address).content());
+        Ok(endpoint)
+    }
+
     /// Registers an endpoint and waits until both instances list it.
     pub async fn add_endpoint(
         &self,
         service: &str,
         behaviour: Behaviour,
     ) -> anyhow::Result<Endpoint> {
-        let endpoint = Endpoint::start("e-1", behaviour, &Generations::default()).await?;
-        self.store.put("servers", "e-1", Entry::new(service, endpoint.address).content());
+        let entry = |address| Entry::new(service, address);
+        let endpoint = self.start_endpoint("e-1", behaviour, entry).await?;
         until_all_have([&self.first, &self.other], "endpoints", 1).await?;
         Ok(endpoint)
     }
--- a/tests/suite/relay/versions.rs
+++ b/tests/suite/relay/versions.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{
-    Behaviour, Endpoint, Entry, Generations, RawClient, RoutingPlan, request,
-};
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, Entry, RawClient, RoutingPlan, request};
 
+use nutmeggrade_relay::Instance;
 use serde_json::json;
 
 use super::PROMPT_HEADERS;
@@ -84,14 +83,10 @@
 
 /// Starts engines with these versions and waits until both instances list them.
 async fn add_to_pair(pair: &Pair, versions: &[&str]) -> anyhow::Result<Vec<Endpoint>> {
-    let generations = Generations::default();
     let mut engines = Vec::new();
     for (number, version) in versions.iter().enumerate() {
-        let id = format!("e-{number}");
-        let engine = Endpoint::start(&id, STREAM, &generations).await?;
-        let entry = Entry::new("writers", engine.address).with_version(version);
-        pair.store.put("servers", &id, entry.content());
-        engines.push(engine);
+        let entry = |address| Entry::new("writers", address).with_version(version);
+        engines.push(pair.start_endpoint(&format!("e-{number}"), STREAM, entry).await?);
     }
     until_all_have([&pair.first, &pair.other], "endpoints", versions.len() as u64).await?;
     Ok(engines)
@@ -102,6 +97,23 @@
     format!("{PROMPT_HEADERS}Last-Event-Id: 2\r\nResumes: {attempt}\r\n")
 }
 
+/// Takes the stream of the attempt `aN` up at an instance, and checks that it goes on at its version.
+async fn assert_taken_up(
+    instance: &Instance,
+    number: usize,
+    engines: &[Endpoint],
+    versions: &[&str],
+) -> anyhow::Result<()> {
+    let (begun, taken_up) = (format!("a{number}"), format!("b{number}"));
+    let client = instance.addresses().client;
+    let answer = RawClient::ask(client, "sort", &taken_up, &taking_up(&begun)).await?;
+    assert_eq!(answer.status, 200, "{number}");
+    assert_eq!(events(&answer.message.body), (3..=80).collect::<Vec<u64>>());
+    let version = versions_of(engines, versions, &begun);
+    assert_eq!(versions_of(engines, versions, &taken_up), version, "{number}");
+    Ok(())
+}
+
 // Guards against streams that clients take up at another instance, which go on at another software
 // version than the one that began them.
 #[test]
@@ -111,17 +123,12 @@
         let pair = start_pair().await?;
         let engines = add_to_pair(&pair, &versions).await?;
         for number in 0..12 {
-            let (begun, taken_up) = (format!("a{number}"), format!("b{number}"));
+            let begun = format!("a{number}");
             let mut client = RawClient::connect(pair.first.addresses().client).await?;
             client.send(&request("sort", &begun, "key-1", PROMPT_HEADERS)).await?;
             client.read_at_least(300).await?;
             drop(client);
-            let address = pair.other.addresses().client;
-            let answer = RawClient::ask(address, "sort", &taken_up, &taking_up(&begun)).await?;
-            assert_eq!(answer.status, 200, "{number}");
-            assert_eq!(events(&answer.message.body), (3..=80).collect::<Vec<u64>>());
-            let version = versions_of(&engines, &versions, &begun);
-            assert_eq!(versions_of(&engines, &versions, &taken_up), version, "{number}");
+            assert_taken_up(&pair.other, number, &engines, &versions).await?;
         }
         Ok(())
     });
@@ -213,15 +220,10 @@
             client.read_at_least(300).await?;
             clients.push(client);
         }
-        let address = pair.other.addresses().client;
-        let Pair { first, .. } = pair;
+        let Pair { first, other, .. } = pair;
         drop(first);
         for number in 0..6 {
-            let (begun, taken_up) = (format!("a{number}"), format!("b{number}"));
-            let answer = RawClient::ask(address, "sort", &taken_up, &taking_up(&begun)).await?;
-            assert_eq!(answer.status, 200, "{number}");
-            let version = versions_of(&engines, &versions, &begun);
-            assert_eq!(versions_of(&engines, &versions, &taken_up), version, "{number}");
+            assert_taken_up(&other, number, &engines, &versions).await?;
         }
         Ok(())
     });
