Log how long a call to the store took, its bytes, and why it failed

store_call said read=nothing for a call that failed and for one whose history was gone, and neither size nor time; a configuration that is late for its size can't be told from one that is late otherwise.

--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::store::{Listing, Snapshot, StatusWrite, WatchResult};
@@ -63,8 +64,9 @@
         kind: Kind,
         reason: CallReason,
     ) -> Result<Listing, PlatformError> {
+        let started_at = self.0.now();
         let result = self.0.store.first_page(kind).await;
-        self.note(kind, reason, result.as_ref().ok().map(|page| &page.snapshot));
+        self.note(kind, reason, started_at, result.as_ref().map(|page| Some(&page.snapshot)));
         result
     }
 
@@ -83,8 +85,9 @@
         if !first.has_more {
             return Ok(first.snapshot);
         }
+        let started_at = self.0.now();
         let result = self.0.store.remaining_pages(kind, first, may_be_stale).await;
-        self.note(kind, reason, result.as_ref().ok());
+        self.note(kind, reason, started_at, result.as_ref().map(Some));
         result
     }
 
@@ -110,12 +113,13 @@
         wait: Duration,
         reason: CallReason,
     ) -> Result<WatchResult, PlatformError> {
+        let started_at = self.0.now();
         let result = self.0.store.watch(kind, since, wait).await;
-        let changes = match &result {
-            Ok(WatchResult::Changes(snapshot)) => Some(snapshot),
-            _ => None,
-        };
-        self.note(kind, reason, changes);
+        let read = result.as_ref().map(|result| match result {
+            WatchResult::Changes(snapshot) => Some(snapshot),
+            WatchResult::HistoryGone => None,
+        });
+        self.note(kind, reason, started_at, read);
         result
     }
 
@@ -131,26 +135,34 @@
         revision: u64,
         status: &Value,
     ) -> Result<StatusWrite, PlatformError> {
+        let started_at = self.0.now();
         let result = self.0.store.write_status(kind, name, revision, status).await;
-        self.note(kind, CallReason::Write, None);
+        self.note(kind, CallReason::Write, started_at, result.as_ref().map(|_| None));
         result
     }
 
-    fn note(&self, kind: Kind, reason: CallReason, read: Option<&Snapshot>) {
+    /// Accounts for a call. `read` is what it returned, if that is a part of a listing or changes.
+    fn note(
+        &self,
+        kind: Kind,
+        reason: CallReason,
+        started_at: Moment,
+        read: Result<Option<&Snapshot>, &PlatformError>,
+    ) {
         let (kind, reason) = (kind.name(), reason.name());
         let metrics = &self.0.metrics;
         metrics.store_call_reasons.with_label_values(&[kind, reason]).inc();
-        let Some(read) = read else {
-            tracing::info!(event = "store_call", kind, reason, read = "nothing");
-            return;
-        };
-        metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
-        tracing::info!(
-            event = "store_call",
-            kind,
-            reason,
-            objects = read.objects.len(),
-            revision = read.revision
-        );
+        let ms = self.0.now().since(started_at).as_millis();
+        match read {
+            Ok(Some(read)) => {
+                metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
+                tracing::info!(event = "store_call", kind, reason, objects = read.objects.len(),
+                    revision = read.revision, bytes = read.bytes, ms);
+            }
+            Ok(None) => tracing::info!(event = "store_call", kind, reason, read = "nothing", ms),
+            Err(error) => {
+                tracing::info!(event = "store_call", kind, reason, error = %error, ms);
+            }
+        }
     }
 }
