--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -17,6 +17,9 @@
 /// Maximum number of objects on one page of a listing.
 const PAGE_SIZE: usize = 3;
 
+/// Interval between two parts of a throttled response.
+const THROTTLE_INTERVAL: Duration = Duration::from_millis(50);
+
 #[derive(Debug, Clone)]
 struct Object {
     revision: u64,
@@ -199,7 +202,7 @@
         }
         self.state().call_count += 1;
         let (status, mut body) = match store_listener.fault() {
-            Fault::None => self.handle(&request, store_listener).await,
+            Fault::None | Fault::Throttled(_) => self.handle(&request, store_listener).await,
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(time) => {
@@ -214,8 +217,12 @@
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
+        let response = head + &body;
         // The instance may have cancelled the call.
-        drop(stream.write_all((head + &body).as_bytes()).await);
+        drop(match store_listener.fault() {
+            Fault::Throttled(rate) => send_throttled(&mut stream, response.as_bytes(), rate).await,
+            _ => stream.write_all(response.as_bytes()).await,
+        });
     }
 
     async fn handle(&self, request: &Message, store_listener: &StoreListener) -> (u16, Value) {
@@ -289,3 +296,13 @@
         (!events.is_empty()).then(|| (200, json!({ "events": events, "at": state.revision })))
     }
 }
+
+/// Sends bytes at a number of bytes a second.
+async fn send_throttled(stream: &mut TcpStream, bytes: &[u8], rate: usize) -> std::io::Result<()> {
+    let part = (rate as f64 * THROTTLE_INTERVAL.as_secs_f64()) as usize;
+    for part in bytes.chunks(part.max(1)) {
+        stream.write_all(part).await?;
+        sleep(THROTTLE_INTERVAL).await;
+    }
+    Ok(())
+}
--- a/tests/suite/relay/supply.rs
+++ b/tests/suite/relay/supply.rs
@@ -1,7 +1,7 @@
 //! How instances get the endpoints of a deployment whose listing takes many pages.
 
 use nutmeggrade_core::peer::EndpointsReply;
-use nutmeggrade_fakes::site::{Entry, Fault, RoutingPlan, Store};
+use nutmeggrade_fakes::site::{Entry, Fault, RoutingPlan, Store, StoreListener};
 use nutmeggrade_relay::Instance;
 
 use super::members::{start_member, start_pair, until_all_have};
@@ -152,3 +152,39 @@
     many_routes_more: &plan(2, 0, 20_000), &plan(3, 1_400, 20_000), 0.25;
     one_route_less: &plan(2, 1_400, 20_000), &plan(3, 1_399, 20_000), 0.01;
 }}
+
+/// Bytes a second of a link over which a configuration of 4,200 routes takes six seconds.
+const SLOW_LINK: usize = 180_000;
+
+fn slow_link(listener: &StoreListener) {
+    listener.set(Fault::Throttled(SLOW_LINK));
+}
+
+/// Checks that an instance gets a configuration that takes longer than an answer may be awaited. The
+/// link is slow from before the instance starts, or from before the configuration changes.
+fn configuration_over_a_slow_link(is_slow_at_start: bool) {
+    run(async {
+        let store = Store::new();
+        let listener = store.open_listener().await?;
+        let large = plan(2, 4_200, 20_000);
+        if is_slow_at_start {
+            store.put("config", "main", large.content());
+            slow_link(&listener);
+        }
+        let instance = start_instance("i-1", &listener, "").await?;
+        if !is_slow_at_start {
+            store.put("config", "main", plan(1, 0, 20_000).content());
+            until_all_have([&instance], "config_version", 1).await?;
+            slow_link(&listener);
+            store.put("config", "main", large.content());
+        }
+        until_all_have([&instance], "config_version", 2).await
+    });
+}
+
+// Guards against configurations that never come into force where their bytes take longer than the time
+// limit of a call.
+cases! {configuration_over_a_slow_link {
+    first: true;
+    changed: false;
+}}
