Let a transfer take as long as its bytes keep coming

Cause: a call to a peer had 0.8 s and one to the store 1.5 s for the whole answer. 874 KB take 0.7 s over a link of 10 Mbit/s that carries nothing else, and as a string in JSON or together with the next version they take longer than either: the fetch failed, began anew and failed again.

Ruled out: slow hops without failures (54 of 70 instances had version 17 within 3.4 s, the last 15 instances version 20 only after 16.6 s or more), and readers that lost their watch (0.95 s, like the others).

Now the limit holds for the beginning of a response and for each pause within it, as a silent connection shows in both; a transfer ends after 30 s at the latest. The store counts as overdue when a response doesn't begin, not while it arrives. The same for the product's own object API and the configuration from its seeds. Calls whose responses are small keep one limit.

relay::supply::configuration_over_a_slow_link::{first,changed}: timed out after 30 s before, in force after 6 s now. All 709 tests pass.

--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -17,8 +17,8 @@
 /// Maximum number of objects on one page of a listing.
 const PAGE_SIZE: usize = 3;
 
-/// Interval between two parts of a throttled response.
-const THROTTLE_INTERVAL: Duration = Duration::from_millis(50);
+/// Parts of a throttled response that are sent in a second.
+const PARTS_PER_SECOND: u32 = 20;
 
 #[derive(Debug, Clone)]
 struct Object {
@@ -299,10 +299,10 @@
 
 /// Sends bytes at a number of bytes a second.
 async fn send_throttled(stream: &mut TcpStream, bytes: &[u8], rate: usize) -> std::io::Result<()> {
-    let part = (rate as f64 * THROTTLE_INTERVAL.as_secs_f64()) as usize;
-    for part in bytes.chunks(part.max(1)) {
+    let part_bytes = (rate / PARTS_PER_SECOND as usize).max(1);
+    for part in bytes.chunks(part_bytes) {
         stream.write_all(part).await?;
-        sleep(THROTTLE_INTERVAL).await;
+        sleep(Duration::from_secs(1) / PARTS_PER_SECOND).await;
     }
     Ok(())
 }
--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Longest time for a body that keeps coming.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
+
 /// Error for a call without a response.
 #[derive(Debug)]
 pub enum CallError {
@@ -108,6 +111,29 @@
     Ok(collected.to_bytes())
 }
 
+/// Reads a complete body whose size has no common bound in time, such as a configuration: each part
+/// has to arrive within `idle`, and all of it within [`MAX_TRANSFER_TIME`].
+///
+/// # Errors
+///
+/// Fails if the body breaks off, stalls or is larger than `limit`.
+pub async fn transfer_bytes(
+    mut body: Incoming,
+    idle: Duration,
+    limit: usize,
+) -> anyhow::Result<Bytes> {
+    let read = async {
+        let mut received = BytesMut::new();
+        while let Some(frame) = timeout(idle, body.frame()).await.context("the body stalled")? {
+            let Ok(part) = frame.context("read body")?.into_data() else { continue };
+            anyhow::ensure!(received.len() + part.len() <= limit, "the body exceeds {limit} bytes");
+            received.extend_from_slice(&part);
+        }
+        Ok(received.freeze())
+    };
+    timeout(MAX_TRANSFER_TIME, read).await.context("the body took too long")?
+}
+
 /// Creates a request body from a value encoded as JSON.
 pub fn json_body<T: serde::Serialize>(value: &T) -> anyhow::Result<Full<Bytes>> {
     let bytes = serde_json::to_vec(value).context("encode body")?;
--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use tokio::time::timeout;
 
-use crate::call::{body_bytes, call};
+use crate::call::{call, transfer_bytes};
 use crate::traffic::head_size;
 use crate::{CallCounters, Platform, PlatformError, Traffic};
 
@@ -67,22 +67,18 @@
         self.counters.count(kind);
         let body = usize::try_from(request.body().size_hint().lower()).unwrap_or(0);
         self.counters.add_sent(head_size(request.uri().path(), request.headers()) + body);
-        let exchange = async {
-            let response = match call(self.address, request, self.call_timeout).await {
-                Ok(r) => r,
-                Err(e) if e.not_sent() => return Err(PlatformError::Refused(e.into())),
-                Err(e) => return Err(PlatformError::Unknown(e.into())),
-            };
-            let (head, body) = response.into_parts();
-            let body =
-                body_bytes(body, MAX_RESPONSE_BYTES).await.map_err(PlatformError::Unknown)?;
-            self.counters.add_received(head_size("", &head.headers) + body.len());
-            Ok(Response::from_parts(head, body))
+        let response = call(self.address, request, self.call_timeout);
+        let response = match timeout(call_timeout, response).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(e)) if e.not_sent() => return Err(PlatformError::Refused(e.into())),
+            Ok(Err(e)) => return Err(PlatformError::Unknown(e.into())),
+            Err(_) => return Err(PlatformError::Unknown(anyhow::anyhow!("{kind}: timeout"))),
         };
-        match timeout(call_timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(PlatformError::Unknown(anyhow::anyhow!("{kind}: timeout"))),
-        }
+        let (head, body) = response.into_parts();
+        let body = transfer_bytes(body, self.call_timeout, MAX_RESPONSE_BYTES);
+        let body = body.await.map_err(PlatformError::Unknown)?;
+        self.counters.add_received(head_size("", &head.headers) + body.len());
+        Ok(Response::from_parts(head, body))
     }
 
     async fn write(
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -13,7 +13,7 @@
 mod platform_error;
 mod traffic;
 
-pub use call::{CallError, body_bytes, call, call_if, json_body};
+pub use call::{CallError, body_bytes, call, call_if, json_body, transfer_bytes};
 pub use call_counters::CallCounters;
 pub use config_retention::{VERSIONS_WITH_PRESETS, strip_old_presets};
 pub use http_platform::{HttpPlatform, MAX_WATCH_CHANGES};
--- a/crates/nutmeggrade-relay/src/fleet_sync.rs
+++ b/crates/nutmeggrade-relay/src/fleet_sync.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use nutmeggrade_core::peer::{ConfigReply, EndpointsReply, Revisions};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::StoredRollout;
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
-use crate::short_call::{CallLimits, short_call};
+use crate::short_call::{CallLimits, transfer_call};
 use crate::tables::lock;
 use crate::watch::{apply_endpoints_reply, apply_peer_config, apply_peer_objects};
 
@@ -25,10 +25,10 @@
 pub const CONFIG_PATH: &str = "/known/config";
 /// Path at which an instance serves the endpoints that it has read.
 pub const ENDPOINTS_PATH: &str = "/known/endpoints";
-/// Timeout of connecting to a peer, and of a short response; peers respond in milliseconds.
+/// Timeout of connecting to a peer, and of its response; peers respond in milliseconds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of a response with all endpoints. It is sent by an instance that serves several of them
-/// at a time over its link.
+/// The same of a response with all endpoints, whose sender serves several of them at a time over its
+/// link.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest response that is accepted: a configuration of a megabyte, or 100,000 endpoints.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -164,7 +164,7 @@
     timeout: Duration,
 ) -> anyhow::Result<Option<Bytes>> {
     let limits = CallLimits { connect: PEER_TIMEOUT, timeout, max_response: MAX_RESPONSE_BYTES };
-    let response = short_call(peer, Method::GET, path, Vec::new(), limits).await?;
+    let response = transfer_call(peer, path, limits).await?;
     match response.status() {
         StatusCode::OK => {
             let body = response.into_body();
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -11,6 +11,7 @@
 use nutmeggrade_wire::kinds::Kind;
 use nutmeggrade_wire::store::WatchResult;
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -124,7 +125,8 @@
         let mut later = None;
         if snapshot.revision < snapshot.newest_revision {
             let since = snapshot.revision;
-            match store.watch(self.kind, since, Duration::ZERO, CallReason::AfterListing).await? {
+            let reason = CallReason::AfterListing;
+            match store.watch(self.kind, since, Duration::ZERO, reason, || {}).await? {
                 WatchResult::Changes(changes) => later = Some(changes),
                 WatchResult::HistoryGone => {
                     snapshot = store.list(self.kind, CallReason::Relist).await?;
@@ -161,7 +163,7 @@
             watched
         } else {
             let store = StoreCalls::new(&self.node);
-            store.watch(self.kind, since, Duration::ZERO, CallReason::Behind).await?
+            store.watch(self.kind, since, Duration::ZERO, CallReason::Behind, || {}).await?
         };
         match watched {
             WatchResult::Changes(snapshot) => {
@@ -184,20 +186,27 @@
         }
     }
 
-    /// Watches from `since`, and marks the store as overdue if its response is late.
+    /// Watches from `since`, and marks the store as overdue if its response begins late.
     async fn watch_with_hold(&self, since: u64) -> Result<WatchResult, PlatformError> {
         let hold = self.hold_time();
         let store = StoreCalls::new(&self.node);
-        let response = store.watch(self.kind, since, hold, self.watch_reason());
+        let begun = Notify::new();
+        let reason = self.watch_reason();
+        let response = store.watch(self.kind, since, hold, reason, || begun.notify_one());
         tokio::pin!(response);
         if hold.is_zero() {
             return response.await;
         }
         tokio::select! {
             result = &mut response => return result,
+            () = begun.notified() => return response.await,
             () = sleep(hold + OVERDUE_AFTER) => {}
         }
-        let _guard = OverdueGuard::set(&self.node, self.kind);
+        let guard = OverdueGuard::set(&self.node, self.kind);
+        tokio::select! {
+            result = &mut response => return result,
+            () = begun.notified() => drop(guard),
+        }
         response.await
     }
 
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -101,7 +101,8 @@
         self.remaining_pages(kind, first, false, reason).await
     }
 
-    /// Waits for changes of a kind since a revision, at most `wait`.
+    /// Waits for changes of a kind since a revision, at most `wait`. `on_head` is called when the
+    /// response begins.
     ///
     /// # Errors
     ///
@@ -112,9 +113,10 @@
         since: u64,
         wait: Duration,
         reason: CallReason,
+        on_head: impl FnOnce(),
     ) -> Result<WatchResult, PlatformError> {
         let started_at = self.0.now();
-        let result = self.0.store.watch(kind, since, wait).await;
+        let result = self.0.store.watch(kind, since, wait, on_head).await;
         let read = result.as_ref().map(|result| match result {
             WatchResult::Changes(snapshot) => Some(snapshot),
             WatchResult::HistoryGone => None,
@@ -156,8 +158,15 @@
         match read {
             Ok(Some(read)) => {
                 metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
-                tracing::info!(event = "store_call", kind, reason, objects = read.objects.len(),
-                    revision = read.revision, bytes = read.bytes, ms);
+                tracing::info!(
+                    event = "store_call",
+                    kind,
+                    reason,
+                    objects = read.objects.len(),
+                    revision = read.revision,
+                    bytes = read.bytes,
+                    ms
+                );
             }
             Ok(None) => tracing::info!(event = "store_call", kind, reason, read = "nothing", ms),
             Err(error) => {
--- a/crates/nutmeggrade/src/tasks/catch_up.rs
+++ b/crates/nutmeggrade/src/tasks/catch_up.rs
@@ -13,7 +13,7 @@
     MAX_FRAME_BYTES, SYNC_PATH, SyncReply, SyncRequest, SyncTopic, open, seal,
 };
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, body_bytes, call};
+use nutmeggrade_platform::{Platform, call, transfer_bytes};
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
@@ -121,13 +121,11 @@
         .header(header::HOST, address.to_string())
         .body(Full::from(frame))
         .context("build request")?;
-    let exchange = async {
-        let response = call(address, request, node.settings.connect).await?;
-        let status = response.status();
-        anyhow::ensure!(status.is_success(), "peer answered {status}");
-        body_bytes(response.into_body(), MAX_FRAME_BYTES).await
-    };
-    let frame =
-        timeout(node.settings.platform_wait, exchange).await.context("response timeout")??;
+    let (connect, wait) = (node.settings.connect, node.settings.platform_wait);
+    let response =
+        timeout(wait, call(address, request, connect)).await.context("no response")??;
+    let status = response.status();
+    anyhow::ensure!(status.is_success(), "peer answered {status}");
+    let frame = transfer_bytes(response.into_body(), wait, MAX_FRAME_BYTES).await?;
     open(&frame, &node.peer_key()).context("decode response")
 }
