Read the newest configuration, not every version that was missed

Cause: an instance that reads the store because it is behind watches from the revision that it has, and gets each version in between, up to a megabyte each. Beyond 8 MB it can't read the response at all.

A later listing of the configuration announces the revision of the configuration, not the store's, since it implies no removal.

--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -9,11 +9,13 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::TransferError;
+
 /// Longest time for a body that keeps coming.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
 
@@ -121,17 +123,26 @@
     mut body: Incoming,
     idle: Duration,
     limit: usize,
-) -> anyhow::Result<Bytes> {
+) -> Result<Bytes, TransferError> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(TransferError::TooLarge);
+    }
     let read = async {
         let mut received = BytesMut::new();
-        while let Some(frame) = timeout(idle, body.frame()).await.context("the body stalled")? {
-            let Ok(part) = frame.context("read body")?.into_data() else { continue };
-            anyhow::ensure!(received.len() + part.len() <= limit, "the body exceeds {limit} bytes");
+        loop {
+            let frame = match timeout(idle, body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(TransferError::Broken)?,
+                Ok(None) => return Ok(received.freeze()),
+                Err(_) => return Err(TransferError::Stalled),
+            };
+            let Ok(part) = frame.into_data() else { continue };
+            if received.len() + part.len() > limit {
+                return Err(TransferError::TooLarge);
+            }
             received.extend_from_slice(&part);
         }
-        Ok(received.freeze())
     };
-    timeout(MAX_TRANSFER_TIME, read).await.context("the body took too long")?
+    timeout(MAX_TRANSFER_TIME, read).await.unwrap_or(Err(TransferError::Stalled))
 }
 
 /// Creates a request body from a value encoded as JSON.
--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -76,7 +76,7 @@
         };
         let (head, body) = response.into_parts();
         let body = transfer_bytes(body, self.call_timeout, MAX_RESPONSE_BYTES);
-        let body = body.await.map_err(PlatformError::Unknown)?;
+        let body = body.await.map_err(|e| PlatformError::Unknown(e.into()))?;
         self.counters.add_received(head_size("", &head.headers) + body.len());
         Ok(Response::from_parts(head, body))
     }
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod platform_error;
 mod traffic;
+mod transfer_error;
 
 pub use call::{CallError, body_bytes, call, call_if, json_body, transfer_bytes};
 pub use call_counters::CallCounters;
@@ -23,3 +24,4 @@
 pub use platform::Platform;
 pub use platform_error::PlatformError;
 pub use traffic::Traffic;
+pub use transfer_error::TransferError;
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -78,7 +78,13 @@
                     continue;
                 }
             }
-            let result = if state.is_loaded() { self.watch().await } else { self.list().await };
+            let result = if !state.is_loaded() {
+                self.list(CallReason::First).await
+            } else if self.hold_time().is_zero() {
+                self.read_missed(self.watch_reason()).await
+            } else {
+                self.watch().await
+            };
             match result {
                 Ok(()) => self.succeeded(),
                 Err(error) => self.failed(&error).await,
@@ -108,11 +114,10 @@
         }
     }
 
-    async fn list(&mut self) -> Result<(), PlatformError> {
+    async fn list(&mut self, reason: CallReason) -> Result<(), PlatformError> {
         let node = Arc::clone(&self.node);
         let (store, state) = (StoreCalls::new(&node), node.read_state.of(self.kind));
         let is_first = !state.is_loaded();
-        let reason = if is_first { CallReason::First } else { CallReason::Relist };
         let first = store.first_page(self.kind, reason).await?;
         // All instances of a fleet may start together: a thousand of them with ten thousand
         // endpoints would read 4 GB, half a minute's worth of the store's link.
@@ -128,7 +133,7 @@
             let reason = CallReason::AfterListing;
             match store.watch(self.kind, since, Duration::ZERO, reason, || {}).await? {
                 WatchResult::Changes(changes) => later = Some(changes),
-                WatchResult::HistoryGone => {
+                WatchResult::NoHistory => {
                     snapshot = store.list(self.kind, CallReason::Relist).await?;
                 }
             }
@@ -141,9 +146,13 @@
         }
         // A first listing contains nothing that peers who listed a moment earlier are missing;
         // announced as a change it would make each of them request it again. A later listing may
-        // imply removals. Most instances never list rollouts themselves, so the absence of rollouts
-        // is announced.
-        let has_changes = !is_first || self.kind == Kind::Rollouts;
+        // imply removals, except of the configuration. Most instances never list rollouts themselves,
+        // so the absence of rollouts is announced.
+        let has_changes = match self.kind {
+            Kind::Config => false,
+            Kind::Rollouts => true,
+            Kind::Endpoints | Kind::Evacuations => !is_first,
+        };
         let change_revision = if has_changes { snapshot.revision } else { snapshot.last_change() };
         state.note_listing(read, change_revision);
         Ok(())
@@ -158,13 +167,30 @@
             () = state.overtaken() => None,
             () = state.recheck.notified() => None,
         };
-        // The watch is late or silent: a change exists that it did not deliver.
-        let watched = if let Some(watched) = outcome {
-            watched
-        } else {
-            let store = StoreCalls::new(&self.node);
-            store.watch(self.kind, since, Duration::ZERO, CallReason::Behind, || {}).await?
-        };
+        match outcome {
+            Some(watched) => self.apply_watched(watched).await,
+            // The watch is late or silent: a change exists that it did not deliver.
+            None => self.read_missed(CallReason::Behind).await,
+        }
+    }
+
+    /// Reads what this instance may have missed. If there are new configurations, only the newest is
+    /// read: each version in between may be as large.
+    async fn read_missed(&mut self, reason: CallReason) -> Result<(), PlatformError> {
+        let node = Arc::clone(&self.node);
+        let state = node.read_state.of(self.kind);
+        if self.kind == Kind::Config && state.is_behind() {
+            return self.list(reason).await;
+        }
+        let since = state.read();
+        let store = StoreCalls::new(&node);
+        let watched = store.watch(self.kind, since, Duration::ZERO, reason, || {}).await?;
+        self.apply_watched(watched).await
+    }
+
+    async fn apply_watched(&mut self, watched: WatchResult) -> Result<(), PlatformError> {
+        let node = Arc::clone(&self.node);
+        let state = node.read_state.of(self.kind);
         match watched {
             WatchResult::Changes(snapshot) => {
                 let has_changes = !snapshot.objects.is_empty();
@@ -179,9 +205,9 @@
                 }
                 Ok(())
             }
-            WatchResult::HistoryGone => {
+            WatchResult::NoHistory => {
                 tracing::info!(event = "history_gone", kind = self.kind.name());
-                self.list().await
+                self.list(CallReason::Relist).await
             }
         }
     }
@@ -194,9 +220,6 @@
         let reason = self.watch_reason();
         let response = store.watch(self.kind, since, hold, reason, || begun.notify_one());
         tokio::pin!(response);
-        if hold.is_zero() {
-            return response.await;
-        }
         tokio::select! {
             result = &mut response => return result,
             () = begun.notified() => return response.await,
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -119,7 +119,7 @@
         let result = self.0.store.watch(kind, since, wait, on_head).await;
         let read = result.as_ref().map(|result| match result {
             WatchResult::Changes(snapshot) => Some(snapshot),
-            WatchResult::HistoryGone => None,
+            WatchResult::NoHistory => None,
         });
         self.note(kind, reason, started_at, read);
         result
--- a/tests/suite/relay/supply.rs
+++ b/tests/suite/relay/supply.rs
@@ -182,6 +182,37 @@
     });
 }
 
+// Guards against instances that read every version they missed rather than the newest one: some
+// versions of a megabyte each are more than a response may hold.
+#[test]
+fn missed_configurations_are_not_read() {
+    run(async {
+        let store = Store::new();
+        store.put("config", "main", plan(1, 0, 20_000).content());
+        let listener = store.open_listener().await?;
+        let instance = start_instance("i-1", &listener, "").await?;
+        until_all_have([&instance], "config_version", 1).await?;
+        listener.set(Fault::Refuse);
+        let away = "store_calls_total{end=\"failed\",kind=\"config\"}";
+        let metrics = instance.addresses().metrics;
+        let read = "store_bytes_total{kind=\"config\"}";
+        // The watch that waits ends with the first change.
+        store.put("config", "main", plan(2, 0, 20_000).content());
+        until("the store is away", async || Ok(metric(metrics, away).await? > 0)).await?;
+        let before = metric(metrics, read).await?;
+        let large = plan(12, 4_200, 20_000).content();
+        for version in 3..12 {
+            store.put("config", "main", plan(version, 4_200, 20_000).content());
+        }
+        store.put("config", "main", large.clone());
+        listener.set(Fault::None);
+        until_all_have([&instance], "config_version", 12).await?;
+        let bytes = metric(metrics, read).await? - before;
+        assert!(bytes < 2 * large.to_string().len() as u64, "{bytes} bytes");
+        Ok(())
+    });
+}
+
 // Guards against configurations that never come into force where their bytes take longer than the time
 // limit of a call.
 cases! {configuration_over_a_slow_link {
