--- a/crates/nutmeggrade-core/src/routing/prompt.rs
+++ b/crates/nutmeggrade-core/src/routing/prompt.rs
@@ -31,4 +31,9 @@
     pub fn expected(&self) -> u64 {
         self.hint.unwrap_or(self.max_tokens).min(self.max_tokens)
     }
+
+    /// Returns the parts that requests of other sessions may have too: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use nutmeggrade_core::peer::{Fingerprint, StreamKey};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EventPosition, Prompt, Route};
+use nutmeggrade_core::routing::{EventPosition, Prompt, PromptPart, Route};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::DispatchRequest;
 
@@ -87,6 +87,11 @@
         Some(StreamKey::new(self.workspace.as_ref(), attempt))
     }
 
+    /// Returns the parts of the prompt that other requests may have too.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt.as_ref().map_or(&[], Prompt::shared_parts)
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: Moment) -> Duration {
         self.deadline.since(now)
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -8,7 +8,7 @@
 use http::Uri;
 use nutmeggrade_core::peer::{ContentId, EndpointCrash, Fingerprint};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EndpointInfo, Prompt};
+use nutmeggrade_core::routing::{EndpointInfo, PartIds, Prompt};
 use tokio::time::timeout;
 
 use super::client_request::ClientRequest;
@@ -121,7 +121,8 @@
     if error.kind() == io::ErrorKind::ConnectionRefused {
         node.announce_unreachable(&crash.endpoint);
     }
-    tracing::info!(event = "endpoint_crashed", request = %request.id, endpoint = %crash.endpoint);
+    tracing::info!(event = "endpoint_crashed", request = %request.id, endpoint = %crash.endpoint,
+        content = %ContentId(&request.fingerprint), parts = %PartIds(request.shared_parts()));
     node.announce_crash(crash);
 }
 
@@ -141,5 +142,5 @@
 fn log_uncounted(node: &Node, request: &ClientRequest, endpoint: &EndpointInfo, why: &'static str) {
     node.metrics.uncounted_losses.with_label_values(&[why]).inc();
     tracing::info!(event = "loss_uncounted", request = %request.id, endpoint = %endpoint.id,
-        content = %ContentId(&request.fingerprint), why);
+        content = %ContentId(&request.fingerprint), parts = %PartIds(request.shared_parts()), why);
 }
