Reproduce that requests which share a crashing part take down engine after engine

Two instances, twelve engines, ten requests one after the other with a part that crashes an engine 80 ms after it begins to answer, sound neighbours beside them.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -34,6 +34,8 @@
     advertised_address: SocketAddr,
     ends_with_connection: bool,
     finishes_at_stop: bool,
+    /// Part of a prompt that crashes it, and how long after the answer began.
+    crashing_part: Option<(u64, Duration)>,
 }
 
 /// An endpoint with configurable behaviour.
@@ -67,6 +69,7 @@
             advertised_address: address,
             ends_with_connection: false,
             finishes_at_stop: false,
+            crashing_part: None,
         };
         let endpoint = Self {
             address,
@@ -128,6 +131,11 @@
         self.state().finishes_at_stop = true;
     }
 
+    /// Makes it crash a while after it began to answer a request whose prompt contains this part.
+    pub fn crash_on_part(&self, part: u64, delay: Duration) {
+        self.state().crashing_part = Some((part, delay));
+    }
+
     /// Sets whether it keeps streams open that it sends in part, before it ends them.
     pub fn hold_ends(&self, holds: bool) {
         self.holds_ends.send_replace(holds);
@@ -260,6 +268,7 @@
         let id = request.header("x-nutmeggrade-attempt-id").unwrap_or_default().to_owned();
         let position = request.header("last-event-id").and_then(|p| p.parse().ok()).unwrap_or(0);
         let at = Instant::now();
+        let crash_delay = self.crash_delay(&request);
         self.state().received.push(ReceivedRequest { message: request, ran, is_misdirected, at });
         if is_misdirected {
             return self.send_empty(stream, 421, "").await;
@@ -267,9 +276,20 @@
         if is_copy_missing {
             return self.send_empty(stream, 503, "X-Nutmeggrade-Not-Executed: 1\r\n").await;
         }
+        if let Some(delay) = crash_delay {
+            return self.crash_within_stream(stream, &id, delay).await;
+        }
         self.respond(stream, &id, position, behaviour).await
     }
 
+    /// Returns how long after its beginning the answer to a request crashes it.
+    fn crash_delay(&self, request: &Message) -> Option<Duration> {
+        let (part, delay) = self.state().crashing_part?;
+        let prefix = request.header("x-nutmeggrade-prompt-prefix")?;
+        let ids = prefix.split(',').filter_map(|p| p.split_once(':')).map(|(id, _)| id);
+        ids.filter_map(|id| u64::from_str_radix(id, 16).ok()).any(|id| id == part).then_some(delay)
+    }
+
     fn claim_copy(&self, source: &str) -> Option<u64> {
         let (source, handle) = source.split_once('/')?;
         self.generations.claim_copy(source.parse().ok()?, handle)
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -92,6 +92,20 @@
         }
     }
 
+    /// Begins a stream and crashes.
+    pub(super) async fn crash_within_stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        delay: Duration,
+    ) -> anyhow::Result<()> {
+        let writer = self.start_stream(stream, id, true).await?;
+        sleep(delay).await;
+        self.crashed.send_replace(true);
+        self.listens.subscribe().wait_for(|listens| !listens).await?;
+        reset(writer.connection())
+    }
+
     async fn send_declared_stream(
         &self,
         stream: &mut TcpStream,
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod config;
 mod crashers;
+mod crashing_parts;
 mod cut_off;
 mod endpoints;
 mod fleet;
