Hold the part of a prompt that crashes endpoints

Cause: evidence of crashes had one grain, a hash of the whole request. Requests that are new each time never have a second crash. Class: evidence is gathered at one level, and the cause lies at another.

Now a crash counts against the request and against each part of its prompt but the last. Culprits are the suspects that explain most crashes, found again for those that are left, so that what ran beside a culprit isn't held. A suspect in a completed answer, or in one that goes on for twice as long as the longest before a crash, is cleared, and peers are told: what all requests share is never held while anything with it completes. Three crashes hold; for a part that was completed lately it takes five, and three seconds without a completion. Crashes at the same moment count as one, unless the answer began after the one before. After a hold one crash is enough for the next, which is twice as long.

Losses are kept as a list in place of one in each record.

--- a/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_beacon.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::SharedCrash;
+use super::{PartCrash, SharedCrash};
 use crate::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use crate::rollout::RolloutNotice;
 use crate::routing::PlacedLoad;
@@ -105,6 +105,9 @@
     /// Some of the crashes that count against requests which may soon be blocked or are.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<SharedCrash>,
+    /// The same of crashes that count against prompt parts.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub part_crashes: Vec<PartCrash>,
     /// Peers that the sender has recently heard from, in a large fleet.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub heard: Vec<HeardPeer>,
--- a/crates/nutmeggrade-core/src/peer/fleet_message.rs
+++ b/crates/nutmeggrade-core/src/peer/fleet_message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Contacts, EndpointUpdateBatch, FleetBeacon, StreamVersion};
+use super::{Contacts, EndpointCrash, EndpointUpdateBatch, FleetBeacon, Refutation, StreamVersion};
 use crate::id::{DomainId, EndpointId, InstanceId};
 use crate::rollout::{RolloutNotice, RolloutReport};
 use crate::routing::{PlacedLoad, RateLimit};
@@ -21,17 +21,6 @@
 /// Fingerprint of a request's content, independent of the sender.
 pub type Fingerprint = [u8; 16];
 
-/// Crash of an endpoint while it ran a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointCrash {
-    /// The request.
-    pub request: Fingerprint,
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Start time of the endpoint's process, in Unix milliseconds.
-    pub born: u64,
-}
-
 /// Outcomes of requests, by endpoint, since the sender's last such message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetOutcomes {
@@ -58,6 +47,8 @@
     Moving(InstanceLoad),
     /// An endpoint crashed while running a request of the sender.
     Crashed(EndpointCrash),
+    /// Suspects that the sender knows not to crash endpoints.
+    Refuted(Vec<Refutation>),
     /// Endpoints that announced to the sender that they are shutting down.
     Leaving(Vec<EndpointId>),
     /// Endpoints that refused the sender's connection because nothing listens at their address.
@@ -96,6 +87,7 @@
             Self::Placed(_) => "placed",
             Self::Moving(_) => "moving",
             Self::Crashed(_) => "crashed",
+            Self::Refuted(_) => "refuted",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
             Self::Outcomes(_) => "outcomes",
--- a/crates/nutmeggrade-fakes/examples/fleet_cost.rs
+++ b/crates/nutmeggrade-fakes/examples/fleet_cost.rs
@@ -63,6 +63,7 @@
         placed: placed(number)?,
         rollouts: Vec::new(),
         crashes: Vec::new(),
+        part_crashes: Vec::new(),
         heard: Vec::new(),
     })
 }
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -35,6 +35,8 @@
     pub crashes: IntCounterVec,
     /// Lost requests that are no evidence of a crash, by reason.
     pub uncounted_losses: IntCounterVec,
+    /// Requests and prompt parts that are held because they crash endpoints.
+    pub held_culprits: IntGaugeVec,
     /// Resends that the budget did not allow.
     pub over_budget: IntCounter,
     /// Reports of peers that an endpoint's address refuses connections.
@@ -113,6 +115,13 @@
                 "lost requests that are no evidence of a crash",
                 &["why"],
             )?,
+            held_culprits: add(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("held_culprits", "what is held because it crashes endpoints"),
+                    &["kind"],
+                ),
+            )?,
             over_budget: counter("over_budget_total", "second sends that were not allowed")?,
             unreachable_notices: counter("told_gone_total", "endpoints that peers found gone")?,
             moves: counters("moves_total", "generations taken along", &["end"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -7,12 +7,12 @@
 mod streams;
 mod supply;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
-use nutmeggrade_core::peer::{FleetMessage, InstanceAddresses, Revisions};
+use nutmeggrade_core::peer::{CrashSuspect, FleetMessage, InstanceAddresses, Revisions};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::RouteMap;
 use nutmeggrade_policy::Ticket;
@@ -88,6 +88,8 @@
     pub probed: Mutex<BTreeSet<EndpointId>>,
     /// The last response to a peer that asked for endpoints; locked before the tables.
     encoded_endpoints: Mutex<Option<EncodedEndpoints>>,
+    /// The culprits of crashes that were last reported; never locked together with the tables.
+    culprits: Mutex<BTreeMap<CrashSuspect, usize>>,
     /// Transfers to peers in progress.
     pub transfers: Transfers,
     /// Workspace shared by all requests that need no key.
@@ -130,6 +132,7 @@
             reach_checks: ReachChecks::default(),
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
+            culprits: Mutex::default(),
             transfers: Transfers::new(settings.link),
             keyless_workspace: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
--- a/crates/nutmeggrade-relay/src/node/crashes.rs
+++ b/crates/nutmeggrade-relay/src/node/crashes.rs
@@ -1,11 +1,19 @@
 //! Records crashes of endpoints under requests, as seen by this instance or its peers.
 
-use nutmeggrade_core::peer::{ContentId, EndpointCrash, Fingerprint, FleetMessage, SharedCrash};
+use std::collections::BTreeMap;
+
+use nutmeggrade_core::peer::{
+    ContentId, CrashSuspect, EndpointCrash, FleetMessage, PartCrash, Refutation, RequestSuspects,
+    SharedCrash,
+};
 use nutmeggrade_core::prelude::*;
 
 use super::Node;
 use crate::tables::lock;
 
+/// Refutations per datagram, some 30 bytes each.
+const REFUTATIONS_PER_DATAGRAM: usize = 40;
+
 /// Who saw a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashSource {
@@ -47,6 +55,14 @@
         }
     }
 
+    /// Records crashes under prompt parts that a peer repeats.
+    pub fn note_shared_part_crashes(&self, crashes: &[PartCrash]) {
+        let (now, tables) = (self.now(), &mut *lock(&self.tables));
+        for crash in crashes {
+            tables.crashes.note_shared_part(crash, now);
+        }
+    }
+
     /// Counts losses at endpoints that are registered no longer as crashes.
     pub fn settle_losses(&self) {
         let settled = {
@@ -64,8 +80,55 @@
     }
 
     /// Records that an endpoint completed a request, which therefore crashes none.
-    pub fn note_completed(&self, request: &Fingerprint) {
-        lock(&self.tables).crashes.note_completed(request, self.now());
+    pub fn note_completed(&self, suspects: &RequestSuspects) {
+        lock(&self.tables).crashes.note_completed(suspects, self.now());
+    }
+
+    /// Records that peers know suspects not to crash endpoints.
+    pub fn note_refuted(&self, refuted: &[Refutation]) {
+        let (now, tables) = (self.now(), &mut *lock(&self.tables));
+        for refutation in refuted {
+            tables.crashes.note_refuted(refutation, now);
+        }
+    }
+
+    /// Tells the peers which suspects this instance knows not to crash endpoints, and reports the
+    /// culprits.
+    pub fn review_suspects(&self) {
+        let now = self.now();
+        let (refuted, culprits) = {
+            let tables = &mut *lock(&self.tables);
+            let refuted = if tables.crashes.has_suspects() {
+                tables.crashes.take_refutations(&tables.running, now)
+            } else {
+                Vec::new()
+            };
+            (refuted, tables.crashes.culprits(now))
+        };
+        self.report_culprits(culprits);
+        for batch in refuted.chunks(REFUTATIONS_PER_DATAGRAM) {
+            self.broadcast(FleetMessage::Refuted(batch.to_vec()));
+        }
+    }
+
+    /// Logs changes of the culprits and sets their metric.
+    fn report_culprits(&self, culprits: BTreeMap<CrashSuspect, usize>) {
+        let mut last = lock(&self.culprits);
+        if *last == culprits {
+            return;
+        }
+        for (culprit, crashes) in culprits.iter().filter(|(c, _)| !last.contains_key(c)) {
+            tracing::warn!(event = "culprit_held", culprit = culprit.kind(), key = %culprit, crashes);
+        }
+        for culprit in last.keys().filter(|c| !culprits.contains_key(c)) {
+            tracing::info!(event = "culprit_released", culprit = culprit.kind(), key = %culprit);
+        }
+        for kind in ["request", "part"] {
+            let count = culprits.keys().filter(|c| c.kind() == kind).count();
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.held_culprits.with_label_values(&[kind]).set(count);
+        }
+        *last = culprits;
     }
 
     fn announce_settled(&self, settled: Vec<(EndpointCrash, usize)>) {
--- a/crates/nutmeggrade-relay/src/peers.rs
+++ b/crates/nutmeggrade-relay/src/peers.rs
@@ -300,6 +300,7 @@
             placed: tables.dispatcher.load_table.own_loads().clone(),
             rollouts: tables.rollouts.notices(now),
             crashes: tables.crashes.shared(SHARED_CRASHES, now),
+            part_crashes: tables.crashes.shared_parts(SHARED_CRASHES, now),
             heard: Vec::new(),
         }
     }
--- a/crates/nutmeggrade-relay/src/peers/inbox.rs
+++ b/crates/nutmeggrade-relay/src/peers/inbox.rs
@@ -24,6 +24,7 @@
         FleetMessage::Gone(endpoints) => node.note_unreachable(&endpoints),
         FleetMessage::Met(contacts) => lock(&node.tables).fleet.add_contacts(&contacts, node.now()),
         FleetMessage::Crashed(crash) => node.note_crash(&crash, CrashSource::Peer),
+        FleetMessage::Refuted(refuted) => node.note_refuted(&refuted),
         FleetMessage::Streams(streams) => streams.iter().for_each(|s| node.note_stream(s)),
         FleetMessage::Outcomes(outcomes) => node.add_peer_outcomes(&outcomes),
         FleetMessage::RateLimits(limits) => node.note_peer_limits(&limits),
@@ -62,6 +63,7 @@
     for shared in &beacon.crashes {
         node.note_shared_crash(shared);
     }
+    node.note_shared_part_crashes(&beacon.part_crashes);
     for kind in Kind::ALL {
         node.read_state.of(kind).note_peer_revision(revision(&beacon.revisions, kind));
     }
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -126,12 +126,14 @@
     if is_forwarded {
         shutdown::check(node, &route, parsed.prompt.as_ref())?;
     }
-    let fingerprint =
-        crash::fingerprint(workspace.as_ref(), &head.uri, parsed.prompt.as_ref(), &body);
-    if lock(&node.tables).crashes.holds(&fingerprint, arrived_at) {
+    let prompt = parsed.prompt.as_ref();
+    let fingerprint = crash::fingerprint(workspace.as_ref(), &head.uri, prompt, &body);
+    let suspects = crash::suspects(fingerprint, &service, prompt);
+    let culprit = lock(&node.tables).crashes.holds(&suspects, arrived_at);
+    if let Some(culprit) = culprit {
         tracing::info!(event = "request_held", request = %parsed.id,
-            content = %ContentId(&fingerprint));
-        return Err(crash::held());
+            content = %ContentId(&fingerprint), culprit = culprit.kind(), key = %culprit);
+        return Err(crash::held(&culprit));
     }
     Ok(ClientRequest {
         id: parsed.id,
@@ -143,7 +145,7 @@
         workspace,
         priority,
         prompt: parsed.prompt,
-        fingerprint,
+        suspects: Arc::new(suspects),
         position: parsed.position,
         resumes: parsed.resumes,
         arrived_at,
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use nutmeggrade_core::peer::{Fingerprint, StreamKey};
+use nutmeggrade_core::peer::{RequestSuspects, StreamKey};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EventPosition, Prompt, PromptPart, Route};
 use nutmeggrade_policy::Ticket;
@@ -39,8 +39,8 @@
     pub workspace: Option<WorkspaceId>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Hash of workspace, path, prompt and body; equal for requests with the same content.
-    pub fingerprint: Fingerprint,
+    /// All that the request has that may crash endpoints.
+    pub suspects: Arc<RequestSuspects>,
     /// The prompt, if the request carries one.
     pub prompt: Option<Prompt>,
     /// The last event that the client has received.
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use nutmeggrade_core::peer::CrashSuspect;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, EventPosition};
 use nutmeggrade_wire::answer::{self, ResponseHead};
@@ -131,8 +132,9 @@
     NotSent(String),
     /// The endpoint accepts no new requests; no byte was sent.
     EndpointLeaving,
-    /// The request is blocked because it crashed endpoints; no byte was sent.
-    Held,
+    /// The request is blocked because it, or a part of its prompt, crashed endpoints; no byte was
+    /// sent.
+    Held(CrashSuspect),
     /// The endpoint limits its rate or asked for a pause, and this instance has no turn; no byte was
     /// sent.
     NoTurn,
@@ -147,7 +149,9 @@
         match self {
             Self::NotSent(reason) => write!(f, "request not sent: {reason}"),
             Self::EndpointLeaving => f.write_str("request not sent: endpoint is leaving"),
-            Self::Held => f.write_str("request not sent: it crashed endpoints"),
+            Self::Held(culprit) => {
+                write!(f, "request not sent: the {} {culprit} crashed endpoints", culprit.kind())
+            }
             Self::NoTurn => f.write_str("request not sent: no turn at the endpoint"),
             Self::Lost(reason) => write!(f, "response lost: {reason}"),
             Self::TimedOut => f.write_str("no response before the timeout"),
@@ -201,8 +205,8 @@
     let endpoint = &reservation.endpoint;
     let mut tables = lock(&node.tables);
     let now = node.now();
-    if tables.crashes.holds(&client_request.fingerprint, now) {
-        return Err(SendError::Held);
+    if let Some(culprit) = tables.crashes.holds(&client_request.suspects, now) {
+        return Err(SendError::Held(culprit));
     }
     let is_resume = options.resume.is_some();
     if !is_resume && !tables.registry.may_send(&endpoint.id) {
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -13,7 +13,7 @@
 use nutmeggrade_state::attempt::Attempt;
 
 use super::client_request::ClientRequest;
-use super::crash;
+use super::crash::{self, Loss};
 use super::exchange::{
     ConnectError, EndpointResponse, OpenConnection, SendError, SendOptions, open_connection,
     send_request,
@@ -199,9 +199,9 @@
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint leaves")
             }
-            Err(SendError::Held) => {
+            Err(SendError::Held(culprit)) => {
                 self.attempt.not_sent();
-                self.finish_without_room(crash::held()).map(SendStep::Done)
+                self.finish_without_room(crash::held(&culprit)).map(SendStep::Done)
             }
             Err(SendError::NoTurn) => {
                 self.attempt.not_sent();
@@ -224,7 +224,8 @@
                     self.record_outcome(&endpoint, Outcome::Failed);
                     self.node.update_health(&endpoint.id, Health::record_loss);
                 }
-                crash::examine(&self.node, &self.request, &endpoint, reach).await;
+                let loss = Loss::before_answer(&endpoint, reach);
+                crash::examine(&self.node, &self.request, loss).await;
                 self.retry_or_finish(&endpoint.id, &reason, Code::OutcomeUnknown)
             }
         }
@@ -276,6 +277,7 @@
         }
         let endpoint = reservation.endpoint.id.clone();
         let EndpointResponse { head, parsed, body, sent_at } = response;
+        let begun_at = self.node.now();
         let body = match response::read_body(body).await {
             Ok(ReadBody::Whole(body)) => body,
             Ok(ReadBody::Large(body)) => {
@@ -288,11 +290,13 @@
                 self.record_send("broken", &endpoint);
                 self.node.update_health(&endpoint, Health::record_failure);
                 let reach = reach::check(&self.node, &reservation.endpoint).await;
-                crash::examine(&self.node, &self.request, &reservation.endpoint, reach).await;
+                let alive = self.node.now().since(begun_at);
+                let loss = Loss { endpoint: &reservation.endpoint, reach, alive };
+                crash::examine(&self.node, &self.request, loss).await;
                 return self.retry_or_finish(&endpoint, &reason, Code::OutcomeUnknown);
             }
         };
-        self.node.note_completed(&self.request.fingerprint);
+        self.node.note_completed(&self.request.suspects);
         if parsed.is_failure() {
             self.attempt.failed();
             self.record_outcome(&reservation.endpoint, Outcome::Failed);
--- a/crates/nutmeggrade-relay/src/relay/reservation.rs
+++ b/crates/nutmeggrade-relay/src/relay/reservation.rs
@@ -35,6 +35,7 @@
         let now = self.node.now();
         let mut tables = lock(&self.node.tables);
         tables.dispatcher.load_table.end(self.ticket);
+        tables.running.end(self.ticket.0);
         tables.release(now);
         self.node.placed.notify_one();
     }
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -68,11 +68,11 @@
     let OpenResponse { response, reservation } = open;
     let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
     let framing = response.body.framing().as_str();
-    let fingerprint = request.fingerprint;
+    let suspects = Arc::clone(&request.suspects);
     tokio::spawn(async move {
         let end = forward_until(&node, response.body, &sender, deadline).await;
         if end == TransferEnd::Completed {
-            node.note_completed(&fingerprint);
+            node.note_completed(&suspects);
         }
         node.metrics.body_ends.with_label_values(&[framing, end.as_str()]).inc();
         tracing::info!(event = "answer_ended", request = %request_id,
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -58,6 +58,8 @@
     framing: BodyFraming,
     sender: mpsc::Sender<BodyChunk>,
     sent_at: Moment,
+    /// When the answer of the present run began.
+    run_begun: Moment,
     first_event: Option<Moment>,
     announced_at: Option<Moment>,
     pace_recorded: bool,
@@ -75,7 +77,7 @@
     let OpenResponse { response, reservation } = open;
     let RequestHandler { request, attempt, .. } = handler;
     let engine = node.map().service(&request.service).and_then(|s| s.engine);
-    let stream = EventStream {
+    let mut stream = EventStream {
         node: Arc::clone(node),
         splitter: EventSplitter::new(request.position),
         request,
@@ -85,6 +87,7 @@
         framing: response.body.framing(),
         upstream: Some(response.body),
         sent_at: response.sent_at,
+        run_begun: node.now(),
         sender,
         first_event: None,
         announced_at: None,
@@ -92,6 +95,7 @@
         moves: 0,
         run_end: RunEnd::default(),
     };
+    stream.begin_run();
     tokio::spawn(stream.run());
     response::from_endpoint(response.head, AnswerBody::Chunks(receiver))
 }
@@ -113,7 +117,7 @@
             self.record_outcome(Outcome::Failed, now);
         }
         if end == TransferEnd::Completed {
-            self.node.note_completed(&self.request.fingerprint);
+            self.node.note_completed(&self.request.suspects);
             self.record_pace(FINISHED_PACE_EVENTS, now);
             let mut tables = lock(&self.node.tables);
             tables.pace.ended(self.generated_tokens(), now.since(self.request.arrived_at));
@@ -125,6 +129,14 @@
         }
     }
 
+    /// Records that the endpoint begins to answer.
+    fn begin_run(&mut self) {
+        self.run_begun = self.node.now();
+        let suspects = Arc::clone(&self.request.suspects);
+        let number = self.reservation.ticket.0;
+        lock(&self.node.tables).running.begin(number, suspects, self.run_begun);
+    }
+
     async fn forward(&mut self) -> TransferEnd {
         let mut changes = self.node.routing_changes();
         let mut migration = self.migrate_if_leaving();
@@ -178,6 +190,7 @@
 
     /// Forwards the complete events in the bytes; returns whether the client is still connected.
     async fn forward_bytes(&mut self, bytes: &[u8]) -> bool {
+        lock(&self.node.tables).running.progress(self.reservation.ticket.0, self.node.now());
         let Some(events) = self.splitter.push(bytes) else { return true };
         self.record_progress();
         self.sender.send(BodyChunk::Bytes(events)).await.is_ok()
@@ -260,6 +273,7 @@
         self.run_end = RunEnd::default();
         self.upstream = Some(upstream);
         self.reservation = reservation;
+        self.begin_run();
         self.moves += 1;
         lock(&self.node.tables).dispatcher.load_table.record_prompt_read(self.reservation.ticket);
     }
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -7,9 +7,10 @@
 use super::run_end::RunEnd;
 use crate::answer_body::BodyChunk;
 use crate::reach::{self, Reach};
+use crate::relay::crash::{self, Loss};
 use crate::relay::migration::MigrationOutcome;
+use crate::relay::resume;
 use crate::relay::transfer_end::TransferEnd;
-use crate::relay::{crash, resume};
 
 impl EventStream {
     /// Records that the bytes of the run ended, with an error if its connection broke.
@@ -96,7 +97,9 @@
         if reach == Reach::Reached {
             self.node.update_health(&endpoint.id, Health::record_loss);
         }
-        crash::examine(&self.node, &self.request, &endpoint, reach).await;
+        let alive = self.node.now().since(self.run_begun);
+        let loss = Loss { endpoint: &endpoint, reach, alive };
+        crash::examine(&self.node, &self.request, loss).await;
         if !self.splitter.can_continue() {
             return Some(TransferEnd::UpstreamBroken);
         }
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -20,6 +20,7 @@
 use nutmeggrade_state::reach_table::ReachTable;
 use nutmeggrade_state::registry::Registry;
 use nutmeggrade_state::rollout::{EndpointLoad, RolloutTable, ServiceLoad};
+use nutmeggrade_state::running_answers::RunningAnswers;
 use nutmeggrade_state::stream_table::StreamTable;
 use tokio::sync::oneshot;
 
@@ -50,8 +51,10 @@
     pub reach: ReachTable,
     /// Durations of responses.
     pub pace: Pace,
-    /// Requests that were running when an endpoint crashed.
+    /// What was running when an endpoint crashed.
     pub crashes: CrashLog,
+    /// Answers that endpoints are sending.
+    pub running: RunningAnswers,
     /// Versions at which streams began.
     pub streams: StreamTable,
     /// Rollouts of services to another version.
@@ -80,6 +83,7 @@
             reach: ReachTable::new(),
             pace: Pace::new(),
             crashes: CrashLog::new(),
+            running: RunningAnswers::new(),
             streams: StreamTable::new(),
             rollouts: RolloutTable::new(),
             rate_shares: BTreeMap::new(),
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -29,6 +29,7 @@
             remove_forgotten_peers(&node);
         }
         prune_rollouts(&node);
+        node.review_suspects();
         node.refresh();
     }
 }
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod registry;
 pub mod rollout;
 mod rotation;
+pub mod running_answers;
 pub mod settling;
 pub mod stream_table;
 pub mod suspects;
--- a/tests/suite/core/fleet_beacon.rs
+++ b/tests/suite/core/fleet_beacon.rs
@@ -25,6 +25,7 @@
         unreachable: Vec::new(),
         revisions: Revisions { config: 812, endpoints: 90_817, out: 7, rollouts: 0 },
         crashes: Vec::new(),
+        part_crashes: Vec::new(),
         heard: Vec::new(),
         placed: (0..3).map(|n| (endpoint(n), placed)).collect::<BTreeMap<_, _>>(),
         rollouts: Vec::new(),
--- a/tests/suite/relay/crashing_parts.rs
+++ b/tests/suite/relay/crashing_parts.rs
@@ -77,4 +77,5 @@
 cases! {part_is_held {
     drafts: "draft", Duration::from_millis(80);
     resumable: "sort", Duration::from_millis(80);
+    late_crash: "draft", Duration::from_millis(700);
 }}
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -4,6 +4,7 @@
 mod change_log;
 mod cold_rights;
 mod crash_log;
+mod crash_suspects;
 mod cut_off_peers;
 mod endpoint_table;
 mod event_splitter;
--- a/tests/suite/state/crash_log.rs
+++ b/tests/suite/state/crash_log.rs
@@ -2,13 +2,27 @@
 
 use std::time::Duration;
 
-use nutmeggrade_core::peer::EndpointCrash;
+use nutmeggrade_core::peer::{EndpointCrash, PartKey, RequestSuspects};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::crash_log::CrashLog;
 
 fn crashed(request: u8, endpoint: u8, born: u64) -> EndpointCrash {
     let endpoint = EndpointId::new(&format!("e-{endpoint}")).expect("an id");
-    EndpointCrash { request: [request; 16], endpoint, born }
+    let (parts, alive) = (Vec::new(), Duration::ZERO);
+    EndpointCrash { request: [request; 16], endpoint, born, parts, alive }
+}
+
+fn suspects(request: u8, parts: &[u64]) -> RequestSuspects {
+    RequestSuspects::new([request; 16], parts.iter().map(|part| key(*part)).collect())
+}
+
+fn key(part: u64) -> PartKey {
+    let service = ServiceId::new("writers").expect("an id");
+    PartKey::new(&service, &ModelId::new("m").expect("an id"), part)
+}
+
+fn is_held(log: &mut CrashLog, request: u8, now: Moment) -> bool {
+    log.holds(&suspects(request, &[]), now).is_some()
 }
 
 const NOW: Moment = Moment::from_millis(1_000);
@@ -21,11 +35,11 @@
     for endpoint in [1, 1, 2] {
         log.note(&crashed(7, endpoint, 5), NOW);
         log.note(&crashed(endpoint, endpoint, 5), NOW);
-        assert!(!log.holds(&[7; 16], NOW));
+        assert!(!is_held(&mut log, 7, NOW));
     }
     log.note(&crashed(7, 3, 5), NOW);
-    assert!(log.holds(&[7; 16], NOW));
-    assert!(!log.holds(&[1; 16], NOW));
+    assert!(is_held(&mut log, 7, NOW));
+    assert!(!is_held(&mut log, 1, NOW));
 }
 
 // Guards against crashes that go uncounted because the endpoint restarted under the same id.
@@ -35,7 +49,7 @@
     for born in 1..=3 {
         log.note(&crashed(7, 1, born), NOW);
     }
-    assert!(log.holds(&[7; 16], NOW));
+    assert!(is_held(&mut log, 7, NOW));
 }
 
 // Guards against a request that is held forever after its last crash.
@@ -45,7 +59,7 @@
     for endpoint in 1..=3 {
         log.note(&crashed(7, endpoint, 5), NOW);
     }
-    assert!(!log.holds(&[7; 16], NOW.after(Duration::from_mins(3))));
+    assert!(!is_held(&mut log, 7, NOW.after(Duration::from_mins(3))));
 }
 
 fn note_losses(log: &mut CrashLog, endpoints: std::ops::RangeInclusive<u8>, now: Moment) {
@@ -59,12 +73,12 @@
 fn loss_counts_once_its_endpoint_has_ended() {
     let mut log = CrashLog::new();
     note_losses(&mut log, 1..=3, NOW);
-    assert!(!log.holds(&[7; 16], NOW));
+    assert!(!is_held(&mut log, 7, NOW));
     let first = EndpointId::new("e-1").expect("an id");
     assert_eq!(log.settle(|id, _| *id == first, NOW), vec![(crashed(7, 1, 5), 1)]);
     assert_eq!(log.settle(|id, _| *id == first, NOW), vec![]);
     assert_eq!(log.settle(|_, _| true, NOW).len(), 2);
-    assert!(log.holds(&[7; 16], NOW));
+    assert!(is_held(&mut log, 7, NOW));
 }
 
 // Guards against endpoints that ended long after they lost a request and count as crashed by it.
@@ -79,16 +93,16 @@
 #[test]
 fn request_that_completed_is_not_held_by_one_common_failure() {
     let mut log = CrashLog::new();
-    log.note_completed(&[7; 16], NOW);
+    log.note_completed(&suspects(7, &[]), NOW);
     let later = |seconds| NOW.after(Duration::from_secs(seconds));
     for endpoint in 1..=5 {
         log.note(&crashed(7, endpoint, 5), later(10));
     }
-    assert!(!log.holds(&[7; 16], later(11)));
+    assert!(!is_held(&mut log, 7, later(11)));
     for (endpoint, seconds) in [(6, 20), (7, 30)] {
         log.note(&crashed(7, endpoint, 5), later(seconds));
     }
-    assert!(log.holds(&[7; 16], later(31)));
+    assert!(is_held(&mut log, 7, later(31)));
 }
 
 // Guards against crashes that still count against a request which endpoints complete.
@@ -98,9 +112,9 @@
     for endpoint in 1..=2 {
         log.note(&crashed(7, endpoint, 5), NOW);
     }
-    log.note_completed(&[7; 16], NOW);
+    log.note_completed(&suspects(7, &[]), NOW);
     log.note(&crashed(7, 3, 5), NOW);
-    assert!(!log.holds(&[7; 16], NOW));
+    assert!(!is_held(&mut log, 7, NOW));
 }
 
 // Guards against requests that an instance sends on which has just started or missed a message.
@@ -119,7 +133,7 @@
             other.note_shared(&shared, NOW);
         }
     }
-    assert!(other.holds(&[7; 16], NOW));
+    assert!(is_held(&mut other, 7, NOW));
     assert_eq!(other.shared(9, NOW).len(), 6);
 }
 
@@ -136,7 +150,7 @@
         log.note(&crash, NOW.after(Duration::from_secs(1)));
     }
     log.note(&crashed(7, 3, 5), NOW.after(Duration::from_secs(2)));
-    assert!(log.holds(&[7; 16], NOW.after(Duration::from_secs(2))));
+    assert!(is_held(&mut log, 7, NOW.after(Duration::from_secs(2))));
 }
 
 // Guards against a popular request that is held everywhere because an instance which seldom gets it
@@ -149,12 +163,12 @@
         idle.note(&crashed(7, endpoint, 5), later(seconds));
     }
     let mut busy = CrashLog::new();
-    busy.note_completed(&[7; 16], later(15));
+    busy.note_completed(&suspects(7, &[]), later(15));
     for shared in idle.shared(9, later(30)) {
         busy.note_shared(&shared, later(30));
     }
     assert_eq!(busy.shared(9, later(30)), vec![]);
-    assert!(!busy.holds(&[7; 16], later(30)));
+    assert!(!is_held(&mut busy, 7, later(30)));
     let counted = busy.note(&crashed(7, 4, 5), later(31));
     assert_eq!(counted, Some(2));
 }
@@ -174,6 +188,6 @@
             }
         }
         let is_blocked = second < 120;
-        assert_eq!(logs[1].holds(&[7; 16], later(second)), is_blocked, "{second}");
+        assert_eq!(is_held(&mut logs[1], 7, later(second)), is_blocked, "{second}");
     }
 }
--- a/tests/suite/state/heartbeat.rs
+++ b/tests/suite/state/heartbeat.rs
@@ -23,6 +23,7 @@
         placed: BTreeMap::new(),
         rollouts: Vec::new(),
         crashes: Vec::new(),
+        part_crashes: Vec::new(),
         heard: Vec::new(),
     }
 }
