Hold a part only once peers could say that they complete it

Cause: three crashes came before the peers' next look at what they know, which is every 0.1 s.

Now the second crash under a part has to be 0.25 s old. A candidate states what makes it a culprit when it is built. state::crash_suspects::part_is_held_only_once_peers_could_clear_it was red.

--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -29,7 +29,7 @@
 /// Maximum number of completed suspects in each half of their map.
 const MAX_COMPLETED_HALF: usize = 1_536;
 /// Longest time for which culprits that depend on the time are not determined anew.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// When an answer with a suspect was last completed.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/nutmeggrade-state/src/crash_log/culprits.rs
+++ b/crates/nutmeggrade-state/src/crash_log/culprits.rs
@@ -16,6 +16,8 @@
 /// Time after its first crash within which such a part is in a completed answer again, if it crashes
 /// no endpoint.
 const COMPLETION_WAIT: Duration = Duration::from_secs(3);
+/// Time after the second crash under a part within which peers say that it was in completed answers.
+const REBUTTAL_WAIT: Duration = Duration::from_millis(250);
 /// Longest time between two crashes that may have one cause other than a suspect which was completed
 /// lately, such as a failure domain that loses power.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
@@ -23,7 +25,7 @@
 const SIMULTANEOUS_WINDOW: Duration = Duration::from_millis(250);
 
 /// Finds the suspects that explain crashes: the one with most crashes first, then the one with most of
-/// those that are left. What only ran beside a culprit is no culprit.
+/// those that are left. What only ran beside a culprit is no culprit. Returns until when each is held.
 ///
 /// Of two with the same crashes the request goes before its parts, which other requests may have that
 /// crash nothing.
@@ -35,7 +37,7 @@
     let mut candidates: Vec<Candidate> = records
         .iter()
         .filter(|(_, record)| record.crashes.len() >= MIN_CRASHES || record.is_on_probation())
-        .map(|(suspect, record)| Candidate::new(*suspect, record, was_completed(suspect), now))
+        .filter_map(|(suspect, r)| Candidate::new(*suspect, r, was_completed(suspect), now))
         .collect();
     let mut culprits = BTreeMap::new();
     let mut explained = BTreeSet::new();
@@ -50,56 +52,58 @@
     }
 }
 
+/// A suspect that may be a culprit.
 struct Candidate<'a> {
     suspect: CrashSuspect,
+    was_completed: bool,
     /// Crashes that no culprit explains.
     crashes: Vec<&'a Crash>,
+    /// Number of crashes that make it a culprit.
+    required: usize,
+    /// Longest time between two crashes that count as one.
+    window: Duration,
     hold_end: Moment,
-    on_probation: bool,
-    was_completed: bool,
-    waited: bool,
 }
 
 impl<'a> Candidate<'a> {
+    /// Creates a candidate; `None` if it may still turn out to be innocent.
     fn new(
         suspect: CrashSuspect,
         record: &'a CrashRecord,
         was_completed: bool,
         now: Moment,
-    ) -> Self {
-        let waited = |first| now.since(first) >= COMPLETION_WAIT;
-        Self {
-            suspect,
-            crashes: record.crashes.iter().collect(),
-            hold_end: record.hold_end().unwrap_or(now),
-            on_probation: record.is_on_probation(),
-            was_completed,
-            waited: record.first_crash().is_some_and(waited),
-        }
+    ) -> Option<Self> {
+        let mut crashes: Vec<&Crash> = record.crashes.iter().collect();
+        crashes.sort_by_key(|crash| crash.at());
+        let has_waited = |n: usize, wait| crashes.get(n).is_some_and(|c| now.since(c.at()) >= wait);
+        let (required, window) = match (suspect, was_completed) {
+            _ if record.is_on_probation() => (1, Duration::ZERO),
+            (CrashSuspect::Request(_), false) => (MIN_CRASHES, Duration::ZERO),
+            (CrashSuspect::Request(_), true) => (MIN_CRASHES, COMMON_CAUSE_WINDOW),
+            (CrashSuspect::Part(_), false) if has_waited(1, REBUTTAL_WAIT) => {
+                (MIN_CRASHES, SIMULTANEOUS_WINDOW)
+            }
+            (CrashSuspect::Part(_), true) if has_waited(0, COMPLETION_WAIT) => {
+                (MIN_CRASHES_OF_KNOWN_PART, COMMON_CAUSE_WINDOW)
+            }
+            (CrashSuspect::Part(_), _) => return None,
+        };
+        let hold_end = record.hold_end()?;
+        Some(Self { suspect, was_completed, crashes, required, window, hold_end })
     }
 
     fn is_sufficient(&self) -> bool {
-        if self.crashes.is_empty() || self.on_probation {
-            return self.on_probation && !self.crashes.is_empty();
-        }
-        match (self.suspect, self.was_completed) {
-            (CrashSuspect::Request(_), false) => self.crashes.len() >= MIN_CRASHES,
-            (CrashSuspect::Request(_), true) => self.separate(COMMON_CAUSE_WINDOW) >= MIN_CRASHES,
-            (CrashSuspect::Part(_), false) => self.separate(SIMULTANEOUS_WINDOW) >= MIN_CRASHES,
-            (CrashSuspect::Part(_), true) => {
-                self.waited && self.separate(COMMON_CAUSE_WINDOW) >= MIN_CRASHES_OF_KNOWN_PART
-            }
-        }
+        self.crashes.len() >= self.required
+            && (self.window.is_zero() || self.separate_crashes() >= self.required)
     }
 
-    /// Returns the number of crashes, those within a window counted as one unless the answer began only
-    /// after the crash before: one cause that ends several endpoints finds the answers running.
-    fn separate(&self, window: Duration) -> usize {
+    /// Returns the number of crashes, those within the window counted as one unless the answer began
+    /// only after the crash before: one cause that ends several endpoints finds the answers running.
+    fn separate_crashes(&self) -> usize {
         let mut crashes = self.crashes.clone();
-        crashes.sort_by_key(|crash| crash.at());
         crashes.dedup_by(|later, earlier| {
             let began_later = !later.alive.is_zero() && later.began_at() >= earlier.at();
-            !began_later && later.at().since(earlier.at()) <= window
+            !began_later && later.at().since(earlier.at()) <= self.window
         });
         crashes.len()
     }
