--- a/tests/suite/state/crash_suspects.rs
+++ b/tests/suite/state/crash_suspects.rs
@@ -72,6 +72,24 @@
     assert!(!is_held(&mut log, SESSION, after(700)));
 }
 
+// Guards against holding a part that a crashing request shares with requests which ran at endpoints as
+// another request crashed them.
+#[test]
+fn part_of_a_crashing_request_is_not_held_for_crashes_of_another() {
+    let mut log = CrashLog::new();
+    for n in 0..4_u8 {
+        let now = after(400 * u64::from(n));
+        crash(&mut log, n.into(), 7, &[SYSTEM], 80, now);
+        crash(&mut log, 10 + usize::from(n), 8, &[SESSION], 80, after(3_000 + 400 * u64::from(n)));
+    }
+    crash(&mut log, 3, 30, &[SESSION], 1_100, after(1_200));
+    let now = after(5_000);
+    for request in [7, 8] {
+        assert!(log.holds(&suspects(request, &[]), now).is_some());
+    }
+    assert!(!is_held(&mut log, SESSION, now));
+}
+
 /// Checks whether a part is held that was never completed and that several endpoints were running as
 /// they ended.
 fn ended_together(gap: u64, alive: u64, expected: bool) {
