Keep answers that go on apart from completed ones as evidence for a suspect

Cause: an answer that went on for a second cleared the part, and counted as a completion, after which a part takes five crashes two seconds apart.

Now what went on only clears the crashes before; only a completion makes a part known.

--- a/crates/nutmeggrade-core/src/peer/refutation.rs
+++ b/crates/nutmeggrade-core/src/peer/refutation.rs
@@ -15,6 +15,9 @@
     /// The suspect.
     #[serde(rename = "s")]
     pub suspect: CrashSuspect,
+    /// Whether the answer was completed.
+    #[serde(rename = "c", default)]
+    pub completed: bool,
     /// Time since then.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "a")]
--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -26,17 +26,19 @@
 /// Time within which it has to turn out whether an endpoint that lost a request has crashed: the
 /// entry of an endpoint outlives it by some seconds, and by an outage of the store.
 const LOSS_RETENTION: Duration = Duration::from_secs(30);
-/// Maximum number of completed suspects in each half of their map.
-const MAX_COMPLETED_HALF: usize = 1_536;
+/// Maximum number of cleared suspects in each half of their map.
+const MAX_CLEARED_HALF: usize = 1_536;
 /// Longest time for which culprits that depend on the time are not determined anew.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// When an answer with a suspect was last completed.
+/// What is known for a suspect.
 #[derive(Debug, Clone, Copy, Default)]
-struct Completion {
-    /// At any instance.
-    anywhere: Moment,
-    /// At this instance, if it was.
+struct Clearance {
+    /// When it last was in an answer that was completed or went on, at any instance.
+    at: Moment,
+    /// Whether it was in a completed answer.
+    completed: bool,
+    /// When an answer with it was last completed here.
     here: Option<Moment>,
 }
 
@@ -57,7 +59,7 @@
     records: BTreeMap<CrashSuspect, CrashRecord>,
     /// Losses of which it isn't known whether their endpoint crashed, and their times.
     losses: VecDeque<(EndpointCrash, Moment)>,
-    completed: RecentMap<CrashSuspect, Completion>,
+    cleared: RecentMap<CrashSuspect, Clearance>,
     /// Suspects that are held, and until when.
     culprits: BTreeMap<CrashSuspect, Moment>,
     reviewed_at: Option<Moment>,
@@ -77,7 +79,7 @@
         Self {
             records: BTreeMap::new(),
             losses: VecDeque::new(),
-            completed: RecentMap::new(HOLD_PERIOD, MAX_COMPLETED_HALF),
+            cleared: RecentMap::new(HOLD_PERIOD, MAX_CLEARED_HALF),
             culprits: BTreeMap::new(),
             reviewed_at: None,
             request_position: 0,
@@ -191,21 +193,35 @@
     /// Records that an answer to a request was completed here, which clears all that the request has.
     pub fn note_completed(&mut self, suspects: &RequestSuspects, now: Moment) {
         for suspect in suspects.iter() {
-            let last = self.completed.get(&suspect).copied().unwrap_or_default();
-            let completion = Completion { anywhere: last.anywhere.max(now), here: Some(now) };
-            self.completed.insert(suspect, completion, now);
-            self.refute(&suspect, now);
+            self.clear(suspect, now, true, Some(now), now);
         }
     }
 
     /// Records that a peer knows a suspect not to crash endpoints.
     pub fn note_refuted(&mut self, refutation: &Refutation, now: Moment) {
         let at = Moment::new(now.since_start().saturating_sub(refutation.age));
-        let suspect = refutation.suspect;
-        let last = self.completed.get(&suspect).copied().unwrap_or_default();
-        let completion = Completion { anywhere: last.anywhere.max(at), here: last.here };
-        self.completed.insert(suspect, completion, now);
-        self.refute(&suspect, at);
+        self.clear(refutation.suspect, at, refutation.completed, None, now);
+    }
+
+    fn clear(
+        &mut self,
+        suspect: CrashSuspect,
+        at: Moment,
+        completed: bool,
+        here: Option<Moment>,
+        now: Moment,
+    ) {
+        let last = self.cleared.get(&suspect).copied().unwrap_or_default();
+        let clearance = Clearance {
+            at: last.at.max(at),
+            completed: last.completed || completed,
+            here: here.or(last.here),
+        };
+        self.cleared.insert(suspect, clearance, now);
+        if let Some(record) = self.records.get_mut(&suspect) {
+            record.refute(at);
+            self.reviewed_at = None;
+        }
     }
 
     /// Returns whether there are suspects that this instance may be able to refute.
@@ -216,7 +232,7 @@
     /// Clears the suspects that this instance knows not to crash endpoints, and returns what to tell
     /// the peers. `running` holds the answers that endpoints are sending.
     pub fn take_refutations(&mut self, running: &RunningAnswers, now: Moment) -> Vec<Refutation> {
-        let mut known: BTreeMap<CrashSuspect, Moment> = BTreeMap::new();
+        let mut known: BTreeMap<CrashSuspect, (Moment, bool)> = BTreeMap::new();
         let is_open = |record: &CrashRecord| record.crashes.len() >= MIN_SHARED_CRASHES;
         for answer in running.iter() {
             let survives = |suspect: &CrashSuspect| {
@@ -224,29 +240,32 @@
                 record.is_some_and(|record| answer.lived() >= record.survival_time())
             };
             for suspect in answer.suspects.iter().filter(survives) {
-                let last = known.entry(suspect).or_insert(answer.last_sign);
-                *last = answer.last_sign.max(*last);
+                let last = known.entry(suspect).or_insert((answer.last_sign, false));
+                last.0 = last.0.max(answer.last_sign);
             }
         }
         for (suspect, record) in self.records.iter().filter(|(_, record)| is_open(record)) {
-            let Some(completion) = self.completed.get(suspect) else { continue };
-            let Some(here) = completion.here else { continue };
+            let Some(clearance) = self.cleared.get(suspect) else { continue };
+            let Some(here) = clearance.here else { continue };
             // Peers also have to know of a completion before the crashes: what was completed lately is
             // not suspected as soon.
             let is_news = record.first_crash().is_some_and(|first| here >= first)
-                || completion.anywhere <= here && !record.is_announced;
+                || clearance.at <= here && !record.is_announced;
             if is_news {
-                let last = known.entry(*suspect).or_insert(here);
-                *last = here.max(*last);
+                let last = known.entry(*suspect).or_insert((here, true));
+                *last = (last.0.max(here), true);
             }
         }
-        for (suspect, at) in &known {
+        for (suspect, (at, completed)) in &known {
             if let Some(record) = self.records.get_mut(suspect) {
                 record.is_announced = true;
             }
-            self.refute(suspect, *at);
+            self.clear(*suspect, *at, *completed, None, now);
         }
-        let refutation = |(suspect, at)| Refutation { suspect, age: now.since(at) };
+        let refutation = |(suspect, (at, completed))| {
+            let age = now.since(at);
+            Refutation { suspect, completed, age }
+        };
         known.into_iter().map(refutation).collect()
     }
 
@@ -285,7 +304,7 @@
     /// Adds a crash, unless the suspect has been completed since; returns the number of the suspect's
     /// crashes if it is new.
     fn add(&mut self, suspect: CrashSuspect, crash: Crash, now: Moment) -> Option<usize> {
-        if self.completed.get(&suspect).is_some_and(|c| c.anywhere >= crash.at()) {
+        if self.cleared.get(&suspect).is_some_and(|clearance| clearance.at >= crash.at()) {
             return None;
         }
         let count = self.records.entry(suspect).or_default().add(crash);
@@ -296,13 +315,6 @@
         count
     }
 
-    fn refute(&mut self, suspect: &CrashSuspect, at: Moment) {
-        if let Some(record) = self.records.get_mut(suspect) {
-            record.refute(at);
-            self.reviewed_at = None;
-        }
-    }
-
     /// Drops the suspects with the fewest crashes if there are too many.
     fn limit_records(&mut self, now: Moment) {
         if self.records.len() <= MAX_RECORDS {
@@ -329,7 +341,8 @@
             return;
         }
         self.remove_expired(now);
-        let was_completed = |suspect: &CrashSuspect| self.completed.get(suspect).is_some();
+        let was_completed =
+            |suspect: &CrashSuspect| self.cleared.get(suspect).is_some_and(|c| c.completed);
         self.culprits = culprits::find(&self.records, was_completed, now);
         self.reviewed_at = Some(now);
     }
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -14,6 +14,7 @@
 mod attempts;
 mod cold;
 mod config;
+mod crash_days;
 mod event_streams;
 mod generations;
 mod intents;
