Answer crashes that peers repeat although their suspect is cleared

Cause: a refutation is one datagram, and 3% were lost; whoever had told it had no crash left to refute.

Now an instance that hears a crash from before a clearance tells the clearance again.

--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -3,7 +3,7 @@
 mod crash_record;
 mod culprits;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use nutmeggrade_core::peer::{
@@ -60,6 +60,8 @@
     /// Losses of which it isn't known whether their endpoint crashed, and their times.
     losses: VecDeque<(EndpointCrash, Moment)>,
     cleared: RecentMap<CrashSuspect, Clearance>,
+    /// Suspects of which a peer repeats crashes from before they were cleared.
+    rebuttals: BTreeSet<CrashSuspect>,
     /// Suspects that are held, and until when.
     culprits: BTreeMap<CrashSuspect, Moment>,
     reviewed_at: Option<Moment>,
@@ -80,6 +82,7 @@
             records: BTreeMap::new(),
             losses: VecDeque::new(),
             cleared: RecentMap::new(HOLD_PERIOD, MAX_CLEARED_HALF),
+            rebuttals: BTreeSet::new(),
             culprits: BTreeMap::new(),
             reviewed_at: None,
             request_position: 0,
@@ -200,6 +203,7 @@
     /// Records that a peer knows a suspect not to crash endpoints.
     pub fn note_refuted(&mut self, refutation: &Refutation, now: Moment) {
         let at = Moment::new(now.since_start().saturating_sub(refutation.age));
+        self.rebuttals.remove(&refutation.suspect);
         self.clear(refutation.suspect, at, refutation.completed, None, now);
     }
 
@@ -226,7 +230,8 @@
 
     /// Returns whether there are suspects that this instance may be able to refute.
     pub fn has_suspects(&self) -> bool {
-        self.records.values().any(|record| record.crashes.len() >= MIN_SHARED_CRASHES)
+        !self.rebuttals.is_empty()
+            || self.records.values().any(|record| record.crashes.len() >= MIN_SHARED_CRASHES)
     }
 
     /// Clears the suspects that this instance knows not to crash endpoints, and returns what to tell
@@ -262,6 +267,11 @@
             }
             self.clear(*suspect, *at, *completed, None, now);
         }
+        for suspect in std::mem::take(&mut self.rebuttals) {
+            if let Some(clearance) = self.cleared.get(&suspect) {
+                known.entry(suspect).or_insert((clearance.at, clearance.completed));
+            }
+        }
         let refutation = |(suspect, (at, completed))| {
             let age = now.since(at);
             Refutation { suspect, completed, age }
@@ -305,6 +315,7 @@
     /// crashes if it is new.
     fn add(&mut self, suspect: CrashSuspect, crash: Crash, now: Moment) -> Option<usize> {
         if self.cleared.get(&suspect).is_some_and(|clearance| clearance.at >= crash.at()) {
+            self.rebuttals.insert(suspect);
             return None;
         }
         let count = self.records.entry(suspect).or_default().add(crash);
--- a/tests/suite/random/crash_days.rs
+++ b/tests/suite/random/crash_days.rs
@@ -409,5 +409,7 @@
 
 // Guards against refusing sound requests because endpoints crash for other reasons.
 cases! {nothing_is_held {
+    single: Trouble::Single;
+    domain: Trouble::Domain;
     service: Trouble::Service;
 }}
