--- a/tests/suite/policy/rollouts.rs
+++ b/tests/suite/policy/rollouts.rs
@@ -226,6 +226,32 @@
     );
 }
 
+/// Checks what becomes of a version whose answers take a multiple of the usual time once it gets all
+/// requests, while the last generations of the old version end.
+fn slower_after_the_switch(factor: u64, expected: RolloutPhase) {
+    let mut simulation = Simulation::new(20);
+    simulation.run_phase(RolloutPhase::Held, 0.0);
+    assert_eq!(simulation.run_phase(RolloutPhase::Canary, 0.0).0, RolloutPhase::Switching);
+    let inputs = &mut simulation.inputs;
+    for step in 0..80 {
+        inputs.is_clear = step > 60;
+        inputs.phase = simulation.judge.decide(inputs).phase;
+        for number in 0..10 {
+            let outcome = Outcome::FirstResponse(Duration::from_millis((40 + number) * factor));
+            inputs.tally.add("lookups", true, outcome);
+        }
+        inputs.age += Duration::from_millis(100);
+    }
+    assert_eq!(inputs.phase, expected);
+}
+
+// Guards against a good version that is reverted because load rises after the switch, when no answers of
+// the old version show it, and against completing one that turns several times slower then.
+cases! {slower_after_the_switch {
+    as_load_rises: 2, RolloutPhase::Cleared;
+    several_times: 5, RolloutPhase::Reverting;
+}}
+
 /// Checks that a rollout is reverted shortly before its duration ends.
 fn is_given_up(change: fn(&mut RolloutInputs)) {
     let mut simulation = Simulation::new(20);
