Bound the time in which culprits are found

Cause: each candidate compared each of its crashes with each crash of each culprit, by the endpoint's name, for all candidates anew after each culprit.

A review follows a crash at once only if it makes a candidate.

--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -2,6 +2,7 @@
 
 mod crash_record;
 mod culprits;
+mod ending_set;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -318,11 +319,12 @@
             self.rebuttals.insert(suspect);
             return None;
         }
-        let count = self.records.entry(suspect).or_default().add(crash);
-        self.limit_records(now);
-        if count.is_some() {
+        let record = self.records.entry(suspect).or_default();
+        let count = record.add(crash);
+        if count.is_some() && culprits::is_candidate(record) {
             self.reviewed_at = None;
         }
+        self.limit_records(now);
         count
     }
 
--- a/crates/nutmeggrade-state/src/crash_log/crash_record.rs
+++ b/crates/nutmeggrade-state/src/crash_log/crash_record.rs
@@ -14,6 +14,8 @@
 const MAX_HOLD_PERIOD: Duration = Duration::from_mins(30);
 /// Time after a hold in which one crash is enough for the next.
 const PROBATION: Duration = Duration::from_mins(10);
+/// Maximum number of crashes, of which the latest are kept; a culprit has a few.
+const MAX_CRASHES: usize = 32;
 /// Shortest time for which an answer has to go on to show that it crashes no endpoint.
 const MIN_SURVIVAL: Duration = Duration::from_secs(1);
 /// The same, as a multiple of the longest time that an answer went on before a crash.
@@ -71,6 +73,9 @@
             return None;
         }
         self.longest_alive = self.longest_alive.max(crash.alive);
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
         self.crashes.reserve_exact(1);
         self.crashes.push(crash);
         Some(self.crashes.len())
--- a/crates/nutmeggrade-state/src/crash_log/culprits.rs
+++ b/crates/nutmeggrade-state/src/crash_log/culprits.rs
@@ -6,7 +6,8 @@
 use nutmeggrade_core::peer::CrashSuspect;
 use nutmeggrade_core::prelude::*;
 
-use super::crash_record::{Crash, CrashRecord};
+use super::crash_record::{Crash, CrashRecord, Incarnation};
+use super::ending_set::EndingSet;
 
 /// Number of crashes that make a culprit. A request that only happened to run at a crashing endpoint
 /// is unlikely to be at two others too.
@@ -35,41 +36,56 @@
     was_completed: impl Fn(&CrashSuspect) -> bool,
     now: Moment,
 ) -> BTreeMap<CrashSuspect, Moment> {
-    let (mut requests, mut parts): (Vec<Candidate>, Vec<Candidate>) = records
-        .iter()
-        .filter(|(_, record)| record.crashes.len() >= MIN_CRASHES || record.is_on_probation())
-        .filter_map(|(suspect, r)| Candidate::new(*suspect, r, was_completed(suspect), now))
-        .partition(|candidate| matches!(candidate.suspect, CrashSuspect::Request(_)));
+    let mut numbers: BTreeMap<&Incarnation, usize> = BTreeMap::new();
+    let mut requests = Vec::new();
+    let mut parts = Vec::new();
+    for (suspect, record) in records.iter().filter(|(_, record)| is_candidate(record)) {
+        let candidate = Candidate::new(*suspect, record, was_completed(suspect), &mut numbers, now);
+        match suspect {
+            CrashSuspect::Request(_) => requests.extend(candidate),
+            CrashSuspect::Part(_) => parts.extend(candidate),
+        }
+    }
     let mut culprits: Vec<Candidate> = Vec::new();
     while let Some(culprit) = take_best(&mut requests, &culprits) {
         culprits.push(culprit);
     }
     while let Some(culprit) = take_best(&mut parts, &culprits) {
-        culprits.retain(|other| !culprit.explains_all(other));
+        culprits.retain(|other| !culprit.endings.contains_all(&other.endings));
         culprits.push(culprit);
     }
     culprits.iter().map(|culprit| (culprit.suspect, culprit.hold_end)).collect()
 }
 
-/// Takes the candidate that explains most crashes beside the culprits that are known.
+/// Returns whether a suspect may be a culprit.
+pub const fn is_candidate(record: &CrashRecord) -> bool {
+    record.crashes.len() >= MIN_CRASHES || record.is_on_probation()
+}
+
+/// Takes the candidate that explains most crashes beside the culprits that are known, and drops those
+/// that explain too few. What is explained only grows, so that they stay without any use.
 fn take_best<'a>(
     candidates: &mut Vec<Candidate<'a>>,
     culprits: &[Candidate<'a>],
 ) -> Option<Candidate<'a>> {
-    let best = candidates
-        .iter()
-        .enumerate()
-        .filter_map(|(n, candidate)| Some((candidate.rank(culprits)?, n)))
-        .max_by_key(|(rank, _)| *rank);
-    best.map(|(_, n)| candidates.swap_remove(n))
+    let mut best = None;
+    candidates.retain(|candidate| {
+        let rank = candidate.rank(culprits);
+        best = best.max(rank);
+        rank.is_some()
+    });
+    let (_, _, suspect) = best?;
+    let n = candidates.iter().position(|candidate| candidate.suspect == suspect)?;
+    Some(candidates.swap_remove(n))
 }
 
 /// A suspect that may be a culprit.
 struct Candidate<'a> {
     suspect: CrashSuspect,
     was_completed: bool,
-    /// Crashes, the earliest first.
-    crashes: Vec<&'a Crash>,
+    /// Crashes and the numbers of their endpoints, the earliest first.
+    crashes: Vec<(usize, &'a Crash)>,
+    endings: EndingSet,
     /// Number of crashes that make it a culprit.
     required: usize,
     /// Longest time between two crashes that count as one.
@@ -78,16 +94,17 @@
 }
 
 impl<'a> Candidate<'a> {
-    /// Creates a candidate; `None` if it may still turn out to be innocent.
+    /// Creates a candidate, and numbers its endpoints; `None` if it may still turn out to be innocent.
     fn new(
         suspect: CrashSuspect,
         record: &'a CrashRecord,
         was_completed: bool,
+        numbers: &mut BTreeMap<&'a Incarnation, usize>,
         now: Moment,
     ) -> Option<Self> {
-        let mut crashes: Vec<&Crash> = record.crashes.iter().collect();
-        crashes.sort_by_key(|crash| crash.at());
-        let has_waited = |n: usize, wait| crashes.get(n).is_some_and(|c| now.since(c.at()) >= wait);
+        let mut times: Vec<Moment> = record.crashes.iter().map(Crash::at).collect();
+        times.sort_unstable();
+        let has_waited = |n: usize, wait| times.get(n).is_some_and(|at| now.since(*at) >= wait);
         let (required, window) = match (suspect, was_completed) {
             _ if record.is_on_probation() => (1, Duration::ZERO),
             (CrashSuspect::Request(_), false) => (MIN_CRASHES, Duration::ZERO),
@@ -101,43 +118,50 @@
             (CrashSuspect::Part(_), _) => return None,
         };
         let hold_end = record.hold_end()?;
-        Some(Self { suspect, was_completed, crashes, required, window, hold_end })
-    }
-
-    fn has_ending(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|c| c.ending == crash.ending)
-    }
-
-    fn explains_all(&self, other: &Self) -> bool {
-        other.crashes.iter().all(|crash| self.has_ending(crash))
+        let mut endings = EndingSet::default();
+        let mut crashes: Vec<(usize, &Crash)> = Vec::with_capacity(record.crashes.len());
+        for crash in &record.crashes {
+            let next = numbers.len();
+            let number = *numbers.entry(&crash.ending).or_insert(next);
+            endings.insert(number);
+            crashes.push((number, crash));
+        }
+        crashes.sort_by_key(|(_, crash)| crash.at());
+        Some(Self { suspect, was_completed, crashes, endings, required, window, hold_end })
     }
 
     /// Returns how the candidate ranks beside the culprits that are known, or `None` if it is no further
     /// culprit.
     fn rank(&self, culprits: &[Self]) -> Option<(usize, bool, CrashSuspect)> {
-        // Crashes under requests that it explains completely count for a part, too.
-        let narrower = |culprit: &Self| {
-            matches!(self.suspect, CrashSuspect::Part(_)) && self.explains_all(culprit)
-        };
-        let is_taken = |crash: &Crash| {
-            culprits.iter().any(|culprit| !narrower(culprit) && culprit.has_ending(crash))
-        };
-        let free: Vec<&Crash> = self.crashes.iter().copied().filter(|c| !is_taken(c)).collect();
-        let replaces_one = culprits.iter().any(narrower);
-        let is_unexplained = |c: &&Crash| culprits.iter().all(|culprit| !culprit.has_ending(c));
-        if replaces_one && (free.len() <= MIN_CRASHES || !free.iter().any(is_unexplained)) {
+        let is_part = matches!(self.suspect, CrashSuspect::Part(_));
+        let mut explained = EndingSet::default();
+        let mut taken = EndingSet::default();
+        let mut replaces_one = false;
+        for culprit in culprits {
+            explained.extend(&culprit.endings);
+            // Crashes under requests that it explains completely count for a part, too.
+            if is_part && self.endings.contains_all(&culprit.endings) {
+                replaces_one = true;
+            } else {
+                taken.extend(&culprit.endings);
+            }
+        }
+        let mut free = self.crashes.clone();
+        free.retain(|(number, _)| !taken.contains(*number));
+        let has_unexplained = free.iter().any(|(number, _)| !explained.contains(*number));
+        if replaces_one && (free.len() <= MIN_CRASHES || !has_unexplained) {
             return None;
         }
-        let is_sufficient = free.len() >= self.required
-            && (self.window.is_zero() || self.separate_crashes(&free) >= self.required);
-        is_sufficient.then_some((free.len(), !self.was_completed, self.suspect))
+        let count = free.len();
+        let is_sufficient = count >= self.required
+            && (self.window.is_zero() || self.separate_crashes(free) >= self.required);
+        is_sufficient.then_some((count, !self.was_completed, self.suspect))
     }
 
     /// Returns the number of crashes, those within the window counted as one unless the answer began
     /// only after the crash before: one cause that ends several endpoints finds the answers running.
-    fn separate_crashes(&self, crashes: &[&Crash]) -> usize {
-        let mut crashes = crashes.to_vec();
-        crashes.dedup_by(|later, earlier| {
+    fn separate_crashes(&self, mut crashes: Vec<(usize, &Crash)>) -> usize {
+        crashes.dedup_by(|(_, later), (_, earlier)| {
             let began_later = !later.alive.is_zero() && later.began_at() >= earlier.at();
             !began_later && later.at().since(earlier.at()) <= self.window
         });
