--- a/crates/nutmeggrade-state/src/crash_log.rs
+++ b/crates/nutmeggrade-state/src/crash_log.rs
@@ -50,7 +50,7 @@
 /// shared log they take down the service's endpoints one after the other; the symptom is restarts that
 /// move through all endpoints. Instances announce to each other what was at an endpoint when it
 /// crashed: requests as a whole, and each part of their prompts but the last. The suspects that explain
-/// the crashes are held, see [`culprits::find`].
+/// the crashes are held, see `culprits::find`.
 ///
 /// An endpoint that lost a request may have crashed or not; the loss counts once the endpoint's
 /// incarnation has ended. A suspect that is in a completed answer, or in one that goes on long after
