--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -114,7 +114,7 @@
 }
 
 /// Reads a complete body whose size has no common bound in time, such as a configuration: each part
-/// has to arrive within `idle`, and all of it within [`MAX_TRANSFER_TIME`].
+/// has to arrive within `idle`, and all of it within `MAX_TRANSFER_TIME`.
 ///
 /// # Errors
 ///
