--- a/crates/nutmeggrade-core/src/peer/crash_suspect.rs
+++ b/crates/nutmeggrade-core/src/peer/crash_suspect.rs
@@ -16,6 +16,11 @@
 }
 
 impl CrashSuspect {
+    /// Returns the suspects of a request with these prompt parts: itself, and each part.
+    pub fn all(request: Fingerprint, parts: &[PartKey]) -> impl Iterator<Item = Self> {
+        std::iter::once(Self::Request(request)).chain(parts.iter().copied().map(Self::Part))
+    }
+
     /// Returns the name used in logs and metrics.
     pub const fn kind(&self) -> &'static str {
         match self {
--- a/crates/nutmeggrade-core/src/peer/endpoint_crash.rs
+++ b/crates/nutmeggrade-core/src/peer/endpoint_crash.rs
@@ -30,7 +30,6 @@
 impl EndpointCrash {
     /// Returns all that may have caused the crash.
     pub fn suspects(&self) -> impl Iterator<Item = CrashSuspect> {
-        let request = std::iter::once(CrashSuspect::Request(self.request));
-        request.chain(self.parts.iter().copied().map(CrashSuspect::Part))
+        CrashSuspect::all(self.request, &self.parts)
     }
 }
--- a/crates/nutmeggrade-core/src/peer/request_suspects.rs
+++ b/crates/nutmeggrade-core/src/peer/request_suspects.rs
@@ -22,7 +22,6 @@
 
     /// Returns the suspects.
     pub fn iter(&self) -> impl Iterator<Item = CrashSuspect> {
-        let request = std::iter::once(CrashSuspect::Request(self.request));
-        request.chain(self.parts.iter().copied().map(CrashSuspect::Part))
+        CrashSuspect::all(self.request, &self.parts)
     }
 }
--- a/crates/nutmeggrade-state/src/crash_log/culprits.rs
+++ b/crates/nutmeggrade-state/src/crash_log/culprits.rs
@@ -68,9 +68,13 @@
     candidates: &mut Vec<Candidate<'a>>,
     culprits: &[Candidate<'a>],
 ) -> Option<Candidate<'a>> {
+    let mut explained = EndingSet::default();
+    for culprit in culprits {
+        explained.extend(&culprit.endings);
+    }
     let mut best = None;
     candidates.retain(|candidate| {
-        let rank = candidate.rank(culprits);
+        let rank = candidate.rank(culprits, &explained);
         best = best.max(rank);
         rank.is_some()
     });
@@ -130,15 +134,17 @@
         Some(Self { suspect, was_completed, crashes, endings, required, window, hold_end })
     }
 
-    /// Returns how the candidate ranks beside the culprits that are known, or `None` if it is no further
-    /// culprit.
-    fn rank(&self, culprits: &[Self]) -> Option<(usize, bool, CrashSuspect)> {
+    /// Returns how the candidate ranks beside the culprits that are known, which explain the endings in
+    /// `explained`, or `None` if it is no further culprit.
+    fn rank(
+        &self,
+        culprits: &[Self],
+        explained: &EndingSet,
+    ) -> Option<(usize, bool, CrashSuspect)> {
         let is_part = matches!(self.suspect, CrashSuspect::Part(_));
-        let mut explained = EndingSet::default();
         let mut taken = EndingSet::default();
         let mut replaces_one = false;
         for culprit in culprits {
-            explained.extend(&culprit.endings);
             // Crashes under requests that it explains completely count for a part, too.
             if is_part && self.endings.contains_all(&culprit.endings) {
                 replaces_one = true;
--- a/crates/nutmeggrade-state/src/running_answers.rs
+++ b/crates/nutmeggrade-state/src/running_answers.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns how long ago an answer began; zero if it is not known.
+    pub fn age(&self, number: u64, now: Moment) -> Duration {
+        self.answers.get(&number).map_or(Duration::ZERO, |answer| now.since(answer.begun))
+    }
+
     /// Removes an answer that has ended.
     pub fn end(&mut self, number: u64) {
         self.answers.remove(&number);
