--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -58,8 +58,6 @@
     framing: BodyFraming,
     sender: mpsc::Sender<BodyChunk>,
     sent_at: Moment,
-    /// When the answer of the present run began.
-    run_begun: Moment,
     first_event: Option<Moment>,
     announced_at: Option<Moment>,
     pace_recorded: bool,
@@ -77,7 +75,7 @@
     let OpenResponse { response, reservation } = open;
     let RequestHandler { request, attempt, .. } = handler;
     let engine = node.map().service(&request.service).and_then(|s| s.engine);
-    let mut stream = EventStream {
+    let stream = EventStream {
         node: Arc::clone(node),
         splitter: EventSplitter::new(request.position),
         request,
@@ -87,7 +85,6 @@
         framing: response.body.framing(),
         upstream: Some(response.body),
         sent_at: response.sent_at,
-        run_begun: node.now(),
         sender,
         first_event: None,
         announced_at: None,
@@ -130,11 +127,10 @@
     }
 
     /// Records that the endpoint begins to answer.
-    fn begin_run(&mut self) {
-        self.run_begun = self.node.now();
+    fn begin_run(&self) {
         let suspects = Arc::clone(&self.request.suspects);
-        let number = self.reservation.ticket.0;
-        lock(&self.node.tables).running.begin(number, suspects, self.run_begun);
+        let (number, now) = (self.reservation.ticket.0, self.node.now());
+        lock(&self.node.tables).running.begin(number, suspects, now);
     }
 
     async fn forward(&mut self) -> TransferEnd {
@@ -190,8 +186,11 @@
 
     /// Forwards the complete events in the bytes; returns whether the client is still connected.
     async fn forward_bytes(&mut self, bytes: &[u8]) -> bool {
-        lock(&self.node.tables).running.progress(self.reservation.ticket.0, self.node.now());
-        let Some(events) = self.splitter.push(bytes) else { return true };
+        let Some(events) = self.splitter.push(bytes) else {
+            let (number, now) = (self.reservation.ticket.0, self.node.now());
+            lock(&self.node.tables).running.progress(number, now);
+            return true;
+        };
         self.record_progress();
         self.sender.send(BodyChunk::Bytes(events)).await.is_ok()
     }
@@ -200,6 +199,7 @@
         let now = self.node.now();
         self.announce_version(now);
         let mut tables = lock(&self.node.tables);
+        tables.running.progress(self.reservation.ticket.0, now);
         if self.first_event.is_none() {
             self.first_event = Some(now);
             let first = Outcome::FirstResponse(now.since(self.sent_at));
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -11,6 +11,7 @@
 use crate::relay::migration::MigrationOutcome;
 use crate::relay::resume;
 use crate::relay::transfer_end::TransferEnd;
+use crate::tables::lock;
 
 impl EventStream {
     /// Records that the bytes of the run ended, with an error if its connection broke.
@@ -97,7 +98,8 @@
         if reach == Reach::Reached {
             self.node.update_health(&endpoint.id, Health::record_loss);
         }
-        let alive = self.node.now().since(self.run_begun);
+        let (number, now) = (self.reservation.ticket.0, self.node.now());
+        let alive = lock(&self.node.tables).running.age(number, now);
         let loss = Loss { endpoint: &endpoint, reach, alive };
         crash::examine(&self.node, &self.request, loss).await;
         if !self.splitter.can_continue() {
