--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -1,5 +1,6 @@
 //! A simulated endpoint: an inference engine or a plain service.
 
+mod crashing;
 mod streaming;
 
 use std::net::SocketAddr;
@@ -131,11 +132,6 @@
         self.state().finishes_at_stop = true;
     }
 
-    /// Makes it crash a while after it began to answer a request whose prompt contains this part.
-    pub fn crash_on_part(&self, part: u64, delay: Duration) {
-        self.state().crashing_part = Some((part, delay));
-    }
-
     /// Sets whether it keeps streams open that it sends in part, before it ends them.
     pub fn hold_ends(&self, holds: bool) {
         self.holds_ends.send_replace(holds);
@@ -156,16 +152,6 @@
         self.state().received.clone()
     }
 
-    /// Simulates a crash: resets the endpoint's streams and stops accepting connections.
-    pub fn kill(&self) {
-        self.crashed.send_replace(true);
-    }
-
-    /// Returns whether it has crashed.
-    pub fn is_dead(&self) -> bool {
-        *self.crashed.borrow()
-    }
-
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         self.state().open_connections
@@ -282,14 +268,6 @@
         self.respond(stream, &id, position, behaviour).await
     }
 
-    /// Returns how long after its beginning the answer to a request crashes it.
-    fn crash_delay(&self, request: &Message) -> Option<Duration> {
-        let (part, delay) = self.state().crashing_part?;
-        let prefix = request.header("x-nutmeggrade-prompt-prefix")?;
-        let ids = prefix.split(',').filter_map(|p| p.split_once(':')).map(|(id, _)| id);
-        ids.filter_map(|id| u64::from_str_radix(id, 16).ok()).any(|id| id == part).then_some(delay)
-    }
-
     fn claim_copy(&self, source: &str) -> Option<u64> {
         let (source, handle) = source.split_once('/')?;
         self.generations.claim_copy(source.parse().ok()?, handle)
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -92,20 +92,6 @@
         }
     }
 
-    /// Begins a stream and crashes.
-    pub(super) async fn crash_within_stream(
-        &self,
-        stream: &mut TcpStream,
-        id: &str,
-        delay: Duration,
-    ) -> anyhow::Result<()> {
-        let writer = self.start_stream(stream, id, true).await?;
-        sleep(delay).await;
-        self.crashed.send_replace(true);
-        self.listens.subscribe().wait_for(|listens| !listens).await?;
-        reset(writer.connection())
-    }
-
     async fn send_declared_stream(
         &self,
         stream: &mut TcpStream,
@@ -120,7 +106,7 @@
         send(stream, &self.response(200, id, &headers, &body)).await
     }
 
-    async fn start_stream<'a>(
+    pub(super) async fn start_stream<'a>(
         &self,
         stream: &'a mut TcpStream,
         id: &str,
