--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,39 @@
+//! Stand-ins of the platform's store, servers and clients, and the cases that use them.
+//!
+//! `standins CASE` runs a case from the repository's root and exits with 1 if the rule was broken, 0
+//! if it held and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
+
+mod client;
+mod desk;
+mod engine;
+mod fleet;
+mod http;
+mod keys;
+mod listing;
+mod record;
+mod stopping;
+mod store;
+
+use std::process::exit;
+
+fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let run = match case.as_str() {
+        "keys" => keys::run,
+        "listing" => listing::run,
+        "stopping" => stopping::run,
+        _ => {
+            eprintln!("usage: standins keys|listing|stopping");
+            exit(2);
+        }
+    };
+    match run(is_troubled) {
+        Ok(true) => exit(0),
+        Ok(false) => exit(1),
+        Err(error) => {
+            eprintln!("the case couldn't run: {error}");
+            exit(2);
+        }
+    }
+}
