Replace review case 3: bodies take instances over their memory

Servers read slowly, and clients send bodies within `max_body_bytes`; each body is held until its answer, and nothing bounds what all hold together.

How: two instances, a stand-in store and platform, six stand-in servers that read 1.6 MB a second, 15 requests a second of 4 MB to each instance, on the real clock (`review/3/run.sh`). The platform kills a process over 110 MB and starts it again.

--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -13,7 +13,6 @@
     pub status: Option<u16>,
     /// The signature of a server.
     pub signature: Option<String>,
-    pub body: Vec<u8>,
     /// Whether the answer ended as HTTP says.
     pub is_whole: bool,
 }
@@ -69,7 +68,7 @@
     let mut reader = BufReader::new(stream);
     let head = read_head(&mut reader)?;
     let status = head.word(1).parse().ok();
-    let (body, is_whole) = read_body(&mut reader, &head, true);
+    let (_, is_whole) = read_body(&mut reader, &head, true);
     let signature = head.get("x-nutmeggrade-server-signature").map(str::to_owned);
-    Some(Reply { status, signature, body, is_whole })
+    Some(Reply { status, signature, is_whole })
 }
--- a/review/standins/desk.rs
+++ b/review/standins/desk.rs
@@ -1,6 +1,6 @@
 //! A server of a plain service.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -12,6 +12,8 @@
 
 /// Time that a request takes.
 const WORK: Duration = Duration::from_millis(20);
+/// Reads in a second of a server that reads slowly.
+const READS_PER_S: u32 = 20;
 
 /// A request that a server ran.
 #[derive(Debug, Clone)]
@@ -25,7 +27,8 @@
 #[derive(Clone)]
 pub struct Desk {
     pub id: String,
-    pub address: SocketAddr,
+    address: SocketAddr,
+    read_rate: Option<usize>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
@@ -33,10 +36,20 @@
 impl Desk {
     /// Starts a server on a free loopback port and registers it.
     pub fn start(id: &str, store: &Store, record: &Record) -> Result<Self, String> {
+        Self::start_reading(id, None, store, record)
+    }
+
+    /// Starts a server like [`Self::start`] that reads at most this many bytes of a body in a second.
+    pub fn start_reading(
+        id: &str,
+        read_rate: Option<usize>,
+        store: &Store,
+        record: &Record,
+    ) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("{id}: {e}"))?;
         let address = listener.local_addr().map_err(|e| format!("{id}: {e}"))?;
         let (id, runs, record) = (id.to_owned(), Arc::default(), record.clone());
-        let desk = Self { id, address, runs, record };
+        let desk = Self { id, address, read_rate, runs, record };
         desk.register(store, "ready");
         let serving = desk.clone();
         thread::spawn(move || {
@@ -52,7 +65,7 @@
     pub fn register(&self, store: &Store, state: &str) {
         let entry = format!(
             "{{\"service\":\"desk\",\"address\":\"{}\",\"zone\":\"veluwe\",\"version\":\"v1\",\
-             \"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":1,\
+             \"slots\":24,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":1,\
              \"born\":1790000000000}}",
             self.address
         );
@@ -69,8 +82,7 @@
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
         while let Some(head) = read_head(&mut reader) {
-            let (_, is_whole) = read_body(&mut reader, &head, false);
-            if !is_whole {
+            if !self.read(&mut reader, &head) {
                 return;
             }
             let response = self.answer(&head);
@@ -80,6 +92,25 @@
         }
     }
 
+    /// Reads a request's body; returns whether it is complete.
+    fn read(&self, reader: &mut BufReader<TcpStream>, head: &Head) -> bool {
+        let length = head.get("content-length").and_then(|length| length.parse::<usize>().ok());
+        let Some((rate, length)) = self.read_rate.zip(length) else {
+            return read_body(reader, head, false).1;
+        };
+        let mut part = vec![0; (rate / READS_PER_S as usize).max(1)];
+        let mut left = length;
+        while left > 0 {
+            let wanted = left.min(part.len());
+            if reader.read_exact(&mut part[..wanted]).is_err() {
+                return false;
+            }
+            left -= wanted;
+            thread::sleep(Duration::from_secs(1) / READS_PER_S);
+        }
+        true
+    }
+
     fn answer(&self, head: &Head) -> String {
         if head.first.contains(" /health ") {
             return format!(
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -16,7 +16,6 @@
 const PORTS: u16 = 5;
 /// Draws of addresses and ports until all are free.
 const MAX_DRAWS: u32 = 50;
-const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 /// Time in which all instances become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
@@ -106,11 +105,13 @@
         Ok(())
     }
 
-    /// Sends SIGTERM to an instance.
-    pub fn terminate(&self, index: usize) {
-        if let Some(child) = &self.children[index] {
-            signal(pid(child), SIGTERM);
-        }
+    /// Returns the resident memory of an instance in bytes; `None` if it doesn't run.
+    pub fn memory(&self, index: usize) -> Option<u64> {
+        let child = self.children[index].as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes << 10)
     }
 
     /// Kills an instance.
