Keep the stand-ins of the review beside its cases, not as a folder

Folders of `review/` are cases. The sources of the stand-ins are unchanged; `review/build.sh` builds them from `review/standins.rs`.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/standins review/standins.rs
