Log who supplied a configuration and which version routed a request, and show the readers' ranks

The hypotheses of the incident could not be told apart from logs and metrics. Added before any change of logic:

- event=config: supplier (store or peer) and the store's revision, for "nobody had it" against "a reader had it and others did not";
- event=placed: the version that routed the request beside the one in force, for "in force, but handled by the one before";
- event=reader_rank and the metric reader_rank: which instance reads first and when that changes;
- store_answer_age_seconds{kind}: a silent watch and a quiet one look alike until the call fails.

No decision depends on any of them.

--- a/crates/nutmeggrade-relay/src/config_source.rs
+++ b/crates/nutmeggrade-relay/src/config_source.rs
@@ -14,6 +14,8 @@
 pub struct ConfigSource {
     text: Bytes,
     hash: Option<TextHash>,
+    revision: u64,
+    is_from_peer: bool,
     /// The text before and its hash, against which the change is packed.
     previous: Option<(TextHash, Bytes)>,
     whole: OnceLock<Arc<PackedText>>,
@@ -29,11 +31,17 @@
     /// Creates the source of a text that a peer sent.
     pub fn received(text: Bytes, packed: PackedText) -> Self {
         let is_change = packed.base.is_some();
-        let source = Self { text, hash: Some(packed.hash), ..Self::default() };
+        let source = Self { text, hash: Some(packed.hash), is_from_peer: true, ..Self::default() };
         let form = OnceLock::from(Arc::new(packed));
         if is_change { Self { change: form, ..source } } else { Self { whole: form, ..source } }
     }
 
+    /// Sets the revision of the store at which the text was read.
+    #[must_use]
+    pub fn with_revision(self, revision: u64) -> Self {
+        Self { revision, ..self }
+    }
+
     /// Sets the text that was in force before, against which changes are packed.
     #[must_use]
     pub fn with_previous(mut self, previous: &Self) -> Self {
@@ -46,6 +54,16 @@
         &self.text
     }
 
+    /// Returns the revision of the store at which the text was read.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns who supplied the text, for logs.
+    pub const fn supplier(&self) -> &'static str {
+        if self.is_from_peer { "peer" } else { "store" }
+    }
+
     /// Returns the hash of the text, or `None` if there is none yet.
     pub const fn hash(&self) -> Option<TextHash> {
         self.hash
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -65,6 +65,10 @@
     pub limited_endpoints: IntGauge,
     /// Peers whose heartbeats arrived recently.
     pub peers: IntGauge,
+    /// Number of instances that rank before this one as readers of the store.
+    pub reader_rank: IntGauge,
+    /// Time since the store's last answer by kind.
+    pub store_answer_age: IntGaugeVec,
     /// Calls to the platform's store by kind and outcome.
     pub store_calls: IntCounterVec,
     /// Calls to the platform's store by kind and reason.
@@ -158,6 +162,12 @@
                 &["kind"],
             )?,
             store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
+            reader_rank: gauge("reader_rank", "instances that read the store before this one")?,
+            store_answer_age: gauges(
+                "store_answer_age_seconds",
+                "time since the store's last answer",
+                &["kind"],
+            )?,
             store_calls: counters("store_calls_total", "calls to the store", &["kind", "end"])?,
             store_call_reasons: counters(
                 "store_call_reasons_total",
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -194,7 +194,9 @@
             old = current.version,
             new = map.version,
             routes = map.len(),
-            bytes = source.text().len()
+            bytes = source.text().len(),
+            supplier = source.supplier(),
+            revision = source.revision()
         );
         self.metrics.config.set(i64::try_from(map.version).unwrap_or(i64::MAX));
         *self.config_source.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(source);
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -32,6 +32,7 @@
 /// How a request is routed.
 struct Routing {
     route: Arc<Route>,
+    config: u64,
     service: ServiceId,
     workspace: Option<WorkspaceId>,
     priority: u8,
@@ -104,7 +105,14 @@
         sticky: false,
         gap: Duration::ZERO,
     };
-    Ok(Routing { route: Arc::new(route), service, workspace, priority, is_forwarded: true })
+    Ok(Routing {
+        route: Arc::new(route),
+        config: 0,
+        service,
+        workspace,
+        priority,
+        is_forwarded: true,
+    })
 }
 
 /// Reads the body of a routed request, unless the request must be refused.
@@ -115,7 +123,7 @@
     routing: Routing,
     arrived_at: Moment,
 ) -> Result<ClientRequest, Failure> {
-    let Routing { route, service, workspace, priority, is_forwarded } = routing;
+    let Routing { route, config, service, workspace, priority, is_forwarded } = routing;
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived_at.after(timeout);
     if !is_forwarded {
@@ -141,6 +149,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        config,
         service,
         workspace,
         priority,
@@ -194,6 +203,7 @@
     };
     Ok(Routing {
         route: Arc::clone(route),
+        config: map.version,
         service: service.clone(),
         priority: key.as_ref().and_then(|k| k.priority).unwrap_or(route.priority),
         workspace: key.map(|k| k.workspace),
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -43,6 +43,8 @@
     pub body: Bytes,
     /// The route that matches host and path.
     pub route: Arc<Route>,
+    /// Version of the configuration that routed the request; 0 if a peer routed it.
+    pub config: u64,
     /// The service selected from the route's splits.
     pub service: ServiceId,
     /// The workspace that the client's key belongs to; `None` without a known key.
--- a/crates/nutmeggrade-relay/src/relay/reservation.rs
+++ b/crates/nutmeggrade-relay/src/relay/reservation.rs
@@ -153,7 +153,7 @@
         canary = dispatch_request.is_canary, waited_ms = waited.as_millis(),
         yielded_ms = yielded.as_millis(),
         requests = load.requests, memory = load.memory, prompt = dispatch_request.prompt,
-        config = node.map().version, endpoints = node.revisions().endpoints);
+        routed = request.config, config = node.map().version, endpoints = node.revisions().endpoints);
 }
 
 /// Claims the room that is booked under a ticket; `None` if the endpoint was removed in the
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -6,6 +6,7 @@
 use nutmeggrade_policy::StaggeredInterval;
 use nutmeggrade_policy::queue::YieldReason;
 use nutmeggrade_state::registry::{Registered, Registry};
+use nutmeggrade_wire::kinds::Kind;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -28,8 +29,10 @@
         expire_peers(&node);
         node.share_paces();
         update_queue(&node);
+        update_reader_rank(&node);
         if tick.is_multiple_of(TICKS_PER_CLEANUP) {
             node.observe_paces();
+            show_answer_ages(&node);
             remove_forgotten_peers(&node);
         }
         prune_rollouts(&node);
@@ -77,6 +80,27 @@
     }
 }
 
+/// Shows this instance's rank as a reader of the store, and logs when it changes.
+fn update_reader_rank(node: &Node) {
+    let rank = lock(&node.tables).fleet.reader_rank(node.now());
+    let rank = i64::try_from(rank).unwrap_or(i64::MAX);
+    let previous = node.metrics.reader_rank.get();
+    if rank != previous {
+        node.metrics.reader_rank.set(rank);
+        tracing::info!(event = "reader_rank", rank, previous);
+    }
+}
+
+/// Shows how long ago the store answered a call for each kind of object.
+fn show_answer_ages(node: &Node) {
+    let now = node.now();
+    for kind in Kind::ALL {
+        let age = node.read_state.of(kind).answer_age(now).as_secs();
+        let gauge = node.metrics.store_answer_age.with_label_values(&[kind.name()]);
+        gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
+    }
+}
+
 /// Drops peers and addresses that nobody has heard of for long, and placements of peers that were
 /// never heard.
 fn remove_forgotten_peers(node: &Node) {
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -166,7 +166,8 @@
     if own.hash() != Some(reply.text.hash) {
         let text = Bytes::from(packing::unpack(&reply.text, own.text())?);
         let map = config::read_text(&text).context("a peer's configuration")?;
-        node.set_map(map, ConfigSource::received(text, reply.text));
+        let source = ConfigSource::received(text, reply.text).with_revision(reply.revision);
+        node.set_map(map, source);
     }
     state.note(reply.revision, reply.revision);
     Ok(())
@@ -220,7 +221,8 @@
     let Some(object) = newest else { return };
     match config::read(&object.content) {
         Ok(map) => {
-            let source = ConfigSource::new(Bytes::from(object.content.to_string()));
+            let source = ConfigSource::new(Bytes::from(object.content.to_string()))
+                .with_revision(object.revision);
             node.set_map(map, source.with_previous(&node.config_source()));
         }
         Err(error) => tracing::error!(event = "config_unreadable", error = format!("{error:#}")),
--- a/crates/nutmeggrade-relay/src/watch/read_state.rs
+++ b/crates/nutmeggrade-relay/src/watch/read_state.rs
@@ -34,6 +34,8 @@
     loaded: AtomicBool,
     unavailable: AtomicBool,
     overdue: AtomicBool,
+    /// Time of the store's last answer, in milliseconds since the start.
+    answered_at: AtomicU64,
 }
 
 impl KindState {
@@ -90,6 +92,17 @@
         self.loaded.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the store answered a call.
+    pub fn note_answer(&self, now: Moment) {
+        let at = u64::try_from(now.since_start().as_millis()).unwrap_or(u64::MAX);
+        self.answered_at.store(at, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the store's last answer, or since the start if there was none.
+    pub fn answer_age(&self, now: Moment) -> Duration {
+        now.since(Moment::from_millis(self.answered_at.load(Ordering::Relaxed)))
+    }
+
     /// Returns whether the kind was read at least once.
     pub fn is_loaded(&self) -> bool {
         self.loaded.load(Ordering::Relaxed)
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -151,6 +151,9 @@
         started_at: Moment,
         read: Result<Option<&Snapshot>, &PlatformError>,
     ) {
+        if read.is_ok() {
+            self.0.read_state.of(kind).note_answer(self.0.now());
+        }
         let (kind, reason) = (kind.name(), reason.name());
         let metrics = &self.0.metrics;
         metrics.store_call_reasons.with_label_values(&[kind, reason]).inc();
--- a/crates/nutmeggrade-state/src/fleet_view/readers.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/readers.rs
@@ -22,7 +22,13 @@
 /// leaves its successor most of the time in which a draining endpoint may still get its last
 /// request.
 const READER_TIMEOUT: Duration = Duration::from_millis(800);
+
 impl FleetView {
+    /// Returns the number of instances that rank before this one as readers of the store.
+    pub fn reader_rank(&self, now: Moment) -> usize {
+        self.count_before(now, can_read)
+    }
+
     /// Returns whether this instance watches the endpoints in the store on behalf of the fleet.
     ///
     /// Each store call is billed and counted, and in a large fleet one watch per instance would
@@ -31,19 +37,19 @@
     /// mostly puts them in different failure domains. An instance that receives no peer's
     /// heartbeats reads for itself.
     pub fn is_reader(&self, now: Moment) -> bool {
-        self.count_before(now, can_read) < READER_COUNT
+        self.reader_rank(now) < READER_COUNT
     }
 
     /// Returns whether this instance watches the configuration and the failure domains out of
     /// service on behalf of the fleet.
     pub fn is_config_reader(&self, now: Moment) -> bool {
-        self.count_before(now, can_read) < CONFIG_READER_COUNT
+        self.reader_rank(now) < CONFIG_READER_COUNT
     }
 
     /// Returns whether this instance is a reader or one of the next in rank. All peers must detect
     /// its silence soon.
     pub fn is_standby(&self, now: Moment) -> bool {
-        self.count_before(now, can_read) < STANDBY_COUNT
+        self.reader_rank(now) < STANDBY_COUNT
     }
 
     /// Returns how long this instance waits before it takes over from readers that the store does
@@ -65,7 +71,7 @@
     /// Returns whether this instance is the first reader. The other readers only have to resend its
     /// updates where they were lost.
     pub fn is_first_reader(&self, now: Moment) -> bool {
-        self.count_before(now, can_read) == 0
+        self.reader_rank(now) == 0
     }
 
     /// Returns whether this instance would be a reader if all instances could reach the store.
