Find changes whose notices were lost on the readers' watches

What callers saw: after the store had confirmed a configuration, all instances went on with the version before it, for 3.9 s and, if the first reader had just been killed, for 29 s in tests of four instances: requests sent to the former service, removed keys accepted, added routes refused.

Cause: nobody but three readers watches the configuration, and a watch that says nothing was taken for "no change". If the responses to the watches are lost, their connections stay open and silent. The first reader noticed after its hold time of 4 s and 250 ms; the others hold for 29 s, also one that has become the first reader in between, as nothing interrupted its watch. Changes reach everybody else through the readers' heartbeats alone.

Fix: the store counts the changes of all kinds with one revision, and the first reader's watch of endpoints is answered every second. If a revision is reported whose change no response has brought, the first reader asks for the kinds that may lack it. An instance that becomes the first reader asks at once and holds its watches as such. A response that is overdue is asked for again on a new connection. None of this adds calls while watches work.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -31,6 +31,9 @@
 /// milliseconds, and waiting as long as for a slow response would use up the notice of engines that
 /// are leaving.
 const OVERDUE_AFTER: Duration = Duration::from_millis(250);
+/// Time for the watches of other kinds to deliver a change that a response about endpoints has
+/// already counted; the store notifies all watches within milliseconds.
+const OTHER_KINDS_DELAY: Duration = Duration::from_millis(60);
 /// Time between checks whether this instance has become a reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -117,6 +120,11 @@
         }
     }
 
+    /// Returns whether this instance is the first of the readers.
+    fn is_first_reader(&self) -> bool {
+        lock(&self.node.tables).fleet.is_first_reader(self.node.now())
+    }
+
     async fn list(&mut self, reason: CallReason) -> Result<(), PlatformError> {
         let node = Arc::clone(&self.node);
         let (store, state) = (StoreCalls::new(&node), node.read_state.of(self.kind));
@@ -166,14 +174,40 @@
         let state = node.read_state.of(self.kind);
         let since = state.read();
         let outcome = tokio::select! {
-            result = self.watch_with_hold(since) => Some(result?),
-            () = state.overtaken() => None,
-            () = state.recheck.notified() => None,
+            result = self.watch_with_hold(since) => Ok(result?),
+            // The watch is late or silent: a change exists that it did not deliver.
+            () = state.overtaken() => Err(CallReason::Behind),
+            () = state.recheck.notified() => Err(CallReason::Recheck),
+            () = self.become_first_reader() => Err(CallReason::Takeover),
         };
         match outcome {
-            Some(watched) => self.apply_watched(watched).await,
-            // The watch is late or silent: a change exists that it did not deliver.
-            None => self.read_missed(CallReason::Behind).await,
+            Ok(watched) => self.apply_watched(watched).await?,
+            Err(reason) => self.read_missed(reason).await?,
+        }
+        self.recheck_other_kinds().await;
+        Ok(())
+    }
+
+    /// Lets the followers of other kinds ask again if the store has counted a change that no response
+    /// has brought.
+    ///
+    /// A watch whose connection has gone silent looks like one without changes, and while the readers'
+    /// watches are silent no heartbeat announces a change. The first reader's watch of endpoints is
+    /// answered every second, with the revision that counts the changes of all kinds.
+    async fn recheck_other_kinds(&self) {
+        if self.kind != Kind::Endpoints || !self.is_first_reader() {
+            return;
+        }
+        let missing = || {
+            let is_followed = |kind| kind != Kind::Rollouts || self.node.follows_rollouts();
+            self.node.read_state.kinds_missing_changes(is_followed)
+        };
+        if missing().is_empty() {
+            return;
+        }
+        sleep(OTHER_KINDS_DELAY).await;
+        for kind in missing() {
+            self.node.read_state.of(kind).recheck.notify_one();
         }
     }
 
@@ -231,8 +265,11 @@
             () = sleep(hold + OVERDUE_AFTER) => {}
         }
         let guard = OverdueGuard::set(&self.node, self.kind);
+        // The store may respond to new calls while the connection of this one is silent.
+        let repeated = store.watch(self.kind, since, Duration::ZERO, CallReason::Overdue, || {});
         tokio::select! {
             result = &mut response => return result,
+            result = repeated => return result,
             () = begun.notified() => drop(guard),
         }
         response.await
@@ -251,8 +288,7 @@
     /// entries one after another, configurations come in quick succession, and each response is
     /// billed.
     async fn batch_changes(&self) {
-        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
-        sleep(pacing::batch_delay(self.kind, is_first)).await;
+        sleep(pacing::batch_delay(self.kind, self.is_first_reader())).await;
     }
 
     /// Returns how long the store may hold a watch.
@@ -263,8 +299,7 @@
         if state.is_behind() || state.is_unavailable() {
             return Duration::ZERO;
         }
-        let is_first = lock(&self.node.tables).fleet.is_first_reader(self.node.now());
-        pacing::hold_time(self.kind, is_first)
+        pacing::hold_time(self.kind, self.is_first_reader())
     }
 
     /// Returns whether missing entries may have expired during an outage.
--- a/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
@@ -135,6 +135,17 @@
             || (now.since_start() >= DISCOVERY_TIME && self.is_reader(now))
     }
 
+    /// Waits until this instance becomes the first reader. As a backup it holds watches for much
+    /// longer, and one that has gone silent would keep changes from the whole fleet for as long.
+    pub(super) async fn become_first_reader(&self) {
+        if self.is_first_reader() {
+            return std::future::pending().await;
+        }
+        while !self.is_first_reader() {
+            sleep(ROLE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until a peer is ahead, or until this instance may have become a reader. A peer's
     /// changes of endpoints mostly arrive with its heartbeat; only missing ones are requested.
     pub(super) async fn await_peer_changes(&self) {
--- a/crates/nutmeggrade-relay/src/watch/read_state.rs
+++ b/crates/nutmeggrade-relay/src/watch/read_state.rs
@@ -7,6 +7,7 @@
 use nutmeggrade_core::peer::Revisions;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::read_range::ReadRange;
+use nutmeggrade_state::seen_revisions::SeenRevisions;
 use nutmeggrade_wire::kinds::Kind;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -143,6 +144,8 @@
     endpoints: KindState,
     evacuations: KindState,
     rollouts: KindState,
+    /// Revisions whose changes were read; never locked together with a kind's range.
+    seen: Mutex<SeenRevisions>,
     /// Until when missing entries may have expired, in milliseconds since the start.
     outage_until: AtomicU64,
 }
@@ -173,6 +176,32 @@
         }
     }
 
+    /// Records the revisions of changes that the store's response to a call contained.
+    pub fn note_changes(&self, revisions: impl IntoIterator<Item = u64>) {
+        lock(&self.seen).insert(revisions);
+    }
+
+    /// Returns the kinds of which a change may have been missed: if the store has reported a revision
+    /// whose change is unknown, all `followed` kinds that were not read up to it.
+    pub fn kinds_missing_changes(&self, followed: impl Fn(Kind) -> bool) -> Vec<Kind> {
+        let reported = self.endpoints.read();
+        let is_read = |kind: &Kind| followed(*kind) && self.of(*kind).is_loaded();
+        let reads: Vec<(Kind, u64)> = Kind::ALL
+            .into_iter()
+            .filter(is_read)
+            .map(|kind| (kind, self.of(kind).read()))
+            .collect();
+        let oldest_read = reads.iter().map(|(_, read)| *read).min().unwrap_or(0);
+        {
+            let mut seen = lock(&self.seen);
+            seen.complete_up_to(oldest_read);
+            if !seen.misses(reported) {
+                return Vec::new();
+            }
+        }
+        reads.into_iter().filter(|(_, read)| *read < reported).map(|(kind, _)| kind).collect()
+    }
+
     /// Records that changes were read just after an outage, so that missing entries may only have
     /// expired.
     ///
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -23,6 +23,12 @@
     Watch,
     /// Catches up with a peer that has read a higher revision.
     Behind,
+    /// Asks while a watch waits, as it may have missed a change.
+    Recheck,
+    /// Asks again as the first reader, whose watches are held for a shorter time.
+    Takeover,
+    /// Asks again since the response of a watch is overdue.
+    Overdue,
     /// Retries after a failed call.
     Retry,
     /// Writes the state of a rollout.
@@ -38,6 +44,9 @@
             Self::Relist => "relist",
             Self::Watch => "watch",
             Self::Behind => "behind",
+            Self::Recheck => "recheck",
+            Self::Takeover => "takeover",
+            Self::Overdue => "overdue",
             Self::Retry => "retry",
             Self::Write => "write",
         }
@@ -160,6 +169,7 @@
         let ms = self.0.now().since(started_at).as_millis();
         match read {
             Ok(Some(read)) => {
+                self.0.read_state.note_changes(read.objects.iter().map(|o| o.revision));
                 metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
                 tracing::info!(
                     event = "store_call",
--- a/crates/nutmeggrade-state/src/lib.rs
+++ b/crates/nutmeggrade-state/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rollout;
 mod rotation;
 pub mod running_answers;
+pub mod seen_revisions;
 pub mod settling;
 pub mod stream_table;
 pub mod suspects;
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod limits;
 mod logs;
+mod lost_notices;
 mod members;
 mod memory;
 mod moves;
--- a/tests/suite/state.rs
+++ b/tests/suite/state.rs
@@ -19,6 +19,7 @@
 mod read_range;
 mod registry;
 mod rollouts;
+mod seen_revisions;
 mod sources;
 mod stream_keepers;
 mod stream_table;
