Give up responses that never end

Seen by callers: 504 at the end of the request's time, while the instance read hundreds of megabytes.

Cause: the HTTP client drops interim responses (100) and leading zeros of a chunk's size, so that neither its limit on heads nor ours on bodies applies.

Fix: a connection to an endpoint fails once 1 MiB has come since it was opened, or since the last piece of a body. The request ends with 502 and its connection is closed.

Status checks and orders to endpoints have a timeout of their own and no such limit.

--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -44,6 +44,14 @@
     Misdirect,
     /// Crashes when it starts the request: closes the connection and accepts no other.
     Crash,
+    /// Executes the request and sends a part of a response again and again until the connection is
+    /// closed.
+    Endless {
+        /// What is sent first.
+        beginning: &'static str,
+        /// What is repeated.
+        part: &'static str,
+    },
     /// Executes the request and never responds.
     Hang,
     /// Streams events with a pause before each.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -27,6 +27,8 @@
 const FIRST_COPY_TIME: Duration = Duration::from_millis(40);
 /// Duration of the last copy, after the generation was stopped.
 const LAST_COPY_TIME: Duration = Duration::from_millis(20);
+/// Repetitions of the part of an endless response that are sent at a time.
+const ENDLESS_PARTS: usize = 256;
 const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -316,6 +318,13 @@
                 send(stream, &response[..response.len() - 3]).await?;
                 anyhow::bail!("truncated")
             }
+            Behaviour::Endless { beginning, part } => {
+                send(stream, beginning).await?;
+                let parts = part.repeat(ENDLESS_PARTS);
+                loop {
+                    send(stream, &parts).await?;
+                }
+            }
             Behaviour::CloseDelimited => {
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
                 anyhow::bail!("closed to end the response")
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -19,6 +19,7 @@
 
 use super::client_request::ClientRequest;
 use super::lease_result::LeaseResult;
+use super::limited_stream::{LimitedStream, ReceivedBytes};
 use super::reservation::Reservation;
 use super::upstream::{AbortOnDrop, UpstreamBody};
 use crate::connect::connect;
@@ -50,6 +51,7 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     sender: http1::SendRequest<Full<bytes::Bytes>>,
+    received: ReceivedBytes,
     task: AbortOnDrop<()>,
 }
 
@@ -65,7 +67,7 @@
     ) -> Result<Response<UpstreamBody>, String> {
         let response = self.sender.send_request(request).await.map_err(|e| e.to_string())?;
         let (head, body) = response.into_parts();
-        let body = UpstreamBody::new(body, &head.headers, self.task);
+        let body = UpstreamBody::new(body, &head.headers, self.received, self.task);
         Ok(Response::from_parts(head, body))
     }
 }
@@ -80,6 +82,8 @@
         io::ErrorKind::ConnectionRefused => ConnectError::Refused,
         _ => ConnectError::Failed(e.to_string()),
     })?;
+    let stream = LimitedStream::new(stream);
+    let received = stream.received();
     let (sender, connection) = http1::handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
         .await
         .map_err(|e| ConnectError::Failed(e.to_string()))?;
@@ -88,7 +92,7 @@
             tracing::debug!(event = "endpoint_connection_broke", %error);
         }
     }));
-    Ok(OpenConnection { sender, task })
+    Ok(OpenConnection { sender, received, task })
 }
 
 /// Parameters of a send; the default is a first send without a lease.
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -8,6 +8,8 @@
 use nutmeggrade_wire::answer;
 use tokio::task::JoinHandle;
 
+use super::limited_stream::ReceivedBytes;
+
 /// Aborts a task when dropped.
 #[derive(Debug)]
 pub struct AbortOnDrop<T>(pub JoinHandle<T>);
@@ -25,13 +27,20 @@
     body: Incoming,
     framing: BodyFraming,
     unread: Option<Bytes>,
+    received: ReceivedBytes,
     _connection: AbortOnDrop<()>,
 }
 
 impl UpstreamBody {
     /// Wraps the body of a response with these headers, and the task that drives its connection.
-    pub fn new(body: Incoming, headers: &HeaderMap, connection: AbortOnDrop<()>) -> Self {
-        Self { body, framing: answer::read_framing(headers), unread: None, _connection: connection }
+    pub fn new(
+        body: Incoming,
+        headers: &HeaderMap,
+        received: ReceivedBytes,
+        connection: AbortOnDrop<()>,
+    ) -> Self {
+        let framing = answer::read_framing(headers);
+        Self { body, framing, unread: None, received, _connection: connection }
     }
 
     /// Puts bytes back, which are then the next to be read.
@@ -61,6 +70,7 @@
                     if let Ok(data) = frame.into_data()
                         && !data.is_empty()
                     {
+                        self.received.reset();
                         return Some(Ok(data));
                     }
                 }
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -9,6 +9,7 @@
 mod crashers;
 mod crashing_parts;
 mod cut_off;
+mod endless_responses;
 mod endpoints;
 mod fleet;
 mod framing;
