Require API keys where the configuration has workspaces, not where it has keys

Seen by callers: once the last API key was revoked, every route was open to any key and to none.

Cause: no keys left was taken for no keys needed. The class: empty taken for absent. The requirement is a type now (ApiKeys): the configuration has the field for workspaces, or it has not.

relay::config::last_key_that_is_revoked_opens_no_route on the code before: 200 where 401 is due.

--- a/crates/nutmeggrade-core/src/routing.rs
+++ b/crates/nutmeggrade-core/src/routing.rs
@@ -1,5 +1,6 @@
 //! Routing configuration: routes, services, workspace keys and endpoints.
 
+mod api_keys;
 mod call_limits;
 mod endpoint_info;
 mod engine_spec;
@@ -14,6 +15,7 @@
 mod service_spec;
 mod workspace_key;
 
+pub use api_keys::ApiKeys;
 pub use call_limits::CallLimits;
 pub use endpoint_info::EndpointInfo;
 pub use engine_spec::EngineSpec;
--- a/crates/nutmeggrade-core/src/routing/route_map.rs
+++ b/crates/nutmeggrade-core/src/routing/route_map.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{CallLimits, Route, ServiceSpec, WorkspaceKey};
+use super::{ApiKeys, CallLimits, Route, ServiceSpec, WorkspaceKey};
 use crate::id::ServiceId;
 
 /// Access that a request's API key grants.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Access {
-    /// The route needs no key, or the deployment has no workspaces.
+    /// The route needs no key, or the configuration requires none.
     Open,
     /// The key belongs to a workspace.
     Workspace(WorkspaceKey),
@@ -27,7 +27,7 @@
     pub limits: CallLimits,
     services: BTreeMap<ServiceId, ServiceSpec>,
     hosts: BTreeMap<String, Vec<Arc<Route>>>,
-    keys: BTreeMap<String, WorkspaceKey>,
+    keys: ApiKeys,
 }
 
 impl RouteMap {
@@ -55,11 +55,10 @@
         self
     }
 
-    /// Adds the workspaces' API keys. A configuration without workspaces requires no keys.
+    /// Sets the workspaces' API keys. By default requests need no key.
     #[must_use]
-    pub fn with_keys(mut self, keys: impl IntoIterator<Item = (String, WorkspaceKey)>) -> Self {
-        self.keys.extend(keys);
-        self
+    pub fn with_keys(self, keys: ApiKeys) -> Self {
+        Self { keys, ..self }
     }
 
     /// Returns the route of a request; the host may include a port.
@@ -74,10 +73,10 @@
 
     /// Returns the access that a key grants on a route.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
-        let workspace = key.and_then(|k| self.keys.get(k));
+        let workspace = key.and_then(|k| self.keys.workspace(k));
         match workspace {
             Some(workspace) => Access::Workspace(workspace.clone()),
-            None if route.public || self.keys.is_empty() => Access::Open,
+            None if route.public || !self.keys.are_required() => Access::Open,
             None => Access::Unknown,
         }
     }
--- a/tests/suite/relay/config.rs
+++ b/tests/suite/relay/config.rs
@@ -37,6 +37,44 @@
     });
 }
 
+// Guards against configurations that open all routes to everybody: the last API key is revoked, and no
+// key left was taken for no key needed.
+#[test]
+fn last_key_that_is_revoked_opens_no_route() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let endpoint = site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        let without_keys = RoutingPlan { version: 2, keys: Vec::new(), ..RoutingPlan::default() };
+        site.store.put("config", "main", without_keys.content());
+        site.until_metric("config_version", 2).await?;
+        assert_eq!(status(&site, "once", "key-1").await?, 401);
+        assert_eq!(status(&site, "once", "").await?, 401);
+        let mut without_workspaces = without_keys.content();
+        without_workspaces["version"] = serde_json::json!(3);
+        without_workspaces["tenants"] = serde_json::json!([]);
+        site.store.put("config", "main", without_workspaces);
+        site.until_metric("config_version", 3).await?;
+        assert_eq!(status(&site, "once", "key-1").await?, 401);
+        assert_eq!(endpoint.runs("a1"), 0);
+        Ok(())
+    });
+}
+
+// Guards against deployments without workspaces that refuse all requests.
+#[test]
+fn deployment_without_workspaces_needs_no_key() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        let mut content = RoutingPlan { version: 2, ..RoutingPlan::default() }.content();
+        content.as_object_mut().map(|content| content.remove("tenants"));
+        site.store.put("config", "main", content);
+        site.until_metric("config_version", 2).await?;
+        assert_eq!(status(&site, "once", "").await?, 200);
+        Ok(())
+    });
+}
+
 // A version that can't be decoded is ignored; the previous version stays in force.
 #[test]
 fn unreadable_version_changes_nothing() {
