Log the rank among the readers of the store only where it decides something

In a large fleet the rank of an instance that reads nothing changes with each peer that comes or goes; each change was a line of the log. Ranks from 3 on are one now. Nothing else follows from it.

--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -65,7 +65,7 @@
     pub limited_endpoints: IntGauge,
     /// Peers whose heartbeats arrived recently.
     pub peers: IntGauge,
-    /// Number of instances that rank before this one as readers of the store.
+    /// Rank of this instance among the readers of the store; 3 if it is none.
     pub reader_rank: IntGauge,
     /// Time since the store's last answer by kind.
     pub store_answer_age: IntGaugeVec,
@@ -162,7 +162,7 @@
                 &["kind"],
             )?,
             store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
-            reader_rank: gauge("reader_rank", "instances that read the store before this one")?,
+            reader_rank: gauge("reader_rank", "rank among the readers of the store, 3 if it is none")?,
             store_answer_age: gauges(
                 "store_answer_age_seconds",
                 "time since the store's last answer",
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -82,7 +82,7 @@
 
 /// Shows this instance's rank as a reader of the store, and logs when it changes.
 fn update_reader_rank(node: &Node) {
-    let rank = lock(&node.tables).fleet.reader_rank(node.now());
+    let rank = lock(&node.tables).fleet.rank_among_readers(node.now());
     let rank = i64::try_from(rank).unwrap_or(i64::MAX);
     let previous = node.metrics.reader_rank.get();
     if rank != previous {
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -178,7 +178,7 @@
             // The watch is late or silent: a change exists that it did not deliver.
             () = state.overtaken() => Err(CallReason::Behind),
             () = state.recheck.notified() => Err(CallReason::Recheck),
-            () = self.become_first_reader() => Err(CallReason::Takeover),
+            () = self.await_first_rank() => Err(CallReason::Takeover),
         };
         match outcome {
             Ok(watched) => self.apply_watched(watched).await?,
--- a/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower/waiting.rs
@@ -137,7 +137,7 @@
 
     /// Waits until this instance becomes the first reader. As a backup it holds watches for much
     /// longer, and one that has gone silent would keep changes from the whole fleet for as long.
-    pub(super) async fn become_first_reader(&self) {
+    pub(super) async fn await_first_rank(&self) {
         if self.is_first_reader() {
             return std::future::pending().await;
         }
--- a/crates/nutmeggrade-state/src/fleet_view/readers.rs
+++ b/crates/nutmeggrade-state/src/fleet_view/readers.rs
@@ -25,10 +25,16 @@
 
 impl FleetView {
     /// Returns the number of instances that rank before this one as readers of the store.
-    pub fn reader_rank(&self, now: Moment) -> usize {
+    fn reader_rank(&self, now: Moment) -> usize {
         self.count_before(now, can_read)
     }
 
+    /// Returns the rank of this instance among the readers of the store, or the number of readers if it
+    /// is none.
+    pub fn rank_among_readers(&self, now: Moment) -> usize {
+        self.reader_rank(now).min(CONFIG_READER_COUNT)
+    }
+
     /// Returns whether this instance watches the endpoints in the store on behalf of the fleet.
     ///
     /// Each store call is billed and counted, and in a large fleet one watch per instance would
