--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -162,7 +162,10 @@
                 &["kind"],
             )?,
             store_bytes: counters("store_bytes_total", "bytes of the store's answers", &["kind"])?,
-            reader_rank: gauge("reader_rank", "rank among the readers of the store, 3 if it is none")?,
+            reader_rank: gauge(
+                "reader_rank",
+                "rank among the readers of the store, 3 if it is none",
+            )?,
             store_answer_age: gauges(
                 "store_answer_age_seconds",
                 "time since the store's last answer",
