--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -1,6 +1,7 @@
 //! A simulated endpoint: an inference engine or a plain service.
 
 mod crashing;
+mod endless;
 mod holding;
 mod streaming;
 
@@ -16,6 +17,7 @@
 use tokio::time::{Instant, sleep};
 
 use self::holding::is_hold_call;
+use self::streaming::reset;
 use super::behaviour::Behaviour;
 use super::generation::Generations;
 use super::holds::Holds;
@@ -27,8 +29,6 @@
 const FIRST_COPY_TIME: Duration = Duration::from_millis(40);
 /// Duration of the last copy, after the generation was stopped.
 const LAST_COPY_TIME: Duration = Duration::from_millis(20);
-/// Repetitions of the part of an endless response that are sent at a time.
-const ENDLESS_PARTS: usize = 256;
 const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -318,13 +318,7 @@
                 send(stream, &response[..response.len() - 3]).await?;
                 anyhow::bail!("truncated")
             }
-            Behaviour::Endless { beginning, part } => {
-                send(stream, beginning).await?;
-                let parts = part.repeat(ENDLESS_PARTS);
-                loop {
-                    send(stream, &parts).await?;
-                }
-            }
+            Behaviour::Endless { beginning, part } => endless::send(stream, beginning, part).await,
             Behaviour::CloseDelimited => {
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
                 anyhow::bail!("closed to end the response")
@@ -399,9 +393,3 @@
     let head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n", body.len());
     send(stream, &(head + &body)).await
 }
-
-/// Resets a connection, so that the peer sees an error rather than an orderly close.
-fn reset(stream: &TcpStream) -> anyhow::Result<()> {
-    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
-    anyhow::bail!("reset")
-}
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::{Endpoint, reset, send};
+use super::{Endpoint, send};
 use crate::site::event_writer::{EventWriter, event_text};
 use crate::site::stream_end::StreamEnd;
 
@@ -118,3 +118,9 @@
         Ok(writer)
     }
 }
+
+/// Resets a connection, so that the peer sees an error rather than an orderly close.
+pub(super) fn reset(stream: &TcpStream) -> anyhow::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    anyhow::bail!("reset")
+}
