Log the requests that a stop cuts off, and how long an endpoint was silent

The record of the answers that were cut at stops can't tell the hypotheses apart: cut_at_end counts connections and names no request, and a send that ends as silent says neither for how long nor whether the endpoint answers others.

Added, without a change of logic: request_cut for each request that the end of the process cuts off (route, endpoint, age, time since the endpoint sent anything), the number of requests in cut_at_end, and endpoint_silent for an endpoint that is given up.

--- a/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
@@ -79,6 +79,13 @@
         self.requests.remove(&ticket);
     }
 
+    /// Returns when an endpoint last sent something to a request of this instance, or when the last
+    /// one was sent to it.
+    pub fn last_sign(&self, endpoint: &EndpointId) -> Option<Moment> {
+        let here = self.requests.values().filter(|request| request.endpoint == *endpoint);
+        here.map(|request| request.last_sign).max()
+    }
+
     /// Returns the endpoints that have been silent towards some request for longer than its limit,
     /// and towards all others of this instance lately.
     pub fn stalled(&self, now: Moment) -> BTreeSet<EndpointId> {
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -140,8 +140,9 @@
         self.node.set_phase(Phase::Closing);
         // Requests still open after this are cut off when the process ends.
         if timeout(grace.mul_f64(END_FRACTION - CLOSING_FRACTION), &mut self.front).await.is_err() {
-            let open = self.node.metrics.connections.get();
-            tracing::warn!(event = "cut_at_end", connections = open);
+            let connections = self.node.metrics.connections.get();
+            let requests = self.node.open_requests.log_cut(self.node.now());
+            tracing::warn!(event = "cut_at_end", connections, requests);
         }
         tracing::info!(event = "stopped");
     }
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod logs;
 mod metrics;
 mod node;
+mod open_requests;
 mod peers;
 mod probes;
 mod reach;
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -30,6 +30,7 @@
 use crate::config_source::ConfigSource;
 use crate::logs::LogBuffer;
 use crate::metrics::Metrics;
+use crate::open_requests::OpenRequests;
 use crate::reach::ReachChecks;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
@@ -86,6 +87,8 @@
     /// Triggers an immediate heartbeat, because this instance has read changes that its neighbours
     /// wait for.
     pub heartbeat_due: Notify,
+    /// Requests without a complete response; never locked together with the tables.
+    pub open_requests: Arc<OpenRequests>,
     /// Checks whether services can be reached.
     pub reach_checks: ReachChecks,
     /// Endpoints that are being probed; never locked together with the tables.
@@ -137,6 +140,7 @@
             streams_begun: Notify::new(),
             failures_counted: Notify::new(),
             heartbeat_due: Notify::new(),
+            open_requests: Arc::default(),
             reach_checks: ReachChecks::default(),
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -31,6 +31,7 @@
 use super::{refusal, response, shutdown, stream};
 use crate::answer_body::AnswerBody;
 use crate::node::Node;
+use crate::open_requests::OpenEntry;
 use crate::reach::{self, Reach};
 use crate::tables::lock;
 
@@ -60,6 +61,8 @@
     failed_response: Option<(Parts, Bytes)>,
     /// Logs a request whose client disconnects before a response.
     pub pending: PendingRequest,
+    /// Names the request in the log of a stop that cuts it off.
+    pub open: OpenEntry,
     /// Whether peers were asked to serve the request, and none did.
     pub has_asked_peers: bool,
 }
@@ -82,12 +85,12 @@
             if open.response.is_event_stream() {
                 stream::start(node, handler, *open)
             } else {
-                response::forward(node, &handler.request, *open)
+                response::forward(node, handler, *open)
             }
         }
         Ok(FinalResponse::Forwarded(forwarded)) => {
             handler.log_response(&forwarded.head, true);
-            response::forward_from_peer(node, &handler.request, *forwarded)
+            response::forward_from_peer(node, handler, *forwarded)
         }
         Err(failure) => {
             handler.log_failure(&failure);
@@ -115,6 +118,7 @@
             node: Arc::clone(node),
             attempt: Attempt::new(request.route.kind, request.route.attempts),
             pending: PendingRequest::new(node, &request.id, request.arrived_at),
+            open: OpenEntry::new(node, &request.id, &request.route.name, request.arrived_at),
             request,
             dispatch_request,
             unsent_attempts: 0,
@@ -179,6 +183,7 @@
         };
         // Not before: a request whose time passes while it connects has not run.
         self.attempt.send();
+        self.open.sent(&endpoint.id);
         let timeout = self.request.answer_timeout(self.attempt.sends(), self.node.now());
         let options = SendOptions { lease, ..SendOptions::default() };
         self.watch_for_stall(&reservation);
@@ -225,6 +230,7 @@
             Err(SendError::TimedOut) => {
                 self.attempt.lost();
                 self.record_send("silent", &endpoint.id);
+                self.log_silence(&endpoint.id);
                 if reach::check(&self.node, &endpoint).await == Reach::Reached {
                     self.record_outcome(&endpoint, Outcome::Failed);
                     self.node.update_health(&endpoint.id, Health::record_failure);
--- a/crates/nutmeggrade-relay/src/relay/request_log.rs
+++ b/crates/nutmeggrade-relay/src/relay/request_log.rs
@@ -25,6 +25,16 @@
         }
     }
 
+    /// Logs how long the endpoint has been silent towards the request, and towards all requests that
+    /// this instance has there.
+    pub(super) fn log_silence(&self, endpoint: &EndpointId) {
+        let now = self.node.now();
+        let last_sign = lock(&self.node.tables).stalls.last_sign(endpoint);
+        tracing::info!(event = "endpoint_silent", request = %self.request.id, endpoint = %endpoint,
+            ms = now.since(self.open.last_sign().unwrap_or(now)).as_millis(),
+            all_ms = last_sign.map(|at| now.since(at).as_millis()));
+    }
+
     /// Logs that the endpoint could not be connected to, and why: an endpoint that died refuses
     /// connections, one that is cut off doesn't answer.
     pub(super) fn record_unsent(&self, endpoint: &EndpointId, why: &str) {
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -10,8 +10,8 @@
 use nutmeggrade_wire::answer;
 use tokio::sync::mpsc;
 
-use super::client_request::ClientRequest;
 use super::forwarding::PeerResponse;
+use super::handler::RequestHandler;
 use super::open_response::OpenResponse;
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
@@ -61,23 +61,23 @@
 /// Forwards a large body in the background as it is received.
 pub fn forward(
     node: &Arc<Node>,
-    request: &ClientRequest,
+    handler: RequestHandler,
     open: OpenResponse,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let OpenResponse { response, reservation } = open;
-    let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
+    let RequestHandler { request, open: entry, .. } = handler;
+    let node = Arc::clone(node);
     let framing = response.body.framing().as_str();
-    let suspects = Arc::clone(&request.suspects);
     tokio::spawn(async move {
-        let end = forward_until(&node, response.body, &sender, deadline).await;
+        let end = forward_until(&node, response.body, &sender, request.deadline).await;
         if end == TransferEnd::Completed {
-            node.note_completed(&suspects);
+            node.note_completed(&request.suspects);
         }
         node.metrics.body_ends.with_label_values(&[framing, end.as_str()]).inc();
-        tracing::info!(event = "answer_ended", request = %request_id,
+        tracing::info!(event = "answer_ended", request = %request.id,
             endpoint = %reservation.endpoint.id, end = end.as_str(), framing);
-        drop(reservation);
+        drop((reservation, entry));
     });
     from_endpoint(response.head, AnswerBody::Chunks(receiver))
 }
@@ -85,16 +85,18 @@
 /// Forwards the body of a response that a peer passes on in the background as it is received.
 pub fn forward_from_peer(
     node: &Arc<Node>,
-    request: &ClientRequest,
+    handler: RequestHandler,
     forwarded: PeerResponse,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let PeerResponse { peer, head, body } = forwarded;
-    let (node, request_id, deadline) = (Arc::clone(node), request.id.clone(), request.deadline);
+    let RequestHandler { request, open: entry, .. } = handler;
+    let node = Arc::clone(node);
     tokio::spawn(async move {
-        let end = forward_until(&node, body, &sender, deadline).await;
-        tracing::info!(event = "answer_ended", request = %request_id, endpoint = "-", %peer,
+        let end = forward_until(&node, body, &sender, request.deadline).await;
+        tracing::info!(event = "answer_ended", request = %request.id, endpoint = "-", %peer,
             end = end.as_str());
+        drop(entry);
     });
     from_endpoint(head, AnswerBody::Chunks(receiver))
 }
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -29,6 +29,7 @@
 use super::upstream::UpstreamBody;
 use crate::answer_body::{AnswerBody, BodyChunk};
 use crate::node::{Node, log_change};
+use crate::open_requests::OpenEntry;
 use crate::tables::lock;
 
 /// Body chunks buffered for a slow client; a full buffer stops reading from the engine.
@@ -64,6 +65,7 @@
     announced_at: Option<Moment>,
     pace_recorded: bool,
     moves: u32,
+    entry: OpenEntry,
     run_end: RunEnd,
     gaps: EventGaps,
 }
@@ -76,7 +78,7 @@
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let OpenResponse { response, reservation } = open;
-    let RequestHandler { request, attempt, .. } = handler;
+    let RequestHandler { request, attempt, open: entry, .. } = handler;
     let engine = node.map().service(&request.service).and_then(|s| s.engine);
     let gap_limit = gap_limit(node, &request);
     let stream = EventStream {
@@ -94,6 +96,7 @@
         announced_at: None,
         pace_recorded: false,
         moves: 0,
+        entry,
         run_end: RunEnd::default(),
         gaps: EventGaps::new(gap_limit),
     };
@@ -197,6 +200,7 @@
 
     /// Forwards the complete events in the bytes; returns whether the client is still connected.
     async fn forward_bytes(&mut self, bytes: &[u8]) -> bool {
+        self.entry.received();
         let Some(events) = self.splitter.push(bytes) else {
             let (number, now) = (self.reservation.ticket.0, self.node.now());
             lock(&self.node.tables).running.progress(number, now);
@@ -291,6 +295,7 @@
         self.run_end = RunEnd::default();
         self.gaps.change_endpoint();
         self.upstream = Some(upstream);
+        self.entry.sent(&reservation.endpoint.id);
         self.reservation = reservation;
         self.begin_run();
         self.moves += 1;
