Give up a silent endpoint only for another one that is ready

What callers saw: a request on a route whose requests may be repeated waited at a sound endpoint that was silent for a second or two, and ended with 502 and an unknown outcome (3005), though the endpoint would have answered. In the users' record three such lines stand 0.05 to 0.3 s before the end of an instance that stops: sends=1 ms=1605 to 1607, 1.5 s target plus 0.1 s.

Cause: after a silence the send was given up first, and only then was another endpoint looked for. Whatever stood in the way of a second send (a stop, no room, no budget, links that are cut) ended the request. The class: what is held is given up before its replacement is there.

Now the endpoint keeps the request while another one is looked for: room, lease, connection and budget are taken first, and only then is the first send dropped, at once, so that no two endpoints work on it.

relay::silent_endpoints failed before, 3 of 3, with 502 instead of 200: a stream and a call whose only endpoint is silent for 2.5 s, and a stream at an instance that stops. It passes now, as do the other tests of relay::.

--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -61,6 +61,13 @@
         /// Pause before each event.
         pause: Duration,
     },
+    /// Sends nothing for a time, then streams events.
+    LateStream {
+        /// Time before the head of the response.
+        delay: Duration,
+        /// Number of events in the complete stream.
+        events: u64,
+    },
     /// Streams events and resets the connection within the next one.
     StreamCut {
         /// Number of complete events that are sent.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -355,6 +355,10 @@
             Behaviour::Stream { events, pause } => {
                 self.send_stream(stream, id, position, events, pause).await
             }
+            Behaviour::LateStream { delay, events } => {
+                sleep(delay).await;
+                self.send_stream(stream, id, position, events, Duration::ZERO).await
+            }
             Behaviour::StreamCut { events } => {
                 self.send_cut_stream(stream, id, position, events).await
             }
--- a/crates/nutmeggrade-policy/src/fleet/resend_budget.rs
+++ b/crates/nutmeggrade-policy/src/fleet/resend_budget.rs
@@ -48,15 +48,19 @@
     /// Takes a resend out of the budget and returns whether one was left; `instance_count` instances
     /// share the budget.
     pub fn take(&mut self, instance_count: usize, now: Moment) -> bool {
+        let is_left = self.allows(instance_count, now);
+        if is_left {
+            self.resends.push_back(now);
+        }
+        is_left
+    }
+
+    /// Returns whether a resend is left in the budget; `instance_count` instances share it.
+    pub fn allows(&mut self, instance_count: usize, now: Moment) -> bool {
         self.remove_expired(now);
         let earned = self.limits.ratio * self.requests.len() as f64;
         let additional = self.limits.extra / instance_count.max(1) as f64;
-        let left = (earned + additional) * USABLE_SHARE - self.resends.len() as f64;
-        if left < 1.0 {
-            return false;
-        }
-        self.resends.push_back(now);
-        true
+        (earned + additional) * USABLE_SHARE - self.resends.len() as f64 >= 1.0
     }
 
     fn remove_expired(&mut self, now: Moment) {
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -275,6 +275,12 @@
         taken
     }
 
+    /// Returns whether the fleet's budget allows a resend to a service.
+    pub fn allows_resend(&self, service: &ServiceId) -> bool {
+        let settings = self.settings();
+        lock(&self.tables).allows_resend(service, &settings, self.now())
+    }
+
     /// Returns whether this instance can't connect to any endpoint of a service.
     pub fn is_cut_off(&self, service: &ServiceId) -> bool {
         lock(&self.tables).reach.is_cut_off(service)
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use nutmeggrade_core::peer::{RequestSuspects, StreamKey};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_core::routing::{EventPosition, Prompt, PromptPart, Route, RouteKind};
+use nutmeggrade_core::routing::{EventPosition, Prompt, PromptPart, Route};
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{DispatchRequest, SilenceLimits};
 
@@ -113,14 +113,10 @@
         }
     }
 
-    /// Returns the time to wait for the next response head, after the request was sent to some number
-    /// of endpoints.
-    pub fn answer_timeout(&self, sends: u32, now: Moment) -> Duration {
-        let time_left = self.time_left(now);
-        if self.route.kind == RouteKind::Idempotent && sends < self.route.attempts {
-            return self.route.target.max(time_left / ATTEMPT_TIME_DIVISOR);
-        }
-        time_left
+    /// Returns the time to wait for the response to an idempotent request, before another endpoint is
+    /// looked for.
+    pub fn resend_delay(&self, now: Moment) -> Duration {
+        self.route.target.max(self.time_left(now) / ATTEMPT_TIME_DIVISOR)
     }
 
     /// Returns the time until the deadline.
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -1,7 +1,9 @@
 //! Sends a request to endpoints until one of them responds or no further attempt is allowed.
 
+mod connecting;
 mod failures;
-mod stall;
+mod ready_endpoint;
+mod replacement;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +17,10 @@
 use nutmeggrade_policy::dispatch::{DispatchRequest, Health};
 use nutmeggrade_state::attempt::Attempt;
 
+use self::ready_endpoint::ReadyEndpoint;
 use super::client_request::ClientRequest;
 use super::crash::{self, Loss};
-use super::exchange::{
-    ConnectError, EndpointResponse, OpenConnection, SendError, SendOptions, open_connection,
-    send_request,
-};
+use super::exchange::{EndpointResponse, SendError, SendOptions, send_request};
 use super::final_response::FinalResponse;
 use super::lease_call;
 use super::lease_result::LeaseResult;
@@ -45,6 +45,8 @@
     Retry,
     /// Nothing was sent, as the engine is full: the request goes on waiting for room.
     Requeue,
+    /// The endpoint is silent, and this one takes the request in its place.
+    Replace(Box<ReadyEndpoint>),
 }
 
 /// Sends one client's request to endpoints and tracks its attempts.
@@ -146,10 +148,14 @@
                 Ok(reservation) => reservation,
                 Err(failure) => return self.finish_without_room(failure),
             };
-            match self.send(reservation).await? {
+            let mut step = self.connect_and_send(reservation).await?;
+            while let SendStep::Replace(endpoint) = step {
+                step = self.send(*endpoint).await?;
+            }
+            match step {
                 SendStep::Done(response) => return Ok(response),
                 SendStep::Retry => queued_at = self.node.now(),
-                SendStep::Requeue => {}
+                SendStep::Requeue | SendStep::Replace(_) => {}
             }
             self.dispatch_request.ticket = self.node.ticket();
         }
@@ -166,32 +172,39 @@
         }
     }
 
-    async fn send(&mut self, reservation: Reservation) -> Result<SendStep, Failure> {
-        let endpoint = reservation.endpoint.clone();
-        // A request that fails at a new version is not sent to that version again.
-        self.dispatch_request.is_canary = false;
+    async fn connect_and_send(&mut self, reservation: Reservation) -> Result<SendStep, Failure> {
+        let endpoint = &reservation.endpoint;
         self.pending.endpoint = Some(endpoint.id.clone());
         let lease =
-            lease_call::request(&self.node, &self.request, &self.dispatch_request, &endpoint);
+            lease_call::request(&self.node, &self.request, &self.dispatch_request, endpoint);
         let lease = lease.await;
         if matches!(lease, LeaseResult::Full) {
             return Ok(SendStep::Requeue);
         }
-        let connection = match self.connect(&endpoint).await {
-            Ok(connection) => connection,
-            Err(error) => return self.handle_unreachable(&endpoint, &error).await,
-        };
+        match self.connect(endpoint).await {
+            Ok(connection) => self.send(ReadyEndpoint { reservation, lease, connection }).await,
+            Err(error) => self.handle_unreachable(endpoint, &error).await,
+        }
+    }
+
+    async fn send(&mut self, ready: ReadyEndpoint) -> Result<SendStep, Failure> {
         // Not before: a request whose time passes while it connects has not run.
         self.attempt.send();
+        self.watch_for_stall(&ready);
+        let ReadyEndpoint { reservation, lease, connection } = ready;
+        let endpoint = reservation.endpoint.clone();
+        // A request that fails at a new version is not sent to that version again.
+        self.dispatch_request.is_canary = false;
+        self.pending.endpoint = Some(endpoint.id.clone());
         self.open.sent(&endpoint.id);
-        let timeout = self.request.answer_timeout(self.attempt.sends(), self.node.now());
+        let timeout = self.request.time_left(self.node.now());
         let options = SendOptions { lease, ..SendOptions::default() };
-        self.watch_for_stall(&reservation);
         let result = tokio::select! {
+            biased;
             result = send_request(
                 &self.node, &self.request, &reservation, options, connection, timeout,
             ) => result,
-            () = self.until_stalled(&endpoint.id) => Err(SendError::TimedOut),
+            other = self.replacement(&endpoint) => return Ok(self.replace(&endpoint, other)),
         };
         match result {
             Ok(response) if response.parsed.misdirected => {
@@ -227,16 +240,7 @@
                 self.attempt.not_sent();
                 self.retry_unsent(&endpoint.id, "the endpoint takes no more requests")
             }
-            Err(SendError::TimedOut) => {
-                self.attempt.lost();
-                self.record_send("silent", &endpoint.id);
-                self.log_silence(&endpoint.id);
-                if reach::check(&self.node, &endpoint).await == Reach::Reached {
-                    self.record_outcome(&endpoint, Outcome::Failed);
-                    self.node.update_health(&endpoint.id, Health::record_failure);
-                }
-                self.retry_or_finish(&endpoint.id, "no answer in time", Code::DeadlinePassed)
-            }
+            Err(SendError::TimedOut) => Err(self.deadline_failure()),
             Err(SendError::Lost(reason)) => {
                 self.attempt.lost();
                 self.record_send("lost", &endpoint.id);
@@ -252,35 +256,13 @@
         }
     }
 
-    async fn connect(&self, endpoint: &EndpointInfo) -> Result<OpenConnection, ConnectError> {
-        let connection = tokio::select! {
-            connection = open_connection(endpoint.address) => connection?,
-            () = reach::until_cut_off(&self.node, endpoint) => return Err(ConnectError::CutOff),
-        };
-        // While the service counts as cut off, nothing that is lost there is evidence of a crash.
-        reach::end_cut(&self.node, &endpoint.service);
-        Ok(connection)
-    }
-
-    /// Retries after the endpoint could not be connected to.
-    async fn handle_unreachable(
-        &mut self,
-        endpoint: &EndpointInfo,
-        error: &ConnectError,
-    ) -> Result<SendStep, Failure> {
-        let reason = error.to_string();
-        self.record_unsent(&endpoint.id, &reason);
-        if reach::check(&self.node, endpoint).await == Reach::CutOff {
-            if self.has_asked_peers || self.request.is_forwarded {
-                return self.finish_cut_off().map(SendStep::Done);
-            }
-            return self.retry_unsent(&endpoint.id, &reason);
-        }
-        self.node.update_health(&endpoint.id, Health::record_loss);
-        if matches!(error, ConnectError::Refused) {
-            self.node.announce_unreachable(&endpoint.id);
-        }
-        self.retry_unsent(&endpoint.id, &reason)
+    /// Gives up a silent endpoint for one that takes the request in its place.
+    fn replace(&mut self, silent: &EndpointInfo, other: ReadyEndpoint) -> SendStep {
+        self.attempt.lost();
+        self.record_send("silent", &silent.id);
+        self.record_outcome(silent, Outcome::Failed);
+        self.dispatch_request.avoid.insert(silent.id.clone());
+        SendStep::Replace(Box::new(other))
     }
 
     /// Handles a response whose head was received: leaves a stream or a large body open, and reads
--- a/crates/nutmeggrade-relay/src/tables.rs
+++ b/crates/nutmeggrade-relay/src/tables.rs
@@ -208,6 +208,12 @@
         self.budget(service, settings).take(instance_count, now)
     }
 
+    /// Returns whether the budget allows a resend to a service.
+    pub fn allows_resend(&mut self, service: &ServiceId, settings: &Settings, now: Moment) -> bool {
+        let instance_count = self.fleet.instance_count(now);
+        self.budget(service, settings).allows(instance_count, now)
+    }
+
     fn budget(&mut self, service: &ServiceId, settings: &Settings) -> &mut ResendBudget {
         let new_budget = || ResendBudget::new(settings.resends);
         self.resend_budgets.entry(service.clone()).or_insert_with(new_budget)
--- a/crates/nutmeggrade-state/src/attempt.rs
+++ b/crates/nutmeggrade-state/src/attempt.rs
@@ -46,6 +46,11 @@
             && (self.run == RunStatus::NotRun || self.kind.is_repeatable())
     }
 
+    /// Returns whether the request may be sent to another endpoint while the one that has it is silent.
+    pub fn may_send_again(&self) -> bool {
+        self.stage == Stage::Sent && self.sends < self.max_sends && self.kind.is_repeatable()
+    }
+
     /// Records that the request is about to be sent to an endpoint, before its first byte goes out.
     pub fn send(&mut self) {
         invariant::check(self.may_send(), "at_most_once_is_sent_once");
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -26,6 +26,7 @@
 mod refused_waits;
 mod rollouts;
 mod settings;
+mod silent_endpoints;
 mod site;
 mod stalls;
 mod stop;
