Refuse what may outlast a stopping instance if another one can take it

What callers saw: a request that a stopping instance accepted was cut off at the end of the grace period, when its endpoint was silent for longer than such requests usually take.

Cause: what a stopping instance accepts was decided by the time that a response usually takes (the pace of answers, the route's target). Nothing bounds how long a sound endpoint takes but the request's deadline.

Now a request is accepted only if its deadline ends before the instance does, as long as a peer serves that can take it; the refusal says not run, and the client is elsewhere after 20 ms. Without such a peer the usual time counts, and 2 s for an endpoint that is silent. The gauge serving_peers shows which of the two holds.

--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -65,6 +65,8 @@
     pub limited_endpoints: IntGauge,
     /// Peers whose heartbeats arrived recently.
     pub peers: IntGauge,
+    /// Live peers that serve clients.
+    pub serving_peers: IntGauge,
     /// Rank of this instance among the readers of the store; 3 if it is none.
     pub reader_rank: IntGauge,
     /// Time since the store's last answer by kind.
@@ -151,6 +153,7 @@
             backoffs: counter("backoffs_total", "answers in which an endpoint asked for a pause")?,
             limited_endpoints: gauge("limited_endpoints", "endpoints that state a rate limit")?,
             peers: gauge("peers", "peers heard lately")?,
+            serving_peers: gauge("serving_peers", "peers heard lately that serve clients")?,
             peer_bytes: counters(
                 "peer_bytes_total",
                 "bytes of messages between instances",
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -127,12 +127,12 @@
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived_at.after(timeout);
     if !is_forwarded {
-        shutdown::check(node, &route, parsed.prompt.as_ref())?;
+        shutdown::check(node, &route, parsed.prompt.as_ref(), deadline)?;
     }
     let body = read_body(node, body, &node.map(), deadline).await?;
     // A peer has to get the refusal, which is lost if the connection is reset under its body.
     if is_forwarded {
-        shutdown::check(node, &route, parsed.prompt.as_ref())?;
+        shutdown::check(node, &route, parsed.prompt.as_ref(), deadline)?;
     }
     let prompt = parsed.prompt.as_ref();
     let fingerprint = crash::fingerprint(workspace.as_ref(), &head.uri, prompt, &body);
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -58,10 +58,7 @@
             return self.finish_cut_off().map(Some);
         }
         for (peer, address) in self.draw_peers() {
-            let request = &self.request;
-            if let Err(refusal) =
-                shutdown::check(&self.node, &request.route, request.prompt.as_ref())
-            {
+            if let Err(refusal) = shutdown::check_request(&self.node, &self.request) {
                 return self.finish_without_room(refusal).map(Some);
             }
             if let Forwarded::Response(response) = self.forward(&peer, address).await? {
--- a/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
@@ -81,7 +81,7 @@
     /// out of later searches.
     async fn find_ready(&self, search: &mut DispatchRequest) -> Option<ReadyEndpoint> {
         let request = &self.request;
-        shutdown::check(&self.node, &request.route, request.prompt.as_ref()).ok()?;
+        shutdown::check_request(&self.node, request).ok()?;
         if !self.node.allows_resend(&request.service) {
             return None;
         }
--- a/crates/nutmeggrade-relay/src/relay/shutdown.rs
+++ b/crates/nutmeggrade-relay/src/relay/shutdown.rs
@@ -1,4 +1,4 @@
-//! Refuses requests that are expected to outlast an instance that is stopping.
+//! Refuses requests that may outlast an instance that is stopping.
 
 use std::time::Duration;
 
@@ -11,21 +11,34 @@
 
 /// `Retry-After` of a request that another instance can serve at once.
 const OTHER_INSTANCE_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a sound endpoint may be silent, in addition to the time that a response usually takes.
+const SILENCE_ALLOWANCE: Duration = Duration::from_secs(2);
+/// Shortest interval between two checks of a request that waits.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Refuses a request that is expected to outlast this instance.
+/// Refuses a request that may outlast this instance.
 ///
 /// Its response would be cut off at shutdown, and a client may not repeat a request that ran.
-pub fn check(node: &Node, route: &Route, prompt: Option<&Prompt>) -> Result<(), Failure> {
+pub fn check(
+    node: &Node,
+    route: &Route,
+    prompt: Option<&Prompt>,
+    deadline: Moment,
+) -> Result<(), Failure> {
     let Some(time_left) = node.time_until_end() else { return Ok(()) };
-    if expected_time(node, route, prompt) < time_left {
+    if time_needed(node, route, prompt, deadline) < time_left {
         return Ok(());
     }
     let detail = format!("this instance ends in {} ms; use another", time_left.as_millis());
     Err(Failure::new(Code::Leaving, &detail).with_retry_after(OTHER_INSTANCE_DELAY))
 }
 
-/// Completes with the refusal of a request that was not sent yet, once it is expected to outlast
-/// this instance.
+/// Refuses a request that was read and may outlast this instance.
+pub fn check_request(node: &Node, request: &ClientRequest) -> Result<(), Failure> {
+    check(node, &request.route, request.prompt.as_ref(), request.deadline)
+}
+
+/// Completes with the refusal of a request that was not sent yet, once it may outlast this instance.
 pub async fn until_too_late(node: &Node, request: &ClientRequest) -> Failure {
     let mut phases = node.phases();
     let is_stopping = phases.wait_for(|phase| *phase >= Phase::Leaving).await.is_ok();
@@ -34,19 +47,27 @@
         std::future::pending::<()>().await;
     }
     loop {
-        if let Err(failure) = check(node, &request.route, request.prompt.as_ref()) {
+        if let Err(failure) = check_request(node, request) {
             return failure;
         }
-        let expected = expected_time(node, &request.route, request.prompt.as_ref());
-        let spare = node.time_until_end().unwrap_or_default().saturating_sub(expected);
-        tokio::time::sleep(spare).await;
+        let needed = time_needed(node, &request.route, request.prompt.as_ref(), request.deadline);
+        let spare = node.time_until_end().unwrap_or_default().saturating_sub(needed);
+        tokio::time::sleep(spare.max(MIN_CHECK_INTERVAL)).await;
     }
 }
 
-/// Returns the time within which a response probably ends.
-fn expected_time(node: &Node, route: &Route, prompt: Option<&Prompt>) -> Duration {
-    match prompt {
+/// Returns the time that this instance must have left to accept a request: if another instance can take
+/// it, the time until its deadline, since nothing else bounds how long its endpoint may take.
+fn time_needed(node: &Node, route: &Route, prompt: Option<&Prompt>, deadline: Moment) -> Duration {
+    let now = node.now();
+    let longest = deadline.since(now);
+    let (_, serving_peers) = lock(&node.tables).fleet.serving_counts(now);
+    if serving_peers > 0 {
+        return longest;
+    }
+    let expected = match prompt {
         Some(prompt) => lock(&node.tables).pace.time(prompt.expected(), prompt.max_tokens),
         None => route.target,
-    }
+    };
+    longest.min(expected + SILENCE_ALLOWANCE)
 }
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinHandle;
 
 use super::PROMPT_HEADERS;
+use super::members::{Pair, start_pair, until_all_have};
 use super::site::{Site, get_answer, metric};
 use super::streams::events;
 use crate::support::{run, until};
@@ -128,3 +129,34 @@
         Ok(())
     });
 }
+
+/// Asks an instance that stops beside another one, with an endpoint that takes long; checks whether the
+/// request, which may take as long as the plan's timeout, is accepted.
+fn accepts_beside_another_instance(timeout_ms: u64, time: Duration, is_accepted: bool) {
+    run(async {
+        let pair = start_pair().await?;
+        let plan = RoutingPlan { version: 2, target_ms: 100, timeout_ms, ..RoutingPlan::default() };
+        pair.store.put("config", "main", plan.content());
+        until_all_have([&pair.first, &pair.other], "config_version", 2).await?;
+        let endpoint = pair.add_endpoint("desk", Behaviour::Slow(time)).await?;
+        until_all_have([&pair.first], "serving_peers", 1).await?;
+        let Pair { first, other: _other, .. } = pair;
+        let address = first.addresses().client;
+        let stopping = begin_stop(first).await?;
+        let answer = RawClient::ask(address, "once", "a1", "").await?;
+        assert_eq!(answer.status, if is_accepted { 200 } else { 503 });
+        assert_eq!(endpoint.runs("a1"), usize::from(is_accepted));
+        if !is_accepted {
+            assert!(answer.message.header("retry-after").is_some());
+        }
+        stopping.await?;
+        Ok(())
+    });
+}
+
+// Guards against requests that a stopping instance accepts by the time that such requests usually take,
+// and cuts off at its end while their endpoint is silent.
+cases! {accepts_beside_another_instance {
+    a_request_that_may_outlast_it: 6_000, Duration::from_millis(4_500), false;
+    a_request_that_ends_before_it: 1_000, Duration::from_millis(300), true;
+}}
