--- a/tests/suite/policy/fleet.rs
+++ b/tests/suite/policy/fleet.rs
@@ -46,6 +46,18 @@
     ninety_instances: 90, 100;
 }}
 
+// Guards against searches for another endpoint that use up the budget though nothing is sent again.
+#[test]
+fn looking_at_the_budget_takes_nothing() {
+    let limits = ResendLimits { ratio: 0.0, extra: 2.5, window: WINDOW };
+    let mut budget = ResendBudget::new(limits);
+    for ms in 0..100 {
+        assert!(budget.allows(1, at(ms)));
+    }
+    assert!(budget.take(1, at(100)) && budget.take(1, at(101)));
+    assert!(!budget.allows(1, at(102)) && !budget.take(1, at(103)));
+}
+
 /// Checks how many requests a fleet under full load sends to a cold endpoint in one second.
 fn within_cold_bound(instances: usize, bound: u32, min_per_second: u32) {
     let mut shares = vec![ColdShare::new(); instances];
