Decode each object of the store's responses by itself

Callers saw: another program writes one odd entry among those of the endpoints (300 or more levels of nesting, a number of 1e999 or 400 digits, a byte that is no UTF-8, a lone surrogate, NaN).

Cause: a page or a watch's response was decoded as one value, so that what can't be decoded anywhere in it failed all of it, at each retry again. A page also went on behind the name of the last object that could be decoded, put into the query as it was: a name with a space, a quote or a line break made the request invalid, and the listing failed there.

Each is decoded alone; if that fails, each of its parts is: an object whose name can be decoded counts, with a null specification or status in place of the odd one. An endpoint in use whose specification becomes odd is then gone, as its entry names no endpoint; an odd status changes nothing, an evacuation needs only its name, and a deletion counts whatever the object was. Names are escaped in paths and queries. A page goes on behind its last name, even if that is no text; if no object of a page has a name, or the store doesn't move on, the listing ends there and says so. Of several configurations in a response the newest that can be read comes into force. A revision beyond the store's own is no change. Each odd object is counted in `unreadable_objects_total` and logged, once for each of its revisions.

Ruled out: decoding the whole response first and the elements only after a failure; one odd entry would double the cost of each listing for as long as it stays.

--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::message::Message;
+use super::raw_texts::{RawPart, RawTexts, unescape};
 use super::store_listener::{Fault, StoreListener};
 
 /// Maximum number of objects on one page of a listing.
@@ -26,10 +27,19 @@
     created: u64,
     content: Value,
     status: Value,
+    /// What another program wrote in place of the object and its metadata.
+    raw: Option<Value>,
 }
 
 impl Object {
+    const fn new(created: u64) -> Self {
+        Self { revision: created, created, content: Value::Null, status: Value::Null, raw: None }
+    }
+
     fn to_json(&self, name: &str) -> Value {
+        if let Some(raw) = &self.raw {
+            return raw.clone();
+        }
         let metadata = json!({ "name": name, "revision": self.revision, "created": self.created,
             "finalizers": [], "deletion_time": false });
         json!({ "metadata": metadata, "specification": self.content, "status": self.status })
@@ -54,6 +64,7 @@
     /// Revision up to which the change history was dropped.
     dropped_revision: u64,
     call_count: u64,
+    raw_texts: RawTexts,
     /// Fixed response to listings that may be stale.
     stale_snapshot: Option<Snapshot>,
 }
@@ -113,12 +124,22 @@
 
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, content: Value) {
-        self.change(kind, name, Some(content));
+        self.change(kind, name, false, |object| object.content = content);
+    }
+
+    /// Creates or replaces an object of which another program wrote a part, as these bytes.
+    pub fn put_raw(&self, kind: &str, name: &str, part: RawPart, text: &[u8]) {
+        let marker = self.state().raw_texts.add(text);
+        self.change(kind, name, false, |object| match part {
+            RawPart::Object => object.raw = Some(marker),
+            RawPart::Specification => object.content = marker,
+            RawPart::Status => object.status = marker,
+        });
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        self.change(kind, name, None);
+        self.change(kind, name, true, |object| object.content = Value::Null);
     }
 
     /// Drops the change history: a watch from an older revision gets 410.
@@ -146,19 +167,14 @@
         self.state().objects.get(&key).map_or(Value::Null, |o| o.status.clone())
     }
 
-    fn change(&self, kind: &str, name: &str, content: Option<Value>) {
+    fn change(&self, kind: &str, name: &str, is_deleted: bool, edit: impl FnOnce(&mut Object)) {
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        let is_deleted = content.is_none();
-        let previous = state.objects.remove(&key);
-        let object = Object {
-            revision,
-            created: previous.as_ref().map_or(revision, |o| o.created),
-            content: content.unwrap_or(Value::Null),
-            status: previous.map_or(Value::Null, |o| o.status),
-        };
+        let mut object = state.objects.remove(&key).unwrap_or_else(|| Object::new(revision));
+        (object.revision, object.raw) = (revision, None);
+        edit(&mut object);
         if !is_deleted {
             state.objects.insert(key, object.clone());
         }
@@ -223,16 +239,16 @@
             std::future::pending::<()>().await;
         }
         store_listener.replace_addresses(&mut body);
-        let body = body.to_string();
+        let body = self.state().raw_texts.replace_markers(&body.to_string());
         let head = format!(
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
-        let response = head + &body;
+        let response = [head.into_bytes(), body].concat();
         // The instance may have cancelled the call.
         drop(match store_listener.fault() {
-            Fault::Throttled(rate) => send_throttled(&mut stream, response.as_bytes(), rate).await,
-            _ => stream.write_all(response.as_bytes()).await,
+            Fault::Throttled(rate) => send_throttled(&mut stream, &response, rate).await,
+            _ => stream.write_all(&response).await,
         });
     }
 
@@ -243,7 +259,8 @@
         if method == "PUT"
             && let Some((kind, name)) = kind.strip_suffix("/status").and_then(|k| k.split_once('/'))
         {
-            return self.put_status(kind, name, &request.body);
+            let name = String::from_utf8_lossy(&unescape(name)).into_owned();
+            return self.put_status(kind, &name, &request.body);
         }
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
@@ -251,15 +268,16 @@
             let wait = query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
             return self.watch(kind, since, Duration::from_millis(wait), store_listener).await;
         }
-        let after = query.get("after").copied().unwrap_or_default();
-        self.list(kind, after, query.contains_key("allow_stale"))
+        let after = query.get("after").copied().map(unescape).unwrap_or_default();
+        self.list(kind, &after, query.contains_key("allow_stale"))
     }
 
-    fn list(&self, kind: &str, after: &str, allow_stale: bool) -> (u16, Value) {
+    fn list(&self, kind: &str, after: &[u8], allow_stale: bool) -> (u16, Value) {
         let state = self.state();
         let stale_snapshot = state.stale_snapshot.clone().filter(|_| allow_stale);
         let snapshot = stale_snapshot.unwrap_or_else(|| state.snapshot());
-        let of_kind = snapshot.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+        let of_kind =
+            snapshot.objects.iter().filter(|((k, n), _)| k == kind && n.as_bytes() > after);
         let mut entries: Vec<Value> =
             of_kind.map(|((_, name), object)| object.to_json(name)).collect();
         let has_more = entries.len() > PAGE_SIZE;
--- a/crates/nutmeggrade-fakes/src/site/store_listener.rs
+++ b/crates/nutmeggrade-fakes/src/site/store_listener.rs
@@ -85,8 +85,10 @@
         }
         for list in ["entries", "events"] {
             for entry in body[list].as_array_mut().into_iter().flatten() {
-                let object = if list == "events" { &mut entry["resource_object"] } else { entry };
-                let listed = &mut object["specification"]["address"];
+                let is_event = list == "events";
+                let path = "/resource_object/specification/address";
+                let path = if is_event { path } else { &path["/resource_object".len()..] };
+                let Some(listed) = entry.pointer_mut(path) else { continue };
                 if let Some(address) = listed.as_str().and_then(|a| addresses.get(a)) {
                     *listed = json!(address);
                 }
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -79,6 +79,8 @@
     pub fetched_bytes: IntCounterVec,
     /// Bytes of the store's responses by kind.
     pub store_bytes: IntCounterVec,
+    /// Objects of the store that can't be decoded or used, by kind.
+    pub unreadable_objects: IntCounterVec,
     /// Phase of each service's rollout, as a number.
     pub rollout_phase: IntGaugeVec,
     /// Log lines dropped.
@@ -177,6 +179,11 @@
                 "calls to the store by reason",
                 &["kind", "reason"],
             )?,
+            unreadable_objects: counters(
+                "unreadable_objects_total",
+                "revisions of objects that can't be read",
+                &["kind"],
+            )?,
             rollout_phase: gauges("rollout_phase", "phase of a service's roll-out", &["service"])?,
             dropped_lines: gauge("log_lines_dropped", "log lines dropped")?,
             invariants_broken: gauges("invariants_broken", "must stay absent", &["name"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -7,6 +7,7 @@
 mod rollouts;
 mod streams;
 mod supply;
+mod unreadable;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,6 +27,7 @@
 pub use self::crashes::CrashSource;
 pub use self::paces::log_change;
 use self::supply::EncodedEndpoints;
+use self::unreadable::ReportedObjects;
 use crate::clock::Clock;
 use crate::config_source::ConfigSource;
 use crate::logs::LogBuffer;
@@ -94,6 +96,8 @@
     encoded_endpoints: Mutex<Option<EncodedEndpoints>>,
     /// The culprits of crashes that were last reported; never locked together with the tables.
     culprits: Mutex<BTreeMap<CrashSuspect, usize>>,
+    /// Objects that were reported as unreadable; locked after the tables.
+    reported_objects: Mutex<ReportedObjects>,
     /// Transfers to peers in progress.
     pub transfers: Transfers,
     /// Workspace shared by all requests that need no key.
@@ -141,6 +145,7 @@
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
             culprits: Mutex::default(),
+            reported_objects: Mutex::default(),
             transfers: Transfers::new(settings.link),
             keyless_workspace: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -13,7 +13,7 @@
 use nutmeggrade_state::registry::{Change, Registered, Registry};
 use nutmeggrade_state::rollout::RolloutTable;
 use nutmeggrade_wire::kinds::{CONFIG_NAME, Kind};
-use nutmeggrade_wire::store::{Snapshot, StoredObject};
+use nutmeggrade_wire::store::{Part, Snapshot, StoredObject, Unreadable};
 use nutmeggrade_wire::{config, endpoint, rollout};
 
 use crate::config_source::ConfigSource;
@@ -27,7 +27,7 @@
         Kind::Config => apply_config(node, &snapshot.objects),
         Kind::Endpoints => {
             let all: Vec<EndpointInfo> =
-                snapshot.objects.iter().filter_map(read_endpoint).collect();
+                snapshot.objects.iter().filter_map(|o| read_endpoint(node, o)).collect();
             let left =
                 node.change_registry(|registry, now| registry.replace(&all, after_outage, now));
             lock(&node.tables).change_log.clear();
@@ -37,12 +37,12 @@
         }
         Kind::Evacuations => {
             let evacuated =
-                snapshot.objects.iter().filter_map(|o| read_evacuation(&o.name)).collect();
+                snapshot.objects.iter().filter_map(|o| read_evacuation(node, o)).collect();
             node.set_evacuated(&evacuated);
         }
         Kind::Rollouts => {
             let all: Vec<StoredRollout> =
-                snapshot.objects.iter().filter_map(read_rollout).collect();
+                snapshot.objects.iter().filter_map(|o| read_rollout(node, o)).collect();
             node.change_rollouts(|rollouts, now| rollouts.replace(&all, now));
         }
     }
@@ -57,7 +57,7 @@
         Kind::Evacuations => {
             let mut evacuated = lock(&node.tables).registry.out().clone();
             for object in &snapshot.objects {
-                let Some(domain) = read_evacuation(&object.name) else { continue };
+                let Some(domain) = read_evacuation(node, object) else { continue };
                 if object.is_gone {
                     evacuated.remove(&domain);
                 } else {
@@ -67,7 +67,7 @@
             node.set_evacuated(&evacuated);
         }
         Kind::Rollouts => node.change_rollouts(|rollouts, now| {
-            snapshot.objects.iter().filter_map(|o| change_rollout(rollouts, o, now)).collect()
+            snapshot.objects.iter().filter_map(|o| change_rollout(node, rollouts, o, now)).collect()
         }),
     }
 }
@@ -79,7 +79,7 @@
         changes(node, kind, snapshot, 0, after_outage);
         return;
     }
-    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(to_change));
+    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(|o| to_change(node, o)));
     apply_endpoint_changes(node, &changes, after_outage);
 }
 
@@ -165,7 +165,12 @@
     let own = node.config_source();
     if own.hash() != Some(reply.text.hash) {
         let text = Bytes::from(packing::unpack(&reply.text, own.text())?);
-        let map = config::read_text(&text).context("a peer's configuration")?;
+        let map =
+            config::read_text(&text).context("a peer's configuration").inspect_err(|error| {
+                let name = CONFIG_NAME.as_bytes();
+                let object = Unreadable::new(name, reply.revision, Part::Specification);
+                node.report_unreadable(Kind::Config, &object, error);
+            })?;
         let source = ConfigSource::received(text, reply.text).with_revision(reply.revision);
         node.set_map(map, source);
     }
@@ -206,7 +211,7 @@
 }
 
 fn apply_endpoints(node: &Node, snapshot: &Snapshot, since: u64, lapses: bool) {
-    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(to_change));
+    let changes = EndpointChanges::new(snapshot.objects.iter().filter_map(|o| to_change(node, o)));
     if changes.is_empty() {
         return;
     }
@@ -216,16 +221,22 @@
     log_changes(node, batch);
 }
 
+/// Applies the newest configuration that can be read; the one in force stays if there is none.
 fn apply_config(node: &Node, objects: &[StoredObject]) {
-    let newest = objects.iter().rfind(|o| o.name == CONFIG_NAME && !o.is_gone);
-    let Some(object) = newest else { return };
-    match config::read(&object.content) {
+    let mut newest_first = objects.iter().rev().filter(|o| o.name == CONFIG_NAME && !o.is_gone);
+    let read = |object: &StoredObject| match config::read(&object.content) {
         Ok(map) => {
             let source = ConfigSource::new(Bytes::from(object.content.to_string()))
                 .with_revision(object.revision);
-            node.set_map(map, source.with_previous(&node.config_source()));
+            Some((map, source))
         }
-        Err(error) => tracing::error!(event = "config_unreadable", error = format!("{error:#}")),
+        Err(error) => {
+            report(node, Kind::Config, object, &error);
+            None
+        }
+    };
+    if let Some((map, source)) = newest_first.find_map(read) {
+        node.set_map(map, source.with_previous(&node.config_source()));
     }
 }
 
@@ -247,41 +258,27 @@
 
 /// Reads an endpoint's change from an object; `None` if its name is no endpoint's. Content that
 /// can't be read as an endpoint counts as a removed entry.
-fn to_change(object: &StoredObject) -> Option<EndpointChange> {
-    let id = EndpointId::new(&object.name).ok()?;
-    let info = if object.is_gone { None } else { read_endpoint(object) };
+fn to_change(node: &Node, object: &StoredObject) -> Option<EndpointChange> {
+    let info = if object.is_gone { None } else { read_endpoint(node, object) };
     Some(match info {
-        Some(info) if info.leaving => EndpointChange::Leaving(id, info.born),
+        Some(info) if info.leaving => EndpointChange::Leaving(info.id, info.born),
         Some(info) => EndpointChange::Entry(info),
-        None => EndpointChange::Gone(id),
+        None => EndpointChange::Gone(EndpointId::new(&object.name).ok()?),
     })
 }
 
-fn read_endpoint(object: &StoredObject) -> Option<EndpointInfo> {
-    match endpoint::read(&object.name, &object.content) {
-        Ok(info) => Some(info),
-        Err(error) => {
-            tracing::warn!(
-                event = "endpoint_unreadable",
-                name = object.name,
-                error = format!("{error:#}")
-            );
-            None
-        }
-    }
+fn read_endpoint(node: &Node, object: &StoredObject) -> Option<EndpointInfo> {
+    let info = endpoint::read(&object.name, &object.content);
+    info.map_err(|error| report(node, Kind::Endpoints, object, &error)).ok()
 }
 
-fn read_evacuation(name: &str) -> Option<DomainId> {
-    match endpoint::read_evacuation(name) {
-        Ok(domain) => Some(domain),
-        Err(error) => {
-            tracing::warn!(event = "domain_unreadable", name, error = format!("{error:#}"));
-            None
-        }
-    }
+fn read_evacuation(node: &Node, object: &StoredObject) -> Option<DomainId> {
+    let domain = endpoint::read_evacuation(&object.name);
+    domain.map_err(|error| report(node, Kind::Evacuations, object, &error)).ok()
 }
 
 fn change_rollout(
+    node: &Node,
     rollouts: &mut RolloutTable,
     object: &StoredObject,
     now: Moment,
@@ -289,24 +286,21 @@
     if object.is_gone {
         return rollouts.remove(&ServiceId::new(&object.name).ok()?, now);
     }
-    rollouts.put(&read_rollout(object)?, now)
+    rollouts.put(&read_rollout(node, object)?, now)
 }
 
-fn read_rollout(object: &StoredObject) -> Option<StoredRollout> {
-    match rollout::read(object) {
-        Ok(rollout) => Some(rollout),
-        Err(error) => {
-            let code = Code::BadRollout;
-            tracing::warn!(
-                event = "rollout_unreadable",
-                service = object.name,
-                code = code.number(),
-                name = code.name(),
-                error = format!("{error:#}")
-            );
-            None
-        }
+fn read_rollout(node: &Node, object: &StoredObject) -> Option<StoredRollout> {
+    let rollout = rollout::read(object);
+    rollout.map_err(|error| report(node, Kind::Rollouts, object, &error)).ok()
+}
+
+/// Reports an object whose parts can be decoded, but don't say what its kind needs.
+fn report(node: &Node, kind: Kind, object: &StoredObject, error: &anyhow::Error) {
+    if object.is_gone {
+        return;
     }
+    let object = Unreadable::new(object.name.as_bytes(), object.revision, Part::Specification);
+    node.report_unreadable(kind, &object, error);
 }
 
 /// Returns all objects of a kind for a peer; `None` for endpoints, which are sent in another form.
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -164,7 +164,7 @@
             Kind::Rollouts => true,
             Kind::Endpoints | Kind::Evacuations => !is_first,
         };
-        let change_revision = if has_changes { snapshot.revision } else { snapshot.last_change() };
+        let change_revision = if has_changes { snapshot.revision } else { snapshot.last_change };
         state.note_listing(read, change_revision);
         Ok(())
     }
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -163,17 +163,23 @@
         if read.is_ok() {
             self.0.read_state.of(kind).note_answer(self.0.now());
         }
-        let (kind, reason) = (kind.name(), reason.name());
+        let reason = reason.name();
         let metrics = &self.0.metrics;
-        metrics.store_call_reasons.with_label_values(&[kind, reason]).inc();
+        metrics.store_call_reasons.with_label_values(&[kind.name(), reason]).inc();
         let ms = self.0.now().since(started_at).as_millis();
         match read {
             Ok(Some(read)) => {
-                self.0.read_state.note_changes(read.objects.iter().map(|o| o.revision));
-                metrics.store_bytes.with_label_values(&[kind]).inc_by(read.bytes);
+                for object in &read.unreadable {
+                    let error = anyhow::anyhow!("can't decode: {}", object.part.name());
+                    self.0.report_unreadable(kind, object, &error);
+                }
+                let unnamed = read.unreadable.iter().map(|u| u.revision);
+                let changes = read.objects.iter().map(|o| o.revision).chain(unnamed);
+                self.0.read_state.note_changes(changes);
+                metrics.store_bytes.with_label_values(&[kind.name()]).inc_by(read.bytes);
                 tracing::info!(
                     event = "store_call",
-                    kind,
+                    kind = kind.name(),
                     reason,
                     objects = read.objects.len(),
                     revision = read.revision,
@@ -181,8 +187,12 @@
                     ms
                 );
             }
-            Ok(None) => tracing::info!(event = "store_call", kind, reason, read = "nothing", ms),
+            Ok(None) => {
+                let kind = kind.name();
+                tracing::info!(event = "store_call", kind, reason, read = "nothing", ms);
+            }
             Err(error) => {
+                let kind = kind.name();
                 tracing::info!(event = "store_call", kind, reason, error = %error, ms);
             }
         }
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -18,6 +18,7 @@
 mod event_streams;
 mod generations;
 mod intents;
+mod odd_entries;
 mod rollouts;
 mod suspects;
 
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -21,6 +21,7 @@
 mod members;
 mod memory;
 mod moves;
+mod odd_entries;
 mod outcomes;
 mod paces;
 mod refused_waits;
