Get the last configuration from peers if the store's can't be read

Callers saw: the configuration in the store can't be decoded. Instances that run keep the last one, but one that starts beside them answers 503 until the operator writes another.

Cause: it had read the store's revision, which is the peers' too, so that none was ahead of it and it asked nobody.

Change: a first listing whose configuration can't be read counts as a failed call. A failed call is followed by a question to a peer, and repeated with the usual delays if none has the text. This helps only while a peer runs that read the last one; if all were restarted, there is none in force, as before.

--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -150,6 +150,12 @@
             }
         }
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
+        if self.kind == Kind::Config && !snapshot.objects.is_empty() && node.map().version == 0 {
+            // Peers may have the last configuration that could be read. They are asked after a
+            // failure; an instance that has read as much as they have asks nobody.
+            let error = anyhow::anyhow!("no configuration can be read");
+            return Err(PlatformError::Refused(error));
+        }
         let mut read = snapshot.revision;
         if let Some(later) = &later {
             apply::later_changes(&self.node, self.kind, later, self.is_after_outage());
--- a/tests/suite/relay/odd_entries.rs
+++ b/tests/suite/relay/odd_entries.rs
@@ -371,3 +371,24 @@
             .await
     });
 }
+
+// Guards against instances that don't serve after a start, because the configuration can't be decoded,
+// beside others that have the last one in force.
+#[test]
+fn start_beside_peers_gets_the_configuration_in_force() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        site.add_endpoint("desk", "e-a", Behaviour::Answer).await?;
+        site.store.put_raw("config", "main", RawPart::Specification, &nested(DEEP));
+        until("the configuration is counted", async || {
+            Ok(unreadable(&site.instance, "config").await? == 1)
+        })
+        .await?;
+        let member = start_member(&site.instance, 2, &site.store_listener).await?;
+        until_all_have([&member], "config_version", 1).await?;
+        until_ready(&member).await?;
+        let newest = RoutingPlan { version: 3, ..RoutingPlan::default() };
+        site.store.put("config", "main", newest.content());
+        until_all_have([&site.instance, &member], "config_version", 3).await
+    });
+}
