Let the stand-in store create and replace objects, and an instance start late

An instance that has run for longer than streams are remembered could only be tested by waiting for two minutes; a clock may now state for how long it has run.

--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -69,6 +69,16 @@
     fn snapshot(&self) -> Snapshot {
         Snapshot { revision: self.revision, objects: self.objects.clone() }
     }
+
+    /// Stores an object with its new revision, which becomes the store's; returns it encoded.
+    fn write(&mut self, kind: &str, name: &str, object: Object) -> Value {
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let response = object.to_json(&name);
+        self.revision = object.revision;
+        self.objects.insert((kind.clone(), name.clone()), object.clone());
+        self.changes.push(ObjectChange { kind, name, object, is_deleted: false });
+        response
+    }
 }
 
 /// The platform's object store. Objects don't expire.
@@ -140,6 +150,12 @@
         self.state().call_count
     }
 
+    /// Returns the specification of an object, or null.
+    pub fn content(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map_or(Value::Null, |o| o.content.clone())
+    }
+
     /// Returns the status of an object, or null.
     pub fn status(&self, kind: &str, name: &str) -> Value {
         let key = (kind.to_owned(), name.to_owned());
@@ -191,6 +207,44 @@
         (200, response)
     }
 
+    /// Creates an object that doesn't exist.
+    fn post(&self, kind: &str, body: &[u8]) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let Some(name) = body["metadata"]["name"].as_str() else { return (400, Value::Null) };
+        let mut state = self.state();
+        if state.objects.contains_key(&(kind.to_owned(), name.to_owned())) {
+            return (409, Value::Null);
+        }
+        let revision = state.revision + 1;
+        let content = body["specification"].clone();
+        let object = Object { revision, created: revision, content, status: Value::Null };
+        let response = state.write(kind, name, object);
+        drop(state);
+        self.changed.send_replace(revision);
+        (200, response)
+    }
+
+    /// Replaces an object's specification if the request names its current revision or none.
+    fn put_content(&self, kind: &str, name: &str, body: &[u8]) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let mut state = self.state();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(old) = state.objects.get(&key).cloned() else { return (404, Value::Null) };
+        let expected = body["metadata"]["revision"].as_u64();
+        if expected.is_some_and(|revision| revision != old.revision) {
+            return (409, old.to_json(name));
+        }
+        let content = body["specification"].clone();
+        if content == old.content {
+            return (200, old.to_json(name));
+        }
+        let revision = state.revision + 1;
+        let response = state.write(kind, name, Object { revision, content, ..old });
+        drop(state);
+        self.changed.send_replace(revision);
+        (200, response)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -204,7 +258,10 @@
         let kind = requested_kind(&request).to_owned();
         let losses = store_listener.losses(&kind);
         let (status, mut body) = match store_listener.fault() {
-            Fault::None | Fault::Throttled(_) => self.handle(&request, store_listener).await,
+            Fault::SilentWatches if is_watch(&request) => std::future::pending().await,
+            Fault::None | Fault::Throttled(_) | Fault::SilentWatches => {
+                self.handle(&request, store_listener).await
+            }
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(time) => {
@@ -245,6 +302,11 @@
         {
             return self.put_status(kind, name, &request.body);
         }
+        match (method, kind.split_once('/')) {
+            ("POST", None) => return self.post(kind, &request.body),
+            ("PUT", Some((kind, name))) => return self.put_content(kind, name, &request.body),
+            _ => {}
+        }
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
         if let Some(since) = query.get("watcher").and_then(|w| w.parse().ok()) {
@@ -315,6 +377,10 @@
     path.split(['/', '?']).next().unwrap_or_default()
 }
 
+fn is_watch(request: &Message) -> bool {
+    request.request().1.contains("watcher=")
+}
+
 /// Sends bytes at a number of bytes a second.
 async fn send_throttled(stream: &mut TcpStream, bytes: &[u8], rate: usize) -> std::io::Result<()> {
     let part_bytes = (rate / PARTS_PER_SECOND as usize).max(1);
--- a/crates/nutmeggrade-fakes/src/site/store_listener.rs
+++ b/crates/nutmeggrade-fakes/src/site/store_listener.rs
@@ -23,6 +23,8 @@
     SlowChanges(Duration),
     /// Responds at once, and sends so many bytes a second.
     Throttled(usize),
+    /// Never responds to later watches; handles other calls.
+    SilentWatches,
     /// Closes the connection without a response.
     DropResponse,
 }
--- a/crates/nutmeggrade-relay/src/clock.rs
+++ b/crates/nutmeggrade-relay/src/clock.rs
@@ -19,6 +19,13 @@
         Self { start: Instant::now() }
     }
 
+    /// Sets the time for which the clock has already run.
+    #[must_use]
+    pub fn with_uptime(mut self, uptime: Duration) -> Self {
+        self.start = self.start.checked_sub(uptime).unwrap_or(self.start);
+        self
+    }
+
     /// Returns the time since the start.
     pub fn now(&self) -> Moment {
         Moment::new(self.start.elapsed())
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admin::Admin;
+use crate::clock::Clock;
 use crate::logs::LogBuffer;
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
@@ -68,6 +69,20 @@
         settings: &Settings,
         logs: &LogBuffer,
         incarnation: u64,
+    ) -> anyhow::Result<Self> {
+        Self::start_with_clock(settings, logs, incarnation, Clock::new()).await
+    }
+
+    /// Opens all sockets and starts to serve, by a clock that may have run for some time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be opened.
+    pub async fn start_with_clock(
+        settings: &Settings,
+        logs: &LogBuffer,
+        incarnation: u64,
+        clock: Clock,
     ) -> anyhow::Result<Self> {
         let listener = front::bind(settings.client_address)?;
         let (peers, forwarded) = bind_for_peers(settings.beacon_address).await?;
@@ -87,7 +102,7 @@
             beacon: addresses.beacon,
             control: addresses.control,
         };
-        let node = Arc::new(Node::new(settings, &own_addresses, logs, incarnation)?);
+        let node = Arc::new(Node::new(settings, &own_addresses, logs, incarnation, clock)?);
         tracing::info!(event = "started", instance = %settings.instance, domain = %settings.domain,
             clients = %addresses.client, directory = %addresses.directory,
             metrics = %addresses.metrics, incarnation);
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -116,6 +116,7 @@
         own_addresses: &InstanceAddresses,
         logs: &LogBuffer,
         incarnation: u64,
+        clock: Clock,
     ) -> anyhow::Result<Self> {
         let mut dispatcher = Dispatcher::new(&settings.domain, rand::random());
         if !settings.fleet_order {
@@ -124,7 +125,7 @@
         let fleet = FleetView::new(&settings.instance, own_addresses, &settings.seeds);
         let (outbox, outbox_receiver) = mpsc::channel(OUTBOX_CAPACITY);
         Ok(Self {
-            clock: Clock::new(),
+            clock,
             metrics: Metrics::new()?,
             tables: Mutex::new(Tables::new(dispatcher, fleet)),
             store: Store::new(settings.platform, STORE_TIMEOUT),
