Record the versions of a service in the store, and ask it about streams nobody knows

Seen: two versions served, all instances were killed, the old version left, and clients took their streams up at instances that had started since. Each was answered 200 and went on at the new version.

Cause: an instance that has started since a version left sees one version and takes it for the only one there was. It asked its peers, but those had started as well, or were not known yet: what nobody knows was taken for what never was.

The store outlives all instances. A stream of which no instance knows is served only if the record, read after the request came, joined with what the instance sees, names one version.

--- a/crates/nutmeggrade-core/src/lib.rs
+++ b/crates/nutmeggrade-core/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod run_status;
 pub mod secret;
 pub mod settings;
+pub mod version_record;
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -16,7 +16,7 @@
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{engine_watch, front, rollouts, ticker, watch};
+use crate::{engine_watch, front, rollouts, ticker, version_records, watch};
 
 /// Fraction of the grace period after which no new connections are accepted: later ones could not
 /// finish in time.
@@ -115,6 +115,7 @@
         tasks.push(tokio::spawn(send_failures(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(send_streams(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(forward_placements(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(version_records::run(Arc::clone(&node))));
         tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         tasks.push(tokio::spawn(engine_watch::run(Arc::clone(&node))));
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod stream_origin;
 mod tables;
 mod ticker;
+mod version_records;
 mod watch;
 
 pub use answer_body::{AnswerBody, BodyChunk};
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of an instance that serves routes.
 
 mod load;
+mod versions;
 
 use anyhow::Context;
 use nutmeggrade_state::invariant;
@@ -11,6 +12,7 @@
 };
 
 use self::load::LoadMetrics;
+use self::versions::VersionMetrics;
 
 /// Bucket bounds of the time histograms, in seconds: from a fast call to the longest responses.
 const TIME_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
@@ -29,6 +31,8 @@
     pub waits: Histogram,
     /// Decisions under load.
     pub load: LoadMetrics,
+    /// Versions at which streams began.
+    pub versions: VersionMetrics,
     /// Time to the head of a response, or to a stream's first event.
     pub first: Histogram,
     /// Requests sent to endpoints, by outcome of the send.
@@ -111,6 +115,7 @@
             )?,
             waiting: gauge("waiting", "requests that wait for room")?,
             load: LoadMetrics::new(&registry)?,
+            versions: VersionMetrics::new(&registry)?,
             waits: histogram("wait_seconds", "time that requests waited for room")?,
             first: histogram("first_seconds", "time to an answer's head or first event")?,
             sends: counters("sends_total", "requests handed to endpoints", &["end"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -33,6 +33,7 @@
 use crate::reach::ReachChecks;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
+use crate::version_records::VersionRecords;
 use crate::watch::ReadState;
 
 /// Timeout of a call to the store, beyond the time for which the store holds a watch. The store
@@ -88,6 +89,8 @@
     pub heartbeat_due: Notify,
     /// Checks whether services can be reached.
     pub reach_checks: ReachChecks,
+    /// Records of services' versions in the store.
+    pub version_records: VersionRecords,
     /// Endpoints that are being probed; never locked together with the tables.
     pub probed: Mutex<BTreeSet<EndpointId>>,
     /// The last response to a peer that asked for endpoints; locked before the tables.
@@ -139,6 +142,7 @@
             failures_counted: Notify::new(),
             heartbeat_due: Notify::new(),
             reach_checks: ReachChecks::default(),
+            version_records: VersionRecords::default(),
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
             culprits: Mutex::default(),
--- a/crates/nutmeggrade-relay/src/stream_origin.rs
+++ b/crates/nutmeggrade-relay/src/stream_origin.rs
@@ -9,11 +9,13 @@
 use http::{Method, StatusCode};
 use nutmeggrade_core::peer::StreamKey;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_state::only_version::OnlyVersion;
 use nutmeggrade_state::stream_table::STREAM_RETENTION;
 
 use crate::node::Node;
 use crate::short_call::{CallLimits, short_call};
 use crate::tables::lock;
+use crate::version_records;
 
 /// Path at which an instance says what it knows of a stream.
 pub const STREAM_PATH: &str = "/known/stream";
@@ -38,6 +40,17 @@
     Ambiguous,
 }
 
+impl StreamOrigin {
+    /// Returns the name used in logs and metrics.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Version(_) => "known",
+            Self::Only(_) => "only_version",
+            Self::Ambiguous => "ambiguous",
+        }
+    }
+}
+
 /// Returns what this instance knows of a stream.
 pub fn local(node: &Node, stream: Option<StreamKey>, service: &ServiceId) -> StreamOrigin {
     let tables = lock(&node.tables);
@@ -51,32 +64,71 @@
     StreamOrigin::Only(versions.first().map(|version| VersionId::clone(version)))
 }
 
-/// Finds where a stream began, if necessary by asking the peers that should know.
-///
-/// An instance that has just started doesn't know which versions there were, so that it asks too.
+/// Finds where a stream began, if necessary by asking the peers that should know, and then in the
+/// store.
 pub async fn find(node: &Node, stream: Option<StreamKey>, service: &ServiceId) -> StreamOrigin {
-    let origin = local(node, stream, service);
-    let is_certain = match origin {
+    let (origin, source) = search(node, stream, service).await;
+    node.metrics.versions.origins.with_label_values(&[origin.name(), source]).inc();
+    tracing::info!(event = "stream_origin", %service, end = origin.name(), source);
+    origin
+}
+
+/// Returns where a stream began, and what said so.
+///
+/// That no instance knows of a second version doesn't mean that there was none: all that knew may be
+/// lost, or out of reach.
+async fn search(
+    node: &Node,
+    stream: Option<StreamKey>,
+    service: &ServiceId,
+) -> (StreamOrigin, &'static str) {
+    let own = local(node, stream, service);
+    let is_certain = match own {
         StreamOrigin::Version(_) => true,
         StreamOrigin::Only(_) => node.now().since_start() > STREAM_RETENTION,
         StreamOrigin::Ambiguous => false,
     };
-    let Some(stream) = stream.filter(|_| !is_certain) else { return origin };
+    if is_certain {
+        return (own, "own");
+    }
+    let peers = match stream {
+        Some(stream) => ask_peers(node, stream, service).await,
+        None => StreamOrigin::Only(None),
+    };
+    match (peers, own) {
+        (StreamOrigin::Only(_), StreamOrigin::Only(_)) => {}
+        (StreamOrigin::Only(_), own) => return (own, "own"),
+        (known, _) => return (known, "peers"),
+    }
+    let Some(records) = version_records::read(node).await else {
+        return (StreamOrigin::Ambiguous, "unread_record");
+    };
+    let tables = lock(&node.tables);
+    let seen = tables.registry.recent_versions(service);
+    match OnlyVersion::new(records.get(service), &seen) {
+        OnlyVersion::Only(version) => (StreamOrigin::Only(version), "record"),
+        OnlyVersion::Several => (StreamOrigin::Ambiguous, "record"),
+        OnlyVersion::Unknown => (StreamOrigin::Ambiguous, "missing_record"),
+    }
+}
+
+/// Asks the peers that should know where a stream began.
+async fn ask_peers(node: &Node, stream: StreamKey, service: &ServiceId) -> StreamOrigin {
     let keepers = lock(&node.tables).fleet.stream_keepers(stream, ASKED_PEERS, node.now());
     let mut answers: FuturesUnordered<_> =
         keepers.iter().map(|keeper| ask(keeper.control, stream, service)).collect();
-    let mut is_ambiguous = origin == StreamOrigin::Ambiguous;
+    let mut origin = StreamOrigin::Only(None);
     while let Some(answer) = answers.next().await {
         match answer {
             Ok(StreamOrigin::Version(version)) => return StreamOrigin::Version(version),
-            Ok(StreamOrigin::Ambiguous) => is_ambiguous = true,
+            Ok(StreamOrigin::Ambiguous) => origin = StreamOrigin::Ambiguous,
             Ok(StreamOrigin::Only(_)) => {}
             Err(error) => {
                 tracing::info!(event = "stream_question_failed", error = format!("{error:#}"));
             }
         }
     }
-    if is_ambiguous { StreamOrigin::Ambiguous } else { origin }
+    origin
 }
 
 /// Asks a peer where a stream began.
--- a/crates/nutmeggrade-relay/src/watch.rs
+++ b/crates/nutmeggrade-relay/src/watch.rs
@@ -13,4 +13,4 @@
 };
 pub use follower::start;
 pub use read_state::ReadState;
-pub use store_calls::StoreCalls;
+pub use store_calls::{CallReason, StoreCalls};
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -9,6 +9,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::{RolloutNotice, StoredRollout};
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_core::version_record::ServiceVersions;
 use nutmeggrade_state::packing;
 use nutmeggrade_state::registry::{Change, Registered, Registry};
 use nutmeggrade_state::rollout::RolloutTable;
@@ -271,6 +272,17 @@
     }
 }
 
+/// Returns the versions of the endpoints among some objects.
+pub fn versions(snapshot: &Snapshot) -> ServiceVersions {
+    let mut versions = ServiceVersions::new();
+    for object in snapshot.objects.iter().filter(|object| !object.is_gone) {
+        let Ok(info) = endpoint::read(&object.name, &object.content) else { continue };
+        let Some(version) = info.version else { continue };
+        versions.entry(info.service).or_default().insert(version);
+    }
+    versions
+}
+
 fn read_evacuation(name: &str) -> Option<DomainId> {
     match endpoint::read_evacuation(name) {
         Ok(domain) => Some(domain),
--- a/crates/nutmeggrade-relay/src/watch/follower.rs
+++ b/crates/nutmeggrade-relay/src/watch/follower.rs
@@ -9,7 +9,7 @@
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_state::fleet_view::SourceScope;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::WatchResult;
+use nutmeggrade_wire::store::{Snapshot, WatchResult};
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -18,6 +18,7 @@
 use crate::fleet_sync;
 use crate::node::Node;
 use crate::tables::lock;
+use crate::version_records;
 use crate::watch::apply;
 use crate::watch::overdue_guard::OverdueGuard;
 use crate::watch::pacing::{self, RetryRole};
@@ -149,6 +150,10 @@
                 }
             }
         }
+        self.record_versions(&snapshot).await;
+        if let Some(later) = &later {
+            self.record_versions(later).await;
+        }
         apply::listing(&self.node, self.kind, &snapshot, self.is_after_outage());
         let mut read = snapshot.revision;
         if let Some(later) = &later {
@@ -233,6 +238,7 @@
         match watched {
             WatchResult::Changes(snapshot) => {
                 let has_changes = !snapshot.objects.is_empty();
+                self.record_versions(&snapshot).await;
                 let after_outage = self.is_after_outage();
                 apply::changes(&self.node, self.kind, &snapshot, state.since(), after_outage);
                 state.note(snapshot.revision, if has_changes { snapshot.revision } else { 0 });
@@ -251,6 +257,26 @@
         }
     }
 
+    /// Records new versions of services before their endpoints get work here and at the peers that
+    /// rely on this instance.
+    async fn record_versions(&self, snapshot: &Snapshot) {
+        if self.kind != Kind::Endpoints || !self.reads_for_peers() {
+            return;
+        }
+        version_records::record_new(&self.node, &apply::versions(snapshot)).await;
+    }
+
+    /// Returns whether peers rely on this instance for endpoints. At a start those that others begin
+    /// with are first, and the readers aren't known yet.
+    fn reads_for_peers(&self) -> bool {
+        let fleet = &lock(&self.node.tables).fleet;
+        if self.node.read_state.of(self.kind).is_loaded() {
+            fleet.is_reader(self.node.now())
+        } else {
+            fleet.is_seed() || !fleet.has_contacts()
+        }
+    }
+
     /// Watches from `since`, and marks the store as overdue if its response begins late.
     async fn watch_with_hold(&self, since: u64) -> Result<WatchResult, PlatformError> {
         let hold = self.hold_time();
--- a/crates/nutmeggrade-relay/src/watch/store_calls.rs
+++ b/crates/nutmeggrade-relay/src/watch/store_calls.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::version_record::VersionsWrite;
 use nutmeggrade_platform::PlatformError;
 use nutmeggrade_wire::kinds::Kind;
-use nutmeggrade_wire::store::{Listing, Snapshot, StatusWrite, WatchResult};
+use nutmeggrade_wire::store::{Listing, ObjectWrite, Snapshot, StatusWrite, WatchResult};
+use nutmeggrade_wire::version_record;
 use serde_json::Value;
 
 use crate::node::Node;
@@ -31,8 +33,12 @@
     Overdue,
     /// Retries after a failed call.
     Retry,
-    /// Writes the state of a rollout.
+    /// Writes the state of a rollout or the versions of a service.
     Write,
+    /// Reads which versions are recorded, to record others.
+    Versions,
+    /// Reads which versions are recorded, for streams that clients take up.
+    TakeUp,
 }
 
 impl CallReason {
@@ -49,6 +55,8 @@
             Self::Overdue => "overdue",
             Self::Retry => "retry",
             Self::Write => "write",
+            Self::Versions => "versions",
+            Self::TakeUp => "take_up",
         }
     }
 }
@@ -152,6 +160,40 @@
         result
     }
 
+    /// Lists the records of services' versions, as they are now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store's client does.
+    pub async fn list_versions(&self, reason: CallReason) -> Result<Snapshot, PlatformError> {
+        let started_at = self.0.now();
+        let result = self.0.store.list_own(version_record::KIND).await;
+        self.log(version_record::KIND, reason, started_at, result.as_ref().map(Some));
+        result
+    }
+
+    /// Writes the record of a service's versions on its condition.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store's client does.
+    pub async fn write_versions(
+        &self,
+        write: &VersionsWrite,
+    ) -> Result<ObjectWrite, PlatformError> {
+        let started_at = self.0.now();
+        let content = version_record::write(&write.record);
+        let name = write.service.as_str();
+        let result =
+            self.0.store.write_own(version_record::KIND, name, write.revision, &content).await;
+        let read = result.as_ref().map(|_| None);
+        self.log(version_record::KIND, CallReason::Write, started_at, read);
+        if let Ok(ObjectWrite::Written(object) | ObjectWrite::Conflict(Some(object))) = &result {
+            self.0.read_state.note_changes([object.revision]);
+        }
+        result
+    }
+
     /// Accounts for a call. `read` is what it returned, if that is a part of a listing or changes.
     fn note(
         &self,
@@ -163,7 +205,17 @@
         if read.is_ok() {
             self.0.read_state.of(kind).note_answer(self.0.now());
         }
-        let (kind, reason) = (kind.name(), reason.name());
+        self.log(kind.name(), reason, started_at, read);
+    }
+
+    fn log(
+        &self,
+        kind: &str,
+        reason: CallReason,
+        started_at: Moment,
+        read: Result<Option<&Snapshot>, &PlatformError>,
+    ) {
+        let reason = reason.name();
         let metrics = &self.0.metrics;
         metrics.store_call_reasons.with_label_values(&[kind, reason]).inc();
         let ms = self.0.now().since(started_at).as_millis();
--- a/crates/nutmeggrade-state/src/registry/versions.rs
+++ b/crates/nutmeggrade-state/src/registry/versions.rs
@@ -5,6 +5,7 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_core::version_record::ServiceVersions;
 
 use super::{Registered, Registry};
 use crate::rollout::{VersionRole, VersionRule};
@@ -83,6 +84,20 @@
         registered.chain(self.removed_versions.of(service)).collect()
     }
 
+    /// Returns the versions of all registered endpoints.
+    pub fn registered_versions(&self) -> ServiceVersions {
+        let mut versions = ServiceVersions::new();
+        for EndpointInfo { service, version, .. } in self.endpoints.values().map(|e| &e.info) {
+            let Some(version) = version else { continue };
+            match versions.get_mut(service) {
+                Some(known) if known.contains(version) => {}
+                Some(known) => drop(known.insert(version.clone())),
+                None => drop(versions.insert(service.clone(), BTreeSet::from([version.clone()]))),
+            }
+        }
+        versions
+    }
+
     /// Returns whether a service has versions, but no endpoint of this one that may get work.
     pub fn lacks_version(&self, service: &ServiceId, version: &VersionId) -> bool {
         let mut others = self.usable().filter(|e| e.info.service == *service).peekable();
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -32,6 +32,7 @@
 mod store;
 mod streams;
 mod supply;
+mod version_records;
 mod versions;
 
 use nutmeggrade_fakes::site::{Answer, RawClient};
