Ask the store about streams nobody knows also at instances that have run for long

Seen: while an instance was cut off from its peers and got no notices of the store, a new version joined and the old one left. Streams that had begun at the new version through other instances were taken up there, and went on at the old version, answered 200.

Cause: an instance that had run for longer than streams are remembered took its view of a service's versions for complete and asked nobody. It may be out of step for seconds.

Red before, also on the code that records versions: relay::version_records::instance_is_out_of_step, both as_watches_are_silent and as_the_store_refuses_it, six of six streams answered 200 in place of 503.

How long an instance has run no longer counts. Each stream that it doesn't know is asked for at the peers that should know, and then decided from the record, whose reading is linearizable and began after the request came.

Measured: 503 six of six in both cases; the other cases of version_records, versions and the state tests pass.

--- a/crates/nutmeggrade-relay/src/stream_origin.rs
+++ b/crates/nutmeggrade-relay/src/stream_origin.rs
@@ -10,7 +10,6 @@
 use nutmeggrade_core::peer::StreamKey;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_state::only_version::OnlyVersion;
-use nutmeggrade_state::stream_table::STREAM_RETENTION;
 
 use crate::node::Node;
 use crate::short_call::{CallLimits, short_call};
@@ -83,12 +82,7 @@
     service: &ServiceId,
 ) -> (StreamOrigin, &'static str) {
     let own = local(node, stream, service);
-    let is_certain = match own {
-        StreamOrigin::Version(_) => true,
-        StreamOrigin::Only(_) => node.now().since_start() > STREAM_RETENTION,
-        StreamOrigin::Ambiguous => false,
-    };
-    if is_certain {
+    if matches!(own, StreamOrigin::Version(_)) {
         return (own, "own");
     }
     let peers = match stream {
--- a/tests/suite/relay/version_records.rs
+++ b/tests/suite/relay/version_records.rs
@@ -6,14 +6,15 @@
     Behaviour, Endpoint, Entry, Fault, Generations, RawClient, RoutingPlan, Store, StoreListener,
     request,
 };
-use nutmeggrade_relay::Instance;
+use nutmeggrade_relay::{Clock, Instance, LogBuffer};
+use nutmeggrade_state::stream_table::STREAM_RETENTION;
 use nutmeggrade_wire::version_record::KIND;
 use serde_json::json;
 
 use super::PROMPT_HEADERS;
 use super::members::{start_member, until_all_have};
-use super::site::{metric, start_instance};
-use crate::support::run;
+use super::site::{metric, settings, start_instance};
+use crate::support::{run, until};
 
 /// Streams that begin in a test.
 const STREAMS: usize = 6;
@@ -127,6 +128,40 @@
     });
 }
 
+/// Replaces a version while an instance that has run for long gets neither heartbeats nor the store's
+/// notices, and takes streams of the new version up there.
+fn instance_is_out_of_step(fault: Fault) {
+    run(async {
+        let mut plant = Plant::new().await?;
+        plant.add_engine("v1").await?;
+        let first = start_instance("i-1", &plant.listener, "").await?;
+        let listener = plant.store.open_listener().await?;
+        let clock = Clock::new().with_uptime(STREAM_RETENTION + Duration::from_secs(10));
+        let settings = settings("i-2", &listener, "", "127.0.0.1:0")?;
+        let stale = Instance::start_with_clock(&settings, &LogBuffer::new(), 1, clock).await?;
+        until_all_have([&first, &stale], "endpoints", 1).await?;
+        listener.set(fault);
+        listener.lose_waiting(&["servers"]);
+        plant.add_engine("v2").await?;
+        has_endpoints(&first, 2).await?;
+        plant.store.remove("servers", "e-v1");
+        has_endpoints(&first, 1).await?;
+        plant.begin_streams(&first).await?;
+        let engine = &plant.engines[1];
+        until("the streams run at v2", async || Ok(engine.seen().len() >= STREAMS)).await?;
+        has_endpoints(&stale, 1).await?;
+        assert_eq!(plant.take_up(&stale).await?, [503; STREAMS]);
+        Ok(())
+    });
+}
+
+// Guards against an instance that is out of step and takes its own view of a service's versions for
+// all there were, because it has run for long.
+cases! {instance_is_out_of_step {
+    as_watches_are_silent: Fault::SilentWatches;
+    as_the_store_refuses_it: Fault::Refuse;
+}}
+
 // Guards against streams that are taken up without knowledge of the versions that there were.
 #[test]
 fn take_up_is_refused_while_the_store_is_away() {
