Take all versions for new after an instance has not read endpoints for long

Found by reading the records' rules against a model of several instances: an instance that stands still for more than two minutes still has a version registered that left, was removed from the record meanwhile, and came back. It would not have recorded it again, so that streams could begin at a version that is not recorded.

--- a/crates/nutmeggrade-relay/src/version_records.rs
+++ b/crates/nutmeggrade-relay/src/version_records.rs
@@ -39,6 +39,8 @@
 pub struct VersionRecords {
     keeper: Mutex<VersionKeeper>,
     last: Mutex<Reading>,
+    /// When this instance last read endpoints for others.
+    endpoints_read: std::sync::Mutex<Moment>,
 }
 
 /// Reads the records of all services after this call; `None` if the store doesn't give them. One
@@ -66,10 +68,17 @@
     records
 }
 
-/// Records the versions among these of which no endpoint is registered, before any is. Returns
-/// without success after [`MAX_WAIT`]; the first reader goes on.
+/// Records the versions among these of which no endpoint is registered, before any is. After a gap
+/// a registered version may have gone, been removed from the record and come back, so that all count
+/// as new. Returns without success after [`MAX_WAIT`]; the first reader goes on.
 pub async fn record_new(node: &Node, versions: &ServiceVersions) {
-    let registered = lock(&node.tables).registry.registered_versions();
+    let now = node.now();
+    let last_read = std::mem::replace(&mut *lock(&node.version_records.endpoints_read), now);
+    let registered = if now.since(last_read) > MAX_GAP {
+        ServiceVersions::new()
+    } else {
+        lock(&node.tables).registry.registered_versions()
+    };
     let mut new = versions.clone();
     new.retain(|service, versions| {
         let known = registered.get(service);
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -20,6 +20,7 @@
 mod intents;
 mod rollouts;
 mod suspects;
+mod version_records;
 
 /// Total steps of a short run.
 const SHORT_RUN_STEPS: u32 = 40_000;
