--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -1,5 +1,7 @@
 //! The platform's object store.
 
+mod writes;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -80,6 +82,16 @@
     fn snapshot(&self) -> Snapshot {
         Snapshot { revision: self.revision, objects: self.objects.clone() }
     }
+
+    /// Stores an object with its new revision, which becomes the store's; returns it encoded.
+    fn write(&mut self, kind: &str, name: &str, object: Object) -> Value {
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let response = object.to_json(&name);
+        self.revision = object.revision;
+        self.objects.insert((kind.clone(), name.clone()), object.clone());
+        self.changes.push(ObjectChange { kind, name, object, is_deleted: false });
+        response
+    }
 }
 
 /// The platform's object store. Objects don't expire.
@@ -161,6 +173,12 @@
         self.state().call_count
     }
 
+    /// Returns the specification of an object, or null.
+    pub fn content(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map_or(Value::Null, |o| o.content.clone())
+    }
+
     /// Returns the status of an object, or null.
     pub fn status(&self, kind: &str, name: &str) -> Value {
         let key = (kind.to_owned(), name.to_owned());
@@ -184,29 +202,6 @@
         self.changed.send_replace(revision);
     }
 
-    /// Replaces an object's status if the request names its current revision or none.
-    fn put_status(&self, kind: &str, name: &str, body: &[u8]) -> (u16, Value) {
-        let body: Value = serde_json::from_slice(body).unwrap_or_default();
-        let mut state = self.state();
-        let key = (kind.to_owned(), name.to_owned());
-        let new_revision = state.revision + 1;
-        let Some(object) = state.objects.get_mut(&key) else { return (404, Value::Null) };
-        let expected = body["metadata"]["revision"].as_u64();
-        if expected.is_some_and(|revision| revision != object.revision) {
-            return (409, object.to_json(name));
-        }
-        object.status = body["status"].clone();
-        object.revision = new_revision;
-        let object = object.clone();
-        let response = object.to_json(name);
-        state.revision = new_revision;
-        let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(ObjectChange { kind, name, object, is_deleted: false });
-        drop(state);
-        self.changed.send_replace(new_revision);
-        (200, response)
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -220,7 +215,10 @@
         let kind = requested_kind(&request).to_owned();
         let losses = store_listener.losses(&kind);
         let (status, mut body) = match store_listener.fault() {
-            Fault::None | Fault::Throttled(_) => self.handle(&request, store_listener).await,
+            Fault::SilentWatches if is_watch(&request) => std::future::pending().await,
+            Fault::None | Fault::Throttled(_) | Fault::SilentWatches => {
+                self.handle(&request, store_listener).await
+            }
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(time) => {
@@ -262,6 +260,11 @@
             let name = String::from_utf8_lossy(&unescape(name)).into_owned();
             return self.put_status(kind, &name, &request.body);
         }
+        match (method, kind.split_once('/')) {
+            ("POST", None) => return self.post(kind, &request.body),
+            ("PUT", Some((kind, name))) => return self.put_content(kind, name, &request.body),
+            _ => {}
+        }
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
         if let Some(since) = query.get("watcher").and_then(|w| w.parse().ok()) {
@@ -333,6 +336,10 @@
     path.split(['/', '?']).next().unwrap_or_default()
 }
 
+fn is_watch(request: &Message) -> bool {
+    request.request().1.contains("watcher=")
+}
+
 /// Sends bytes at a number of bytes a second.
 async fn send_throttled(stream: &mut TcpStream, bytes: &[u8], rate: usize) -> std::io::Result<()> {
     let part_bytes = (rate / PARTS_PER_SECOND as usize).max(1);
--- a/crates/nutmeggrade-relay/src/watch/apply.rs
+++ b/crates/nutmeggrade-relay/src/watch/apply.rs
@@ -9,6 +9,7 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::rollout::{RolloutNotice, StoredRollout};
 use nutmeggrade_core::routing::EndpointInfo;
+use nutmeggrade_core::version_record::ServiceVersions;
 use nutmeggrade_state::packing;
 use nutmeggrade_state::registry::{Change, Registered, Registry};
 use nutmeggrade_state::rollout::RolloutTable;
@@ -277,6 +278,17 @@
     domain.map_err(|error| report(node, Kind::Evacuations, object, &error)).ok()
 }
 
+/// Returns the versions of the endpoints among some objects.
+pub fn versions(snapshot: &Snapshot) -> ServiceVersions {
+    let mut versions = ServiceVersions::new();
+    for object in snapshot.objects.iter().filter(|object| !object.is_gone) {
+        let Ok(info) = endpoint::read(&object.name, &object.content) else { continue };
+        let Some(version) = info.version else { continue };
+        versions.entry(info.service).or_default().insert(version);
+    }
+    versions
+}
+
 fn change_rollout(
     node: &Node,
     rollouts: &mut RolloutTable,
--- a/tests/suite/random.rs
+++ b/tests/suite/random.rs
@@ -21,6 +21,7 @@
 mod odd_entries;
 mod rollouts;
 mod suspects;
+mod version_records;
 
 /// Total steps of a short run.
 const SHORT_RUN_STEPS: u32 = 40_000;
