Decode the lists of the product's own store one by one

Callers saw: one endpoint or object whose JSON can't be decoded fails the whole list or watch of `nutmeggrade run` and `nutmegctl`, at each call.

Cause: `HttpPlatform` decoded each response as one value.

Evidence: both tests of `core::platform_client` failed before ("number out of range").

Change: the scanner of the adapter moves to `nutmeggrade-platform`, which the adapter uses. Endpoints that can't be decoded are left out, and their number is logged when it changes (`endpoints_unreadable`). A value that can't be decoded becomes null, which no reader of objects accepts: the object stays, as a page with fewer objects than asked for is taken for the last one, and a configuration that can't be decoded still keeps the fence from opening. An object without a key or version still fails the response.

No process was run on a store with such values.

--- a/crates/nutmeggrade-platform/src/http_platform.rs
+++ b/crates/nutmeggrade-platform/src/http_platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::call::{call, transfer_bytes};
+use crate::list_decoding::{decode_changes, decode_endpoints};
 use crate::traffic::head_size;
 use crate::{CallCounters, Platform, PlatformError, Traffic};
 
@@ -32,6 +34,8 @@
     call_timeout: Duration,
     counters: Arc<CallCounters>,
     list: Arc<Mutex<Option<TaggedList>>>,
+    /// Number of entries in the last list that can't be decoded.
+    unreadable: Arc<AtomicUsize>,
 }
 
 /// The last list of endpoints with its entity tag.
@@ -45,7 +49,8 @@
     /// Creates a client with a timeout for each call.
     pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
         let list = Arc::new(Mutex::new(None));
-        Self { address, call_timeout, counters: Arc::new(CallCounters::new()), list }
+        let (counters, unreadable) = (Arc::new(CallCounters::new()), Arc::default());
+        Self { address, call_timeout, counters, list, unreadable }
     }
 
     async fn send(
@@ -140,14 +145,17 @@
         }
     }
 
-    async fn get_existing<T: DeserializeOwned>(
+    async fn get_changes(
         &self,
         kind: &'static str,
         path: &str,
         call_timeout: Duration,
-    ) -> Result<T, PlatformError> {
-        let found = self.get(kind, path, call_timeout).await?;
-        found.ok_or_else(|| PlatformError::Refused(anyhow::anyhow!("{kind}: not found")))
+    ) -> Result<Changes, PlatformError> {
+        let (status, body) = self.send(kind, self.get_request(path, None)?, call_timeout).await?;
+        if status != StatusCode::OK {
+            return Err(PlatformError::Refused(anyhow::anyhow!("{kind}: {status}")));
+        }
+        decode_changes(&body).map_err(PlatformError::Unknown)
     }
 }
 
@@ -182,7 +190,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        self.get_existing("list", &format!("/list?prefix={prefix}"), self.call_timeout).await
+        self.get_changes("list", &format!("/list?prefix={prefix}"), self.call_timeout).await
     }
 
     async fn list_after(
@@ -192,7 +200,7 @@
         limit: usize,
     ) -> Result<Changes, PlatformError> {
         let path = format!("/list?prefix={prefix}&after={after}&limit={limit}");
-        self.get_existing("list", &path, self.call_timeout).await
+        self.get_changes("list", &path, self.call_timeout).await
     }
 
     async fn watch(
@@ -205,7 +213,7 @@
         let path = format!(
             "/watch?prefix={prefix}&since={revision}&wait_ms={wait_ms}&limit={MAX_WATCH_CHANGES}"
         );
-        self.get_existing("watch", &path, wait + self.call_timeout).await
+        self.get_changes("watch", &path, wait + self.call_timeout).await
     }
 
     async fn endpoints(&self) -> Result<Vec<Endpoint>, PlatformError> {
@@ -216,7 +224,11 @@
         let response = self.exchange("endpoints", request, self.call_timeout).await?;
         match (response.status(), last) {
             (StatusCode::OK, _) => {
-                let endpoints: Vec<Endpoint> = parse(response.body())?;
+                let decoded = decode_endpoints(response.body()).map_err(PlatformError::Unknown)?;
+                let (endpoints, unreadable) = decoded;
+                if self.unreadable.swap(unreadable, Ordering::Relaxed) != unreadable {
+                    tracing::warn!(event = "endpoints_unreadable", count = unreadable);
+                }
                 let tag = response.headers().get(header::ETAG).cloned();
                 let tagged = tag.map(|tag| TaggedList { tag, endpoints: endpoints.clone() });
                 *self.lock_list() = tagged;
--- a/platform/src/store/scanner.rs
+++ b/crates/nutmeggrade-platform/src/json_scanner.rs
@@ -9,12 +9,12 @@
 /// A value need not be valid: what is between its brackets or quotes is passed over. Nesting takes
 /// no stack, and nothing is allocated.
 #[derive(Debug, Clone)]
-pub struct Scanner<'a> {
+pub struct JsonScanner<'a> {
     text: &'a [u8],
     position: usize,
 }
 
-impl<'a> Scanner<'a> {
+impl<'a> JsonScanner<'a> {
     /// Creates a scanner at the beginning of a text.
     pub const fn new(text: &'a [u8]) -> Self {
         Self { text, position: 0 }
@@ -132,8 +132,8 @@
 
 /// Returns the value of an object's member, the last one of several; `None` if there is none or if
 /// the text is no object.
-pub fn member<'a>(object: &'a [u8], name: &str) -> Option<&'a [u8]> {
-    let mut scanner = Scanner::new(object);
+pub fn json_member<'a>(object: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    let mut scanner = JsonScanner::new(object);
     if !scanner.take(b'{') {
         return None;
     }
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -8,6 +8,8 @@
 mod call_counters;
 mod config_retention;
 mod http_platform;
+mod json_scanner;
+mod list_decoding;
 mod newest_config;
 mod platform;
 mod platform_error;
@@ -18,6 +20,7 @@
 pub use call_counters::CallCounters;
 pub use config_retention::{VERSIONS_WITH_PRESETS, strip_old_presets};
 pub use http_platform::{HttpPlatform, MAX_WATCH_CHANGES};
+pub use json_scanner::{JsonScanner, Malformed, json_member};
 pub use newest_config::{
     CONFIG_HEAD, ConfigHead, NewestConfig, advance_config_head, newest_config,
 };
--- a/tests/suite/core.rs
+++ b/tests/suite/core.rs
@@ -4,6 +4,7 @@
 mod event_id;
 mod fleet_beacon;
 mod order;
+mod platform_client;
 mod preset;
 mod rollouts;
 mod settings;
