Bear the greatest revision in the revisions that were seen

Callers saw: nothing yet; found by reading for numbers of the store that nobody expects. A response whose `at` is 2^64 - 1 overflows: a debug build panics, a release build counts on from 0.

Evidence: two new cases of `state::seen_revisions::misses_nine` panicked before ("attempt to add with overflow").

--- a/crates/nutmeggrade-state/src/seen_revisions.rs
+++ b/crates/nutmeggrade-state/src/seen_revisions.rs
@@ -24,7 +24,8 @@
     /// Records that all kinds were read up to a revision.
     pub fn complete_up_to(&mut self, revision: u64) {
         self.complete = self.complete.max(revision);
-        self.later = self.later.split_off(&(self.complete + 1));
+        self.later = self.later.split_off(&self.complete);
+        self.later.remove(&self.complete);
         self.advance();
     }
 
@@ -35,8 +36,10 @@
 
     /// Moves the revisions that follow without a gap to the complete ones.
     fn advance(&mut self) {
-        while self.later.remove(&(self.complete + 1)) {
-            self.complete += 1;
+        while let Some(next) = self.complete.checked_add(1)
+            && self.later.remove(&next)
+        {
+            self.complete = next;
         }
     }
 }
--- a/tests/suite/state/seen_revisions.rs
+++ b/tests/suite/state/seen_revisions.rs
@@ -23,4 +23,6 @@
     one_change_missing: 6, &[7, 9], true;
     last_change_missing: 6, &[7, 8], true;
     first_change_missing: 6, &[8, 9], true;
+    greatest_revision_complete: u64::MAX, &[7, u64::MAX], false;
+    greatest_revision_read: u64::MAX - 1, &[u64::MAX], false;
 }}
