--- a/crates/nutmeggrade-relay/src/version_records.rs
+++ b/crates/nutmeggrade-relay/src/version_records.rs
@@ -107,6 +107,9 @@
         let now = node.now();
         let gap = now.since(checked_at);
         checked_at = now;
+        if now.since_start() < DISCOVERY_TIME {
+            continue;
+        }
         let mut keeper = node.version_records.keeper.lock().await;
         if !is_responsible(&node, now) || gap > MAX_GAP {
             keeper.forget();
@@ -123,8 +126,7 @@
 /// without gaps.
 fn is_responsible(node: &Node, now: Moment) -> bool {
     let endpoints = node.read_state.of(Kind::Endpoints);
-    now.since_start() >= DISCOVERY_TIME
-        && endpoints.is_loaded()
+    endpoints.is_loaded()
         && endpoints.is_available()
         && endpoints.answer_age(now) <= MAX_GAP
         && lock(&node.tables).fleet.is_first_reader(now)
