Let stand-in endpoints fall silent and show their version, and the store hold any bytes

A silent endpoint accepts connections, keeps them open and sends nothing, and goes on where it was afterwards, like a process that is suspended. Events show the software version that wrote them where one is set, so that what a client has shows whether versions were mixed. Endpoints record when they stop working on a request. The store sends specifications of other writers as they are, whether or not they are JSON.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -1,8 +1,10 @@
 //! A simulated endpoint: an inference engine or a plain service.
 
+mod copying;
 mod crashing;
 mod endless;
 mod holding;
+mod silence;
 mod streaming;
 
 use std::net::SocketAddr;
@@ -25,10 +27,6 @@
 use super::notices::Notices;
 use super::received_request::ReceivedRequest;
 
-/// Duration of the first copy of a generation's cache.
-const FIRST_COPY_TIME: Duration = Duration::from_millis(40);
-/// Duration of the last copy, after the generation was stopped.
-const LAST_COPY_TIME: Duration = Duration::from_millis(20);
 const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -40,6 +38,8 @@
     advertised_address: SocketAddr,
     ends_with_connection: bool,
     finishes_at_stop: bool,
+    /// Software version that its events show, if any.
+    version: Option<String>,
     /// Part of a prompt that crashes it, and how long after the answer began.
     crashing_part: Option<(u64, Duration)>,
 }
@@ -57,6 +57,7 @@
     crashed: watch::Sender<bool>,
     holds_ends: watch::Sender<bool>,
     listens: watch::Sender<bool>,
+    silent: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -76,6 +77,7 @@
             advertised_address: address,
             ends_with_connection: false,
             finishes_at_stop: false,
+            version: None,
             crashing_part: None,
         };
         let endpoint = Self {
@@ -88,6 +90,7 @@
             crashed: watch::Sender::new(false),
             holds_ends: watch::Sender::new(false),
             listens: watch::Sender::new(true),
+            silent: watch::Sender::new(false),
         };
         let server = endpoint.clone();
         tokio::spawn(async move {
@@ -139,6 +142,11 @@
         self.state().finishes_at_stop = true;
     }
 
+    /// Makes its events show a software version.
+    pub fn set_version(&self, version: &str) {
+        self.state().version = Some(version.to_owned());
+    }
+
     /// Sets whether it keeps streams open that it sends in part, before it ends them.
     pub fn hold_ends(&self, holds: bool) {
         self.holds_ends.send_replace(holds);
@@ -191,6 +199,7 @@
             if !request.read_body(&mut stream).await {
                 return Ok(());
             }
+            self.until_heard().await;
             let (_, target) = request.request();
             match target {
                 "/nutmeggrade/report" => self.handle_report(&mut stream).await?,
@@ -220,26 +229,6 @@
         send(stream, &format!("HTTP/1.1 200 -\r\n{head}\r\n")).await
     }
 
-    async fn handle_copy(&self, stream: &mut TcpStream, request: &Message) -> anyhow::Result<()> {
-        let order: Value = serde_json::from_slice(&request.body).context("copy order")?;
-        let id = order["id"].as_str().unwrap_or_default();
-        let is_final = order["final"].as_bool().unwrap_or_default();
-        if !is_final {
-            self.generations.simulate_first_copy(FIRST_COPY_TIME).await;
-        }
-        let copied = self.generations.create_copy(self.advertised_address(), id, is_final);
-        if is_final {
-            sleep(LAST_COPY_TIME).await;
-        }
-        let has_ended = is_final && self.state().finishes_at_stop;
-        match copied.filter(|_| !has_ended) {
-            Some(events) => {
-                send_json(stream, 200, &json!({ "cache_handle": id, "created": events })).await
-            }
-            None => send_json(stream, 404, &Value::Null).await,
-        }
-    }
-
     async fn handle_request(
         &self,
         stream: &mut TcpStream,
@@ -264,22 +253,23 @@
         let at = Instant::now();
         let crash_delay = self.crash_delay(&request);
         self.use_hold(&request);
-        self.state().received.push(ReceivedRequest { message: request, ran, is_misdirected, at });
-        if is_misdirected {
-            return self.send_empty(stream, 421, "").await;
-        }
-        if is_copy_missing {
-            return self.send_empty(stream, 503, "X-Nutmeggrade-Not-Executed: 1\r\n").await;
-        }
-        if let Some(delay) = crash_delay {
-            return self.crash_within_stream(stream, &id, delay).await;
-        }
-        self.respond(stream, &id, position, behaviour).await
-    }
-
-    fn claim_copy(&self, source: &str) -> Option<u64> {
-        let (source, handle) = source.split_once('/')?;
-        self.generations.claim_copy(source.parse().ok()?, handle)
+        let received = ReceivedRequest { message: request, ran, is_misdirected, at, ended: None };
+        let number = {
+            let mut state = self.state();
+            state.received.push(received);
+            state.received.len() - 1
+        };
+        let outcome = if is_misdirected {
+            self.send_empty(stream, 421, "").await
+        } else if is_copy_missing {
+            self.send_empty(stream, 503, "X-Nutmeggrade-Not-Executed: 1\r\n").await
+        } else if let Some(delay) = crash_delay {
+            self.crash_within_stream(stream, &id, delay).await
+        } else {
+            self.respond(stream, &id, position, behaviour).await
+        };
+        self.state().received[number].ended = Some(Instant::now());
+        outcome
     }
 
     async fn respond(
@@ -296,6 +286,7 @@
             Behaviour::Answer => send(stream, &response()).await,
             Behaviour::Slow(time) => {
                 sleep(time).await;
+                self.until_heard().await;
                 send(stream, &response()).await
             }
             Behaviour::Shed => {
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -23,11 +23,16 @@
     ) -> anyhow::Result<()> {
         let is_chunked = !self.state().ends_with_connection;
         let mut writer = self.start_stream(stream, id, is_chunked).await?;
+        let label = self.event_label(id);
         let mut stopped = self.generations.start(self.advertised_address(), id, events);
         let mut crashed = self.crashed.subscribe();
         for event in position + 1..=events {
+            let next_event = async {
+                sleep(pause).await;
+                self.until_heard().await;
+            };
             tokio::select! {
-                () = sleep(pause) => {}
+                () = next_event => {}
                 _ = crashed.wait_for(|c| *c) => return reset(writer.connection()),
                 _ = stopped.wait_for(|s| *s) => {
                     self.generations.remove(self.advertised_address(), id);
@@ -35,7 +40,7 @@
                     break;
                 }
             }
-            writer.send_event(id, event).await?;
+            writer.send_event(&label, event).await?;
             self.generations.set_events(self.advertised_address(), id, event);
         }
         self.generations.remove(self.advertised_address(), id);
@@ -51,8 +56,9 @@
         events: u64,
     ) -> anyhow::Result<()> {
         let mut writer = self.start_stream(stream, id, true).await?;
+        let label = self.event_label(id);
         for event in position + 1..=events {
-            writer.send_event(id, event).await?;
+            writer.send_event(&label, event).await?;
         }
         writer.send_text("id: 77\nda").await?;
         sleep(Duration::from_millis(50)).await;
@@ -73,8 +79,9 @@
             return self.send_declared_stream(stream, id, position + 1..=events, rest).await;
         }
         let mut writer = self.start_stream(stream, id, end.is_chunked()).await?;
+        let label = self.event_label(id);
         for event in position + 1..=events {
-            writer.send_event(id, event).await?;
+            writer.send_event(&label, event).await?;
         }
         writer.send_text(rest).await?;
         // The bytes reach the instance before a reset would discard them.
@@ -99,13 +106,19 @@
         events: RangeInclusive<u64>,
         rest: &str,
     ) -> anyhow::Result<()> {
-        let mut body: String = events.map(|event| event_text(id, event)).collect();
+        let label = self.event_label(id);
+        let mut body: String = events.map(|event| event_text(&label, event)).collect();
         body.push_str(rest);
         let headers =
             format!("Content-Type: text/event-stream\r\nContent-Length: {}\r\n", body.len());
         send(stream, &self.response(200, id, &headers, &body)).await
     }
 
+    /// Returns what the data of each event of a request begins with.
+    fn event_label(&self, id: &str) -> String {
+        self.state().version.as_ref().map_or_else(|| id.to_owned(), |v| format!("{v}/{id}"))
+    }
+
     pub(super) async fn start_stream<'a>(
         &self,
         stream: &'a mut TcpStream,
--- a/crates/nutmeggrade-fakes/src/site/event_writer.rs
+++ b/crates/nutmeggrade-fakes/src/site/event_writer.rs
@@ -5,9 +5,9 @@
 
 use anyhow::Context;
 
-/// Returns an event of the request `id`.
-pub fn event_text(id: &str, event: u64) -> String {
-    format!("id: {event}\ndata: {id}.{event}\n\n")
+/// Returns an event whose data begins with `label`.
+pub fn event_text(label: &str, event: u64) -> String {
+    format!("id: {event}\ndata: {label}.{event}\n\n")
 }
 
 /// Writes the body of an event stream, in chunks or ended by its connection.
@@ -37,9 +37,9 @@
         self.send_raw(head).await
     }
 
-    /// Sends an event of the request `id`.
-    pub async fn send_event(&mut self, id: &str, event: u64) -> anyhow::Result<()> {
-        self.send_text(&event_text(id, event)).await
+    /// Sends an event whose data begins with `label`.
+    pub async fn send_event(&mut self, label: &str, event: u64) -> anyhow::Result<()> {
+        self.send_text(&event_text(label, event)).await
     }
 
     /// Sends a part of the body.
--- a/crates/nutmeggrade-fakes/src/site/received_request.rs
+++ b/crates/nutmeggrade-fakes/src/site/received_request.rs
@@ -15,6 +15,8 @@
     pub is_misdirected: bool,
     /// When it was received.
     pub at: Instant,
+    /// When it stopped working on it; `None` while it works on it.
+    pub ended: Option<Instant>,
 }
 
 impl ReceivedRequest {
--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -56,6 +56,8 @@
     call_count: u64,
     /// Fixed response to listings that may be stale.
     stale_snapshot: Option<Snapshot>,
+    /// By the placeholder in their place: specifications that are sent as they are.
+    raw: BTreeMap<String, Vec<u8>>,
 }
 
 /// All objects at a revision.
@@ -116,6 +118,17 @@
         self.change(kind, name, Some(content));
     }
 
+    /// Creates or replaces an object whose specification is sent as these bytes, whatever they are.
+    pub fn put_raw(&self, kind: &str, name: &str, content: Vec<u8>) {
+        let placeholder = {
+            let mut state = self.state();
+            let placeholder = format!("raw-specification-{}-", state.raw.len());
+            state.raw.insert(placeholder.clone(), content);
+            placeholder
+        };
+        self.put(kind, name, json!(placeholder));
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.change(kind, name, None);
@@ -223,19 +236,31 @@
             std::future::pending::<()>().await;
         }
         store_listener.replace_addresses(&mut body);
-        let body = body.to_string();
+        let body = self.insert_raw(body.to_string());
         let head = format!(
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
-        let response = head + &body;
+        let response = [head.as_bytes(), &body].concat();
         // The instance may have cancelled the call.
         drop(match store_listener.fault() {
-            Fault::Throttled(rate) => send_throttled(&mut stream, response.as_bytes(), rate).await,
-            _ => stream.write_all(response.as_bytes()).await,
+            Fault::Throttled(rate) => send_throttled(&mut stream, &response, rate).await,
+            _ => stream.write_all(&response).await,
         });
     }
 
+    /// Puts raw specifications into the body of a response.
+    fn insert_raw(&self, body: String) -> Vec<u8> {
+        let mut bytes = body.into_bytes();
+        for (placeholder, content) in &self.state().raw {
+            let quoted = format!("\"{placeholder}\"").into_bytes();
+            while let Some(start) = bytes.windows(quoted.len()).position(|part| part == quoted) {
+                bytes.splice(start..start + quoted.len(), content.iter().copied());
+            }
+        }
+        bytes
+    }
+
     async fn handle(&self, request: &Message, store_listener: &StoreListener) -> (u16, Value) {
         let (method, target) = request.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
--- a/crates/nutmeggrade-fakes/src/site/store_listener.rs
+++ b/crates/nutmeggrade-fakes/src/site/store_listener.rs
@@ -86,7 +86,7 @@
         for list in ["entries", "events"] {
             for entry in body[list].as_array_mut().into_iter().flatten() {
                 let object = if list == "events" { &mut entry["resource_object"] } else { entry };
-                let listed = &mut object["specification"]["address"];
+                let Some(listed) = object.pointer_mut("/specification/address") else { continue };
                 if let Some(address) = listed.as_str().and_then(|a| addresses.get(a)) {
                     *listed = json!(address);
                 }
