Draw silent endpoints around stops, releases beside kills, and odd entries in the soak

LOST: a request that was passed on has a complete answer though its instance got SIGTERM; excused are what the rule excuses, and a silent endpoint isn't. Endpoints that run at the end get requests.

--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -1,5 +1,5 @@
 //! Runs soak tests: `soak [--seeds N] [--first SEED] [--seconds S] [--gap MS] [--lost MS]
-//! [--instances N] [--jobs N] [--acts]`, or one operator action of each kind: `soak --show`.
+//! [--silent MS] [--releases MS] [--odd MS] [--instances N] [--jobs N] [--acts]`, or one operator action of each kind: `soak --show`.
 //!
 //! Each seed starts instances as separate processes, injects faults around them and checks the
 //! guarantees. Exits with an error if a guarantee was violated. The first seed is random unless
@@ -37,6 +37,9 @@
         "mean time between two changes that are lost, in milliseconds",
         "MS",
     );
+    options.optopt("", "silent", "mean time between two silences, in milliseconds; 0: none", "MS");
+    options.optopt("", "releases", "mean time between two releases; 0: none", "MS");
+    options.optopt("", "odd", "mean time between two entries that can't be used; 0: none", "MS");
     options.optopt("", "jobs", "soaks that run at the same time", "N");
     options.optflag("", "show", "run a fixed series of changes, without random faults");
     options.optflag("", "acts", "print the actions of passed soaks too");
@@ -51,17 +54,23 @@
     let instances = matches.opt_get_default("instances", 4)?;
     let gap = matches.opt_get_default("gap", 350)?;
     let lost = matches.opt_get_default("lost", 5_000)?;
+    let silent = matches.opt_get_default("silent", 4_000)?;
+    let releases = matches.opt_get_default("releases", 5_000)?;
+    let odd = matches.opt_get_default("odd", 6_000)?;
     let jobs = matches.opt_get_default("jobs", 1)?;
     let shows_acts = matches.opt_present("acts");
     let plans = (0..count).map(|n| {
         let length = Duration::from_secs(seconds);
-        Plan::new(first + n)
+        let plan = Plan::new(first + n)
             .with_instances(instances)
             .with_length(length)
             .with_gap(gap)
             .with_notices()
             .with_stream_ends()
-            .with_lost_changes(lost)
+            .with_lost_changes(lost);
+        let plan = if silent > 0 { plan.with_silences(silent) } else { plan };
+        let plan = if releases > 0 { plan.with_releases(releases) } else { plan };
+        if odd > 0 { plan.with_odd_entries(odd) } else { plan }
     });
     let runs =
         futures::stream::iter(plans.map(|plan| async move { (plan.seed, run(&plan).await) }));
--- a/crates/nutmeggrade-fakes/src/soak.rs
+++ b/crates/nutmeggrade-fakes/src/soak.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod endpoints;
 mod instances;
+mod odd_entry;
 mod operator;
 mod plan;
 mod records;
--- a/crates/nutmeggrade-fakes/src/soak/action.rs
+++ b/crates/nutmeggrade-fakes/src/soak/action.rs
@@ -1,15 +1,24 @@
 //! The faults and operator actions of a soak, and their schedule.
 
+mod odd_entries;
+mod releases;
+mod silences;
+
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::endpoints::EVENTS_PER_STREAM;
+use super::odd_entry::OddEntry;
 use super::plan::Plan;
 use crate::relay::Link;
 use crate::site::{Behaviour, Fault, StreamEnd};
 
+pub use odd_entries::draw_odd_entries;
+pub use releases::draw_releases;
+pub use silences::draw_silences;
+
 /// Shortest time from an endpoint's leave notice to its exit.
 const MIN_LEAVE_DELAY: Duration = Duration::from_secs(2);
 
@@ -59,6 +68,48 @@
     ChangeConfig,
     /// Evacuates a failure domain for the given time.
     Evacuate(usize, Duration),
+    /// Lets sound endpoints fall silent for the given time.
+    Silence(Silenced, Duration),
+    /// Starts engines of a new version and lets old ones leave.
+    Release(Release),
+    /// Kills all instances at once, or all but one, and starts them again after the given time.
+    KillAll(Option<usize>, Duration),
+    /// Writes an entry that can't be used among the endpoints or the evacuated failure domains, and
+    /// removes it after the given time, if any.
+    WriteOddEntry {
+        /// The entry.
+        entry: OddEntry,
+        /// Whether it stands among the evacuated failure domains.
+        is_evacuation: bool,
+        /// Time after which it is removed.
+        stay: Option<Duration>,
+    },
+}
+
+/// Endpoints that fall silent together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silenced {
+    /// The endpoint in a slot.
+    One(usize),
+    /// All engines.
+    Engines,
+    /// All plain services.
+    Services,
+}
+
+/// A release of a new software version of the engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Release {
+    /// Slot of the first engine that is replaced.
+    pub first: usize,
+    /// Number of engines that are replaced.
+    pub count: usize,
+    /// Whether the old engines announce that they leave.
+    pub is_announced: bool,
+    /// Time for which old and new engines serve side by side.
+    pub overlap: Duration,
+    /// Time from the leave of the old engines to their exit.
+    pub leave_delay: Duration,
 }
 
 /// Calls to the store whose responses are lost.
@@ -167,6 +218,18 @@
     }
 }
 
+/// Draws the times of actions, and returns random numbers for the rest.
+fn draw_times(plan: &Plan, seed: u64, mean_gap_ms: u64) -> (Vec<Duration>, ChaCha8Rng) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut times = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..2 * mean_gap_ms));
+    while at < plan.length {
+        times.push(at);
+        at += Duration::from_millis(rng.random_range(0..2 * mean_gap_ms));
+    }
+    (times, rng)
+}
+
 /// Draws an end within an event, or one that breaks the connection: an end between two events that
 /// closes it in order can't be told from that of a complete stream.
 fn draw_stream_end(plan: &Plan, rng: &mut ChaCha8Rng) -> Action {
--- /dev/null
+++ b/crates/nutmeggrade-fakes/src/soak/checker/stops.rs
@@ -0,0 +1,103 @@
+//! Checks that planned stops cost no answers.
+
+use tokio::time::{Duration, Instant};
+
+use super::{Checker, SETTLE_TIME, outcome_name};
+use crate::site::ReceivedRequest;
+use crate::soak::clients::DEADLINE;
+use crate::soak::records::{DisturbanceKind, Outcome, RequestRecord};
+
+/// Time after the grace period until which a lost answer counts.
+const STOP_MARGIN: Duration = Duration::from_secs(1);
+/// Time after SIGTERM up to which clients may send requests that are cut in the last sixth of the grace
+/// period.
+const LATE_SEND_LIMIT: Duration = Duration::from_secs(3);
+/// Time before the deadline from which an instance may answer that it has passed.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
+impl Checker<'_> {
+    /// Checks that each request that was passed on has a complete answer, though its instance was
+    /// stopped.
+    pub(super) fn check_stops(&mut self, grace: Duration) {
+        let mut violations = Vec::new();
+        let stops = self.records.stops();
+        for request in self.requests.values().filter(|r| is_cut(r)) {
+            let ran: Vec<_> = self
+                .received
+                .get(&request.id)
+                .into_iter()
+                .flatten()
+                .filter(|(_, seen)| seen.ran)
+                .collect();
+            let is_around =
+                |at: Instant| request.ended >= at && request.ended <= at + grace + STOP_MARGIN;
+            let stop = stops.iter().find(|(n, at)| *n == request.instance && is_around(*at));
+            let Some((_, stopped_at)) = stop.filter(|_| !ran.is_empty()) else { continue };
+            let last_sixth = *stopped_at + grace * 5 / 6;
+            let is_excused = request.ended - request.sent + DEADLINE_MARGIN >= DEADLINE
+                || self.was_harmed(request, &ran)
+                || ran.iter().any(|(_, seen)| {
+                    request.sent <= *stopped_at + LATE_SEND_LIMIT
+                        && ran_until(request, seen, last_sixth)
+                });
+            if is_excused {
+                continue;
+            }
+            let since = |at: Instant| {
+                let after = at.saturating_duration_since(*stopped_at).as_secs_f64();
+                let before = stopped_at.saturating_duration_since(at).as_secs_f64();
+                format!("{:+.3} s", after - before)
+            };
+            let endpoints: Vec<&str> =
+                ran.iter().map(|(n, _)| self.incarnations[*n].endpoint.id()).collect();
+            violations.push(format!(
+                "LOST: {} on /{}/ ended with {} around the SIGTERM of instance {}: sent {}, ended {}, \
+                 at {endpoints:?}{}",
+                request.id,
+                request.route,
+                outcome_name(&request.outcome),
+                request.instance,
+                since(request.sent),
+                since(request.ended),
+                if self.was_silent(request, &ran) { ", silent meanwhile" } else { "" },
+            ));
+        }
+        self.violations.append(&mut violations);
+    }
+
+    /// Returns whether an endpoint misbehaved towards the request, crashed or left before its end, its
+    /// link was harmed, or the instance was killed or paused.
+    fn was_harmed(&self, request: &RequestRecord, ran: &[&(usize, ReceivedRequest)]) -> bool {
+        let (start, end) = (request.sent, request.ended);
+        let is_process = |kind| kind == DisturbanceKind::Process;
+        let settled = start - SETTLE_TIME;
+        self.records.was_disturbed(request.instance, (settled, end), is_process)
+            || ran.iter().any(|(n, seen)| {
+                let incarnation = &self.incarnations[*n];
+                // How an endpoint handles a request is settled as it reads it.
+                incarnation.had_fault(start, seen.at)
+                    || incarnation.had_link_fault(settled, end)
+                    || incarnation.left_at.is_some_and(|left_at| left_at <= end)
+                    || incarnation.gone_at.is_some_and(|gone_at| gone_at <= end)
+            })
+    }
+
+    fn was_silent(&self, request: &RequestRecord, ran: &[&(usize, ReceivedRequest)]) -> bool {
+        ran.iter().any(|(n, _)| self.incarnations[*n].was_silent(request.sent, request.ended))
+    }
+}
+
+/// Returns whether a request ended without a complete answer, other than by its client. A 502 or 504
+/// says that nobody knows whether it ran.
+fn is_cut(request: &RequestRecord) -> bool {
+    match &request.outcome {
+        Outcome::ConnectionClosed | Outcome::TimedOut => true,
+        Outcome::Response(response) => !response.is_whole || matches!(response.status, 502 | 504),
+        Outcome::Cancelled => false,
+    }
+}
+
+/// Returns whether a request was cut no sooner than at a moment, and its endpoint still worked on it.
+fn ran_until(request: &RequestRecord, seen: &ReceivedRequest, at: Instant) -> bool {
+    request.ended >= at && seen.ended.is_none_or(|ended| ended >= at)
+}
--- a/crates/nutmeggrade-fakes/src/soak/endpoints.rs
+++ b/crates/nutmeggrade-fakes/src/soak/endpoints.rs
@@ -1,5 +1,9 @@
 //! The simulated endpoints of a soak and their successive incarnations.
 
+mod release;
+mod silence;
+
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,7 +23,7 @@
 /// Delay before a replacement endpoint starts.
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(500);
 /// Time for which a new engine is cold.
-const COLD_START: Duration = Duration::from_secs(1);
+pub const COLD_START: Duration = Duration::from_secs(1);
 
 /// One incarnation of an endpoint, from its start to its exit.
 #[derive(Debug, Clone)]
@@ -32,16 +36,34 @@
     pub left_at: Option<Instant>,
     /// When its cold start ends, if it has one.
     pub cold_until: Option<Instant>,
+    /// When it crashed or ended.
+    pub gone_at: Option<Instant>,
     /// Periods in which it was faulty.
     pub faults: Vec<(Instant, Instant)>,
     /// Periods in which its link was faulty.
     pub link_faults: Vec<(Instant, Instant)>,
+    /// Periods in which it was silent though sound.
+    pub silences: Vec<(Instant, Instant)>,
+    /// Software version.
+    pub version: String,
 }
 
 impl Incarnation {
-    /// Returns whether the endpoint and its link had no fault in a period.
+    /// Returns whether the endpoint and its link had no fault in a period and it wasn't silent.
     pub fn is_healthy(&self, start: Instant, end: Instant) -> bool {
-        !overlaps(&self.faults, start, end) && !self.had_link_fault(start, end)
+        !self.had_fault(start, end)
+            && !self.had_link_fault(start, end)
+            && !self.was_silent(start, end)
+    }
+
+    /// Returns whether the endpoint was faulty in a period.
+    pub fn had_fault(&self, start: Instant, end: Instant) -> bool {
+        overlaps(&self.faults, start, end)
+    }
+
+    /// Returns whether the endpoint was silent in a period.
+    pub fn was_silent(&self, start: Instant, end: Instant) -> bool {
+        overlaps(&self.silences, start, end)
     }
 
     /// Returns whether the endpoint's link had a fault in a period.
@@ -64,6 +86,8 @@
     generations: Generations,
     slots: Mutex<Vec<Slot>>,
     incarnations: Mutex<Vec<Incarnation>>,
+    /// Number of the version of engines that start.
+    engine_version: AtomicU32,
 }
 
 impl SoakEndpoints {
@@ -74,6 +98,7 @@
             generations: Generations::default(),
             slots: Mutex::default(),
             incarnations: Mutex::default(),
+            engine_version: AtomicU32::new(1),
         };
         for n in 0..engines + services {
             let service = if n < engines { "writers" } else { "desk" };
@@ -97,6 +122,14 @@
         lock(&self.incarnations).clone()
     }
 
+    /// Returns the ids of the running endpoints that got no request.
+    pub fn unused(&self) -> Vec<String> {
+        let running: Vec<usize> = lock(&self.slots).iter().map(|s| s.incarnation).collect();
+        let incarnations = lock(&self.incarnations);
+        let endpoints = running.iter().map(|n| &incarnations[*n].endpoint);
+        endpoints.filter(|e| e.seen().is_empty()).map(|e| e.id().to_owned()).collect()
+    }
+
     /// Applies a link fault to an endpoint for the given time.
     pub async fn fail_link(&self, slot: usize, link: Link, time: Duration) {
         let (incarnation, relay) = {
@@ -189,6 +222,7 @@
     /// Ends an incarnation and records it as faulty from that moment on.
     fn terminate(&self, incarnation: usize, endpoint: &Endpoint) {
         self.add_fault(incarnation, Duration::from_hours(1));
+        lock(&self.incarnations)[incarnation].gone_at = Some(Instant::now());
         endpoint.kill();
     }
 
@@ -207,6 +241,7 @@
         let mut entry = Entry::new(slot.service, slot.relay.address);
         slot.domain.clone_into(&mut entry.domain);
         entry.born = slot.incarnation as u64 + 1;
+        entry.version.clone_from(&lock(&self.incarnations)[slot.incarnation].version);
         (id, entry)
     }
 
@@ -233,10 +268,12 @@
         cold: Duration,
     ) -> anyhow::Result<(usize, Relay)> {
         let number = lock(&self.incarnations).len();
+        let version = self.next_version(service, id.as_deref());
         let id = id.unwrap_or_else(|| format!("e-{slot}-{number}"));
         let endpoint = Endpoint::start(&id, normal_behaviour(service), &self.generations).await?;
         let relay = Relay::start(endpoint.address)?;
         endpoint.set_advertised_address(relay.address);
+        endpoint.set_version(&version);
         let cold_until = (!cold.is_zero()).then(|| Instant::now() + cold);
         let incarnation = {
             let mut incarnations = lock(&self.incarnations);
@@ -244,13 +281,16 @@
                 endpoint,
                 domain,
                 left_at: None,
+                gone_at: None,
                 cold_until,
                 faults: Vec::new(),
                 link_faults: Vec::new(),
+                silences: Vec::new(),
+                version: version.clone(),
             });
             incarnations.len() - 1
         };
-        let mut entry = Entry::new(service, relay.address);
+        let mut entry = Entry::new(service, relay.address).with_version(&version);
         domain.clone_into(&mut entry.domain);
         entry.cold_ms = u64::try_from(cold.as_millis())?;
         entry.born = incarnation as u64 + 1;
@@ -258,6 +298,19 @@
         Ok((incarnation, relay))
     }
 
+    /// Returns the software version of an endpoint that starts: that of its predecessor if it keeps the
+    /// id.
+    fn next_version(&self, service: &str, id: Option<&str>) -> String {
+        let incarnations = lock(&self.incarnations);
+        let mut predecessors = incarnations.iter().rev();
+        if let Some(predecessor) = predecessors.find(|i| Some(i.endpoint.id()) == id) {
+            return predecessor.version.clone();
+        }
+        let is_engine = service == "writers";
+        let number = if is_engine { self.engine_version.load(Ordering::Relaxed) } else { 1 };
+        format!("v{number}")
+    }
+
     fn add_fault(&self, incarnation: usize, time: Duration) {
         let now = Instant::now();
         lock(&self.incarnations)[incarnation].faults.push((now, now + time));
--- a/crates/nutmeggrade-fakes/src/soak/operator.rs
+++ b/crates/nutmeggrade-fakes/src/soak/operator.rs
@@ -1,6 +1,6 @@
-//! Configuration changes and evacuations during a soak.
+//! Configuration changes, evacuations and entries of another writer during a soak.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::endpoints::DOMAINS;
+use super::odd_entry::OddEntry;
 use super::records::{ConfigVersion, Evacuation, Records};
 use crate::site::{RoutingPlan, Store};
 
@@ -20,6 +21,7 @@
     store: Store,
     plan: Mutex<RoutingPlan>,
     is_evacuating: AtomicBool,
+    odd_entries: AtomicUsize,
 }
 
 impl Operator {
@@ -30,6 +32,7 @@
             store: store.clone(),
             plan: Mutex::new(plan.clone()),
             is_evacuating: AtomicBool::new(false),
+            odd_entries: AtomicUsize::new(0),
         };
         operator.write(&plan, records);
         operator
@@ -66,6 +69,22 @@
         self.is_evacuating.store(false, Ordering::Relaxed);
     }
 
+    /// Writes an entry that can't be used, and removes it after `stay`, if any.
+    pub async fn write_odd_entry(
+        &self,
+        entry: OddEntry,
+        is_evacuation: bool,
+        stay: Option<Duration>,
+    ) {
+        let kind = if is_evacuation { "evacuations" } else { "servers" };
+        let name = format!("odd-{}", self.odd_entries.fetch_add(1, Ordering::Relaxed));
+        self.store.put_raw(kind, &name, entry.content());
+        if let Some(stay) = stay {
+            sleep(stay).await;
+            self.store.remove(kind, &name);
+        }
+    }
+
     fn write(&self, plan: &RoutingPlan, records: &Records) {
         self.store.put("config", "main", plan.content());
         let (number, has_late, keys) = (plan.version, plan.has_late, plan.keys.clone());
--- a/crates/nutmeggrade-fakes/src/soak/plan.rs
+++ b/crates/nutmeggrade-fakes/src/soak/plan.rs
@@ -21,6 +21,8 @@
     /// default several overlap; with long gaps, instances are free of faults for long enough that the
     /// time limits apply to them.
     pub gap_ms: u64,
+    /// Time that instances have from SIGTERM to their exit.
+    pub grace: Duration,
     /// Whether endpoints limit their rates and ask for pauses.
     pub has_notices: bool,
     /// Whether engines end streams early, also in ways that look like their end.
@@ -28,6 +30,13 @@
     /// Mean time between two changes whose notice the store loses, in milliseconds; `None` if it loses
     /// none.
     pub lost_changes_ms: Option<u64>,
+    /// Mean time between two silences of sound endpoints, or series of stops with silences, in
+    /// milliseconds.
+    pub silences_ms: Option<u64>,
+    /// Mean time between two releases of engines, in milliseconds.
+    pub releases_ms: Option<u64>,
+    /// Mean time between two entries that can't be used, in milliseconds.
+    pub odd_entries_ms: Option<u64>,
     /// Whether guarantees with a time limit are checked. On an overloaded machine, processes are
     /// scheduled too late for these checks to be meaningful.
     pub is_timed: bool,
@@ -44,9 +53,13 @@
             services: 2,
             clients: 16,
             gap_ms: 350,
+            grace: Duration::from_secs(4),
             has_notices: false,
             ends_streams: false,
             lost_changes_ms: None,
+            silences_ms: None,
+            releases_ms: None,
+            odd_entries_ms: None,
             is_timed: true,
         }
     }
@@ -94,6 +107,31 @@
         self
     }
 
+    /// Lets sound endpoints fall silent, also around changes and series of stops, with this mean time
+    /// between two such events. Stops take longer, so that they overlap.
+    #[must_use]
+    pub const fn with_silences(mut self, mean_gap_ms: u64) -> Self {
+        self.silences_ms = Some(mean_gap_ms);
+        self.grace = Duration::from_secs(8);
+        self
+    }
+
+    /// Releases new versions of the engines, also beside kills of nearly all instances, with this mean
+    /// time between two releases.
+    #[must_use]
+    pub const fn with_releases(mut self, mean_gap_ms: u64) -> Self {
+        self.releases_ms = Some(mean_gap_ms);
+        self
+    }
+
+    /// Lets another writer put entries that can't be used into the store, with this mean time between
+    /// two of them.
+    #[must_use]
+    pub const fn with_odd_entries(mut self, mean_gap_ms: u64) -> Self {
+        self.odd_entries_ms = Some(mean_gap_ms);
+        self
+    }
+
     /// Disables the checks of guarantees with a time limit.
     #[must_use]
     pub const fn without_time_limits(mut self) -> Self {
--- a/crates/nutmeggrade-fakes/src/soak/records.rs
+++ b/crates/nutmeggrade-fakes/src/soak/records.rs
@@ -43,6 +43,17 @@
     pub ended: Instant,
     /// Its outcome.
     pub outcome: Outcome,
+    /// The stream that it takes up.
+    pub take_up: Option<TakeUp>,
+}
+
+/// The part of a stream that a client already has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Id of the attempt that brought the first event.
+    pub first: String,
+    /// Number of the last event.
+    pub position: u64,
 }
 
 /// Why time limits don't apply to an instance.
@@ -152,6 +163,13 @@
         lock(&self.evacuations).clone()
     }
 
+    /// Returns the instances that were stopped gracefully, each with the time of its SIGTERM.
+    pub fn stops(&self) -> Vec<(usize, Instant)> {
+        let disturbances = lock(&self.disturbances);
+        let stops = disturbances.iter().filter(|d| d.kind == DisturbanceKind::Stop);
+        stops.map(|d| (d.instance, d.start)).collect()
+    }
+
     /// Returns the violations detected while the soak ran.
     pub fn violations(&self) -> Vec<String> {
         lock(&self.violations).clone()
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -35,7 +35,7 @@
 // reload the settings ended an instance during its start. With the others a search that found no
 // capacity, after an endpoint may have run the request, was nearly reported as a refusal. With seed
 // 62003, instances that read no rate limits and no pauses exceeded both. With seed 98001, streams that
-// ended within an event were given out as complete.
+// ended within an event were given out as complete. Seed 170001 never failed with silent endpoints.
 cases! {keeps_promises {
     never_failed: Plan::new(102);
     joined_answers_and_early_signal: Plan::new(101);
@@ -43,4 +43,5 @@
     no_room_after_a_run_again: Plan::new(120);
     limits_and_pauses: Plan::new(62003).with_notices();
     streams_ended_early: Plan::new(98001).with_stream_ends();
+    silences_around_stops: Plan::new(170001).with_silences(3_000);
 }}
