--- a/crates/nutmeggrade-fakes/src/site/store_listener.rs
+++ b/crates/nutmeggrade-fakes/src/site/store_listener.rs
@@ -87,10 +87,8 @@
         }
         for list in ["entries", "events"] {
             for entry in body[list].as_array_mut().into_iter().flatten() {
-                let is_event = list == "events";
-                let path = "/resource_object/specification/address";
-                let path = if is_event { path } else { &path["/resource_object".len()..] };
-                let Some(listed) = entry.pointer_mut(path) else { continue };
+                let object = if list == "events" { &mut entry["resource_object"] } else { entry };
+                let Some(listed) = object.pointer_mut("/specification/address") else { continue };
                 if let Some(address) = listed.as_str().and_then(|a| addresses.get(a)) {
                     *listed = json!(address);
                 }
