--- a/tests/suite/random/version_records.rs
+++ b/tests/suite/random/version_records.rs
@@ -31,6 +31,10 @@
     Join(usize),
     Leave(usize),
     Read(usize),
+    /// An instance reads, and records what is new without a failure in between.
+    Settle(usize),
+    /// Time passes, in which all instances but the first settle.
+    Lag(u64),
     /// One call to the store of an instance that is about to apply what it has read.
     Record(usize, Fate),
     /// One check of an instance that takes itself for the first reader.
@@ -49,11 +53,13 @@
         1 => Just(Fate::Delayed)
     ];
     prop_oneof![
-        6 => (0..40_000_u64).prop_map(Step::Pass),
-        2 => version.clone().prop_map(Step::Join),
-        2 => version.clone().prop_map(Step::Leave),
-        8 => instance.clone().prop_map(Step::Read),
-        8 => (instance.clone(), fate.clone()).prop_map(|(i, fate)| Step::Record(i, fate)),
+        6 => (0..60_000_u64).prop_map(Step::Pass),
+        12 => (0..25_000_u64).prop_map(Step::Lag),
+        1 => version.clone().prop_map(Step::Join),
+        1 => version.clone().prop_map(Step::Leave),
+        3 => instance.clone().prop_map(Step::Read),
+        6 => instance.clone().prop_map(Step::Settle),
+        4 => (instance.clone(), fate.clone()).prop_map(|(i, fate)| Step::Record(i, fate)),
         8 => (instance.clone(), fate).prop_map(|(i, fate)| Step::Check(i, fate)),
         1 => Just(Step::Execute),
         1 => instance.clone().prop_map(Step::Restart),
@@ -136,6 +142,13 @@
         self.unapplied = Some((versions, is_listed, revision));
     }
 
+    fn settle(&mut self, store: &mut Store, now: Moment) {
+        self.read(store, now);
+        while self.unapplied.is_some() {
+            self.record(store, Fate::Answered);
+        }
+    }
+
     fn check(&mut self, store: &mut Store, now: Moment, fate: Fate) {
         if self.unapplied.is_some() {
             return;
@@ -183,6 +196,11 @@
                 store.revision += u64::from(store.live.remove(&version(*number)));
             }
             Step::Read(i) => readers[*i].read(&store, now),
+            Step::Settle(i) => readers[*i].settle(&mut store, now),
+            Step::Lag(ms) => {
+                now = now.after(Duration::from_millis(*ms));
+                readers.iter_mut().skip(1).for_each(|reader| reader.settle(&mut store, now));
+            }
             Step::Record(i, fate) => readers[*i].record(&mut store, *fate),
             Step::Check(i, fate) => readers[*i].check(&mut store, now, *fate),
             Step::Execute => {
