Don't take a generation that may have been stopped late for complete

What callers would see: a truncated stream that looks complete. A generation is moved from an engine that is silent for longer than 3 s when it is ordered to stop the run. The order counted as failed and the stream went on; when the engine woke, it carried the order out and closed the stream. Without length or chunks that close counted as the end of the answer.

Cause: that the run may still be stopped was forgotten with the migration. An order without an answer now leaves a mark on the run, and an undeclared end after it is a break: the stream goes on elsewhere where its route allows that, or is broken off.

Found by review, by reading. relay::moves::generation_that_an_unanswered_order_stops_is_broken_off fails without the mark (the answer is whole) and passes with it.

--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -38,6 +38,8 @@
     advertised_address: SocketAddr,
     ends_with_connection: bool,
     finishes_at_stop: bool,
+    /// Time that passes before an order to stop a generation is carried out.
+    stop_delay: Duration,
     /// Software version that its events show, if any.
     version: Option<String>,
     /// Part of a prompt that crashes it, and how long after the answer began.
@@ -77,6 +79,7 @@
             advertised_address: address,
             ends_with_connection: false,
             finishes_at_stop: false,
+            stop_delay: Duration::ZERO,
             version: None,
             crashing_part: None,
         };
--- a/crates/nutmeggrade-fakes/src/site/endpoint/copying.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/copying.rs
@@ -16,6 +16,11 @@
 const LAST_COPY_TIME: Duration = Duration::from_millis(20);
 
 impl Endpoint {
+    /// Sets the time that passes before an order to stop a generation is carried out.
+    pub fn delay_stops(&self, delay: Duration) {
+        self.state().stop_delay = delay;
+    }
+
     pub(super) async fn handle_copy(
         &self,
         stream: &mut TcpStream,
@@ -27,6 +32,10 @@
         if !is_final {
             self.generations.simulate_first_copy(FIRST_COPY_TIME).await;
         }
+        if is_final {
+            let delay = self.state().stop_delay;
+            sleep(delay).await;
+        }
         let copied = self.generations.create_copy(self.advertised_address(), id, is_final);
         if is_final {
             sleep(LAST_COPY_TIME).await;
--- a/crates/nutmeggrade-relay/src/relay/migration.rs
+++ b/crates/nutmeggrade-relay/src/relay/migration.rs
@@ -55,6 +55,8 @@
 pub enum MigrationOutcome {
     /// The generation still runs at its engine, or was stopped and not copied.
     NotMigrated,
+    /// The order to stop the generation had no answer, and may be carried out later.
+    Unanswered,
     /// The generation had ended at its engine before the order to stop it arrived.
     Ended,
     /// The generation was stopped and can resume at another engine.
@@ -259,7 +261,8 @@
         match result {
             MoveOutcome::Copied(copied) | MoveOutcome::NoRoom(Some(copied)) => migrated(copied),
             MoveOutcome::NoSuchRun => MigrationOutcome::Ended,
-            _ => MigrationOutcome::NotMigrated,
+            MoveOutcome::Failed(_) => MigrationOutcome::Unanswered,
+            MoveOutcome::Busy | MoveOutcome::NoRoom(None) => MigrationOutcome::NotMigrated,
         }
     }
 
--- a/crates/nutmeggrade-relay/src/relay/stream.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream.rs
@@ -65,6 +65,8 @@
     announced_at: Option<Moment>,
     pace_recorded: bool,
     moves: u32,
+    /// Whether an order to stop the run may be carried out yet.
+    may_be_stopped: bool,
     entry: OpenEntry,
     run_end: RunEnd,
     gaps: EventGaps,
@@ -96,6 +98,7 @@
         announced_at: None,
         pace_recorded: false,
         moves: 0,
+        may_be_stopped: false,
         entry,
         run_end: RunEnd::default(),
         gaps: EventGaps::new(gap_limit),
@@ -293,6 +296,7 @@
     fn switch_upstream(&mut self, upstream: UpstreamBody, reservation: Reservation) {
         self.framing = upstream.framing();
         self.run_end = RunEnd::default();
+        self.may_be_stopped = false;
         self.gaps.change_endpoint();
         self.upstream = Some(upstream);
         self.entry.sent(&reservation.endpoint.id);
--- a/crates/nutmeggrade-relay/src/relay/stream/ending.rs
+++ b/crates/nutmeggrade-relay/src/relay/stream/ending.rs
@@ -28,11 +28,11 @@
     /// Completes the stream, or continues it at another endpoint if its run broke off. Returns the
     /// end of the stream, or `None` if it continues.
     pub(super) async fn end_run(&mut self) -> Option<TransferEnd> {
-        if self.run_end.completeness == Completeness::Undeclared {
+        if self.run_end.completeness == Completeness::Undeclared && !self.may_be_stopped {
             let is_gone = crash::refuses_connections(&self.node, &self.reservation.endpoint).await;
             self.run_end.completeness = body_end::judge_undeclared(is_gone);
         }
-        if let Completeness::Truncated(_) = self.run_end.completeness {
+        if self.run_end.completeness != Completeness::Complete {
             let reason = self.run_end.reason();
             return self.recover(&reason).await;
         }
@@ -61,11 +61,15 @@
         outcome: MigrationOutcome,
     ) -> Option<TransferEnd> {
         match outcome {
+            MigrationOutcome::Unanswered if self.upstream.is_some() => {
+                self.may_be_stopped = true;
+                None
+            }
             MigrationOutcome::NotMigrated | MigrationOutcome::Ended if self.upstream.is_some() => {
                 None
             }
             MigrationOutcome::Ended => self.end_run().await,
-            MigrationOutcome::NotMigrated => {
+            MigrationOutcome::NotMigrated | MigrationOutcome::Unanswered => {
                 let reason = self.run_end.reason();
                 self.recover(&reason).await
             }
--- a/tests/suite/relay/moves.rs
+++ b/tests/suite/relay/moves.rs
@@ -234,3 +234,23 @@
         Ok(())
     });
 }
+
+// Guards against a truncated answer that looks complete, because the order to stop its generation was
+// carried out after this instance had given the order up.
+#[test]
+fn generation_that_an_unanswered_order_stops_is_broken_off() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let stream = Behaviour::Stream { events: 800, pause: Duration::from_millis(10) };
+        let first = site.add_endpoint("writers", "e-1", stream).await?;
+        first.end_streams_with_connection();
+        first.delay_stops(Duration::from_millis(3_500));
+        let mut client = start_on_leaving(&site, "draft", &first).await?;
+        let second = site.add_endpoint("writers", "e-2", stream).await?;
+        drain(&site, &first);
+        let answer = client.answer().await?;
+        assert!(!answer.is_whole, "{}", events(&answer.message.body).len());
+        assert_eq!(second.runs("a1"), 0);
+        Ok(())
+    });
+}
