Don't wait for the keeper of the records after the time for a new version is over

A reader waits 400 ms at most until a new version is recorded, but then locked the keeper to make it forget, which another task may hold while it waits for the store. Endpoints that leave, in the same response, would have waited too. Found by review, by reading; no test of its own.

--- a/crates/nutmeggrade-relay/src/version_records.rs
+++ b/crates/nutmeggrade-relay/src/version_records.rs
@@ -95,7 +95,10 @@
     });
     if let Err(error) = recorded.await.context("no answer in time").flatten() {
         tracing::warn!(event = "versions_unrecorded", error = format!("{error:#}"));
-        node.version_records.keeper.lock().await.forget();
+        // Whoever holds the keeper may wait for the store for long; it forgets by its own failure.
+        if let Ok(mut keeper) = node.version_records.keeper.try_lock() {
+            keeper.forget();
+        }
     }
 }
 
