Check what could refuse a second send before the silent endpoint is given up

The search for another endpoint may take seconds: it waits for room, a lease and a connection. Meanwhile the other endpoint may begin to leave or ask for a pause, the request may be found to crash endpoints, the instance may begin to stop, or the silent endpoint may send again. The first send was dropped all the same, and the second refused without a byte sent.

All of that is now checked, and the turn at the other endpoint taken, in the step in which the first send is dropped. An engine that sends to other requests of this instance isn't silent. While the service can't be reached, or a stop or the budget forbids a second send, nothing is searched, so that no connections are tried four times a second. An endpoint that couldn't be connected to because this instance is cut off isn't left out of later searches. endpoint_silent states when the endpoint last sent something, not when something was sent to it.

--- a/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
@@ -79,13 +79,17 @@
         self.requests.remove(&ticket);
     }
 
-    /// Returns when an endpoint last sent something to a request of this instance, or when the last
-    /// one was sent to it.
+    /// Returns when an endpoint last sent something to a request that this instance has there.
     pub fn last_sign(&self, endpoint: &EndpointId) -> Option<Moment> {
-        let here = self.requests.values().filter(|request| request.endpoint == *endpoint);
+        let here = self.requests.values().filter(|r| r.has_events && r.endpoint == *endpoint);
         here.map(|request| request.last_sign).max()
     }
 
+    /// Returns whether an endpoint lately sent something to a request of this instance.
+    pub fn is_alive(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        self.last_sign(endpoint).is_some_and(|at| now.since(at) <= ALIVE_TIME)
+    }
+
     /// Returns the endpoints that have been silent towards some request for longer than its limit,
     /// and towards all others of this instance lately.
     pub fn stalled(&self, now: Moment) -> BTreeSet<EndpointId> {
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -24,7 +24,7 @@
 use super::upstream::{AbortOnDrop, UpstreamBody};
 use crate::connect::connect;
 use crate::node::Node;
-use crate::tables::lock;
+use crate::tables::{Tables, lock};
 
 /// Why no connection could be opened; nothing was sent.
 #[derive(Debug)]
@@ -215,30 +215,54 @@
     options: &SendOptions,
 ) -> Result<(), SendError> {
     let endpoint = &reservation.endpoint;
-    let mut tables = lock(&node.tables);
+    let tables = &mut *lock(&node.tables);
     let now = node.now();
-    if let Some(culprit) = tables.crashes.holds(&client_request.suspects, now) {
-        return Err(SendError::Held(culprit));
+    if options.resume.is_none() {
+        take_send(tables, client_request, reservation, now)?;
+    } else {
+        check_held(tables, client_request, now)?;
+        if !tables.take_essential(&endpoint.id, now) {
+            return Err(SendError::NoTurn);
+        }
+        if !reservation.has_turn {
+            tables.count_turn(&endpoint.id, now);
+        }
     }
-    let is_resume = options.resume.is_some();
-    if !is_resume && !tables.registry.may_send(&endpoint.id) {
+    tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
+    Ok(())
+}
+
+/// Checks that a request may be sent to an endpoint now, and takes its turn there.
+///
+/// # Errors
+///
+/// Fails if the endpoint accepts it no longer or the request is blocked.
+pub fn take_send(
+    tables: &mut Tables,
+    client_request: &ClientRequest,
+    reservation: &Reservation,
+    now: Moment,
+) -> Result<(), SendError> {
+    check_held(tables, client_request, now)?;
+    let endpoint = &reservation.endpoint.id;
+    if !tables.registry.may_send(endpoint) {
         return Err(SendError::EndpointLeaving);
     }
     // The endpoint may have stated its limit or asked for a pause after the request was placed.
-    let is_open = if is_resume {
-        tables.take_essential(&endpoint.id, now)
-    } else {
-        !tables.is_backing_off(&endpoint.id, now)
-            && (reservation.has_turn || tables.take_turn(&endpoint.id, now))
-    };
-    if !is_open {
-        return Err(SendError::NoTurn);
-    }
-    if is_resume && !reservation.has_turn {
-        tables.count_turn(&endpoint.id, now);
+    let is_open = !tables.is_backing_off(endpoint, now)
+        && (reservation.has_turn || tables.take_turn(endpoint, now));
+    if is_open { Ok(()) } else { Err(SendError::NoTurn) }
+}
+
+fn check_held(
+    tables: &mut Tables,
+    client_request: &ClientRequest,
+    now: Moment,
+) -> Result<(), SendError> {
+    match tables.crashes.holds(&client_request.suspects, now) {
+        Some(culprit) => Err(SendError::Held(culprit)),
+        None => Ok(()),
     }
-    tables.rollouts.note_sent(&endpoint.service, endpoint.version.as_ref());
-    Ok(())
 }
 
 /// Checks that the response belongs to the request, and that a successful one is signed.
--- a/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
@@ -10,6 +10,7 @@
 use super::RequestHandler;
 use super::ready_endpoint::ReadyEndpoint;
 use crate::reach::{self, Reach};
+use crate::relay::exchange::take_send;
 use crate::relay::lease_call;
 use crate::relay::lease_result::LeaseResult;
 use crate::relay::reservation;
@@ -43,18 +44,15 @@
         }
         self.until_silent(&silent.id).await;
         self.log_silence(&silent.id);
-        let mut is_counted = false;
+        if reach::check(&self.node, silent).await == Reach::Reached {
+            self.node.update_health(&silent.id, Health::record_failure);
+        }
         let mut search = self.dispatch_request.clone();
         search.is_canary = false;
         search.avoid.insert(silent.id.clone());
         loop {
-            if reach::check(&self.node, silent).await == Reach::Reached {
-                if !std::mem::replace(&mut is_counted, true) {
-                    self.node.update_health(&silent.id, Health::record_failure);
-                }
-                if let Some(ready) = self.find_ready(&mut search).await {
-                    return ready;
-                }
+            if let Some(ready) = self.find_ready(&silent.id, &mut search).await {
+                return ready;
             }
             sleep(SEARCH_INTERVAL).await;
         }
@@ -67,42 +65,66 @@
             return sleep(self.request.resend_delay(self.node.now())).await;
         }
         sleep(self.request.silence_limits().first).await;
-        loop {
+        while !self.is_silent(endpoint) {
             sleep(STALL_CHECK_INTERVAL).await;
-            let now = self.node.now();
-            let tables = lock(&self.node.tables);
-            if tables.dispatcher.load_table.health(endpoint).is_some_and(|h| h.is_stalled(now)) {
-                return;
-            }
         }
     }
 
-    /// Searches an endpoint that can take the request at once. One that can't be connected to is left
-    /// out of later searches.
-    async fn find_ready(&self, search: &mut DispatchRequest) -> Option<ReadyEndpoint> {
-        let request = &self.request;
-        shutdown::check_request(&self.node, request).ok()?;
-        if !self.node.allows_resend(&request.service) {
+    /// Returns whether an endpoint that was silent towards the request still is, as far as other requests
+    /// tell: an engine that sends to others has the request in its queue.
+    fn is_silent(&self, endpoint: &EndpointId) -> bool {
+        if self.request.route.kind == RouteKind::Idempotent {
+            return true;
+        }
+        let now = self.node.now();
+        let tables = lock(&self.node.tables);
+        let health = tables.dispatcher.load_table.health(endpoint);
+        health.is_some_and(|h| h.is_stalled(now)) && !tables.stalls.is_alive(endpoint, now)
+    }
+
+    /// Returns whether the request may leave a silent endpoint now, if there is another one for it.
+    fn may_leave(&self, silent: &EndpointId) -> bool {
+        self.is_silent(silent)
+            && !self.node.is_cut_off(&self.request.service)
+            && shutdown::check_request(&self.node, &self.request).is_ok()
+            && self.node.allows_resend(&self.request.service)
+    }
+
+    /// Searches an endpoint that can take the request at once in place of a silent one. An endpoint that
+    /// can't be connected to is left out of later searches.
+    async fn find_ready(
+        &self,
+        silent: &EndpointId,
+        search: &mut DispatchRequest,
+    ) -> Option<ReadyEndpoint> {
+        if !self.may_leave(silent) {
             return None;
         }
+        let request = &self.request;
         search.ticket = self.node.ticket();
-        let reservation = reservation::reserve(&self.node, request, search).await.ok()?;
+        let mut reservation = reservation::reserve(&self.node, request, search).await.ok()?;
         let endpoint = &reservation.endpoint;
         let lease = lease_call::request(&self.node, request, search, endpoint).await;
         if matches!(lease, LeaseResult::Full) {
             return None;
         }
-        match self.connect(endpoint).await {
-            Ok(connection) => self.node.take_resend(&request.service).then_some(ReadyEndpoint {
-                reservation,
-                lease,
-                connection,
-            }),
+        let connection = match self.connect(endpoint).await {
+            Ok(connection) => connection,
             Err(error) => {
-                self.note_unreachable(endpoint, &error).await;
-                search.avoid.insert(endpoint.id.clone());
-                None
+                if self.note_unreachable(endpoint, &error).await == Reach::Reached {
+                    search.avoid.insert(endpoint.id.clone());
+                }
+                return None;
             }
+        };
+        // The search may have taken seconds.
+        if !self.may_leave(silent) {
+            return None;
         }
+        let now = self.node.now();
+        take_send(&mut lock(&self.node.tables), request, &reservation, now).ok()?;
+        reservation.has_turn = true;
+        let is_taken = self.node.take_resend(&request.service);
+        is_taken.then_some(ReadyEndpoint { reservation, lease, connection })
     }
 }
--- a/crates/nutmeggrade-relay/src/relay/request_log.rs
+++ b/crates/nutmeggrade-relay/src/relay/request_log.rs
@@ -25,8 +25,8 @@
         }
     }
 
-    /// Logs how long the endpoint has been silent towards the request, and towards all requests that
-    /// this instance has there.
+    /// Logs how long the endpoint has been silent towards the request, and towards those requests of this
+    /// instance that got something from it before.
     pub(super) fn log_silence(&self, endpoint: &EndpointId) {
         let now = self.node.now();
         let last_sign = lock(&self.node.tables).stalls.last_sign(endpoint);
