--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -43,5 +43,5 @@
     no_room_after_a_run_again: Plan::new(120);
     limits_and_pauses: Plan::new(62003).with_notices();
     streams_ended_early: Plan::new(98001).with_stream_ends();
-    silences_around_stops: Plan::new(170001).with_silences(3_000);
+    silences_around_stops: Plan::new(170_001).with_silences(3_000);
 }}
