--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -1,5 +1,7 @@
 //! The platform's object store.
 
+mod writes;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::message::Message;
+use super::raw_texts::{RawPart, RawTexts, unescape};
 use super::store_listener::{Fault, StoreListener};
 
 /// Maximum number of objects on one page of a listing.
@@ -26,10 +29,19 @@
     created: u64,
     content: Value,
     status: Value,
+    /// What another program wrote in place of the object and its metadata.
+    raw: Option<Value>,
 }
 
 impl Object {
+    const fn new(created: u64) -> Self {
+        Self { revision: created, created, content: Value::Null, status: Value::Null, raw: None }
+    }
+
     fn to_json(&self, name: &str) -> Value {
+        if let Some(raw) = &self.raw {
+            return raw.clone();
+        }
         let metadata = json!({ "name": name, "revision": self.revision, "created": self.created,
             "finalizers": [], "deletion_time": false });
         json!({ "metadata": metadata, "specification": self.content, "status": self.status })
@@ -54,10 +66,9 @@
     /// Revision up to which the change history was dropped.
     dropped_revision: u64,
     call_count: u64,
+    raw_texts: RawTexts,
     /// Fixed response to listings that may be stale.
     stale_snapshot: Option<Snapshot>,
-    /// By the placeholder in their place: specifications that are sent as they are.
-    raw: BTreeMap<String, Vec<u8>>,
 }
 
 /// All objects at a revision.
@@ -71,6 +82,16 @@
     fn snapshot(&self) -> Snapshot {
         Snapshot { revision: self.revision, objects: self.objects.clone() }
     }
+
+    /// Stores an object with its new revision, which becomes the store's; returns it encoded.
+    fn write(&mut self, kind: &str, name: &str, object: Object) -> Value {
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let response = object.to_json(&name);
+        self.revision = object.revision;
+        self.objects.insert((kind.clone(), name.clone()), object.clone());
+        self.changes.push(ObjectChange { kind, name, object, is_deleted: false });
+        response
+    }
 }
 
 /// The platform's object store. Objects don't expire.
@@ -115,23 +136,22 @@
 
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, content: Value) {
-        self.change(kind, name, Some(content));
+        self.change(kind, name, false, |object| object.content = content);
     }
 
-    /// Creates or replaces an object whose specification is sent as these bytes, whatever they are.
-    pub fn put_raw(&self, kind: &str, name: &str, content: Vec<u8>) {
-        let placeholder = {
-            let mut state = self.state();
-            let placeholder = format!("raw-specification-{}-", state.raw.len());
-            state.raw.insert(placeholder.clone(), content);
-            placeholder
-        };
-        self.put(kind, name, json!(placeholder));
+    /// Creates or replaces an object of which another program wrote a part, as these bytes.
+    pub fn put_raw(&self, kind: &str, name: &str, part: RawPart, text: &[u8]) {
+        let marker = self.state().raw_texts.add(text);
+        self.change(kind, name, false, |object| match part {
+            RawPart::Object => object.raw = Some(marker),
+            RawPart::Specification => object.content = marker,
+            RawPart::Status => object.status = marker,
+        });
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        self.change(kind, name, None);
+        self.change(kind, name, true, |object| object.content = Value::Null);
     }
 
     /// Drops the change history: a watch from an older revision gets 410.
@@ -153,25 +173,26 @@
         self.state().call_count
     }
 
+    /// Returns the specification of an object, or null.
+    pub fn content(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map_or(Value::Null, |o| o.content.clone())
+    }
+
     /// Returns the status of an object, or null.
     pub fn status(&self, kind: &str, name: &str) -> Value {
         let key = (kind.to_owned(), name.to_owned());
         self.state().objects.get(&key).map_or(Value::Null, |o| o.status.clone())
     }
 
-    fn change(&self, kind: &str, name: &str, content: Option<Value>) {
+    fn change(&self, kind: &str, name: &str, is_deleted: bool, edit: impl FnOnce(&mut Object)) {
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        let is_deleted = content.is_none();
-        let previous = state.objects.remove(&key);
-        let object = Object {
-            revision,
-            created: previous.as_ref().map_or(revision, |o| o.created),
-            content: content.unwrap_or(Value::Null),
-            status: previous.map_or(Value::Null, |o| o.status),
-        };
+        let mut object = state.objects.remove(&key).unwrap_or_else(|| Object::new(revision));
+        (object.revision, object.raw) = (revision, None);
+        edit(&mut object);
         if !is_deleted {
             state.objects.insert(key, object.clone());
         }
@@ -181,29 +202,6 @@
         self.changed.send_replace(revision);
     }
 
-    /// Replaces an object's status if the request names its current revision or none.
-    fn put_status(&self, kind: &str, name: &str, body: &[u8]) -> (u16, Value) {
-        let body: Value = serde_json::from_slice(body).unwrap_or_default();
-        let mut state = self.state();
-        let key = (kind.to_owned(), name.to_owned());
-        let new_revision = state.revision + 1;
-        let Some(object) = state.objects.get_mut(&key) else { return (404, Value::Null) };
-        let expected = body["metadata"]["revision"].as_u64();
-        if expected.is_some_and(|revision| revision != object.revision) {
-            return (409, object.to_json(name));
-        }
-        object.status = body["status"].clone();
-        object.revision = new_revision;
-        let object = object.clone();
-        let response = object.to_json(name);
-        state.revision = new_revision;
-        let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(ObjectChange { kind, name, object, is_deleted: false });
-        drop(state);
-        self.changed.send_replace(new_revision);
-        (200, response)
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -217,7 +215,10 @@
         let kind = requested_kind(&request).to_owned();
         let losses = store_listener.losses(&kind);
         let (status, mut body) = match store_listener.fault() {
-            Fault::None | Fault::Throttled(_) => self.handle(&request, store_listener).await,
+            Fault::SilentWatches if is_watch(&request) => std::future::pending().await,
+            Fault::None | Fault::Throttled(_) | Fault::SilentWatches => {
+                self.handle(&request, store_listener).await
+            }
             Fault::Refuse => (503, Value::Null),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(time) => {
@@ -236,12 +237,12 @@
             std::future::pending::<()>().await;
         }
         store_listener.replace_addresses(&mut body);
-        let body = self.insert_raw(body.to_string());
+        let body = self.state().raw_texts.replace_markers(&body.to_string());
         let head = format!(
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
-        let response = [head.as_bytes(), &body].concat();
+        let response = [head.into_bytes(), body].concat();
         // The instance may have cancelled the call.
         drop(match store_listener.fault() {
             Fault::Throttled(rate) => send_throttled(&mut stream, &response, rate).await,
@@ -249,18 +250,6 @@
         });
     }
 
-    /// Puts raw specifications into the body of a response.
-    fn insert_raw(&self, body: String) -> Vec<u8> {
-        let mut bytes = body.into_bytes();
-        for (placeholder, content) in &self.state().raw {
-            let quoted = format!("\"{placeholder}\"").into_bytes();
-            while let Some(start) = bytes.windows(quoted.len()).position(|part| part == quoted) {
-                bytes.splice(start..start + quoted.len(), content.iter().copied());
-            }
-        }
-        bytes
-    }
-
     async fn handle(&self, request: &Message, store_listener: &StoreListener) -> (u16, Value) {
         let (method, target) = request.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -268,7 +257,13 @@
         if method == "PUT"
             && let Some((kind, name)) = kind.strip_suffix("/status").and_then(|k| k.split_once('/'))
         {
-            return self.put_status(kind, name, &request.body);
+            let name = String::from_utf8_lossy(&unescape(name)).into_owned();
+            return self.put_status(kind, &name, &request.body);
+        }
+        match (method, kind.split_once('/')) {
+            ("POST", None) => return self.post(kind, &request.body),
+            ("PUT", Some((kind, name))) => return self.put_content(kind, name, &request.body),
+            _ => {}
         }
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
@@ -276,15 +271,16 @@
             let wait = query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
             return self.watch(kind, since, Duration::from_millis(wait), store_listener).await;
         }
-        let after = query.get("after").copied().unwrap_or_default();
-        self.list(kind, after, query.contains_key("allow_stale"))
+        let after = query.get("after").copied().map(unescape).unwrap_or_default();
+        self.list(kind, &after, query.contains_key("allow_stale"))
     }
 
-    fn list(&self, kind: &str, after: &str, allow_stale: bool) -> (u16, Value) {
+    fn list(&self, kind: &str, after: &[u8], allow_stale: bool) -> (u16, Value) {
         let state = self.state();
         let stale_snapshot = state.stale_snapshot.clone().filter(|_| allow_stale);
         let snapshot = stale_snapshot.unwrap_or_else(|| state.snapshot());
-        let of_kind = snapshot.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+        let of_kind =
+            snapshot.objects.iter().filter(|((k, n), _)| k == kind && n.as_bytes() > after);
         let mut entries: Vec<Value> =
             of_kind.map(|((_, name), object)| object.to_json(name)).collect();
         let has_more = entries.len() > PAGE_SIZE;
@@ -340,6 +336,10 @@
     path.split(['/', '?']).next().unwrap_or_default()
 }
 
+fn is_watch(request: &Message) -> bool {
+    request.request().1.contains("watcher=")
+}
+
 /// Sends bytes at a number of bytes a second.
 async fn send_throttled(stream: &mut TcpStream, bytes: &[u8], rate: usize) -> std::io::Result<()> {
     let part_bytes = (rate / PARTS_PER_SECOND as usize).max(1);
--- a/crates/nutmeggrade-fakes/src/soak/operator.rs
+++ b/crates/nutmeggrade-fakes/src/soak/operator.rs
@@ -10,7 +10,7 @@
 use super::endpoints::DOMAINS;
 use super::odd_entry::OddEntry;
 use super::records::{ConfigVersion, Evacuation, Records};
-use crate::site::{RoutingPlan, Store};
+use crate::site::{RawPart, RoutingPlan, Store};
 
 /// Largest step between two consecutive configuration versions.
 const MAX_VERSION_STEP: u64 = 3;
@@ -78,7 +78,7 @@
     ) {
         let kind = if is_evacuation { "evacuations" } else { "servers" };
         let name = format!("odd-{}", self.odd_entries.fetch_add(1, Ordering::Relaxed));
-        self.store.put_raw(kind, &name, entry.content());
+        self.store.put_raw(kind, &name, RawPart::Specification, &entry.content());
         if let Some(stay) = stay {
             sleep(stay).await;
             self.store.remove(kind, &name);
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -11,11 +11,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admin::Admin;
+use crate::clock::Clock;
 use crate::logs::LogBuffer;
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{engine_watch, front, rollouts, ticker, watch};
+use crate::{engine_watch, front, rollouts, ticker, version_records, watch};
 
 /// Fraction of the grace period after which no new connections are accepted: later ones could not
 /// finish in time.
@@ -68,6 +69,20 @@
         settings: &Settings,
         logs: &LogBuffer,
         incarnation: u64,
+    ) -> anyhow::Result<Self> {
+        Self::start_with_clock(settings, logs, incarnation, Clock::new()).await
+    }
+
+    /// Opens all sockets and starts to serve, by a clock that may have run for some time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be opened.
+    pub async fn start_with_clock(
+        settings: &Settings,
+        logs: &LogBuffer,
+        incarnation: u64,
+        clock: Clock,
     ) -> anyhow::Result<Self> {
         let listener = front::bind(settings.client_address)?;
         let (peers, forwarded) = bind_for_peers(settings.beacon_address).await?;
@@ -87,7 +102,7 @@
             beacon: addresses.beacon,
             control: addresses.control,
         };
-        let node = Arc::new(Node::new(settings, &own_addresses, logs, incarnation)?);
+        let node = Arc::new(Node::new(settings, &own_addresses, logs, incarnation, clock)?);
         tracing::info!(event = "started", instance = %settings.instance, domain = %settings.domain,
             clients = %addresses.client, directory = %addresses.directory,
             metrics = %addresses.metrics, incarnation);
@@ -100,6 +115,7 @@
         tasks.push(tokio::spawn(send_failures(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(send_streams(Arc::clone(&node), Arc::clone(&peers))));
         tasks.push(tokio::spawn(forward_placements(Arc::clone(&node), Arc::clone(&peers))));
+        tasks.push(tokio::spawn(version_records::run(Arc::clone(&node))));
         tasks.extend(rollouts::start(&node, &peers));
         tasks.push(tokio::spawn(ticker::run(Arc::clone(&node))));
         tasks.push(tokio::spawn(engine_watch::run(Arc::clone(&node))));
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of an instance that serves routes.
 
 mod load;
+mod versions;
 
 use anyhow::Context;
 use nutmeggrade_state::invariant;
@@ -11,6 +12,7 @@
 };
 
 use self::load::LoadMetrics;
+use self::versions::VersionMetrics;
 
 /// Bucket bounds of the time histograms, in seconds: from a fast call to the longest responses.
 const TIME_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
@@ -29,6 +31,8 @@
     pub waits: Histogram,
     /// Decisions under load.
     pub load: LoadMetrics,
+    /// Versions at which streams began.
+    pub versions: VersionMetrics,
     /// Time to the head of a response, or to a stream's first event.
     pub first: Histogram,
     /// Requests sent to endpoints, by outcome of the send.
@@ -81,6 +85,8 @@
     pub fetched_bytes: IntCounterVec,
     /// Bytes of the store's responses by kind.
     pub store_bytes: IntCounterVec,
+    /// Objects of the store that can't be decoded or used, by kind.
+    pub unreadable_objects: IntCounterVec,
     /// Phase of each service's rollout, as a number.
     pub rollout_phase: IntGaugeVec,
     /// Log lines dropped.
@@ -113,6 +119,7 @@
             )?,
             waiting: gauge("waiting", "requests that wait for room")?,
             load: LoadMetrics::new(&registry)?,
+            versions: VersionMetrics::new(&registry)?,
             waits: histogram("wait_seconds", "time that requests waited for room")?,
             first: histogram("first_seconds", "time to an answer's head or first event")?,
             sends: counters("sends_total", "requests handed to endpoints", &["end"])?,
@@ -180,6 +187,11 @@
                 "calls to the store by reason",
                 &["kind", "reason"],
             )?,
+            unreadable_objects: counters(
+                "unreadable_objects_total",
+                "revisions of objects that can't be read",
+                &["kind"],
+            )?,
             rollout_phase: gauges("rollout_phase", "phase of a service's roll-out", &["service"])?,
             dropped_lines: gauge("log_lines_dropped", "log lines dropped")?,
             invariants_broken: gauges("invariants_broken", "must stay absent", &["name"])?,
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -7,6 +7,7 @@
 mod rollouts;
 mod streams;
 mod supply;
+mod unreadable;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,6 +27,7 @@
 pub use self::crashes::CrashSource;
 pub use self::paces::log_change;
 use self::supply::EncodedEndpoints;
+use self::unreadable::ReportedObjects;
 use crate::clock::Clock;
 use crate::config_source::ConfigSource;
 use crate::logs::LogBuffer;
@@ -34,6 +36,7 @@
 use crate::reach::ReachChecks;
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
+use crate::version_records::VersionRecords;
 use crate::watch::ReadState;
 
 /// Timeout of a call to the store, beyond the time for which the store holds a watch. The store
@@ -91,12 +94,16 @@
     pub open_requests: Arc<OpenRequests>,
     /// Checks whether services can be reached.
     pub reach_checks: ReachChecks,
+    /// Records of services' versions in the store.
+    pub version_records: VersionRecords,
     /// Endpoints that are being probed; never locked together with the tables.
     pub probed: Mutex<BTreeSet<EndpointId>>,
     /// The last response to a peer that asked for endpoints; locked before the tables.
     encoded_endpoints: Mutex<Option<EncodedEndpoints>>,
     /// The culprits of crashes that were last reported; never locked together with the tables.
     culprits: Mutex<BTreeMap<CrashSuspect, usize>>,
+    /// Objects that were reported as unreadable; locked after the tables.
+    reported_objects: Mutex<ReportedObjects>,
     /// Transfers to peers in progress.
     pub transfers: Transfers,
     /// Workspace shared by all requests that need no key.
@@ -119,6 +126,7 @@
         own_addresses: &InstanceAddresses,
         logs: &LogBuffer,
         incarnation: u64,
+        clock: Clock,
     ) -> anyhow::Result<Self> {
         let mut dispatcher = Dispatcher::new(&settings.domain, rand::random());
         if !settings.fleet_order {
@@ -127,7 +135,7 @@
         let fleet = FleetView::new(&settings.instance, own_addresses, &settings.seeds);
         let (outbox, outbox_receiver) = mpsc::channel(OUTBOX_CAPACITY);
         Ok(Self {
-            clock: Clock::new(),
+            clock,
             metrics: Metrics::new()?,
             tables: Mutex::new(Tables::new(dispatcher, fleet)),
             store: Store::new(settings.platform, STORE_TIMEOUT),
@@ -142,9 +150,11 @@
             heartbeat_due: Notify::new(),
             open_requests: Arc::default(),
             reach_checks: ReachChecks::default(),
+            version_records: VersionRecords::default(),
             probed: Mutex::default(),
             encoded_endpoints: Mutex::default(),
             culprits: Mutex::default(),
+            reported_objects: Mutex::default(),
             transfers: Transfers::new(settings.link),
             keyless_workspace: WorkspaceId::new("-")?,
             settings: RwLock::new(Arc::new(settings.clone())),
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -21,6 +21,7 @@
 mod members;
 mod memory;
 mod moves;
+mod odd_entries;
 mod outcomes;
 mod paces;
 mod refused_waits;
@@ -33,6 +34,7 @@
 mod store;
 mod streams;
 mod supply;
+mod version_records;
 mod versions;
 
 use nutmeggrade_fakes::site::{Answer, RawClient};
