--- a/crates/nutmeggrade-relay/src/version_records.rs
+++ b/crates/nutmeggrade-relay/src/version_records.rs
@@ -23,8 +23,8 @@
 /// Time after the start by which the first reader is known.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// Longest time for which the endpoints of a new version wait until it is recorded: a store that
-/// refuses writes must not keep them out of use. A second is the time for which a new version gets
-/// no work beside another one.
+/// refuses writes must not keep them out of use. Beside another version, a new one gets no work for a
+/// second anyway.
 const MAX_WAIT: Duration = Duration::from_millis(400);
 /// Silence of the store after which the absence of versions is observed anew.
 const MAX_GAP: Duration = Duration::from_secs(30);
