Give each soak of the suite a seed of its own

They logged a grace of 8 s, closed after 6.4 s and ended in order; the check allowed 4 s and 1 s. Two soaks of one process had the same seed, and with it the same settings files: silences_around_stops, with a grace of 8 s, wrote those of released_beside_kills, which has 4 s.

--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -44,7 +44,7 @@
     no_room_after_a_run_again: Plan::new(120);
     limits_and_pauses: Plan::new(62003).with_notices();
     streams_ended_early: Plan::new(98001).with_stream_ends();
-    silences_around_stops: Plan::new(170_001).with_silences(3_000);
+    silences_around_stops: Plan::new(170_003).with_silences(3_000);
     released_beside_kills: Plan::new(170_001).with_releases(4_000);
     odd_entries: Plan::new(170_002).with_odd_entries(3_000);
 }}
