Excuse a stream in the soak whose move ends at a faulty endpoint

The logs show why: the engine left, its generation was stopped and copied, and the target did not take it up, as its link cut every request after 45 bytes in the one and as it rejected everything in the other. That is the fault of an endpoint or a link. A leave is an excuse only beside such a fault now.

That the stream could have gone on at the engine that stopped, which still holds its memory, is listed in the postmortem as open.

--- a/crates/nutmeggrade-fakes/src/soak/checker/stops.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker/stops.rs
@@ -64,7 +64,7 @@
     }
 
     /// Returns whether an endpoint misbehaved towards the request, crashed or ended before its end, its
-    /// link was harmed, or the instance was killed or paused.
+    /// link was harmed, its work had to move beside faulty endpoints, or the instance was killed or paused.
     fn was_harmed(&self, request: &RequestRecord, ran: &[&(usize, ReceivedRequest)]) -> bool {
         let (start, end) = (request.sent, request.ended);
         let is_process = |kind| kind == DisturbanceKind::Process;
@@ -76,9 +76,17 @@
                 incarnation.had_fault(start, seen.at)
                     || incarnation.had_link_fault(settled, end)
                     || incarnation.gone_at.is_some_and(|gone_at| gone_at <= end)
+                    || (incarnation.left_at.is_some_and(|left_at| left_at <= end)
+                        && self.had_any_fault(settled, end))
             })
     }
 
+    /// Returns whether any endpoint misbehaved or had a faulty link in a period. The work of one that
+    /// leaves is moved, and it isn't known to which other one.
+    fn had_any_fault(&self, start: Instant, end: Instant) -> bool {
+        self.incarnations.iter().any(|i| i.had_fault(start, end) || i.had_link_fault(start, end))
+    }
+
     fn was_silent(&self, request: &RequestRecord, ran: &[&(usize, ReceivedRequest)]) -> bool {
         ran.iter().any(|(n, _)| self.incarnations[*n].was_silent(request.sent, request.ended))
     }
