Say once what a lost answer, a live endpoint and a send's time limit are

A read of the whole change; behaviour is meant to stay as it is.

- The soak decided in two places what a lost answer is, and when a client's time is used up: Outcome::is_lost and RequestRecord::has_expired serve both checks.
- StallWatch::stalled uses is_alive, which repeated its rule.
The two agree as long as no limit is below the 500 ms of that rule; a request's limits are a second at least.
- send_request takes the time limit from the request's deadline, as both callers passed just that.
- The stand-in store's put_status uses the write that POST and PUT share.
- serving_peers is counted when metrics are read, not over all peers at each tick.
- The first reader goes through the registered endpoints once a second for the records of versions, not twice.
The endpoints are read before the records now; a version is still retired only if they were read up to the record's revision.

--- a/crates/nutmeggrade-fakes/src/site/store/writes.rs
+++ b/crates/nutmeggrade-fakes/src/site/store/writes.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use super::{Object, ObjectChange, Store};
+use super::{Object, Store};
 
 impl Store {
     /// Replaces an object's status if the request names its current revision or none.
@@ -10,21 +10,15 @@
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let mut state = self.state();
         let key = (kind.to_owned(), name.to_owned());
-        let new_revision = state.revision + 1;
-        let Some(object) = state.objects.get_mut(&key) else { return (404, Value::Null) };
+        let Some(old) = state.objects.get(&key).cloned() else { return (404, Value::Null) };
         let expected = body["metadata"]["revision"].as_u64();
-        if expected.is_some_and(|revision| revision != object.revision) {
-            return (409, object.to_json(name));
+        if expected.is_some_and(|revision| revision != old.revision) {
+            return (409, old.to_json(name));
         }
-        object.status = body["status"].clone();
-        object.revision = new_revision;
-        let object = object.clone();
-        let response = object.to_json(name);
-        state.revision = new_revision;
-        let (kind, name) = (kind.to_owned(), name.to_owned());
-        state.changes.push(ObjectChange { kind, name, object, is_deleted: false });
+        let (revision, status) = (state.revision + 1, body["status"].clone());
+        let response = state.write(kind, name, Object { revision, status, ..old });
         drop(state);
-        self.changed.send_replace(new_revision);
+        self.changed.send_replace(revision);
         (200, response)
     }
 
--- a/crates/nutmeggrade-fakes/src/soak/checker.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker.rs
@@ -12,14 +12,11 @@
 use tokio::time::{Duration, Instant};
 
 use self::answers::{find_change, find_error};
-use super::clients::DEADLINE;
 use super::endpoints::Incarnation;
 use super::plan::Plan;
 use super::records::{ConfigVersion, DisturbanceKind, Outcome, Records, RequestRecord};
 use crate::site::ReceivedRequest;
 
-/// Time before the deadline from which an instance may answer that it has passed.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 /// Time around a silence in which requests that waited for its end arrive together.
 const SILENCE_REACH: Duration = Duration::from_secs(1);
 /// Time after a disturbance or fault during which time limits still don't apply.
@@ -248,16 +245,12 @@
     /// Checks that a request has a complete response other than 502 and 504 if neither the instance nor
     /// the endpoints that received it were disturbed.
     fn check_losses(&mut self, request: &RequestRecord) {
-        let is_lost = match &request.outcome {
-            Outcome::ConnectionClosed | Outcome::TimedOut => true,
-            Outcome::Response(r) => !r.is_whole || matches!(r.status, 502 | 504),
-            Outcome::Cancelled => false,
-        };
-        let Some(received) = self.received.get(&request.id).filter(|_| is_lost) else { return };
+        let received = self.received.get(&request.id);
+        let Some(received) = received.filter(|_| request.outcome.is_lost()) else { return };
         let span = (request.sent - SETTLE_TIME, request.ended);
         let is_relevant =
             |k: DisturbanceKind| k != DisturbanceKind::Stop && k != DisturbanceKind::Reload;
-        let has_expired = request.ended - request.sent + DEADLINE_MARGIN >= DEADLINE;
+        let has_expired = request.has_expired();
         let is_healthy = received.iter().all(|(n, _)| {
             let incarnation = &self.incarnations[*n];
             // A silent endpoint is no excuse, unless the silence takes all the time there is.
--- a/crates/nutmeggrade-fakes/src/soak/checker/stops.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker/stops.rs
@@ -2,10 +2,9 @@
 
 use tokio::time::{Duration, Instant};
 
-use super::{Checker, DEADLINE_MARGIN, SETTLE_TIME, outcome_name};
+use super::{Checker, SETTLE_TIME, outcome_name};
 use crate::site::ReceivedRequest;
-use crate::soak::clients::DEADLINE;
-use crate::soak::records::{DisturbanceKind, Outcome, RequestRecord};
+use crate::soak::records::{DisturbanceKind, RequestRecord};
 
 /// Time after the grace period until which a lost answer counts.
 const STOP_MARGIN: Duration = Duration::from_secs(1);
@@ -19,7 +18,7 @@
     pub(super) fn check_stops(&mut self, grace: Duration) {
         let mut violations = Vec::new();
         let stops = self.records.stops();
-        for request in self.requests.values().filter(|r| is_cut(r)) {
+        for request in self.requests.values().filter(|r| r.outcome.is_lost()) {
             let ran: Vec<_> = self
                 .received
                 .get(&request.id)
@@ -32,7 +31,7 @@
             let stop = stops.iter().find(|(n, at)| *n == request.instance && is_around(*at));
             let Some((_, stopped_at)) = stop.filter(|_| !ran.is_empty()) else { continue };
             let last_sixth = *stopped_at + grace * 5 / 6;
-            let is_excused = request.ended - request.sent + DEADLINE_MARGIN >= DEADLINE
+            let is_excused = request.has_expired()
                 || self.was_harmed(request, &ran)
                 || ran.iter().any(|(_, seen)| {
                     request.sent <= *stopped_at + LATE_SEND_LIMIT
@@ -92,16 +91,6 @@
     }
 }
 
-/// Returns whether a request ended without a complete answer, other than by its client. A 502 or 504
-/// says that nobody knows whether it ran.
-fn is_cut(request: &RequestRecord) -> bool {
-    match &request.outcome {
-        Outcome::ConnectionClosed | Outcome::TimedOut => true,
-        Outcome::Response(response) => !response.is_whole || matches!(response.status, 502 | 504),
-        Outcome::Cancelled => false,
-    }
-}
-
 /// Returns whether a request was cut no sooner than at a moment, and its endpoint still worked on it.
 fn ran_until(request: &RequestRecord, seen: &ReceivedRequest, at: Instant) -> bool {
     request.ended >= at && seen.ended.is_none_or(|ended| ended >= at)
--- a/crates/nutmeggrade-fakes/src/soak/records.rs
+++ b/crates/nutmeggrade-fakes/src/soak/records.rs
@@ -4,8 +4,12 @@
 
 use tokio::time::{Duration, Instant};
 
+use super::clients::DEADLINE;
 use crate::site::Answer;
 
+/// Time before the deadline from which an instance may answer that it has passed.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
 /// The outcome of a request as its client saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -24,6 +28,16 @@
     pub fn is_served(&self) -> bool {
         matches!(self, Self::Response(a) if a.status == 200 && a.is_whole)
     }
+
+    /// Returns whether the client got no complete response, other than by its own doing. A 502 or 504
+    /// says that nobody knows whether the request ran.
+    pub fn is_lost(&self) -> bool {
+        match self {
+            Self::ConnectionClosed | Self::TimedOut => true,
+            Self::Response(a) => !a.is_whole || matches!(a.status, 502 | 504),
+            Self::Cancelled => false,
+        }
+    }
 }
 
 /// A client's request and its outcome.
@@ -47,6 +61,13 @@
     pub take_up: Option<TakeUp>,
 }
 
+impl RequestRecord {
+    /// Returns whether it took all the time that its client has.
+    pub fn has_expired(&self) -> bool {
+        self.ended - self.sent + DEADLINE_MARGIN >= DEADLINE
+    }
+}
+
 /// The part of a stream that a client already has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakeUp {
--- a/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
+++ b/crates/nutmeggrade-policy/src/dispatch/stall_watch.rs
@@ -93,16 +93,9 @@
     /// Returns the endpoints that have been silent towards some request for longer than its limit,
     /// and towards all others of this instance lately.
     pub fn stalled(&self, now: Moment) -> BTreeSet<EndpointId> {
-        let mut stalled = BTreeSet::new();
-        let mut alive = BTreeSet::new();
-        for request in self.requests.values() {
-            if request.is_silent(now) {
-                stalled.insert(request.endpoint.clone());
-            } else if request.has_events && now.since(request.last_sign) <= ALIVE_TIME {
-                alive.insert(&request.endpoint);
-            }
-        }
-        stalled.retain(|endpoint| !alive.contains(endpoint));
+        let silent = self.requests.values().filter(|request| request.is_silent(now));
+        let mut stalled: BTreeSet<EndpointId> = silent.map(|r| r.endpoint.clone()).collect();
+        stalled.retain(|endpoint| !self.is_alive(endpoint, now));
         stalled
     }
 }
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -241,6 +241,8 @@
 fn metrics(node: &Node, _: &Query) -> Response {
     let dropped = i64::try_from(node.logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.dropped_lines.set(dropped);
+    let (_, serving_peers) = lock(&node.tables).fleet.serving_counts(node.now());
+    node.metrics.serving_peers.set(i64::try_from(serving_peers).unwrap_or(i64::MAX));
     match node.metrics.text() {
         Ok(text) => {
             let mut response = Response::new(Body::Full(Full::new(text.into())));
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::response::Parts;
 use http::{Request, Response, header};
@@ -166,8 +165,8 @@
     }
 }
 
-/// Sends a request to an endpoint on an open connection and waits up to `timeout` for the response
-/// head.
+/// Sends a request to an endpoint on an open connection and waits for the response head, until the
+/// request's deadline.
 ///
 /// The registry is checked immediately before the first byte: the endpoint may start to leave while
 /// the connection is set up.
@@ -177,7 +176,6 @@
     reservation: &Reservation,
     mut options: SendOptions,
     connection: OpenConnection,
-    timeout: Duration,
 ) -> Result<EndpointResponse, SendError> {
     let endpoint = &reservation.endpoint;
     record_send(node, client_request, reservation, &options)?;
@@ -187,7 +185,7 @@
         .map_err(|e| SendError::NotSent(e.to_string()))?;
     let response = tokio::select! {
         response = connection.send(request) => response,
-        () = tokio::time::sleep(timeout) => return Err(SendError::TimedOut),
+        () = node.clock.until(client_request.deadline) => return Err(SendError::TimedOut),
     };
     let response = response.map_err(SendError::Lost)?;
     let (head, body) = response.into_parts();
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -197,13 +197,10 @@
         self.dispatch_request.is_canary = false;
         self.pending.endpoint = Some(endpoint.id.clone());
         self.open.sent(&endpoint.id);
-        let timeout = self.request.time_left(self.node.now());
         let options = SendOptions { lease, ..SendOptions::default() };
         let result = tokio::select! {
             biased;
-            result = send_request(
-                &self.node, &self.request, &reservation, options, connection, timeout,
-            ) => result,
+            result = send_request(&self.node, &self.request, &reservation, options, connection) => result,
             other = self.replacement(&endpoint) => return Ok(self.replace(&endpoint, other)),
         };
         match result {
--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -72,9 +72,8 @@
             return None;
         }
     };
-    let timeout = stream.request.time_left(stream.node.now());
     let (node, request) = (&stream.node, &stream.request);
-    match send_request(node, request, reservation, options, connection, timeout).await {
+    match send_request(node, request, reservation, options, connection).await {
         // Appended to the events already sent, a body without events would look like their end.
         Ok(response) if response.is_event_stream() => Some(response.body),
         Ok(EndpointResponse { parsed, .. }) => {
--- a/crates/nutmeggrade-relay/src/ticker.rs
+++ b/crates/nutmeggrade-relay/src/ticker.rs
@@ -52,10 +52,8 @@
         tables.dispatcher.order.peers.remove_peer(peer);
     }
     let waiting = tables.dispatcher.waiting();
-    let (_, serving_count) = tables.fleet.serving_counts(node.now());
     drop(tables);
     node.metrics.peers.set(i64::try_from(live_count).unwrap_or(i64::MAX));
-    node.metrics.serving_peers.set(i64::try_from(serving_count).unwrap_or(i64::MAX));
     node.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
 }
 
--- a/crates/nutmeggrade-relay/src/version_records.rs
+++ b/crates/nutmeggrade-relay/src/version_records.rs
@@ -137,17 +137,16 @@
 
 /// Records the versions of the registered endpoints, and retires those without any.
 async fn update(node: &Node, keeper: &mut VersionKeeper) -> anyhow::Result<()> {
-    let registered = || lock(&node.tables).registry.registered_versions();
+    // The revision is read before the endpoints, which may be newer.
+    let read = node.read_state.of(Kind::Endpoints).read();
+    let live = lock(&node.tables).registry.registered_versions();
     if !keeper.is_loaded() {
-        if registered().is_empty() {
+        if live.is_empty() {
             return Ok(());
         }
         load(node, keeper).await?;
     }
-    write_all(node, keeper, |keeper| keeper.additions(&registered())).await?;
-    // The revision is read before the endpoints, which may be newer.
-    let read = node.read_state.of(Kind::Endpoints).read();
-    let live = registered();
+    write_all(node, keeper, |keeper| keeper.additions(&live)).await?;
     for write in keeper.retirements(&live, read, node.now()) {
         perform(node, keeper, &write).await?;
     }
