Add tests of crowds of clients that send more than an instance can hold

Nothing bounds what all of them hold together.

The tests start the programs as processes, with little memory and few descriptors in their settings, let a crowd connect, and check while it stays that the process lives, that memory and descriptors keep to the settings, and that an ordinary request is answered. They are a test binary of their own, run one at a time.

--- a/crates/nutmeggrade-fakes/src/lib.rs
+++ b/crates/nutmeggrade-fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! stops these processes and nutmeggrade's instances for the demo and the tests. [`engine::Model`]
 //! does no I/O and runs in virtual time, so that decisions can be measured without a process.
 
+pub mod crowd;
 pub mod driver;
 pub mod engine;
 pub mod fleet;
--- /dev/null
+++ b/tests/crowds/main.rs
@@ -0,0 +1,27 @@
+//! Crowds of clients that send more than an instance can hold.
+//!
+//! Each test starts the system's processes, lets a crowd connect, and checks while the crowd stays
+//! connected: the processes live, memory and descriptors stay within the instance's settings, and an
+//! ordinary request is answered. Nothing depends on the speed of the machine. The tests run one at a
+//! time.
+
+#[path = "../suite/support.rs"]
+#[macro_use]
+#[allow(dead_code, reason = "the suite uses the other helpers")]
+mod support;
+
+mod caller_crowds;
+mod relay_crowds;
+
+use std::sync::Mutex;
+
+use support::run;
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Runs an asynchronous test while no other test of this binary runs.
+fn run_alone<F: Future<Output = anyhow::Result<()>>>(test: F) {
+    // A test that failed leaves nothing that the next one could be disturbed by.
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    run(test);
+}
--- /dev/null
+++ b/tests/crowds/relay_crowds.rs
@@ -0,0 +1,209 @@
+//! Crowds at the addresses of an instance that serves routes.
+
+use std::time::Duration;
+
+use http::Method;
+use nutmeggrade_core::peer::{FORWARDED_HEADER, ForwardedRequest};
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::RouteKind;
+use nutmeggrade_fakes::crowd::{
+    Crowd, CrowdRequest, Framing, Listener, RelayHost, open_descriptors, peak_memory,
+};
+use nutmeggrade_fakes::http::send;
+use nutmeggrade_fakes::site::{Behaviour, Endpoint, RawClient, RoutingPlan, request};
+use rstest::rstest;
+
+use crate::run_alone;
+use crate::support::until;
+
+/// Memory of the instance, in MB.
+const MEMORY_MB: u64 = 64;
+/// Descriptors of the instance.
+const DESCRIPTORS: usize = 500;
+/// Endpoints, enough for the connections of a whole crowd.
+const ENDPOINTS: usize = 3;
+/// Largest body, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+const HEADERS: &str = "X-Nutmeggrade-Deadline-Ms: 20000\r\n";
+
+/// An instance with the endpoints of a service.
+struct Setup {
+    host: RelayHost,
+    desks: Vec<Endpoint>,
+}
+
+async fn start(behaviour: Behaviour) -> anyhow::Result<Setup> {
+    let plan = RoutingPlan { body_bytes: BODY_BYTES as u64, ..RoutingPlan::default() };
+    let flags = [format!("--memory={MEMORY_MB}"), format!("--descriptors={DESCRIPTORS}")];
+    let host = RelayHost::start(&plan, &flags.each_ref().map(String::as_str)).await?;
+    let mut desks = Vec::new();
+    for n in 0..ENDPOINTS {
+        desks.push(host.add_endpoint("desk", &format!("e-{n}"), behaviour).await?);
+    }
+    Ok(Setup { host, desks })
+}
+
+/// Checks that the instance lives within its settings and answers an ordinary request, though the
+/// crowd stays connected.
+async fn ensure_sound(setup: &mut Setup, crowd: &Crowd) -> anyhow::Result<()> {
+    anyhow::ensure!(!crowd.is_empty(), "no client could connect");
+    setup.desks.iter().for_each(|d| d.set(Behaviour::Answer));
+    let client = setup.host.address(Listener::Client);
+    let answered = async || {
+        let answer = RawClient::ask(client, "read", "ordinary", HEADERS).await;
+        Ok(answer.is_ok_and(|a| a.status == 200 && a.is_whole))
+    };
+    until("an ordinary request is answered", answered).await?;
+    ensure_within_limits(&mut setup.host)
+}
+
+fn ensure_within_limits(host: &mut RelayHost) -> anyhow::Result<()> {
+    anyhow::ensure!(host.is_running()?, "the process has ended");
+    let memory = peak_memory(host.process_id())?;
+    anyhow::ensure!(memory < MEMORY_MB << 20, "{} MB of memory, {MEMORY_MB} allowed", memory >> 20);
+    let descriptors = open_descriptors(host.process_id())?;
+    anyhow::ensure!(descriptors < DESCRIPTORS, "{descriptors} descriptors");
+    Ok(())
+}
+
+/// Returns a request to a route, without the headers that frame its body.
+fn head(route: &str) -> CrowdRequest {
+    CrowdRequest::new(&format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: desk.example\r\nX-Nutmeggrade-Attempt-Id: crowd-{{n}}\r\n\
+         X-Api-Key: key-1\r\n{HEADERS}"
+    ))
+}
+
+/// Returns a request as peers forward it.
+fn forwarded_head() -> anyhow::Result<CrowdRequest> {
+    let forwarded = ForwardedRequest {
+        route: "r-read".to_owned(),
+        kind: RouteKind::Idempotent,
+        target: Duration::from_secs(5),
+        attempts: 1,
+        service: ServiceId::new("desk")?,
+        workspace: None,
+        priority: 1,
+    };
+    let forwarded = serde_json::to_string(&forwarded)?;
+    Ok(CrowdRequest::new(&format!(
+        "POST /read/x HTTP/1.1\r\nHost: desk.example\r\nX-Nutmeggrade-Attempt-Id: crowd-{{n}}\r\n\
+         {FORWARDED_HEADER}: {forwarded}\r\n{HEADERS}"
+    )))
+}
+
+fn crowd_is_survived(count: usize, request: &CrowdRequest, behaviour: Behaviour) {
+    run_alone(async {
+        let mut setup = start(behaviour).await?;
+        let crowd = Crowd::send(setup.host.address(Listener::Client), count, request).await;
+        ensure_sound(&mut setup, &crowd).await
+    });
+}
+
+// Large bodies of legal size arrive together, most of which stop one byte short of their end: bodies
+// that are read without a common limit exhaust the memory.
+cases!(crowd_is_survived {
+    stalled_bodies_at_once:
+        120, &head("read").with_body(Framing::Whole, BODY_BYTES).without_end(), Behaviour::Answer;
+    stalled_bodies_in_pieces:
+        120, &head("read").with_body(Framing::Pieces(8 << 10), BODY_BYTES).without_end(),
+        Behaviour::Answer;
+    stalled_large_chunks:
+        120, &head("read").with_body(Framing::Chunks(64 << 10), BODY_BYTES).without_end(),
+        Behaviour::Answer;
+    // A buffer per chunk costs many times the chunk.
+    stalled_small_chunks:
+        120, &head("read").with_body(Framing::Chunks(1), 256 << 10).without_end(),
+        Behaviour::Answer;
+    // Complete bodies wait for an endpoint that never answers.
+    complete_bodies_without_answer:
+        120, &head("read").with_body(Framing::Whole, BODY_BYTES), Behaviour::Hang;
+    announced_bodies_over_the_limit:
+        120, &head("read").with_body(Framing::Whole, 16 << 20), Behaviour::Answer;
+    chunked_bodies_over_the_limit:
+        120, &head("read").with_body(Framing::Chunks(16), 2 << 20), Behaviour::Answer;
+    // Clients read nothing of large responses.
+    unread_responses:
+        120, &head("read").with_body(Framing::Whole, 4),
+        Behaviour::Large { bytes: 4 << 20, is_chunked: true };
+});
+
+// Strangers reach the address at which peers forward requests, and send bodies that stop short.
+fn crowd_at_the_peers_address_is_survived(framing: Framing, bytes: usize) {
+    run_alone(async {
+        let mut setup = start(Behaviour::Answer).await?;
+        let request = forwarded_head()?.with_body(framing, bytes).without_end();
+        let crowd = Crowd::send(setup.host.address(Listener::Beacon), 120, &request).await;
+        ensure_sound(&mut setup, &crowd).await
+    });
+}
+
+cases!(crowd_at_the_peers_address_is_survived {
+    stalled_bodies: Framing::Whole, BODY_BYTES;
+    stalled_small_chunks: Framing::Chunks(1), 128 << 10;
+});
+
+// Heads without an end fill the buffers of an address that has no limit on heads.
+fn endless_heads_are_survived(listener: Listener) {
+    run_alone(async {
+        let mut setup = start(Behaviour::Answer).await?;
+        let request = CrowdRequest::new(&format!("GET /{} HTTP/1.1\r\n", "a".repeat(380 << 10)));
+        let crowd = Crowd::send(setup.host.address(listener), 200, &request).await;
+        ensure_sound(&mut setup, &crowd).await
+    });
+}
+
+cases!(endless_heads_are_survived {
+    at_the_client_address: Listener::Client;
+    at_the_directory: Listener::Directory;
+    at_the_readiness_address: Listener::Ready;
+    at_the_control_address: Listener::Control;
+    at_the_metrics_address: Listener::Metrics;
+});
+
+// Connections without a request use up the descriptors, so that no endpoint can be reached.
+fn silent_connections_are_survived(listener: Listener) {
+    run_alone(async {
+        let mut setup = start(Behaviour::Answer).await?;
+        let address = setup.host.address(listener);
+        let crowd = Crowd::send(address, 600, &CrowdRequest::new("")).await;
+        // Connections are accepted in their order, so an answer comes after the crowd was accepted.
+        let get = || send(address, Method::GET, "/metrics", &[], Vec::new());
+        until("the address answers", async || Ok(get().await.is_ok())).await?;
+        ensure_sound(&mut setup, &crowd).await
+    });
+}
+
+cases!(silent_connections_are_survived {
+    at_the_client_address: Listener::Client;
+    at_the_directory: Listener::Directory;
+    at_the_metrics_address: Listener::Metrics;
+});
+
+// A limit on all bodies together must not refuse a single one that is as large as allowed, neither in
+// calm nor after a crowd has left.
+#[rstest]
+fn largest_body_is_served() {
+    run_alone(async {
+        let mut setup = start(Behaviour::Answer).await?;
+        let client = setup.host.address(Listener::Client);
+        let body = "x".repeat(BODY_BYTES);
+        let text = request("read", "largest", "key-1", HEADERS).replace(
+            "Content-Length: 4\r\n\r\nbody",
+            &format!("Content-Length: {BODY_BYTES}\r\n\r\n{body}"),
+        );
+        let ask = async || -> anyhow::Result<u16> {
+            let mut raw = RawClient::connect(client).await?;
+            raw.send(&text).await?;
+            Ok(raw.answer().await?.status)
+        };
+        assert_eq!(ask().await?, 200);
+        let stalled = head("read").with_body(Framing::Whole, BODY_BYTES).without_end();
+        drop(Crowd::send(client, 120, &stalled).await);
+        until("a request of the largest size is answered", async || {
+            Ok(ask().await.is_ok_and(|s| s == 200))
+        })
+        .await?;
+        ensure_within_limits(&mut setup.host)
+    });
+}
