Bound the memory that all clients of an instance with routes hold together

Callers saw an instance end: it ran out of memory under clients that sent large bodies and stopped short of their end, whole, in pieces or in chunks, that sent complete bodies to endpoints which didn't answer, or that sent heads without an end to the directory. Its other clients lost their answers.

Cause: each request has limits, but nothing bounds what all of them hold. A body was kept as slices of read buffers, so that chunks of one byte cost a hundredfold, and copied once more at its end. The directory, readiness, control and metrics addresses took any number of connections and heads of 400 KB, and a forwarded request beyond the peers' share was read whole before it was refused.

Change: one budget for an instance, half of its memory, which connections, heads, bodies, kept answers and full sockets on all addresses count against. Over it a request is refused as not run with memory_full (2007) and a Retry-After, before its body is sent if its length is stated; requests that have made no progress for a second are given up first. Large requests leave a quarter to small ones, and all requests a sixteenth to new connections. The other addresses have limits of connections, heads and unread answers. At a limit of connections the longest silence is closed for the new one.

Ruled out: fewer large bodies at once, whatever the memory; reading no further, as what is received stays in the kernel and is counted too.

--- a/crates/nutmeggrade-core/src/code.rs
+++ b/crates/nutmeggrade-core/src/code.rs
@@ -87,6 +87,8 @@
     TooManyConnections = 2005, "too_many_connections", 503;
     /// No endpoint has capacity for the request soon enough.
     NoRoom = 2006, "no_room", 503;
+    /// Clients hold as much of this instance's memory as they may hold together.
+    MemoryFull = 2007, "memory_full", 503;
     /// No endpoint in service offers the requested model or operation.
     NoEndpoint = 3001, "no_endpoint", 503;
     /// The endpoint failed before it started the work.
--- a/crates/nutmeggrade-policy/src/lib.rs
+++ b/crates/nutmeggrade-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod gap_limit;
+pub mod intake;
 pub mod length;
 pub mod memory;
 pub mod pace;
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -25,6 +25,9 @@
 use viz::{Body, Request, RequestExt, Responder, Response, Result as VizResult, Router, Tree};
 
 use crate::fleet_sync::{CONFIG_PATH, ENDPOINTS_PATH, OBJECTS_PATH};
+use crate::intake::{
+    AdmittedConnection, ConnectionLimit, MeteredStream, TrackedBody, WriteLimit, bind,
+};
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::stream_origin::{self, STREAM_PATH, StreamOrigin};
@@ -38,6 +41,14 @@
 const MAX_ENTRY_AGE: Duration = Duration::from_secs(2);
 /// Delay after a failed accept, as when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time in which a client reads no byte of its response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+/// Connections that the directory may have open. Clients look up an address on each in milliseconds.
+const MAX_DIRECTORY_CONNECTIONS: usize = 128;
+/// Connections that each other listener may have open.
+const MAX_CONNECTIONS: usize = 64;
 const METRICS_PATH: &str = "/metrics";
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
@@ -58,12 +69,12 @@
 
 impl Admin {
     /// Opens the listeners.
-    pub async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+    pub fn bind(settings: &Settings) -> anyhow::Result<Self> {
         Ok(Self {
-            ready: bind(settings.ready_address).await?,
-            directory: bind(settings.directory_address).await?,
-            control: bind(settings.control_address).await?,
-            metrics: bind(settings.metrics_address).await?,
+            ready: bind(settings.ready_address)?,
+            directory: bind(settings.directory_address)?,
+            control: bind(settings.control_address)?,
+            metrics: bind(settings.metrics_address)?,
         })
     }
 
@@ -90,16 +101,21 @@
     /// Starts to serve on all listeners.
     pub fn start(self, node: &Arc<Node>) -> Vec<JoinHandle<()>> {
         vec![
-            tokio::spawn(serve(self.ready, route(node, names::READY_PATH, readiness))),
-            tokio::spawn(serve(self.directory, route(node, names::DIRECTORY_PATH, list_entries))),
-            tokio::spawn(serve(self.control, control(node))),
-            tokio::spawn(serve(self.metrics, route(node, METRICS_PATH, metrics))),
+            start(node, self.ready, route(node, names::READY_PATH, readiness), MAX_CONNECTIONS),
+            start(
+                node,
+                self.directory,
+                route(node, names::DIRECTORY_PATH, list_entries),
+                MAX_DIRECTORY_CONNECTIONS,
+            ),
+            start(node, self.control, control(node), MAX_CONNECTIONS),
+            start(node, self.metrics, route(node, METRICS_PATH, metrics), MAX_CONNECTIONS),
         ]
     }
 }
 
-async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("bind {address}"))
+fn start(node: &Arc<Node>, listener: TcpListener, router: Router, most: usize) -> JoinHandle<()> {
+    tokio::spawn(serve(Arc::clone(node), listener, router, most))
 }
 
 fn control(node: &Arc<Node>) -> Router {
@@ -275,12 +291,14 @@
     response
 }
 
-async fn serve(listener: TcpListener, router: Router) {
+async fn serve(node: Arc<Node>, listener: TcpListener, router: Router, most: usize) {
     let tree = Arc::new(Tree::from(router));
+    let limit = ConnectionLimit::new(&node.memory, most);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, Arc::clone(&tree)));
+                let Some(admitted) = limit.admit().await else { continue };
+                tokio::spawn(serve_connection(stream, admitted, Arc::clone(&tree)));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -290,26 +308,36 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, tree: Arc<Tree>) {
+async fn serve_connection(stream: TcpStream, admitted: AdmittedConnection, tree: Arc<Tree>) {
     let responder = Arc::new(Responder::new(tree, stream.peer_addr().ok()));
+    let memory = &admitted.memory;
     // Holds the last transfer until the connection ends or serves another request.
     let current: Arc<Mutex<Option<Arc<Transfer>>>> = Arc::default();
     let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-        let (responder, current) = (Arc::clone(&responder), Arc::clone(&current));
+        let (responder, current, memory) =
+            (Arc::clone(&responder), Arc::clone(&current), memory.clone());
         async move {
+            memory.begin_response();
             let mut response = responder.call(request).await;
             if let Ok(response) = &mut response {
                 *lock(&current) = response.extensions_mut().remove();
             }
-            response
+            response.map(|r| r.map(|body| TrackedBody::new(body, memory)))
         }
     });
+    let stream = MeteredStream::new(WriteLimit::new(stream, WRITE_TIMEOUT), memory.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    // A broken connection affects its own request only.
-    if let Err(error) = connection.await {
-        tracing::debug!(event = "admin_connection_broke", %error);
+    tokio::select! {
+        result = connection => {
+            // A broken connection affects its own request only.
+            if let Err(error) = result {
+                tracing::debug!(event = "admin_connection_broke", %error);
+            }
+        }
+        () = memory.given_up() => {}
     }
 }
--- a/crates/nutmeggrade-relay/src/instance.rs
+++ b/crates/nutmeggrade-relay/src/instance.rs
@@ -16,7 +16,7 @@
 use crate::node::{Node, Phase};
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{engine_watch, front, rollouts, ticker, version_records, watch};
+use crate::{engine_watch, front, intake, rollouts, ticker, version_records, watch};
 
 /// Fraction of the grace period after which no new connections are accepted: later ones could not
 /// finish in time.
@@ -84,10 +84,10 @@
         incarnation: u64,
         clock: Clock,
     ) -> anyhow::Result<Self> {
-        let listener = front::bind(settings.client_address)?;
+        let listener = intake::bind(settings.client_address)?;
         let (peers, forwarded) = bind_for_peers(settings.beacon_address).await?;
         let peers = Arc::new(peers);
-        let admin = Admin::bind(settings).await?;
+        let admin = Admin::bind(settings)?;
         let addresses = Addresses {
             client: listener.local_addr().context("client address")?,
             ready: admin.ready()?,
@@ -178,7 +178,7 @@
     let mut attempts = 1;
     loop {
         let peers = Peers::bind(address).await?;
-        match front::bind(peers.address()?) {
+        match intake::bind(peers.address()?) {
             Ok(listener) => return Ok((peers, listener)),
             // The port that was drawn for one protocol may be in use for the other.
             Err(_) if address.port() == 0 && attempts < MAX_PORT_DRAWS => attempts += 1,
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet_sync;
 mod front;
 mod instance;
+pub mod intake;
 mod logs;
 mod metrics;
 mod node;
@@ -37,7 +38,6 @@
 
 pub use answer_body::{AnswerBody, BodyChunk};
 pub use clock::Clock;
-pub use front::bind;
 pub use instance::{Addresses, Instance};
 pub use logs::{LogBuffer, start_writer};
 pub use server::{Signals, run};
--- a/crates/nutmeggrade-relay/src/metrics.rs
+++ b/crates/nutmeggrade-relay/src/metrics.rs
@@ -13,6 +13,7 @@
 
 use self::load::LoadMetrics;
 use self::versions::VersionMetrics;
+use crate::intake::MemoryMetrics;
 
 /// Bucket bounds of the time histograms, in seconds: from a fast call to the longest responses.
 const TIME_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
@@ -199,6 +200,11 @@
         })
     }
 
+    /// Registers the metrics of the memory that clients hold.
+    pub fn memory(&self) -> anyhow::Result<MemoryMetrics> {
+        MemoryMetrics::new(&self.registry)
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> anyhow::Result<String> {
         for (name, count) in invariant::broken() {
@@ -209,7 +215,8 @@
     }
 }
 
-fn add<C>(registry: &Registry, metric: prometheus::Result<C>) -> anyhow::Result<C>
+/// Registers a metric.
+pub fn add<C>(registry: &Registry, metric: prometheus::Result<C>) -> anyhow::Result<C>
 where
     C: Collector + Clone + 'static,
 {
--- a/crates/nutmeggrade-relay/src/node.rs
+++ b/crates/nutmeggrade-relay/src/node.rs
@@ -30,6 +30,7 @@
 use self::unreadable::ReportedObjects;
 use crate::clock::Clock;
 use crate::config_source::ConfigSource;
+use crate::intake::MemoryBudget;
 use crate::logs::LogBuffer;
 use crate::metrics::Metrics;
 use crate::open_requests::OpenRequests;
@@ -90,6 +91,8 @@
     /// Triggers an immediate heartbeat, because this instance has read changes that its neighbours
     /// wait for.
     pub heartbeat_due: Notify,
+    /// The memory that clients hold together.
+    pub memory: Arc<MemoryBudget>,
     /// Requests without a complete response; never locked together with the tables.
     pub open_requests: Arc<OpenRequests>,
     /// Checks whether services can be reached.
@@ -134,9 +137,12 @@
         }
         let fleet = FleetView::new(&settings.instance, own_addresses, &settings.seeds);
         let (outbox, outbox_receiver) = mpsc::channel(OUTBOX_CAPACITY);
+        let metrics = Metrics::new()?;
+        let memory = MemoryBudget::new(settings.memory, 0, clock, metrics.memory()?);
         Ok(Self {
             clock,
-            metrics: Metrics::new()?,
+            metrics,
+            memory: Arc::new(memory),
             tables: Mutex::new(Tables::new(dispatcher, fleet)),
             store: Store::new(settings.platform, STORE_TIMEOUT),
             read_state: ReadState::new(),
@@ -181,6 +187,7 @@
 
     /// Replaces the settings in force. Addresses stay as they were at the start.
     pub fn set_settings(&self, settings: Settings) {
+        self.memory.set_limits(settings.memory, self.map().limits.body_bytes);
         *self.settings.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
     }
 
@@ -213,6 +220,7 @@
             revision = source.revision()
         );
         self.metrics.config.set(i64::try_from(map.version).unwrap_or(i64::MAX));
+        self.memory.set_limits(self.settings().memory, map.limits.body_bytes);
         *self.config_source.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(source);
         *current = Arc::new(map);
         drop(current);
--- a/crates/nutmeggrade-relay/src/relay.rs
+++ b/crates/nutmeggrade-relay/src/relay.rs
@@ -28,6 +28,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use nutmeggrade_core::prelude::*;
@@ -35,25 +36,35 @@
 use self::client_request::ClientRequest;
 use self::refusal::RefusedRequest;
 use crate::answer_body::AnswerBody;
+use crate::intake::{ConnectionMemory, discard_body};
 use crate::node::Node;
 
 /// Serves one request. `head_bytes` holds the bytes of its head as received.
 pub async fn relay(
     node: &Arc<Node>,
     request: Request<Incoming>,
-    head_bytes: &[u8],
+    head_bytes: Bytes,
+    memory: &ConnectionMemory,
 ) -> Response<AnswerBody> {
-    serve(node, admission::admit(node, request, head_bytes).await).await
+    serve(node, admission::admit(node, request, head_bytes, memory).await).await
 }
 
 /// Serves a request that a peer forwards for one of its clients.
-pub async fn relay_forwarded(node: &Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
-    serve(node, admission::admit_forwarded(node, request).await).await
+pub async fn relay_forwarded(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    memory: &ConnectionMemory,
+) -> Response<AnswerBody> {
+    serve(node, admission::admit_forwarded(node, request, memory).await).await
 }
 
 /// Refuses a request that a peer forwards beyond its share of the connections.
-pub async fn refuse_forwarded(node: &Node, request: Request<Incoming>) -> Response<AnswerBody> {
-    admission::drop_body(node, request).await;
+pub fn refuse_forwarded(
+    node: &Node,
+    request: Request<Incoming>,
+    memory: &ConnectionMemory,
+) -> Response<AnswerBody> {
+    discard_body(request.into_body(), node.map().limits.body_bytes, memory);
     let detail = "peers have as many connections as they may have";
     let failure = Failure::new(Code::TooManyConnections, detail);
     let refused = RefusedRequest { id: None, failure };
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Request, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use nutmeggrade_core::peer::{ContentId, FORWARDED_HEADER, ForwardedRequest};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{Access, Route, RouteMap};
@@ -20,6 +19,7 @@
 use super::framing;
 use super::refusal::RefusedRequest;
 use super::shutdown;
+use crate::intake::{self, BodyError, ConnectionMemory};
 use crate::node::Node;
 use crate::tables::lock;
 
@@ -44,24 +44,27 @@
 pub async fn admit(
     node: &Arc<Node>,
     request: Request<Incoming>,
-    head_bytes: &[u8],
+    head_bytes: Bytes,
+    memory: &ConnectionMemory,
 ) -> Result<ClientRequest, RefusedRequest> {
     let arrived_at = node.now();
     let (head, body) = request.into_parts();
     let refuse_without_id = |failure| RefusedRequest { id: None, failure };
-    framing::check(&head.headers, head.version, head_bytes).map_err(refuse_without_id)?;
+    framing::check(&head.headers, head.version, &head_bytes).map_err(refuse_without_id)?;
+    drop(head_bytes);
     let parsed = request::read(&head).map_err(refuse_without_id)?;
     let id = parsed.id.clone();
     let refuse = |failure| RefusedRequest { id: Some(id.clone()), failure };
     await_start(node, arrived_at, parsed.timeout.unwrap_or(DEFAULT_TIMEOUT)).await;
     let routing = authorize(node, &node.map(), &head, &parsed).map_err(refuse)?;
-    read(node, (head, body), parsed, routing, arrived_at).await.map_err(refuse)
+    read(node, (head, body), memory, parsed, routing, arrived_at).await.map_err(refuse)
 }
 
 /// Reads a request that a peer has authorized and routed.
 pub async fn admit_forwarded(
     node: &Arc<Node>,
     request: Request<Incoming>,
+    memory: &ConnectionMemory,
 ) -> Result<ClientRequest, RefusedRequest> {
     let arrived_at = node.now();
     let (mut head, body) = request.into_parts();
@@ -74,13 +77,7 @@
     }
     let timeout = parsed.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let routing = read_forwarded(&mut head.headers, timeout).map_err(refuse)?;
-    read(node, (head, body), parsed, routing, arrived_at).await.map_err(refuse)
-}
-
-/// Reads and drops the body of a request that is refused.
-pub async fn drop_body(node: &Node, request: Request<Incoming>) {
-    let deadline = node.now().after(DEFAULT_TIMEOUT);
-    drop(read_body(node, request.into_body(), &node.map(), deadline).await);
+    read(node, (head, body), memory, parsed, routing, arrived_at).await.map_err(refuse)
 }
 
 /// Takes the routing that a peer has added to a request's headers.
@@ -119,6 +116,7 @@
 async fn read(
     node: &Arc<Node>,
     (head, body): (Parts, Incoming),
+    memory: &ConnectionMemory,
     parsed: ClientHeaders,
     routing: Routing,
     arrived_at: Moment,
@@ -129,7 +127,16 @@
     if !is_forwarded {
         shutdown::check(node, &route, parsed.prompt.as_ref(), deadline)?;
     }
-    let body = read_body(node, body, &node.map(), deadline).await?;
+    // A peer that is told of connections asks another one.
+    let full = if is_forwarded { Code::TooManyConnections } else { Code::MemoryFull };
+    let time_left = deadline.since(node.now());
+    let body = intake::read_body(body, node.map().limits.body_bytes, time_left, memory);
+    let body = body.await.map_err(|error| match error {
+        BodyError::TooLarge => Failure::new(Code::BodyTooLarge, &error.to_string()),
+        BodyError::MemoryFull => retry_later(node, full, &error.to_string()),
+        BodyError::TimedOut => Failure::new(Code::BodyTimeout, &error.to_string()),
+        BodyError::Broken(_) => Failure::new(Code::BadFraming, &error.to_string()),
+    })?;
     // A peer has to get the refusal, which is lost if the connection is reset under its body.
     if is_forwarded {
         shutdown::check(node, &route, parsed.prompt.as_ref(), deadline)?;
@@ -149,6 +156,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        memory: memory.clone(),
         config,
         service,
         workspace,
@@ -227,31 +235,3 @@
     let delay = lock(&node.tables).dispatcher.draw_retry_delay();
     Failure::new(code, detail).with_retry_after(delay)
 }
-
-/// Reads the whole body, up to the configured size and the deadline.
-async fn read_body(
-    node: &Node,
-    body: Incoming,
-    map: &RouteMap,
-    deadline: Moment,
-) -> Result<Bytes, Failure> {
-    let max_bytes = map.limits.body_bytes;
-    let too_large = || Failure::new(Code::BodyTooLarge, "the body is larger than the limit");
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large());
-    }
-    let read = Limited::new(body, max_bytes).collect();
-    tokio::select! {
-        result = read => match result {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-            Err(error) => Err(Failure::new(Code::BadFraming, &format!("body: {error}"))),
-        },
-        () = node.clock.until(deadline) => {
-            Err(Failure::new(Code::BodyTimeout, "the body did not come in time"))
-        }
-    }
-}
--- a/crates/nutmeggrade-relay/src/relay/client_request.rs
+++ b/crates/nutmeggrade-relay/src/relay/client_request.rs
@@ -11,6 +11,8 @@
 use nutmeggrade_policy::Ticket;
 use nutmeggrade_policy::dispatch::{DispatchRequest, SilenceLimits};
 
+use crate::intake::ConnectionMemory;
+
 /// Lowest priority that engines accept; requests of lower priority are sent with this one.
 const LOWEST_ENGINE_PRIORITY: u8 = 9;
 
@@ -41,6 +43,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// What the client's connection holds.
+    pub memory: ConnectionMemory,
     /// The route that matches host and path.
     pub route: Arc<Route>,
     /// Version of the configuration that routed the request; 0 if a peer routed it.
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -25,6 +25,10 @@
 use crate::node::Node;
 use crate::tables::{Tables, lock};
 
+/// Largest head of a response, and largest part of its body that is read at once. Parts of a response
+/// wait for a client that reads slowly.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why no connection could be opened; nothing was sent.
 #[derive(Debug)]
 pub enum ConnectError {
@@ -83,7 +87,9 @@
     })?;
     let stream = LimitedStream::new(stream);
     let received = stream.received();
-    let (sender, connection) = http1::handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake::<_, Full<bytes::Bytes>>(TokioIo::new(stream))
         .await
         .map_err(|e| ConnectError::Failed(e.to_string()))?;
     let task = AbortOnDrop(tokio::spawn(async move {
--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -101,7 +101,7 @@
         let body = if is_large || is_event_stream(&head) {
             ReadBody::Large(body)
         } else {
-            match response::read_body(body).await {
+            match response::read_body(body, &self.request.memory).await {
                 Ok(body) => body,
                 Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
             }
@@ -154,7 +154,7 @@
         peer: &InstanceId,
         body: UpstreamBody,
     ) -> Result<Forwarded, Failure> {
-        let failure = match response::read_body(body).await {
+        let failure = match response::read_body(body, &self.request.memory).await {
             Ok(ReadBody::Whole(body)) => {
                 serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
             }
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -278,7 +278,7 @@
         let endpoint = reservation.endpoint.id.clone();
         let EndpointResponse { head, parsed, body, sent_at } = response;
         let begun_at = self.node.now();
-        let body = match response::read_body(body).await {
+        let body = match response::read_body(body, &self.request.memory).await {
             Ok(ReadBody::Whole(body)) => body,
             Ok(ReadBody::Large(body)) => {
                 let response = EndpointResponse { head, parsed, body, sent_at };
--- a/crates/nutmeggrade-relay/src/relay/refusal.rs
+++ b/crates/nutmeggrade-relay/src/relay/refusal.rs
@@ -71,8 +71,15 @@
     if let Some(delay) = failure.retry_after {
         answer::write_retry_after(headers, delay);
     }
-    if matches!(failure.code, Code::BadFraming | Code::BodyTooLarge | Code::BodyTimeout) {
-        // The start of the next request on this connection is unknown.
+    if matches!(
+        failure.code,
+        Code::BadFraming
+            | Code::BodyTooLarge
+            | Code::BodyTimeout
+            | Code::MemoryFull
+            | Code::TooManyConnections
+    ) {
+        // The start of the next request on this connection is unknown, or its body is dropped.
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
 use nutmeggrade_core::failure::CODE_HEADER;
@@ -16,6 +16,7 @@
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
 use crate::answer_body::{AnswerBody, BodyChunk};
+use crate::intake::{BodyBuffer, ConnectionMemory};
 use crate::node::Node;
 
 /// Largest body that is read completely before it is forwarded. If it breaks off, the request can
@@ -41,21 +42,25 @@
     Large(UpstreamBody),
 }
 
-/// Reads a body completely, unless it is larger than [`MAX_BUFFERED_BYTES`].
+/// Reads a body completely, unless it is larger than [`MAX_BUFFERED_BYTES`] or than the client's
+/// connection may hold.
 ///
 /// # Errors
 ///
 /// Fails with the reason if the body breaks off.
-pub async fn read_body(mut upstream: UpstreamBody) -> Result<ReadBody, String> {
-    let mut body = BytesMut::new();
+pub async fn read_body(
+    mut upstream: UpstreamBody,
+    memory: &ConnectionMemory,
+) -> Result<ReadBody, String> {
+    let mut body = BodyBuffer::new(memory, MAX_BUFFERED_BYTES, "response");
     while let Some(chunk) = upstream.next().await {
-        body.extend_from_slice(&chunk.map_err(|e| e.to_string())?);
-        if body.len() > MAX_BUFFERED_BYTES {
-            upstream.put_back(body.freeze());
+        let chunk = chunk.map_err(|e| e.to_string())?;
+        if !body.fits(chunk.len()) || body.push(&chunk).is_err() {
+            upstream.put_back([body.into_bytes(), chunk]);
             return Ok(ReadBody::Large(upstream));
         }
     }
-    Ok(ReadBody::Whole(body.freeze()))
+    Ok(ReadBody::Whole(body.into_bytes()))
 }
 
 /// Forwards a large body in the background as it is received.
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -1,5 +1,7 @@
 //! The body of an endpoint's response.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::BodyExt;
@@ -26,7 +28,7 @@
 pub struct UpstreamBody {
     body: Incoming,
     framing: BodyFraming,
-    unread: Option<Bytes>,
+    unread: VecDeque<Bytes>,
     received: ReceivedBytes,
     _connection: AbortOnDrop<()>,
 }
@@ -40,12 +42,12 @@
         connection: AbortOnDrop<()>,
     ) -> Self {
         let framing = answer::read_framing(headers);
-        Self { body, framing, unread: None, received, _connection: connection }
+        Self { body, framing, unread: VecDeque::new(), received, _connection: connection }
     }
 
-    /// Puts bytes back, which are then the next to be read.
-    pub fn put_back(&mut self, bytes: Bytes) {
-        self.unread = Some(bytes);
+    /// Puts parts back, which are then the next to be read.
+    pub fn put_back(&mut self, parts: [Bytes; 2]) {
+        self.unread.extend(parts.into_iter().filter(|p| !p.is_empty()));
     }
 
     /// Returns how the response states where the body ends.
@@ -60,7 +62,7 @@
     ///
     /// Fails if the body breaks off.
     pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        if let Some(bytes) = self.unread.take() {
+        if let Some(bytes) = self.unread.pop_front() {
             return Some(Ok(bytes));
         }
         loop {
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -6,7 +6,6 @@
 mod listener;
 mod reply;
 mod services;
-mod write_limit;
 
 use std::sync::Arc;
 
@@ -17,7 +16,7 @@
 use crate::node::{Node, Phase};
 
 pub use listener::{Limits, listen};
-pub use nutmeggrade_relay::bind;
+pub use nutmeggrade_relay::intake::bind;
 pub use reply::{Reply, failure, json, result_code};
 
 /// Serves callers until a planned stop drains the instance and every connection has ended.
--- a/crates/nutmeggrade/src/front/listener.rs
+++ b/crates/nutmeggrade/src/front/listener.rs
@@ -12,13 +12,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_relay::intake::WriteLimit;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 use viz::{Body, Responder, Router, Tree};
 
 use super::reply::failure;
-use super::write_limit::WriteLimit;
+
 use crate::node::Phase;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
--- a/tests/crowds/caller_crowds.rs
+++ b/tests/crowds/caller_crowds.rs
@@ -39,6 +39,7 @@
     let process = fleet.process(NODE)?;
     anyhow::ensure!(process.exit_status()?.is_none(), "the process has ended");
     let memory = peak_memory(process.id())?;
+    println!("at most {} MB of memory", memory >> 20);
     anyhow::ensure!(memory < MEMORY_MB << 20, "{} MB of memory, {MEMORY_MB} allowed", memory >> 20);
     let descriptors = open_descriptors(process.id())?;
     anyhow::ensure!(descriptors < DESCRIPTORS, "{descriptors} descriptors");
--- a/tests/crowds/relay_crowds.rs
+++ b/tests/crowds/relay_crowds.rs
@@ -60,6 +60,7 @@
 fn ensure_within_limits(host: &mut RelayHost) -> anyhow::Result<()> {
     anyhow::ensure!(host.is_running()?, "the process has ended");
     let memory = peak_memory(host.process_id())?;
+    println!("at most {} MB of memory", memory >> 20);
     anyhow::ensure!(memory < MEMORY_MB << 20, "{} MB of memory, {MEMORY_MB} allowed", memory >> 20);
     let descriptors = open_descriptors(host.process_id())?;
     anyhow::ensure!(descriptors < DESCRIPTORS, "{descriptors} descriptors");
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -17,6 +17,7 @@
 mod fleet_rules;
 mod gaps;
 mod holds;
+mod intake;
 mod large_pools;
 mod lengths;
 mod load_table;
