Bound the memory that all callers of the own interface hold together

Callers saw an instance end under bodies of legal size that stopped short of their end or waited for an engine. 64 large bodies were read at a time, whatever their size and the memory; once read, they were not counted, nor were bodies of up to 64 KB, heads, and answers that nobody read. The admin address read bodies of 1 MB from strangers on 64 connections.

The prompt's body is freed once it is parsed.

--- a/crates/nutmeggrade/src/admin.rs
+++ b/crates/nutmeggrade/src/admin.rs
@@ -16,6 +16,7 @@
 use nutmeggrade_core::peer::SYNC_PATH;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
+use nutmeggrade_relay::intake::ConnectionLimit;
 use tokio::net::TcpListener;
 use viz::{Request, Router, types};
 
@@ -40,12 +41,12 @@
         .with(types::State::new(Arc::clone(&node)));
     // Stays available during a planned stop, so that operators and probes can observe it.
     let limits = Limits {
-        connections: MAX_CONNECTIONS,
+        connections: ConnectionLimit::new(&node.memory, MAX_CONNECTIONS),
         header_wait: HEADER_TIMEOUT,
         write_wait: node.settings.write_wait,
         until: Phase::Stopped,
     };
-    listen(socket, router, &limits, node.watch_phase()).await;
+    listen(socket, router, limits, node.watch_phase()).await;
 }
 
 /// Returns an error for a request without the operators' token.
--- a/crates/nutmeggrade/src/admin/config.rs
+++ b/crates/nutmeggrade/src/admin/config.rs
@@ -4,13 +4,13 @@
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
 use serde_json::json;
-use viz::{Request, RequestLimitsExt};
+use viz::Request;
 
-use crate::front::{Reply, failure, json as json_reply};
+use crate::front::{Reply, body, failure, json as json_reply};
 use crate::tables::lock;
 
 /// Maximum size of a configuration: the platform's limit on a value.
-const MAX_CONFIG_BYTES: u64 = 1 << 20;
+const MAX_CONFIG_BYTES: usize = 1 << 20;
 
 /// Puts a configuration in force that the platform has accepted; returns the version in force.
 pub async fn post<P: Platform>(mut req: Request) -> Reply {
@@ -18,9 +18,9 @@
     if let Err(refusal) = super::authorize(&node, &req) {
         return Ok(failure(&refusal));
     }
-    let body = match req.bytes_with(None, MAX_CONFIG_BYTES).await {
+    let body = match body::read(&node, &mut req, MAX_CONFIG_BYTES).await {
         Ok(body) => body,
-        Err(e) => return Ok(failure(&Failure::new(Code::BodyTooLarge, &e.to_string()))),
+        Err(refusal) => return Ok(failure(&refusal)),
     };
     match serde_json::from_slice::<Configuration>(&body) {
         Ok(config) => {
--- a/crates/nutmeggrade/src/admin/sync.rs
+++ b/crates/nutmeggrade/src/admin/sync.rs
@@ -3,18 +3,18 @@
 use nutmeggrade_core::peer::{MAX_FRAME_BYTES, SyncReply, SyncRequest, SyncTopic, open, seal};
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::Platform;
-use viz::{Request, RequestLimitsExt, Response};
+use viz::{Request, Response};
 
-use crate::front::{Reply, failure};
+use crate::front::{Reply, body, failure};
 use crate::node::Node;
 use crate::tables::lock;
 
 /// Handles a request that is authenticated with the peer key, and adds its sender as a peer.
 pub async fn post<P: Platform>(mut req: Request) -> Reply {
     let node = super::node::<P>(&req)?;
-    let body = match req.bytes_with(None, MAX_FRAME_BYTES as u64).await {
+    let body = match body::read(&node, &mut req, MAX_FRAME_BYTES).await {
         Ok(body) => body,
-        Err(e) => return Ok(failure(&Failure::new(Code::BodyTooLarge, &e.to_string()))),
+        Err(refusal) => return Ok(failure(&refusal)),
     };
     let key = node.peer_key();
     let request = match open::<SyncRequest>(&body, &key) {
--- a/crates/nutmeggrade/src/front.rs
+++ b/crates/nutmeggrade/src/front.rs
@@ -1,6 +1,6 @@
 //! HTTP API for callers: listener, routes and responses.
 
-mod body;
+pub mod body;
 mod completions;
 mod entries;
 mod listener;
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use nutmeggrade_platform::Platform;
+use nutmeggrade_relay::intake::ConnectionLimit;
 use tokio::net::TcpListener;
 use viz::{Request, RequestExt, Router, types};
 
@@ -28,12 +29,12 @@
         .any("/*", reply::not_found)
         .with(types::State::new(Arc::clone(&node)));
     let limits = Limits {
-        connections: node.settings.connections,
+        connections: ConnectionLimit::new(&node.memory, node.settings.connections),
         header_wait: node.settings.header_wait,
         write_wait: node.settings.write_wait,
         until: Phase::Draining,
     };
-    listen(socket, router, &limits, node.watch_phase()).await;
+    listen(socket, router, limits, node.watch_phase()).await;
 }
 
 /// Returns the instance from the state of a request, in the API of callers or of operators.
--- a/crates/nutmeggrade/src/front/completions.rs
+++ b/crates/nutmeggrade/src/front/completions.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures::stream;
 use nutmeggrade_core::event_id::EventId;
 use nutmeggrade_core::prelude::*;
@@ -24,8 +25,8 @@
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
     caller::ensure_request_id(req.headers_mut());
-    let result = match body::read(&node, &mut req).await {
-        Ok(body) => complete(&node, &req, &body).await,
+    let result = match body::read(&node, &mut req, node.settings.max_body()).await {
+        Ok(body) => complete(&node, &req, body).await,
         Err(failure) => Err(failure),
     };
     let code = reply::result_code(&result);
@@ -45,11 +46,14 @@
 async fn complete<P: Platform>(
     node: &Arc<Node<P>>,
     req: &Request,
-    body: &[u8],
+    body: Bytes,
 ) -> Result<Response, Failure> {
     let headers = req.headers();
     caller::workspace(headers)?;
-    let mut completion = Completion::parse(body)?;
+    let mut completion = Completion::parse(&body)?;
+    drop(body);
+    // The prompt is encoded once more for the engine.
+    body::hold(node, req, completion.prompt.len())?;
     let config = lock(&node.tables.config).current();
     let preset = config.as_ref().and_then(|c| c.preset());
     let Some(preset) = preset else {
--- a/crates/nutmeggrade/src/front/listener.rs
+++ b/crates/nutmeggrade/src/front/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections within limits and closes them gracefully.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,14 +13,15 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_relay::intake::WriteLimit;
+use nutmeggrade_relay::intake::{
+    ConnectionLimit, ConnectionMemory, MeteredStream, TrackedBody, WriteLimit,
+};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 use viz::{Body, Responder, Router, Tree};
 
 use super::reply::failure;
-
 use crate::node::Phase;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
@@ -30,10 +32,10 @@
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 /// Limits on connections, and the phase that ends them.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct Limits {
-    /// Maximum number of concurrent connections.
-    pub connections: usize,
+    /// Concurrent connections, and the memory that they share with those of other listeners.
+    pub connections: ConnectionLimit,
     /// Timeout for a request's head, which also applies to an idle connection.
     pub header_wait: Duration,
     /// Maximum time in which a caller reads no byte of its response.
@@ -49,31 +51,30 @@
 pub async fn listen(
     socket: TcpListener,
     router: Router,
-    limits: &Limits,
+    limits: Limits,
     mut phase: watch::Receiver<Phase>,
 ) {
+    let until = limits.until;
     let server = Server {
         tree: Arc::new(Tree::from(router)),
         graceful: GracefulShutdown::new(),
-        limits: *limits,
+        limits,
         phase: phase.clone(),
     };
-    let permits = Arc::new(Semaphore::new(limits.connections));
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
-    let until = limits.until;
     loop {
         let accepted = tokio::select! {
             accepted = accept(&socket) => accepted,
             _ = phase.wait_for(|p| *p >= until) => break,
         };
         if let Some(stream) = accepted {
-            server.admit(stream, &permits, &refusals).await;
+            server.admit(stream, &refusals).await;
         }
     }
     // Closing the socket would reset connections that the kernel has already accepted, and their
     // callers could not tell whether their requests ran.
     while let Some(Some(stream)) = accept(&socket).now_or_never() {
-        server.admit(stream, &permits, &refusals).await;
+        server.admit(stream, &refusals).await;
     }
     drop(socket);
     server.graceful.shutdown().await;
@@ -105,51 +106,74 @@
     ///
     /// To its caller, a connection in the listen queue looks established: the caller would wait for
     /// its whole deadline instead of trying another entry.
-    async fn admit(&self, stream: TcpStream, permits: &Arc<Semaphore>, refusals: &Arc<Semaphore>) {
-        if let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+    async fn admit(&self, stream: TcpStream, refusals: &Arc<Semaphore>) {
+        if let Some(admitted) = self.limits.connections.admit().await {
             let responder = Responder::new(Arc::clone(&self.tree), stream.peer_addr().ok());
             let responder = Arc::new(responder);
             let phase = self.phase.clone();
-            let service = service_fn(move |req: Request<Incoming>| {
-                let responder = Arc::clone(&responder);
+            let memory = admitted.memory.clone();
+            let service = service_fn(move |mut req: Request<Incoming>| {
+                let (responder, memory) = (Arc::clone(&responder), memory.clone());
                 let phase = phase.clone();
                 async move {
+                    memory.begin_body();
+                    req.extensions_mut().insert(memory.clone());
                     let mut response = responder.call(req).await?;
                     // Checked last: keep-alive connections must not outlast the leaving phase.
-                    if *phase.borrow() > Phase::Serving {
+                    if *phase.borrow() > Phase::Serving || memory.is_between_requests() {
                         set_close(&mut response);
                     }
-                    Ok::<_, Infallible>(response)
+                    Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, memory)))
                 }
             });
-            self.spawn(stream, service, permit);
+            let memory = admitted.memory.clone();
+            let stream = MeteredStream::new(self.limit_writes(stream), memory.clone());
+            let connection =
+                self.graceful.watch(self.http().serve_connection(TokioIo::new(stream), service));
+            tokio::spawn(async move {
+                serve_until_given_up(connection, &memory).await;
+                drop(admitted);
+            });
         } else if let Ok(permit) = Arc::clone(refusals).acquire_owned().await {
             let retry_after = self.limits.header_wait;
             let service = service_fn(move |_| async move {
                 Ok::<_, Infallible>(too_many_connections(retry_after))
             });
-            self.spawn(stream, service, permit);
+            let stream = TokioIo::new(self.limit_writes(stream));
+            let connection = self.graceful.watch(self.http().serve_connection(stream, service));
+            tokio::spawn(async move {
+                // Only the refusal itself can be lost.
+                drop(connection.await);
+                drop(permit);
+            });
         }
     }
 
-    fn spawn<S>(&self, stream: TcpStream, service: S, permit: OwnedSemaphorePermit)
-    where
-        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
-        S: Send + 'static,
-        S::Future: Send + 'static,
-    {
-        let stream = WriteLimit::new(stream, self.limits.write_wait);
-        let connection = http1::Builder::new()
+    fn limit_writes(&self, stream: TcpStream) -> WriteLimit<TcpStream> {
+        WriteLimit::new(stream, self.limits.write_wait)
+    }
+
+    fn http(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.header_wait)
-            .max_buf_size(MAX_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
-        tokio::spawn(async move {
-            // A connection error affects only its own request, which the handler has logged.
-            drop(connection.await);
-            drop(permit);
-        });
+            .max_buf_size(MAX_BUFFER_BYTES);
+        builder
+    }
+}
+
+/// Serves a connection until it ends or, between its requests, is given up for others.
+async fn serve_until_given_up<C: Future>(connection: C, memory: &ConnectionMemory) {
+    let mut connection = pin!(connection);
+    tokio::select! {
+        // A connection error affects only its own request, which the handler has logged.
+        _ = connection.as_mut() => return,
+        () = memory.given_up() => {}
+    }
+    // A request that is being received is refused, which closes the connection.
+    if !memory.is_between_requests() {
+        connection.await;
     }
 }
 
--- a/crates/nutmeggrade/src/front/services.rs
+++ b/crates/nutmeggrade/src/front/services.rs
@@ -22,7 +22,7 @@
 pub async fn post<P: Platform>(mut req: Request) -> reply::Reply {
     let node = super::node::<P>(&req)?;
     caller::ensure_request_id(req.headers_mut());
-    let result = match body::read(&node, &mut req).await {
+    let result = match body::read(&node, &mut req, node.settings.max_body()).await {
         Ok(body) => serve(&node, &req, body).await,
         Err(failure) => Err(failure),
     };
--- a/crates/nutmeggrade/src/metrics.rs
+++ b/crates/nutmeggrade/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an instance.
 
 use anyhow::Context;
+use nutmeggrade_relay::intake::MemoryMetrics;
 use nutmeggrade_state::invariant;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
@@ -56,6 +57,11 @@
 }
 
 impl Metrics {
+    /// Registers the metrics of the memory that clients hold.
+    pub fn memory(&self) -> anyhow::Result<MemoryMetrics> {
+        MemoryMetrics::new(&self.registry)
+    }
+
     /// Creates and registers all metrics.
     pub fn new() -> anyhow::Result<Self> {
         let registry = Registry::new_custom(Some("nutmeggrade".to_owned()), None)?;
--- a/crates/nutmeggrade/src/node.rs
+++ b/crates/nutmeggrade/src/node.rs
@@ -15,6 +15,7 @@
 use crate::settings::Settings;
 use crate::tables::{Tables, lock};
 use nutmeggrade_relay::Clock;
+use nutmeggrade_relay::intake::MemoryBudget;
 
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,6 +49,8 @@
     pub peers: Arc<Peers>,
     /// Client of the model engines.
     pub engines: EngineClient,
+    /// The memory that clients hold together.
+    pub memory: Arc<MemoryBudget>,
     /// Exposed metrics.
     pub metrics: Metrics,
     /// Key that authenticates event ids.
@@ -68,15 +71,19 @@
         platform: P,
         peers: &Arc<Peers>,
     ) -> anyhow::Result<Self> {
+        let (clock, metrics) = (Clock::new(), Metrics::new()?);
+        let memory =
+            MemoryBudget::new(settings.memory, settings.max_body(), clock, metrics.memory()?);
         Ok(Self {
             settings: settings.clone(),
             entry: entry.clone(),
-            clock: Clock::new(),
+            clock,
+            memory: Arc::new(memory),
             tables: Tables::new(settings, entry, entry.incarnation),
             platform,
             peers: Arc::clone(peers),
             engines: EngineClient::new(settings.connect),
-            metrics: Metrics::new()?,
+            metrics,
             event_key: settings.peer_key.key("event ids"),
             queue_wakeup: Notify::new(),
             heartbeat_wakeup: Notify::new(),
--- a/crates/nutmeggrade/src/settings.rs
+++ b/crates/nutmeggrade/src/settings.rs
@@ -77,6 +77,8 @@
     .with_default("2000"),
     SettingSpec::new("connections", range("1", 1, 1_000_000), "most connections of callers")
         .with_default("4096"),
+    SettingSpec::new("memory", range("MB", 16, 1 << 20), "memory that the process may use")
+        .with_default("256"),
     SettingSpec::new("body", range("bytes", 1_024, 64 << 20), "largest body of a caller")
         .with_default("1048576"),
     SettingSpec::new(
@@ -176,6 +178,8 @@
     pub platform_wait: Duration,
     /// Maximum number of connections of callers.
     pub connections: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Maximum size of a request body, in bytes.
     pub body: u64,
     /// Timeout for a request's head, its body, and an idle connection.
@@ -208,6 +212,11 @@
         if errors.is_empty() { Ok(settings) } else { Err(errors) }
     }
 
+    /// Returns the maximum size of a request body, in bytes.
+    pub fn max_body(&self) -> usize {
+        usize::try_from(self.body).unwrap_or(usize::MAX)
+    }
+
     /// Returns the help text with every setting.
     pub fn usage(summary: &str) -> String {
         let secrets = SPECS.iter().filter(|s| s.kind == SettingKind::Secret);
@@ -245,6 +254,7 @@
             stall: values.millis("stall"),
             platform_wait: values.millis("platform-wait"),
             connections: size("connections")?,
+            memory: usize::try_from(values.number("memory") << 20).context("--memory")?,
             body: values.number("body"),
             header_wait: values.millis("header-wait"),
             write_wait: values.millis("write-wait"),
--- a/crates/nutmeggrade/src/settings/conflicts.rs
+++ b/crates/nutmeggrade/src/settings/conflicts.rs
@@ -12,6 +12,10 @@
 /// count as gone.
 const MIN_SILENT_INTERVALS: u32 = 2;
 
+/// Minimum of `memory` as a multiple of `body`: half of it is for clients, and a body that grows needs
+/// more than its size.
+const MEMORY_PER_BODY: u64 = 8;
+
 impl Settings {
     /// Returns an error for each contradiction.
     pub(super) fn conflicts(&self) -> Vec<SettingError> {
@@ -33,6 +37,10 @@
             self.fence <= self.silence,
             "--fence must be longer than --silence, or work is refused before peers are connected",
         );
+        check(
+            self.body.saturating_mul(MEMORY_PER_BODY) > self.memory as u64,
+            "--memory must be at least eight times --body, or a single body fills it",
+        );
         check(self.shares_address(), "two of the listening addresses are the same");
         errors
     }
--- a/tests/suite/operators/metrics.rs
+++ b/tests/suite/operators/metrics.rs
@@ -9,8 +9,18 @@
 use crate::support::{fleet, run};
 
 const PAGE_PATH: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/operators/metrics.md");
-const CODE_PATH: &str =
-    concat!(env!("CARGO_MANIFEST_DIR"), "/../crates/nutmeggrade/src/metrics.rs");
+const CODE_PATHS: [&str; 2] = [
+    concat!(env!("CARGO_MANIFEST_DIR"), "/../crates/nutmeggrade/src/metrics.rs"),
+    concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../crates/nutmeggrade-relay/src/intake/memory_metrics.rs"
+    ),
+];
+
+/// Returns the code that registers metrics.
+fn code() -> String {
+    CODE_PATHS.map(|path| fs::read_to_string(path).expect("read code")).concat()
+}
 
 /// Returns the metric names in the first column of the tables of the page.
 fn documented() -> BTreeSet<String> {
@@ -41,7 +51,7 @@
 
 #[rstest]
 fn page_names_nothing_else() {
-    let code = fs::read_to_string(CODE_PATH).expect("read code");
+    let code = code();
     for listed in documented() {
         let unprefixed = listed.trim_start_matches("nutmeggrade_");
         assert!(code.contains(&format!("\"{unprefixed}\"")), "{listed} is not a metric");
@@ -51,7 +61,7 @@
 /// Returns the metric names that the code registers; a metric with labels is exported only once it
 /// has a value.
 fn registered() -> BTreeSet<String> {
-    let text = fs::read_to_string(CODE_PATH).expect("read code");
+    let text = code();
     let after = |kind: &str| -> Vec<String> {
         let starts = text.split(kind).skip(1);
         starts.filter_map(|t| t.trim_start().strip_prefix('"')).filter_map(name).collect()
