--- a/tests/suite/policy/intake.rs
+++ b/tests/suite/policy/intake.rs
@@ -64,9 +64,9 @@
     let mut world = World::new();
     world.fill();
     assert_eq!(world.request(LARGE), Err(MemoryFull));
-    assert!(world.request(4 << 10).is_ok());
+    world.request(4 << 10).expect("a small request fits");
     while world.request(32 << 10).is_ok() {}
-    assert!(world.connect().is_ok());
+    world.connect().expect("a connection fits");
     assert!(world.memory.used() <= LIMIT);
 }
 
@@ -108,7 +108,7 @@
             world.receive(*id, 1);
         }
     }
-    assert!(world.request(LARGE).is_ok());
+    world.request(LARGE).expect("a stalled request is given up");
 }
 
 // A request that may run is given up, and its refusal says that it has not run.
