Bound the connections of the other addresses by the descriptors, and the kernel's buffers towards endpoints

The kernel kept up to megabytes of a request that an endpoint reads slowly, and of an answer for a slow client, which nothing counts; connections to endpoints have buffers of 128 KiB in each direction.

A test lets four crowds come and go and checks that memory and descriptors are free again.

--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -11,10 +11,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::TransferError;
+use crate::{TransferError, connect_bounded};
 
 /// Longest time for a body that keeps coming.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
@@ -79,7 +78,7 @@
     connect_timeout: Duration,
     may_send: impl FnOnce() -> anyhow::Result<()>,
 ) -> Result<Response<Incoming>, CallError> {
-    let stream = match timeout(connect_timeout, TcpStream::connect(address)).await {
+    let stream = match timeout(connect_timeout, connect_bounded(address)).await {
         Ok(Ok(s)) => s,
         Ok(Err(e)) => {
             return Err(CallError::NotSent(
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! for the real service. [`call`] opens a new connection for each request, so that a failure shows
 //! whether any byte of the request was passed to the transport.
 
+mod bounded_socket;
 mod call;
 mod call_counters;
 mod config_retention;
@@ -16,6 +17,7 @@
 mod traffic;
 mod transfer_error;
 
+pub use bounded_socket::connect_bounded;
 pub use call::{CallError, body_bytes, call, call_if, json_body, transfer_bytes};
 pub use call_counters::CallCounters;
 pub use config_retention::{VERSIONS_WITH_PRESETS, strip_old_presets};
--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -1,6 +1,7 @@
 //! Serves readiness, the directory of instances, peers' requests and metrics.
 
 use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -45,10 +46,11 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest head of a request.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
-/// Connections that the directory may have open. Clients look up an address on each in milliseconds.
-const MAX_DIRECTORY_CONNECTIONS: usize = 128;
-/// Connections that each other listener may have open.
-const MAX_CONNECTIONS: usize = 64;
+/// Share of the file descriptors, as a divisor, that connections to the directory may use, and as many
+/// those to the control address.
+const DESCRIPTOR_SHARE_DIVISOR: usize = 32;
+/// Fewest and most connections of one of these listeners. Each takes milliseconds.
+const CONNECTION_RANGE: RangeInclusive<usize> = 16..=128;
 const METRICS_PATH: &str = "/metrics";
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
@@ -100,20 +102,27 @@
 
     /// Starts to serve on all listeners.
     pub fn start(self, node: &Arc<Node>) -> Vec<JoinHandle<()>> {
+        let most = connection_limit(node.settings().descriptors);
         vec![
-            start(node, self.ready, route(node, names::READY_PATH, readiness), MAX_CONNECTIONS),
-            start(
-                node,
-                self.directory,
-                route(node, names::DIRECTORY_PATH, list_entries),
-                MAX_DIRECTORY_CONNECTIONS,
-            ),
-            start(node, self.control, control(node), MAX_CONNECTIONS),
-            start(node, self.metrics, route(node, METRICS_PATH, metrics), MAX_CONNECTIONS),
+            start(node, self.ready, route(node, names::READY_PATH, readiness), most / 2),
+            start(node, self.directory, route(node, names::DIRECTORY_PATH, list_entries), most),
+            start(node, self.control, control(node), most),
+            start(node, self.metrics, route(node, METRICS_PATH, metrics), most / 2),
         ]
     }
 }
 
+/// Returns the connections that all these listeners may have open together.
+pub fn connections(descriptors: usize) -> usize {
+    connection_limit(descriptors) * 3
+}
+
+/// Returns the connections that the directory may have open.
+fn connection_limit(descriptors: usize) -> usize {
+    let share = descriptors / DESCRIPTOR_SHARE_DIVISOR;
+    share.clamp(*CONNECTION_RANGE.start(), *CONNECTION_RANGE.end())
+}
+
 fn start(node: &Arc<Node>, listener: TcpListener, router: Router, most: usize) -> JoinHandle<()> {
     tokio::spawn(serve(Arc::clone(node), listener, router, most))
 }
--- a/crates/nutmeggrade-relay/src/connect.rs
+++ b/crates/nutmeggrade-relay/src/connect.rs
@@ -6,6 +6,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use nutmeggrade_platform::connect_bounded;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -37,7 +38,7 @@
         .iter()
         .map(|wait| async move {
             sleep(*wait).await;
-            TcpStream::connect(address).await
+            connect_bounded(address).await
         })
         .collect();
     let first = async {
--- a/crates/nutmeggrade-relay/src/front.rs
+++ b/crates/nutmeggrade-relay/src/front.rs
@@ -14,14 +14,15 @@
 use tokio::time::sleep;
 
 use self::origin::Origin;
+use crate::admin;
 use crate::connect::set_socket_options;
 use crate::intake::ConnectionLimit;
 use crate::node::{Node, Phase};
 
 /// Delay after a failed accept, such as when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// File descriptors reserved for files, the other listeners and their connections, the store and peers.
-const RESERVED_DESCRIPTORS: usize = 400;
+/// File descriptors reserved for files, listeners, the store and peers.
+const RESERVED_DESCRIPTORS: usize = 100;
 /// File descriptors of a client with a request: its connection and the one to the endpoint.
 const DESCRIPTORS_PER_CLIENT: usize = 2;
 /// Share of the connections that peers may use for the requests that they forward, as a divisor. The
@@ -66,8 +67,8 @@
 
 fn connection_limit(node: &Node) -> usize {
     let settings = node.settings();
-    let descriptor_limit =
-        settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CLIENT;
+    let reserved = RESERVED_DESCRIPTORS + admin::connections(settings.descriptors);
+    let descriptor_limit = settings.descriptors.saturating_sub(reserved) / DESCRIPTORS_PER_CLIENT;
     let memory_limit = settings.memory / 2 / REQUEST_BYTES;
     descriptor_limit.min(memory_limit).max(1)
 }
--- a/tests/crowds/relay_crowds.rs
+++ b/tests/crowds/relay_crowds.rs
@@ -208,3 +208,32 @@
         ensure_within_limits(&mut setup.host)
     });
 }
+
+// Crowds come and go, and each leaves memory or descriptors behind that no later client can use.
+#[rstest]
+fn nothing_stays_after_crowds_have_left() {
+    run_alone(async {
+        let mut setup = start(Behaviour::Answer).await?;
+        let client = setup.host.address(Listener::Client);
+        let before = open_descriptors(setup.host.process_id())?;
+        let requests = [
+            head("read").with_body(Framing::Whole, BODY_BYTES).without_end(),
+            head("read").with_body(Framing::Chunks(1), 128 << 10).without_end(),
+            head("read").with_body(Framing::Whole, BODY_BYTES),
+            CrowdRequest::new(&format!("GET /{}", "a".repeat(7 << 10))),
+        ];
+        for request in &requests {
+            setup.desks.iter().for_each(|d| d.set(Behaviour::Hang));
+            let crowd = Crowd::send(client, 120, request).await;
+            ensure_sound(&mut setup, &crowd).await?;
+        }
+        let is_left = async || {
+            let descriptors = open_descriptors(setup.host.process_id())?;
+            // The request for the metrics holds a connection.
+            let held = setup.host.metric("client_memory_bytes").await?;
+            Ok(descriptors <= before + 1 && held < 64 << 10)
+        };
+        until("memory and descriptors are free again", is_left).await?;
+        ensure_within_limits(&mut setup.host)
+    });
+}
