Keep bodies of unknown length in segments of one size

Cause: a buffer that doubles frees a piece of each size on its way, which the allocator can't use for the next one, in each of its arenas.

Change: segments of 64 KiB, joined when the body is complete. The copy is accounted for; an answer for which there is no memory is passed on in its segments.

A test sends a body in chunks of nine sizes and compares what arrives.

--- a/crates/nutmeggrade-relay/src/intake/body_buffer.rs
+++ b/crates/nutmeggrade-relay/src/intake/body_buffer.rs
@@ -5,8 +5,11 @@
 
 use super::connection_memory::ConnectionMemory;
 
-/// First allocation of a body of unknown length.
+/// Size of the first segment of a body of unknown length, which most bodies fit into.
 const FIRST_BYTES: usize = 4 << 10;
+/// Size of the further segments. Freed segments of one size are used again for other bodies; buffers that
+/// double leave the allocator with gaps of all sizes.
+const SEGMENT_BYTES: usize = 64 << 10;
 
 /// A buffer that grows within the memory of its connection.
 ///
@@ -14,7 +17,8 @@
 /// which for a chunk of one byte is thousands of times as large.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    bytes: Vec<u8>,
+    segments: Vec<Vec<u8>>,
+    length: usize,
     max_bytes: usize,
     memory: ConnectionMemory,
     purpose: &'static str,
@@ -23,7 +27,7 @@
 impl BodyBuffer {
     /// Creates an empty buffer for at most `max_bytes`.
     pub fn new(memory: &ConnectionMemory, max_bytes: usize, purpose: &'static str) -> Self {
-        Self { bytes: Vec::new(), max_bytes, memory: memory.clone(), purpose }
+        Self { segments: Vec::new(), length: 0, max_bytes, memory: memory.clone(), purpose }
     }
 
     /// Allocates memory for a body of a known length, so that it is refused before it is sent rather
@@ -33,42 +37,64 @@
     ///
     /// Fails if the memory is full.
     pub fn reserve(&mut self, length: usize) -> Result<(), MemoryFull> {
-        self.reallocate(length)
+        self.add_segment(length)
     }
 
     /// Returns whether a part of this size fits.
     pub fn fits(&self, part: usize) -> bool {
-        self.bytes.len() + part <= self.max_bytes
+        self.length + part <= self.max_bytes
     }
 
-    /// Appends a part.
+    /// Appends a part as a whole.
     ///
     /// # Errors
     ///
-    /// Fails if the memory is full.
+    /// Fails if the memory is full; nothing was appended then.
     pub fn push(&mut self, part: &[u8]) -> Result<(), MemoryFull> {
-        let needed = self.bytes.len() + part.len();
-        if needed > self.bytes.capacity() {
-            let doubled = FIRST_BYTES.max(self.bytes.capacity() * 2).min(self.max_bytes);
-            self.reallocate(doubled.max(needed))?;
+        let room = self.segments.last().map_or(0, |s| s.capacity() - s.len());
+        let (into_last, rest) = part.split_at(room.min(part.len()));
+        if !rest.is_empty() {
+            let size = if self.segments.is_empty() { FIRST_BYTES } else { SEGMENT_BYTES };
+            let last = self.segments.len();
+            self.add_segment(size.max(rest.len()))?;
+            self.segments[last].extend_from_slice(rest);
+            if let Some(previous) = last.checked_sub(1) {
+                self.segments[previous].extend_from_slice(into_last);
+            }
+        } else if let Some(last) = self.segments.last_mut() {
+            last.extend_from_slice(into_last);
         }
-        self.bytes.extend_from_slice(part);
+        self.length += part.len();
         Ok(())
     }
 
-    /// Returns the body, whose memory is released when the response has ended.
-    pub fn into_bytes(self) -> Bytes {
-        self.bytes.into()
+    /// Returns the body in one piece, whose memory is released when the response has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the buffer if the memory is full.
+    pub fn into_bytes(mut self) -> Result<Bytes, Self> {
+        if self.segments.len() <= 1 {
+            return Ok(self.segments.pop().unwrap_or_default().into());
+        }
+        // Both copies exist until the segments are dropped.
+        if self.memory.grow(self.length, self.purpose).is_err() {
+            return Err(self);
+        }
+        let capacity = self.segments.iter().map(Vec::capacity).sum();
+        let bytes = std::mem::take(&mut self.segments).concat();
+        self.memory.shrink(capacity);
+        Ok(bytes.into())
+    }
+
+    /// Returns the body in the segments that it was received in.
+    pub fn into_segments(self) -> impl Iterator<Item = Bytes> {
+        self.segments.into_iter().map(Bytes::from)
     }
 
-    fn reallocate(&mut self, capacity: usize) -> Result<(), MemoryFull> {
-        let old = self.bytes.capacity();
-        // Both allocations exist while the bytes are copied.
-        self.memory.grow(capacity, self.purpose)?;
-        let mut bytes = Vec::with_capacity(capacity);
-        bytes.extend_from_slice(&self.bytes);
-        self.bytes = bytes;
-        self.memory.shrink(old);
+    fn add_segment(&mut self, bytes: usize) -> Result<(), MemoryFull> {
+        self.memory.grow(bytes, self.purpose)?;
+        self.segments.push(Vec::with_capacity(bytes));
         Ok(())
     }
 }
--- a/crates/nutmeggrade-relay/src/intake/body_reader.rs
+++ b/crates/nutmeggrade-relay/src/intake/body_reader.rs
@@ -114,7 +114,7 @@
         }
         buffer.push(&part)?;
     }
-    Ok(buffer.into_bytes())
+    buffer.into_bytes().or(Err(BodyError::MemoryFull))
 }
 
 async fn discard<B: Body<Data = Bytes> + Unpin>(mut body: B, max_bytes: usize) {
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -56,11 +56,17 @@
     while let Some(chunk) = upstream.next().await {
         let chunk = chunk.map_err(|e| e.to_string())?;
         if !body.fits(chunk.len()) || body.push(&chunk).is_err() {
-            upstream.put_back([body.into_bytes(), chunk]);
+            upstream.put_back(body.into_segments().chain([chunk]));
             return Ok(ReadBody::Large(upstream));
         }
     }
-    Ok(ReadBody::Whole(body.into_bytes()))
+    match body.into_bytes() {
+        Ok(body) => Ok(ReadBody::Whole(body)),
+        Err(body) => {
+            upstream.put_back(body.into_segments());
+            Ok(ReadBody::Large(upstream))
+        }
+    }
 }
 
 /// Forwards a large body in the background as it is received.
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -46,8 +46,8 @@
     }
 
     /// Puts parts back, which are then the next to be read.
-    pub fn put_back(&mut self, parts: [Bytes; 2]) {
-        self.unread.extend(parts.into_iter().filter(|p| !p.is_empty()));
+    pub fn put_back(&mut self, parts: impl Iterator<Item = Bytes>) {
+        self.unread.extend(parts.filter(|p| !p.is_empty()));
     }
 
     /// Returns how the response states where the body ends.
--- a/tests/suite/relay/framing.rs
+++ b/tests/suite/relay/framing.rs
@@ -58,3 +58,25 @@
         Ok(())
     });
 }
+
+// A body in many chunks is kept in several buffers. One in the wrong place would change the request.
+#[test]
+fn chunks_of_any_size_arrive_unchanged() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let endpoint = site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        let mut client = RawClient::connect(site.client()).await?;
+        client.send(&format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n")).await?;
+        let mut sent = String::new();
+        for size in [1, 4_095, 1, 7, 65_530, 1, 9, 20_000, 3] {
+            let chunk: String = ('a'..='w').cycle().take(size).collect();
+            client.send(&format!("{size:x}\r\n{chunk}\r\n")).await?;
+            sent.push_str(&chunk);
+        }
+        client.send("0\r\n\r\n").await?;
+        assert_eq!(client.answer().await?.status, 200);
+        let bodies: Vec<Vec<u8>> = endpoint.seen().into_iter().map(|s| s.message.body).collect();
+        assert_eq!(bodies, [sent.into_bytes()]);
+        Ok(())
+    });
+}
