Read what has arrived of a body before its timeout, and shorten comments

A request without a body whose deadline had passed could be refused as late in its body, as one of three ready branches was drawn. Reading goes first.

--- a/crates/nutmeggrade-policy/src/intake/client_memory.rs
+++ b/crates/nutmeggrade-policy/src/intake/client_memory.rs
@@ -36,11 +36,9 @@
 
 /// Accounts of the memory that clients' connections hold, against one limit for all.
 ///
-/// Limits on each request don't bound what many clients hold at the same time. An instance that runs
-/// out of memory is killed, and all its clients lose their responses. Over the limit, what asks for
-/// more is refused, unless requests whose clients have stopped in the middle can be given up: a crowd
-/// of such clients would keep out all others until its deadlines pass. Nothing that was received
-/// completely is given up.
+/// Limits on each request don't bound what many clients hold at the same time, and an instance that runs
+/// out of memory is killed. Over the limit, what asks for more is refused, unless stalled requests can be
+/// given up: a crowd that stays open would keep out all others. Complete requests are never given up.
 #[derive(Debug)]
 pub struct ClientMemory {
     holders: BTreeMap<HolderId, Holder>,
--- a/crates/nutmeggrade-relay/src/intake/body_buffer.rs
+++ b/crates/nutmeggrade-relay/src/intake/body_buffer.rs
@@ -13,8 +13,7 @@
 
 /// A buffer that grows within the memory of its connection.
 ///
-/// Parts are copied, since a slice of what was received keeps the whole buffer that it was read into,
-/// which for a chunk of one byte is thousands of times as large.
+/// Parts are copied, since a slice keeps the whole buffer that it was read into.
 #[derive(Debug)]
 pub struct BodyBuffer {
     segments: Vec<Vec<u8>>,
--- a/crates/nutmeggrade-relay/src/intake/body_reader.rs
+++ b/crates/nutmeggrade-relay/src/intake/body_reader.rs
@@ -65,6 +65,7 @@
 {
     memory.begin_body();
     let result = tokio::select! {
+        biased;
         result = read_within(&mut body, max_bytes, memory) => result,
         () = memory.given_up() => Err(BodyError::MemoryFull),
         () = sleep(time) => Err(BodyError::TimedOut),
--- a/crates/nutmeggrade/src/front/body.rs
+++ b/crates/nutmeggrade/src/front/body.rs
@@ -11,10 +11,8 @@
 
 /// Reads a body of at most `max_bytes`.
 ///
-/// A caller that sends its body byte by byte would keep its connection open forever, and a few
-/// thousand callers that send all but the last byte of a megabyte would occupy gigabytes: memory
-/// grows with the connections while no request completes. So a body has the same time limit as a
-/// request's head, and all bodies together have the memory that clients share.
+/// A caller that sends its body byte by byte would keep its connection open forever. So a body has the
+/// same timeout as a request's head, and all bodies together have the memory that clients share.
 pub async fn read<P: Platform>(
     node: &Node<P>,
     req: &mut Request,
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -1,9 +1,7 @@
 //! Crowds of clients that send more than an instance can hold.
 //!
-//! Each test starts the system's processes, lets a crowd connect, and checks while the crowd stays
-//! connected: the processes live, memory and descriptors stay within the instance's settings, and an
-//! ordinary request is answered. Nothing depends on the speed of the machine. The tests run one at a
-//! time.
+//! Each test checks, while a crowd stays connected, that the process lives, that memory and descriptors
+//! stay within its settings, and that an ordinary request is answered. The tests run one at a time.
 
 #[path = "../suite/support.rs"]
 #[macro_use]
