--- a/crates/nutmeggrade-relay/src/intake/body_reader.rs
+++ b/crates/nutmeggrade-relay/src/intake/body_reader.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use nutmeggrade_core::prelude::*;
 use nutmeggrade_policy::intake::MemoryFull;
 use tokio::time::{sleep, timeout};
 
@@ -29,6 +30,18 @@
     Broken(String),
 }
 
+impl BodyError {
+    /// Returns the result code of a request that is refused for this.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::TooLarge => Code::BodyTooLarge,
+            Self::MemoryFull => Code::MemoryFull,
+            Self::TimedOut => Code::BodyTimeout,
+            Self::Broken(_) => Code::BadFraming,
+        }
+    }
+}
+
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/nutmeggrade-relay/src/relay/admission.rs
+++ b/crates/nutmeggrade-relay/src/relay/admission.rs
@@ -132,10 +132,8 @@
     let time_left = deadline.since(node.now());
     let body = intake::read_body(body, node.map().limits.body_bytes, time_left, memory);
     let body = body.await.map_err(|error| match error {
-        BodyError::TooLarge => Failure::new(Code::BodyTooLarge, &error.to_string()),
         BodyError::MemoryFull => retry_later(node, full, &error.to_string()),
-        BodyError::TimedOut => Failure::new(Code::BodyTimeout, &error.to_string()),
-        BodyError::Broken(_) => Failure::new(Code::BadFraming, &error.to_string()),
+        _ => Failure::new(error.code(), &error.to_string()),
     })?;
     // A peer has to get the refusal, which is lost if the connection is reset under its body.
     if is_forwarded {
--- a/crates/nutmeggrade/src/front/body.rs
+++ b/crates/nutmeggrade/src/front/body.rs
@@ -37,15 +37,9 @@
 }
 
 fn refusal<P: Platform>(node: &Node<P>, error: &BodyError) -> Failure {
-    let code = match error {
-        BodyError::TooLarge => Code::BodyTooLarge,
-        BodyError::MemoryFull => Code::MemoryFull,
-        BodyError::TimedOut => Code::BodyTimeout,
-        BodyError::Broken(_) => Code::BadFraming,
-    };
-    let failure = Failure::new(code, &error.to_string());
-    match code {
-        Code::MemoryFull => failure.with_retry_after(node.settings.beacon),
+    let failure = Failure::new(error.code(), &error.to_string());
+    match error {
+        BodyError::MemoryFull => failure.with_retry_after(node.settings.beacon),
         _ => failure,
     }
 }
--- a/tests/suite/process/limits.rs
+++ b/tests/suite/process/limits.rs
@@ -2,6 +2,7 @@
 
 use http::{Method, StatusCode};
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::crowd::{open_descriptors, peak_memory};
 use nutmeggrade_fakes::fleet::{Fleet, NodeAddresses, Plan};
 use nutmeggrade_fakes::http::send;
 use rstest::rstest;
@@ -28,21 +29,13 @@
     fleet.nodes[NODE]
 }
 
-fn memory_kb(fleet: &mut Fleet) -> anyhow::Result<u64> {
-    let id = fleet.process(NODE)?.id();
-    let text = std::fs::read_to_string(format!("/proc/{id}/status"))?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let number = line.and_then(|l| l.split_whitespace().next()).unwrap_or("");
-    Ok(number.parse()?)
-}
-
 /// Checks that the instance still serves and that its memory stays within the limit.
 async fn ensure_healthy(fleet: &mut Fleet) -> anyhow::Result<()> {
     let received = fleet.caller("staatsbos").stream(0, "permit-draft", "a len=3").await?;
     anyhow::ensure!(received.is_whole(), "{received:?}");
     let (status, _) = send(node(fleet).admin, Method::GET, "/live", &[], Vec::new()).await?;
     anyhow::ensure!(status == StatusCode::OK, "admin: {status}");
-    let used = memory_kb(fleet)?;
+    let used = peak_memory(fleet.process(NODE)?.id())? >> 10;
     anyhow::ensure!(used < MEMORY_LIMIT_KB, "{used} kB");
     Ok(())
 }
@@ -179,7 +172,7 @@
             kept.push(raw);
         }
         let id = guard.fleet.process(NODE)?.id();
-        let open = async || Ok(std::fs::read_dir(format!("/proc/{id}/fd"))?.count() < 400);
+        let open = async || Ok(open_descriptors(id)? < 400);
         until("those beyond the limit are closed", open).await?;
         ensure_healthy(&mut guard.fleet).await
     });
