--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use crate::{Record, Site, Verdict, exchange, has_trouble, read_answer};
+use crate::{Record, Signal, Site, Verdict, exchange, has_trouble, read_answer};
 
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-draft","host":"ficu95.example","path_prefix":"/lohu930/","route_kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,"priority":1,"service":"schrijvers","max_attempts":1,"public":true,"sticky":true,"resumable":false,"gap_aim_ms":180},{"name":"r-notes","host":"ficu95.example","path_prefix":"/pule252/","route_kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,"priority":1,"service":"notities","max_attempts":1,"public":true,"sticky":false,"resumable":false,"gap_aim_ms":180}],"services":[{"name":"schrijvers","health_path":"/health","connection_limit":222,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"inference_engine":{"slots":24,"kv_cache_tokens":34206,"token_kv_bytes":163840,"link_mbps":24000.0,"migrations":false,"backups":false,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"cache_handle_s":5.0,"model_list":[{"name":"m"}]}},{"name":"notities","health_path":"/health","connection_limit":100,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 /// Requests of each kind.
@@ -31,11 +31,11 @@
     sleep(Duration::from_secs(4));
     let start = Instant::now();
     if has_trouble() {
-        site.signal(site.instances[0].child.id(), "TERM");
+        site.signal(0, Signal::Term);
     }
     sleep(GAP);
     if has_trouble() {
-        site.signal(site.instances[1].child.id(), "TERM");
+        site.signal(1, Signal::Term);
     }
     sleep(SENT_AFTER - Duration::from_millis(50) - start.elapsed());
     // The requesters ask the directory anew, at the nearest of its instances.
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -63,6 +63,17 @@
     NotRun(String),
 }
 
+/// Signals that the platform sends.
+#[derive(Debug, Clone, Copy)]
+pub enum Signal {
+    Hup = 1,
+    Term = 15,
+}
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// Returns whether the disruption is part of the run.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |v| v != "0")
@@ -282,10 +293,13 @@
         wait_until(Duration::from_secs(20), || self.instances.iter().all(is_ready))
     }
 
-    /// Sends a signal to a process that this run started.
-    pub fn signal(&self, pid: u32, signal: &str) {
-        self.note(&format!("SIG{signal} to pid {pid}"));
-        let _ = Command::new("kill").args([format!("-{signal}"), pid.to_string()]).status();
+    /// Sends a signal to an instance.
+    pub fn signal(&self, instance: usize, signal: Signal) {
+        let instance = &self.instances[instance];
+        self.note(&format!("SIG{} to {}", format!("{signal:?}").to_uppercase(), instance.name));
+        let Ok(pid) = i32::try_from(instance.child.id()) else { return };
+        // SAFETY: the call takes two integers; the process is a child that wasn't waited for.
+        unsafe { kill(pid, signal as i32) };
     }
 
     /// Notes the most memory that an instance has used so far.
