Accept streams by their deadline in a planned stop, also without a peer

Cause: without a peer that serves, the deadline decided only on routes of the kind non_idempotent. Streams went by their expected length and 2 s, and an engine that preempts a generation takes longer. The same held for resumable streams, for those that a client takes up, and for streams that wait for room as the stop begins.

time_needed compares with the one kind that gets a failure in place of a cut: a repeatable request with a single response. All others go by their deadline, so that nothing which is accepted can still run at the end.

--- a/crates/nutmeggrade-relay/src/relay/shutdown.rs
+++ b/crates/nutmeggrade-relay/src/relay/shutdown.rs
@@ -77,13 +77,15 @@
     lock(&node.tables).fleet.serving_counts(node.now()).1 > 0
 }
 
-/// Returns the time that this instance must have left to accept a request: if another instance can take
-/// it, or if it may not be repeated after it was cut, the time until its deadline, since nothing else
-/// bounds how long its endpoint may take.
+/// Returns the time that this instance must have left to accept a request.
+///
+/// It is the time until the request's deadline, since nothing else bounds how long an endpoint may take:
+/// a stream would be cut, and a request that may run once could not be repeated. Only one that may be
+/// repeated and has a single response goes by the usual time if no other instance can take it, as it
+/// gets a failure at the end.
 fn time_needed(node: &Node, route: &Route, prompt: Option<&Prompt>, deadline: Moment) -> Duration {
-    let now = node.now();
-    let longest = deadline.since(now);
-    if route.kind == RouteKind::NonIdempotent || has_serving_peers(node) {
+    let longest = deadline.since(node.now());
+    if route.kind != RouteKind::Idempotent || has_serving_peers(node) {
         return longest;
     }
     let expected = match prompt {
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -33,6 +33,7 @@
 mod site;
 mod stalls;
 mod stop;
+mod stop_streams;
 mod store;
 mod streams;
 mod supply;
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -16,7 +16,7 @@
 use crate::support::{run, until};
 
 /// Begins to stop an instance and waits until it is not ready any more.
-async fn begin_stop(instance: Instance) -> anyhow::Result<JoinHandle<()>> {
+pub async fn begin_stop(instance: Instance) -> anyhow::Result<JoinHandle<()>> {
     let ready = instance.addresses().ready;
     let stopping = tokio::spawn(instance.stop());
     until("the instance is not ready", async || {
@@ -90,7 +90,8 @@
         let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,4000\r\n\
              X-Nutmeggrade-Length-Hint: 10\r\n";
         assert_eq!(RawClient::ask(address.client, "draft", "a1", long).await?.status, 503);
-        let short = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\n";
+        let short = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\n\
+             X-Nutmeggrade-Deadline-Ms: 2000\r\n";
         assert_eq!(RawClient::ask(address.client, "draft", "a2", short).await?.status, 200);
         assert_eq!(engine.runs("a1"), 0);
         stopping.await?;
@@ -205,6 +206,26 @@
     });
 }
 
+// Guards against a request with a single response and a long prompt that is accepted late in the grace
+// period, because the time in which its prompt is read was not counted.
+#[test]
+fn repeatable_request_with_a_long_prompt_is_refused() {
+    run(async {
+        let plan = RoutingPlan { target_ms: 100, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let endpoint = site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        let address = site.instance.addresses();
+        let stopping = begin_stop(site.instance).await?;
+        let long = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 24000,40\r\n";
+        assert_eq!(RawClient::ask(address.client, "read", "a1", long).await?.status, 503);
+        let short = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\n";
+        assert_eq!(RawClient::ask(address.client, "read", "a2", short).await?.status, 200);
+        assert_eq!((endpoint.runs("a1"), endpoint.runs("a2")), (0, 1));
+        stopping.await?;
+        Ok(())
+    });
+}
+
 /// Sends a request to an instance whose endpoint never answers, stops the instance, and checks that the
 /// client is told that the outcome is unknown.
 fn open_request_is_answered_at_the_end(route: &str) {
--- /dev/null
+++ b/tests/suite/relay/stop_streams.rs
@@ -0,0 +1,108 @@
+//! Event streams that are requested of an instance during its planned stop while no peer serves.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{Behaviour, RawClient, RoutingPlan, StreamEnd, request};
+
+use super::PROMPT_HEADERS;
+use super::members::{Pair, start_pair, until_all_have};
+use super::site::{Site, metric};
+use super::stop::begin_stop;
+use crate::support::{run, until};
+
+const SHORT_STREAM: Behaviour = Behaviour::Stream { events: 9, pause: Duration::from_millis(10) };
+/// A stream that stays open after its first events.
+const OPEN_STREAM: Behaviour =
+    Behaviour::StreamPart { events: 5, rest: "", end: StreamEnd::LastChunk };
+const SHORT_PROMPT: &str = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\n";
+
+/// Asks an instance that stops alone for a short stream, with the headers, and checks that it is refused if
+/// its deadline is after the end of the instance, and served otherwise.
+fn stream_goes_by_its_deadline(route: &str, headers: &str) {
+    run(async {
+        let plan = RoutingPlan { target_ms: 100, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let engine = site.add_endpoint("writers", "e-1", SHORT_STREAM).await?;
+        let client = site.client();
+        let stopping = begin_stop(site.instance).await?;
+        let answer = RawClient::ask(client, route, "a1", headers).await?;
+        assert_eq!(answer.status, 503);
+        assert!(answer.message.header("retry-after").is_some());
+        let deadline = format!("{headers}X-Nutmeggrade-Deadline-Ms: 1000\r\n");
+        let answer = RawClient::ask(client, route, "a2", &deadline).await?;
+        assert!(answer.status == 200 && answer.is_whole);
+        assert_eq!((engine.runs("a1"), engine.runs("a2")), (0, 1));
+        stopping.await?;
+        Ok(())
+    });
+}
+
+// Guards against streams that a stopping instance accepts by the time that they usually take, and cuts at
+// its end because their engine takes longer.
+cases! {stream_goes_by_its_deadline {
+    unrepeatable: "draft", SHORT_PROMPT;
+    unrepeatable_without_a_prompt: "draft", "";
+    resumable: "sort", SHORT_PROMPT;
+    taken_up: "sort", "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\nLast-Event-Id: 3\r\n";
+}}
+
+// Guards against streams that an instance accepts and cuts because its only peer, which began to stop
+// before it, serves no new clients.
+#[test]
+fn overlapping_stops_cut_no_stream() {
+    run(async {
+        let pair = start_pair().await?;
+        let engine = pair.add_endpoint("writers", SHORT_STREAM).await?;
+        let Pair { first, other, .. } = pair;
+        until_all_have([&first], "serving_peers", 1).await?;
+        let other_stopping = begin_stop(other).await?;
+        until_all_have([&first], "serving_peers", 0).await?;
+        let client = first.addresses().client;
+        let stopping = begin_stop(first).await?;
+        for route in ["draft", "sort"] {
+            let answer = RawClient::ask(client, route, route, SHORT_PROMPT).await?;
+            assert_eq!(answer.status, 503, "{route}");
+            assert_eq!(engine.runs(route), 0, "{route}");
+        }
+        other_stopping.await?;
+        stopping.await?;
+        Ok(())
+    });
+}
+
+/// Fills an engine with streams until one waits for room, stops the instance, and checks that the one that
+/// waits is refused, although the engine has room soon after.
+fn waiting_stream_is_refused(route: &str) {
+    run(async {
+        let plan = RoutingPlan { target_ms: 100, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let engine = site.add_endpoint("writers", "e-1", OPEN_STREAM).await?;
+        engine.hold_ends(true);
+        let addresses = site.instance.addresses();
+        let mut clients = Vec::new();
+        while metric(addresses.metrics, "waiting").await? == 0 {
+            let id = format!("a{}", clients.len());
+            let mut client = RawClient::connect(addresses.client).await?;
+            client.send(&request(route, &id, "key-1", PROMPT_HEADERS)).await?;
+            until("the request is placed or waits", async || {
+                let waiting = metric(addresses.metrics, "waiting").await?;
+                Ok(waiting > 0 || engine.runs(&id) == 1)
+            })
+            .await?;
+            clients.push((id, client));
+        }
+        let (id, mut waiting) = clients.pop().expect("a request waits");
+        let stopping = begin_stop(site.instance).await?;
+        engine.hold_ends(false);
+        assert_eq!(waiting.answer().await?.status, 503);
+        assert_eq!(engine.runs(&id), 0);
+        stopping.await?;
+        Ok(())
+    });
+}
+
+// Guards against streams that wait for room as the stop begins, are sent late and cut.
+cases! {waiting_stream_is_refused {
+    unrepeatable: "draft";
+    resumable: "sort";
+}}
