Run no broken stream again that waits as the stop begins

A resumable stream that broke was run again if the instance wasn't stopping when the search for room began. The search may wait for seconds; a stop that began meanwhile was not noticed, and the second run was cut at its end. The client could have resumed at another instance at once.

The wait for room and for the connection ends once the request may outlast the instance, as it does for new requests. relay::stop_streams::broken_streams_that_wait_are_not_run_again failed before (a1 ran twice) and passes.

--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -5,7 +5,9 @@
 use nutmeggrade_core::routing::{EndpointInfo, RouteKind};
 use nutmeggrade_wire::request::ResumeFrom;
 
-use super::exchange::{EndpointResponse, SendOptions, open_connection, send_request};
+use super::exchange::{
+    EndpointResponse, OpenConnection, SendOptions, open_connection, send_request,
+};
 use super::migration::MigratedGeneration;
 use super::reservation::{self, Reservation};
 use super::shutdown;
@@ -20,7 +22,11 @@
     let resume = ResumeFrom { address: generation.source, handle: generation.handle };
     let position = stream.splitter.position();
     let options = SendOptions { position, resume: Some(resume), ..SendOptions::default() };
-    let Some(upstream) = open(stream, &generation.reservation, options).await else {
+    let upstream = match connect(stream, &generation.reservation.endpoint).await {
+        Some(connection) => send(stream, &generation.reservation, options, connection).await,
+        None => None,
+    };
+    let Some(upstream) = upstream else {
         stream.node.metrics.moves.with_label_values(&["lost"]).inc();
         return None;
     };
@@ -54,29 +60,40 @@
         stream.request.dispatch_request(stream.node.ticket(), &stream.node.keyless_workspace);
     dispatch_request.avoid.insert(stream.reservation.endpoint.id.clone());
     dispatch_request.version.clone_from(&stream.reservation.endpoint.version);
-    let reservation =
-        reservation::reserve(&stream.node, &stream.request, &dispatch_request).await.ok()?;
+    let ready = async {
+        let reservation =
+            reservation::reserve(&stream.node, &stream.request, &dispatch_request).await.ok()?;
+        let connection = connect(stream, &reservation.endpoint).await?;
+        Some((reservation, connection))
+    };
+    let (reservation, connection) = tokio::select! {
+        biased;
+        // The stop may begin while the request waits for room.
+        _ = shutdown::until_too_late(&stream.node, &stream.request) => return None,
+        ready = ready => ready?,
+    };
     stream.attempt.send();
     let position = stream.splitter.position();
     let options = SendOptions { position, ..SendOptions::default() };
-    let upstream = open(stream, &reservation, options).await?;
+    let upstream = send(stream, &reservation, options, connection).await?;
     stream.attempt.begin_response();
     Some((upstream, reservation))
 }
 
-async fn open(
+async fn connect(stream: &EventStream, endpoint: &EndpointInfo) -> Option<OpenConnection> {
+    open_connection(endpoint.address)
+        .await
+        .inspect_err(|error| log_failed(stream, endpoint, error))
+        .ok()
+}
+
+async fn send(
     stream: &EventStream,
     reservation: &Reservation,
     options: SendOptions,
+    connection: OpenConnection,
 ) -> Option<UpstreamBody> {
     let endpoint = &reservation.endpoint;
-    let connection = match open_connection(endpoint.address).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            log_failed(stream, endpoint, &error);
-            return None;
-        }
-    };
     let (node, request) = (&stream.node, &stream.request);
     match send_request(node, request, reservation, options, connection).await {
         // Appended to the events already sent, a body without events would look like their end.
--- a/tests/suite/relay/stop_streams.rs
+++ b/tests/suite/relay/stop_streams.rs
@@ -106,3 +106,41 @@
     unrepeatable: "draft";
     resumable: "sort";
 }}
+
+// Guards against broken streams that wait for room as the stop begins, are run again late and cut, though
+// their clients could resume them elsewhere at once.
+#[test]
+fn broken_streams_that_wait_are_not_run_again() {
+    run(async {
+        let site = Site::start(&RoutingPlan::default()).await?;
+        let part = Behaviour::StreamPart { events: 5, rest: "", end: StreamEnd::Reset };
+        let first = site.add_endpoint("writers", "e-1", part).await?;
+        let second = site.add_endpoint("writers", "e-2", part).await?;
+        let engines = [&first, &second];
+        engines.iter().for_each(|e| e.hold_ends(true));
+        let addresses = site.instance.addresses();
+        let runs = |id: &str| engines.iter().map(|e| e.runs(id)).sum::<usize>();
+        let mut clients = Vec::new();
+        for number in 0..16 {
+            let id = format!("a{number}");
+            let mut client = RawClient::connect(addresses.client).await?;
+            client.send(&request("sort", &id, "key-1", PROMPT_HEADERS)).await?;
+            until("the stream runs", async || Ok(runs(&id) == 1)).await?;
+            clients.push((id, client));
+        }
+        first.hold_ends(false);
+        until(
+            "a broken stream waits",
+            async || Ok(metric(addresses.metrics, "waiting").await? > 0),
+        )
+        .await?;
+        let stopping = begin_stop(site.instance).await?;
+        second.hold_ends(false);
+        for (id, mut client) in clients {
+            assert!(!client.answer().await?.is_whole);
+            assert_eq!(runs(&id), 1, "{id}");
+        }
+        stopping.await?;
+        Ok(())
+    });
+}
