Take a peer that reads slowly no longer for one that is gone

Endpoints that read a long body slowly were cut off as well, and their callers got 502.

Cause: TCP_USER_TIMEOUT was 3 s on all connections of clients, endpoints and peers. It is meant for data that nobody acknowledges. The kernel counts it also while the peer's window is closed and the peer answers each probe, and a receiver opens its window again only when a good part of its buffer is free. Confirmed with a stand-in apart from the project: during such a pause TCP_INFO shows a growing backoff, acknowledgements of the probes, and nothing in flight.

WatchedStream looks at TCP_INFO once a second while bytes are pending: a peer is gone if it has acknowledged nothing for 3 s and retransmissions or two probes went unanswered. A closed window alone is no sign. Connections without pending bytes keep their keepalive probes, two in place of three, which gives the 3 s that the option set before.

--- a/crates/nutmeggrade-fakes/src/site.rs
+++ b/crates/nutmeggrade-fakes/src/site.rs
@@ -20,6 +20,7 @@
 mod store;
 mod store_listener;
 mod stream_end;
+mod vanishing;
 
 pub use backoff_check::find_backoff_violation;
 pub use behaviour::Behaviour;
@@ -30,7 +31,7 @@
 pub use limit_check::find_limit_violation;
 pub use message::{Answer, Message};
 pub use notices::{NoticedResponse, Notices};
-pub use raw_client::{RawClient, request};
+pub use raw_client::{RawClient, request, request_with_body};
 pub use raw_texts::RawPart;
 pub use received_request::ReceivedRequest;
 pub use routing::{Entry, RoutingPlan};
--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -11,6 +11,8 @@
     Answer,
     /// Executes the request and responds after a delay.
     Slow(Duration),
+    /// Vanishes after the head of a request with a large body, and acknowledges nothing more.
+    Vanish,
     /// Responds with 503 and the header that confirms that the request was not executed.
     Shed,
     /// Executes the request and responds with a signed 500.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -28,7 +28,10 @@
 use super::message::Message;
 use super::notices::Notices;
 use super::received_request::ReceivedRequest;
+use super::vanishing::vanish;
 
+/// Size from which a body is large.
+const LARGE_BODY_BYTES: usize = 10_000;
 const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
@@ -42,6 +45,8 @@
     finishes_at_stop: bool,
     /// Time that passes before an order to stop a generation is carried out.
     stop_delay: Duration,
+    /// Time for which it doesn't read a large body.
+    read_delay: Duration,
     /// Software version that its events show, if any.
     version: Option<String>,
     /// Part of a prompt that crashes it, and how long after the answer began.
@@ -82,6 +87,7 @@
             ends_with_connection: false,
             finishes_at_stop: false,
             stop_delay: Duration::ZERO,
+            read_delay: Duration::ZERO,
             version: None,
             crashing_part: None,
         };
@@ -147,6 +153,11 @@
         self.state().finishes_at_stop = true;
     }
 
+    /// Makes it read large bodies only after a delay.
+    pub fn read_late(&self, delay: Duration) {
+        self.state().read_delay = delay;
+    }
+
     /// Makes its events show a software version.
     pub fn set_version(&self, version: &str) {
         self.state().version = Some(version.to_owned());
@@ -201,6 +212,14 @@
                     .send_empty(&mut stream, 400, "X-Nutmeggrade-Not-Executed: 1\r\n")
                     .await;
             }
+            if request.content_length() > LARGE_BODY_BYTES {
+                if behaviour == Behaviour::Vanish {
+                    vanish(&stream)?;
+                    return std::future::pending().await;
+                }
+                let delay = self.state().read_delay;
+                sleep(delay).await;
+            }
             if !request.read_body(&mut stream).await {
                 return Ok(());
             }
@@ -290,7 +309,7 @@
             Behaviour::Fail => {
                 send(stream, &self.response(500, id, "Content-Length: 4\r\n", "oops")).await
             }
-            Behaviour::Close | Behaviour::CloseAll => anyhow::bail!("closed"),
+            Behaviour::Close | Behaviour::CloseAll | Behaviour::Vanish => anyhow::bail!("closed"),
             Behaviour::Crash => {
                 self.crashed.send_replace(true);
                 self.listens.subscribe().wait_for(|listens| !listens).await?;
--- a/crates/nutmeggrade-fakes/src/site/message.rs
+++ b/crates/nutmeggrade-fakes/src/site/message.rs
@@ -63,6 +63,11 @@
         (words.next().unwrap_or_default(), words.next().unwrap_or_default())
     }
 
+    /// Returns the length of the body that the head states, or 0.
+    pub fn content_length(&self) -> usize {
+        self.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0)
+    }
+
     /// Reads the body that the head announces; returns whether it was complete.
     pub async fn read_body<R: AsyncRead + Unpin>(&mut self, stream: &mut R) -> bool {
         if let Some(length) = self.header("content-length").and_then(|l| l.parse().ok()) {
--- a/crates/nutmeggrade-fakes/src/site/raw_client.rs
+++ b/crates/nutmeggrade-fakes/src/site/raw_client.rs
@@ -5,14 +5,18 @@
 
 use anyhow::Context;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use super::message::{Answer, Message};
+use super::vanishing::vanish;
 
 /// Timeout of every read, far longer than any response takes on a busy machine.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Receive buffer of a client that reads slowly.
+const SMALL_BUFFER_BYTES: u32 = 2 << 10;
+
 /// A client's connection.
 #[derive(Debug)]
 pub struct RawClient {
@@ -25,6 +29,18 @@
         Ok(Self { stream: TcpStream::connect(address).await.context("connect")? })
     }
 
+    /// Opens a connection on which little is received before it is read.
+    pub async fn connect_with_small_buffer(address: SocketAddr) -> anyhow::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(SMALL_BUFFER_BYTES)?;
+        Ok(Self { stream: socket.connect(address).await.context("connect")? })
+    }
+
+    /// Makes the client vanish: it acknowledges nothing more.
+    pub fn vanish(&self) -> anyhow::Result<()> {
+        vanish(&self.stream).context("vanish")
+    }
+
     /// Sends a valid request to `/ROUTE/x` with the key `key-1` on a new connection and returns the
     /// response. `headers` holds further header lines, each with its line end.
     pub async fn ask(
@@ -80,8 +96,14 @@
 
 /// Formats a request to `/ROUTE/x`. `headers` holds further header lines, each with its line end.
 pub fn request(route: &str, id: &str, key: &str, headers: &str) -> String {
+    request_with_body(route, id, key, headers, "body")
+}
+
+/// Formats a request to `/ROUTE/x` with a body.
+pub fn request_with_body(route: &str, id: &str, key: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
     format!(
         "POST /{route}/x HTTP/1.1\r\nHost: desk.example\r\nX-Nutmeggrade-Attempt-Id: {id}\r\n\
-         X-Api-Key: {key}\r\n{headers}Content-Length: 4\r\n\r\nbody"
+         X-Api-Key: {key}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
     )
 }
--- a/crates/nutmeggrade-fakes/src/site/routing.rs
+++ b/crates/nutmeggrade-fakes/src/site/routing.rs
@@ -25,6 +25,8 @@
     pub has_late: bool,
     /// Maximum body size, in bytes.
     pub body_bytes: u64,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_ms: u64,
     /// Number of further routes, each on a host of its own.
     pub further_routes: usize,
 }
@@ -41,6 +43,7 @@
             hold_ms: 0,
             has_late: false,
             body_bytes: 100_000,
+            idle_ms: 15_000,
             further_routes: 0,
         }
     }
@@ -80,7 +83,7 @@
                     "hold_ms": self.hold_ms } },
             ],
             "limits": { "max_header_bytes": 8_192, "max_body_bytes": self.body_bytes,
-              "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+              "header_timeout_ms": 3_000, "idle_timeout_ms": self.idle_ms },
             "tenants": [{ "name": "acme", "api_keys": self.keys }],
         })
     }
--- a/crates/nutmeggrade-platform/src/exchange.rs
+++ b/crates/nutmeggrade-platform/src/exchange.rs
@@ -11,6 +11,7 @@
 
 use crate::limited_stream::{LimitedStream, ReceivedBytes};
 use crate::response_body::ResponseBody;
+use crate::watched_stream::WatchedStream;
 
 /// Largest head of a response, and largest part of its body that is read at once.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
@@ -56,7 +57,7 @@
     ///
     /// Fails if the connection broke.
     pub async fn new(stream: TcpStream) -> hyper::Result<(Self, ConnectionTask)> {
-        let stream = LimitedStream::new(stream);
+        let stream = LimitedStream::new(WatchedStream::new(stream));
         let received = stream.received();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -19,6 +19,8 @@
 mod response_body;
 mod traffic;
 mod transfer_error;
+mod transmission;
+mod watched_stream;
 
 pub use bounded_socket::connect_bounded;
 pub use call::{CallError, body_bytes, call, call_if, json_body, transfer_bytes};
@@ -35,3 +37,5 @@
 pub use response_body::ResponseBody;
 pub use traffic::Traffic;
 pub use transfer_error::TransferError;
+pub use transmission::Transmission;
+pub use watched_stream::WatchedStream;
--- a/crates/nutmeggrade-platform/src/limited_stream.rs
+++ b/crates/nutmeggrade-platform/src/limited_stream.rs
@@ -7,7 +7,8 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::watched_stream::WatchedStream;
 
 /// Bytes that may arrive without a piece of a body: more than the HTTP client reads ahead of the body,
 /// and much more than any head.
@@ -36,13 +37,13 @@
 /// drops them, so that neither a limit on the head nor one on the body applies.
 #[derive(Debug)]
 pub struct LimitedStream {
-    stream: TcpStream,
+    stream: WatchedStream,
     received: ReceivedBytes,
 }
 
 impl LimitedStream {
     /// Wraps a connection on which nothing was received yet.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: WatchedStream) -> Self {
         Self { stream, received: ReceivedBytes::default() }
     }
 
--- a/crates/nutmeggrade-relay/src/connect.rs
+++ b/crates/nutmeggrade-relay/src/connect.rs
@@ -22,10 +22,9 @@
 /// Idle time after which the kernel sends a keepalive probe, and the interval between probes. While
 /// a response is awaited, nothing else detects a half-open connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keepalive probes after which the connection counts as broken.
-const KEEPALIVE_RETRIES: u32 = 3;
-/// Longest time for which sent bytes may stay unacknowledged.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Unanswered keepalive probes after which the connection counts as broken: 3 s after the peer last
+/// answered.
+const KEEPALIVE_RETRIES: u32 = 2;
 
 /// Connects to an endpoint with several attempts, of which the first to complete is used.
 ///
@@ -50,7 +49,8 @@
     Ok(stream)
 }
 
-/// Sets socket options that make a silent connection fail.
+/// Sets socket options that make a connection fail whose peer answers no probes. They hold while nothing
+/// is to be sent; see [`WatchedStream`](nutmeggrade_platform::WatchedStream) for the rest.
 ///
 /// # Errors
 ///
@@ -62,6 +62,5 @@
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&probing)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+    socket.set_tcp_keepalive(&probing)
 }
--- a/crates/nutmeggrade-relay/src/front/connection.rs
+++ b/crates/nutmeggrade-relay/src/front/connection.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmeggrade_platform::WatchedStream;
 use tokio::net::TcpStream;
 
 use super::connection_state::ConnectionState;
@@ -38,6 +39,7 @@
         limits.head_bytes += FORWARDED_HEAD_BYTES;
     }
     let state = Arc::new(Mutex::new(ConnectionState::new(&limits, node.now())));
+    let stream = WatchedStream::new(stream);
     let stream = HeadRecorder::new(stream, Arc::clone(&state), node.clock);
     let stream = MeteredStream::new(stream, memory.clone());
     let service = service_fn(|request| {
--- a/crates/nutmeggrade-relay/src/front/head_recorder.rs
+++ b/crates/nutmeggrade-relay/src/front/head_recorder.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
+use nutmeggrade_platform::WatchedStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use super::connection_state::ConnectionState;
 use crate::clock::Clock;
@@ -21,14 +21,14 @@
 /// bytes.
 #[derive(Debug)]
 pub struct HeadRecorder {
-    stream: TcpStream,
+    stream: WatchedStream,
     state: Arc<Mutex<ConnectionState>>,
     clock: Clock,
 }
 
 impl HeadRecorder {
     /// Wraps a connection.
-    pub fn new(stream: TcpStream, state: Arc<Mutex<ConnectionState>>, clock: Clock) -> Self {
+    pub fn new(stream: WatchedStream, state: Arc<Mutex<ConnectionState>>, clock: Clock) -> Self {
         Self { stream, state, clock }
     }
 }
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod silent_endpoints;
 mod site;
+mod slow_peers;
 mod stalls;
 mod stop;
 mod stop_streams;
--- /dev/null
+++ b/tests/suite/relay/slow_peers.rs
@@ -0,0 +1,133 @@
+//! Clients and endpoints that read slowly, and some that are gone.
+
+use std::time::Duration;
+
+use nutmeggrade_fakes::site::{
+    Behaviour, Endpoint, RawClient, RoutingPlan, StreamEnd, request, request_with_body,
+};
+use tokio::time::{Instant, sleep};
+
+use super::PROMPT_HEADERS;
+use super::site::Site;
+use crate::support::{run, until};
+
+/// A pause in reading for which a window stays closed longer than a peer may be silent.
+const PAUSE: Duration = Duration::from_secs(7);
+/// Time in which a peer that is gone is noticed: 3 s of silence, and as much for a busy machine.
+const NOTICE_TIME: Duration = Duration::from_secs(6);
+/// As above if the peer read nothing for a second before: it is asked at growing intervals.
+const LATE_NOTICE_TIME: Duration = Duration::from_secs(12);
+/// Many times what the kernel holds for a client.
+const LARGE_BYTES: usize = 3 << 20;
+const LONG_STREAM: Behaviour =
+    Behaviour::StreamPart { events: 25_000, rest: "", end: StreamEnd::LastChunk };
+
+fn plan() -> RoutingPlan {
+    RoutingPlan { body_bytes: 4 << 20, ..RoutingPlan::default() }
+}
+
+fn service(route: &str) -> &'static str {
+    if matches!(route, "draft" | "sort") { "writers" } else { "desk" }
+}
+
+/// Asks for a response that is larger than what the kernel holds, reads nothing of it for a while, and
+/// checks that it is whole.
+fn slow_client_gets_the_whole_response(
+    plan: &RoutingPlan,
+    route: &str,
+    behaviour: Behaviour,
+    pause: Duration,
+) {
+    run(async {
+        let site = Site::start(plan).await?;
+        let endpoint = site.add_endpoint(service(route), "e-1", behaviour).await?;
+        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        client.send(&request(route, "a1", "key-1", PROMPT_HEADERS)).await?;
+        until("it runs", async || Ok(endpoint.runs("a1") == 1)).await?;
+        sleep(pause).await;
+        let answer = client.answer().await?;
+        assert!(answer.status == 200 && answer.is_whole);
+        Ok(())
+    });
+}
+
+// Guards against clients that are taken for dead, because their window is closed while they read slowly.
+cases! {slow_client_gets_the_whole_response {
+    stream: &plan(), "draft", LONG_STREAM, PAUSE;
+    resumable_stream: &plan(), "sort", LONG_STREAM, PAUSE;
+    large_response: &plan(), "once", Behaviour::Large { bytes: LARGE_BYTES, is_chunked: true }, PAUSE;
+    buffered_response: &plan(), "read", Behaviour::Large { bytes: 260_000, is_chunked: true }, PAUSE;
+}}
+
+/// Begins a stream, waits, makes its client vanish, and checks that its connection is closed in time.
+fn vanished_client_is_noticed(behaviour: Behaviour, wait: Duration, limit: Duration) {
+    run(async {
+        let site = Site::start(&plan()).await?;
+        let engine = site.add_endpoint("writers", "e-1", behaviour).await?;
+        engine.hold_ends(true);
+        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
+        until("it runs", async || Ok(engine.runs("a1") == 1)).await?;
+        sleep(wait).await;
+        client.vanish()?;
+        let vanished_at = Instant::now();
+        site.until_metric("connections", 0).await?;
+        let elapsed = vanished_at.elapsed();
+        assert!(elapsed < limit, "{elapsed:?}");
+        Ok(())
+    });
+}
+
+// Guards against engines that work on for clients which are gone.
+cases! {vanished_client_is_noticed {
+    while_events_flow: Behaviour::Stream { events: 9_000, pause: Duration::from_millis(10) },
+        Duration::from_millis(300), NOTICE_TIME;
+    between_events: Behaviour::StreamPart { events: 5, rest: "", end: StreamEnd::LastChunk },
+        Duration::from_millis(300), NOTICE_TIME;
+    while_it_read_nothing: LONG_STREAM, Duration::from_secs(1), LATE_NOTICE_TIME;
+}}
+
+/// Sends a large body to an endpoint with this behaviour; returns the status and the time that it took.
+async fn upload(
+    route: &str,
+    behaviour: Behaviour,
+    read_delay: Duration,
+) -> anyhow::Result<(u16, Duration, Endpoint)> {
+    let site = Site::start(&plan()).await?;
+    let endpoint = site.add_endpoint(service(route), "e-1", behaviour).await?;
+    endpoint.read_late(read_delay);
+    let mut client = RawClient::connect(site.client()).await?;
+    let body = "x".repeat(LARGE_BYTES);
+    let sent_at = Instant::now();
+    client.send(&request_with_body(route, "a1", "key-1", PROMPT_HEADERS, &body)).await?;
+    let answer = client.answer().await?;
+    Ok((answer.status, sent_at.elapsed(), endpoint))
+}
+
+/// Sends a large body to an endpoint that reads nothing of it for a while, and checks that it is served.
+fn slow_endpoint_gets_the_whole_body(route: &str) {
+    run(async {
+        let (status, _, endpoint) = upload(route, Behaviour::Answer, PAUSE).await?;
+        assert_eq!((status, endpoint.runs("a1")), (200, 1));
+        Ok(())
+    });
+}
+
+// Guards against endpoints that are taken for dead, because their window is closed while they read a body
+// slowly.
+cases! {slow_endpoint_gets_the_whole_body {
+    unrepeatable: "once";
+    repeatable: "read";
+    generation: "draft";
+}}
+
+// Guards against requests that wait until their deadline for an endpoint that is gone.
+#[test]
+fn vanished_endpoint_is_noticed() {
+    run(async {
+        let (status, elapsed, _) = upload("once", Behaviour::Vanish, Duration::ZERO).await?;
+        assert_eq!(status, 502);
+        assert!(elapsed < NOTICE_TIME, "{elapsed:?}");
+        Ok(())
+    });
+}
