Measure write-wait by what a caller reads

Callers of the own interface that read slowly, but all the time, were cut once write-wait had passed, as if they read nothing; the admin addresses did the same.

Cause: the time ran from the first write that found the socket's buffer full until the next one that succeeded. The kernel lets a write succeed only once a third of the buffer of 256 KiB is free, so that a caller had to read some 85 KB within the time.

The time runs from the last byte that the caller has acknowledged, which WatchedStream reads from TCP_INFO; WriteLimit goes. process::slow_callers::steady_caller_gets_all_responses:: within_the_write_timeout failed before (write-wait 400 ms, 100 KB/s) and passes; slow_reader_is_cut, which reads nothing, passes as before. Looked at beside it and sound before: header-wait while a part of a response waits, and a stream whose caller pauses for longer than stall; both tests are kept.

--- a/crates/nutmeggrade-relay/src/admin.rs
+++ b/crates/nutmeggrade-relay/src/admin.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmeggrade_core::prelude::ServiceId;
 use nutmeggrade_core::rollout::{ROLLOUTS_PATH, RolloutStatus};
+use nutmeggrade_platform::WatchedStream;
 use nutmeggrade_policy::fleet::client_part;
 use nutmeggrade_state::rollout::RolloutView;
 use nutmeggrade_state::transfers::Transfer;
@@ -26,9 +27,7 @@
 use viz::{Body, Request, RequestExt, Responder, Response, Result as VizResult, Router, Tree};
 
 use crate::fleet_sync::{CONFIG_PATH, ENDPOINTS_PATH, OBJECTS_PATH};
-use crate::intake::{
-    AdmittedConnection, ConnectionLimit, MeteredStream, TrackedBody, WriteLimit, bind,
-};
+use crate::intake::{AdmittedConnection, ConnectionLimit, MeteredStream, TrackedBody, bind};
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::stream_origin::{self, STREAM_PATH, StreamOrigin};
@@ -334,7 +333,8 @@
             response.map(|r| r.map(|body| TrackedBody::new(body, memory)))
         }
     });
-    let stream = MeteredStream::new(WriteLimit::new(stream, WRITE_TIMEOUT), memory.clone());
+    let stream = WatchedStream::new(stream).with_max_stall(WRITE_TIMEOUT);
+    let stream = MeteredStream::new(stream, memory.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
--- a/crates/nutmeggrade-relay/src/intake.rs
+++ b/crates/nutmeggrade-relay/src/intake.rs
@@ -14,7 +14,6 @@
 mod metered_stream;
 mod socket;
 mod tracked_body;
-mod write_limit;
 
 pub use body_buffer::BodyBuffer;
 pub use body_reader::{BodyError, discard_body, read_body};
@@ -25,4 +24,3 @@
 pub use metered_stream::MeteredStream;
 pub use socket::bind;
 pub use tracked_body::TrackedBody;
-pub use write_limit::WriteLimit;
--- a/crates/nutmeggrade/src/front/listener.rs
+++ b/crates/nutmeggrade/src/front/listener.rs
@@ -13,9 +13,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_relay::intake::{
-    ConnectionLimit, ConnectionMemory, MeteredStream, TrackedBody, WriteLimit,
-};
+use nutmeggrade_platform::WatchedStream;
+use nutmeggrade_relay::intake::{ConnectionLimit, ConnectionMemory, MeteredStream, TrackedBody};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
@@ -149,8 +148,8 @@
         }
     }
 
-    fn limit_writes(&self, stream: TcpStream) -> WriteLimit<TcpStream> {
-        WriteLimit::new(stream, self.limits.write_wait)
+    fn limit_writes(&self, stream: TcpStream) -> WatchedStream {
+        WatchedStream::new(stream).with_max_stall(self.limits.write_wait)
     }
 
     fn http(&self) -> http1::Builder {
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod planned_stop;
 mod raw;
+mod slow_callers;
 mod streams;
 mod traces;
 mod whole_path;
--- a/tests/suite/process/faulty_endpoints.rs
+++ b/tests/suite/process/faulty_endpoints.rs
@@ -13,18 +13,19 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 /// A fleet whose only service or engine is run by the test.
-struct Setup {
-    guard: RunningFleet,
-    endpoint: Endpoint,
+pub struct Setup {
+    pub guard: RunningFleet,
+    pub endpoint: Endpoint,
 }
 
 async fn start(
+    plan: Plan,
     behaviour: Behaviour,
     name: &str,
     attributes: &Value,
     is_known: impl AsyncFn(&Fleet, &Endpoint) -> anyhow::Result<bool>,
 ) -> anyhow::Result<Setup> {
-    let guard = fleet(&Plan::default().with_nodes(1).with_engines(0).with_services(0)).await?;
+    let guard = fleet(&plan.with_nodes(1).with_engines(0).with_services(0)).await?;
     let endpoint = Endpoint::start(name, Behaviour::Close, &Generations::default()).await?;
     let domain = Deployment::PERMIT_DESK.domains[0];
     guard.fleet.register(name, endpoint.address, domain, attributes).await?;
@@ -35,7 +36,7 @@
 
 async fn start_service(behaviour: Behaviour) -> anyhow::Result<Setup> {
     let attributes = json!({ "kind": "service", "service": Deployment::PERMIT_DESK.service });
-    start(behaviour, "service-0", &attributes, async |fleet, _| {
+    start(Plan::default(), behaviour, "service-0", &attributes, async |fleet, _| {
         let (status, answer) =
             fleet.caller("staatsbos").operation(0, "lookup-permit", None, "probe").await?;
         Ok(status == 502 && answer["run"] == "unknown")
@@ -44,9 +45,14 @@
 }
 
 async fn start_engine(behaviour: Behaviour) -> anyhow::Result<Setup> {
+    start_engine_with(Plan::default(), behaviour).await
+}
+
+/// Starts a fleet with the flags of a plan whose only engine has this behaviour.
+pub async fn start_engine_with(plan: Plan, behaviour: Behaviour) -> anyhow::Result<Setup> {
     let deployment = Deployment::PERMIT_DESK;
     let attributes = json!({ "kind": "engine", "models": [deployment.model], "memory": 1_000_000 });
-    start(behaviour, "engine-0", &attributes, async |_, engine| {
+    start(plan, behaviour, "engine-0", &attributes, async |_, engine| {
         Ok(!engine.notices().status_checks().is_empty())
     })
     .await
