Close no connection as idle while its client has a response to read

A client that paused for longer than idle_timeout_ms while a part of its response waited lost the rest.

Cause: a connection counted as idle from the moment at which the HTTP server had taken on the last part of the response, and was closed though that part had not been written yet.

While a write waits for the client, the connection is closed only once the deadline of its request has passed and nothing could be written for idle_timeout_ms. That bounds also clients that read nothing, which the socket's timeout did before. relay::slow_peers:: slow_client_gets_the_whole_response::response_that_outlasts_the_idle_timeout failed before (idle time 1 s, pause 2.5 s); unread_response_is_given_up_after_its_deadline passed before and passes.

--- a/crates/nutmeggrade-relay/src/front/connection.rs
+++ b/crates/nutmeggrade-relay/src/front/connection.rs
@@ -16,6 +16,7 @@
 use super::head_recorder::HeadRecorder;
 use super::in_flight::InFlightBody;
 use super::origin::Origin;
+use crate::answer_deadline::AnswerDeadline;
 use crate::intake::{ConnectionMemory, MeteredStream, TrackedBody};
 use crate::node::{Node, Phase};
 use crate::relay;
@@ -98,6 +99,8 @@
         Origin::Peer(Some(_)) => relay::relay_forwarded(&node, request, &memory).await,
         Origin::Peer(None) => relay::refuse_forwarded(&node, request, &memory),
     };
+    let deadline = response.extensions_mut().remove::<AnswerDeadline>();
+    lock(&state).begin_response(deadline.map(|AnswerDeadline(deadline)| deadline));
     // Read after the response is ready: no connection may be kept alive past the leaving phase.
     if node.phase() > Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/nutmeggrade-relay/src/front/connection_state.rs
+++ b/crates/nutmeggrade-relay/src/front/connection_state.rs
@@ -15,6 +15,10 @@
     idle_since: Moment,
     head_since: Option<Moment>,
     is_busy: bool,
+    /// Since when the client has read nothing of what waits for it.
+    blocked_since: Option<Moment>,
+    /// Until when the client waits for its response.
+    deadline: Option<Moment>,
 }
 
 impl ConnectionState {
@@ -26,6 +30,8 @@
             idle_since: now,
             head_since: None,
             is_busy: false,
+            blocked_since: None,
+            deadline: None,
         }
     }
 
@@ -46,15 +52,36 @@
         std::mem::take(&mut self.head_bytes)
     }
 
+    /// Sets until when the client waits for the response.
+    pub fn begin_response(&mut self, deadline: Option<Moment>) {
+        self.deadline = deadline;
+    }
+
+    /// Records a write, and whether it waits for the client to read.
+    pub fn note_write(&mut self, is_blocked: bool, now: Moment) {
+        if is_blocked {
+            self.blocked_since.get_or_insert(now);
+        } else if self.blocked_since.take().is_some() {
+            self.idle_since = now;
+        }
+    }
+
     /// Marks the response as finished.
     pub fn finish_response(&mut self, now: Moment) {
         self.is_busy = false;
         self.idle_since = now;
     }
 
-    /// Returns whether the timeout for a head or for an idle connection has passed.
+    /// Returns whether the timeout for a head, for an idle connection or for an unread response has passed.
+    ///
+    /// A response may be finished while a part of it still waits for a client that reads slowly. It is given
+    /// up only once its client waits for it no longer and doesn't read either.
     pub fn is_timed_out(&self, limits: &CallLimits, now: Moment) -> bool {
         let has_passed = |since: Moment, timeout: Duration| now.since(since) >= timeout;
+        if let Some(since) = self.blocked_since {
+            let is_awaited = self.deadline.is_some_and(|deadline| now < deadline);
+            return !is_awaited && has_passed(since, limits.idle_timeout);
+        }
         match (self.is_busy, self.head_since) {
             (true, _) => false,
             (false, Some(since)) => has_passed(since, limits.head_timeout),
--- a/crates/nutmeggrade-relay/src/front/head_recorder.rs
+++ b/crates/nutmeggrade-relay/src/front/head_recorder.rs
@@ -1,4 +1,4 @@
-//! Records the bytes of request heads.
+//! Records the bytes of request heads, and whether responses wait for their client.
 
 use std::io;
 use std::pin::Pin;
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::tables::lock;
 
-/// A client's connection that records the bytes of request heads.
+/// A client's connection that records the bytes of request heads, and whether responses wait for the client.
 ///
 /// A head may contain both `Content-Length` and `Transfer-Encoding: chunked`. hyper then drops the
 /// length and reads chunks, while a proxy in front of this process may have used the length. One of
@@ -55,7 +55,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write(cx, buf);
+        lock(&this.state).note_write(polled.is_pending(), this.clock.now());
+        polled
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -71,7 +74,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        lock(&this.state).note_write(polled.is_pending(), this.clock.now());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/nutmeggrade-relay/src/lib.rs
+++ b/crates/nutmeggrade-relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod answer_body;
+mod answer_deadline;
 mod answer_queue;
 mod clock;
 mod config_source;
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -30,6 +30,7 @@
 use super::response::ReadBody;
 use super::{refusal, response, shutdown, stream};
 use crate::answer_body::AnswerBody;
+use crate::answer_deadline::AnswerDeadline;
 use crate::node::Node;
 use crate::open_requests::OpenEntry;
 use crate::reach::{self, Reach};
@@ -78,7 +79,7 @@
         () = node.clock.until(deadline) => Err(handler.deadline_failure()),
         () = shutdown::until_end(node) => Err(handler.end_failure()),
     };
-    match result {
+    let mut response = match result {
         Ok(FinalResponse::Buffered(head, body)) => {
             handler.log_response(&head, false);
             response::from_endpoint(head, AnswerBody::whole(body))
@@ -99,7 +100,9 @@
             handler.log_failure(&failure);
             refusal::response(&failure)
         }
-    }
+    };
+    response.extensions_mut().insert(AnswerDeadline(deadline));
+    response
 }
 
 impl RequestHandler {
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -5,7 +5,7 @@
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, RawClient, RoutingPlan, StreamEnd, request, request_with_body,
 };
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::PROMPT_HEADERS;
 use super::site::Site;
@@ -57,6 +57,9 @@
     resumable_stream: &plan(), "sort", LONG_STREAM, PAUSE;
     large_response: &plan(), "once", Behaviour::Large { bytes: LARGE_BYTES, is_chunked: true }, PAUSE;
     buffered_response: &plan(), "read", Behaviour::Large { bytes: 260_000, is_chunked: true }, PAUSE;
+    // The response is finished for the instance, and a part of it still waits for the client.
+    response_that_outlasts_the_idle_timeout: &RoutingPlan { idle_ms: 1_000, ..plan() }, "read",
+        Behaviour::Large { bytes: 260_000, is_chunked: true }, Duration::from_millis(2_500);
 }}
 
 /// Begins a stream, waits, makes its client vanish, and checks that its connection is closed in time.
@@ -131,3 +134,18 @@
         Ok(())
     });
 }
+
+// Guards against responses that nobody reads and that occupy their connection after the deadline.
+#[test]
+fn unread_response_is_given_up_after_its_deadline() {
+    run(async {
+        let plan = RoutingPlan { timeout_ms: 2_000, idle_ms: 1_000, ..plan() };
+        let site = Site::start(&plan).await?;
+        site.add_endpoint("writers", "e-1", LONG_STREAM).await?;
+        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
+        site.until_metric("connections", 1).await?;
+        timeout(NOTICE_TIME, site.until_metric("connections", 0)).await??;
+        Ok(())
+    });
+}
