Count the silence of an endpoint from when it has read the request

A request with a long body whose endpoint read it slowly was sent once more to another endpoint, although the first one was at work; the first one's health suffered, and the body began anew.

Cause: an endpoint that has sent nothing for a third of the request's time (a call), or as long as an engine may be silent (a resumable stream), counts as silent. The time ran from the send, also while the body was being read.

WatchedStream tells what the peer still has to read; the time starts once nothing is left.

--- a/crates/nutmeggrade-platform/src/exchange.rs
+++ b/crates/nutmeggrade-platform/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::backlog::Backlog;
 use crate::limited_stream::{LimitedStream, ReceivedBytes};
 use crate::response_body::ResponseBody;
 use crate::watched_stream::WatchedStream;
@@ -48,6 +49,7 @@
 pub struct Exchange {
     sender: http1::SendRequest<Full<Bytes>>,
     received: ReceivedBytes,
+    backlog: Backlog,
 }
 
 impl Exchange {
@@ -57,12 +59,19 @@
     ///
     /// Fails if the connection broke.
     pub async fn new(stream: TcpStream) -> hyper::Result<(Self, ConnectionTask)> {
-        let stream = LimitedStream::new(WatchedStream::new(stream));
+        let stream = WatchedStream::new(stream);
+        let backlog = stream.backlog();
+        let stream = LimitedStream::new(stream);
         let received = stream.received();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, task) = builder.handshake(TokioIo::new(stream)).await?;
-        Ok((Self { sender, received }, task))
+        Ok((Self { sender, received, backlog }, task))
+    }
+
+    /// Returns what the peer still has to read of the request, once it is sent.
+    pub fn backlog(&self) -> Backlog {
+        self.backlog.clone()
     }
 
     /// Sends a request and waits for the head of its response.
--- a/crates/nutmeggrade-platform/src/lib.rs
+++ b/crates/nutmeggrade-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! for the real service. [`call`] opens a new connection for each request, so that a failure shows
 //! whether any byte of the request was passed to the transport.
 
+mod backlog;
 mod bounded_socket;
 mod call;
 mod call_counters;
@@ -22,6 +23,7 @@
 mod transmission;
 mod watched_stream;
 
+pub use backlog::Backlog;
 pub use bounded_socket::connect_bounded;
 pub use call::{CallError, body_bytes, call, call_if, json_body, transfer_bytes};
 pub use call_counters::CallCounters;
--- a/crates/nutmeggrade-platform/src/watched_stream.rs
+++ b/crates/nutmeggrade-platform/src/watched_stream.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+use crate::backlog::Backlog;
 use crate::transmission::Transmission;
 
 /// Longest interval between two checks of a connection with pending bytes.
@@ -22,6 +23,7 @@
 #[derive(Debug)]
 pub struct WatchedStream {
     stream: TcpStream,
+    backlog: Backlog,
     max_stall: Option<Duration>,
     /// Runs while bytes are pending.
     timer: Option<Pin<Box<Sleep>>>,
@@ -38,6 +40,7 @@
         let now = Instant::now();
         Self {
             stream,
+            backlog: Backlog::default(),
             max_stall: None,
             timer: None,
             pending_since: now,
@@ -57,6 +60,11 @@
         self
     }
 
+    /// Returns what the peer still has to read, now and later.
+    pub fn backlog(&self) -> Backlog {
+        self.backlog.clone()
+    }
+
     fn check_interval(&self) -> Duration {
         self.max_stall.map_or(MAX_CHECK_INTERVAL, |max| MAX_CHECK_INTERVAL.min(max / 2))
     }
@@ -65,6 +73,7 @@
     fn note_write(&mut self, is_blocked: bool, cx: &mut Context<'_>) -> io::Result<()> {
         let now = Instant::now();
         if is_blocked {
+            self.backlog.set(true);
             self.blocked_since.get_or_insert(now);
         } else {
             self.blocked_since = None;
@@ -95,6 +104,7 @@
     }
 
     fn note_pending(&mut self, is_pending: bool) {
+        self.backlog.set(is_pending);
         if !is_pending {
             self.timer = None;
         }
--- a/crates/nutmeggrade-relay/src/relay/exchange.rs
+++ b/crates/nutmeggrade-relay/src/relay/exchange.rs
@@ -11,7 +11,7 @@
 use nutmeggrade_core::peer::CrashSuspect;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, EventPosition};
-use nutmeggrade_platform::Exchange;
+use nutmeggrade_platform::{Backlog, Exchange};
 use nutmeggrade_wire::answer::{self, ResponseHead};
 use nutmeggrade_wire::request::{self, ForwardHeaders, ResumeFrom};
 
@@ -52,6 +52,11 @@
 }
 
 impl OpenConnection {
+    /// Returns what the peer still has to read of the request, once it is sent.
+    pub fn backlog(&self) -> Backlog {
+        self.exchange.backlog()
+    }
+
     /// Sends a request and waits for the response's head.
     ///
     /// # Errors
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -205,11 +205,12 @@
         self.dispatch_request.is_canary = false;
         self.pending.endpoint = Some(endpoint.id.clone());
         self.open.sent(&endpoint.id);
+        let backlog = connection.backlog();
         let options = SendOptions { lease, ..SendOptions::default() };
         let result = tokio::select! {
             biased;
             result = send_request(&self.node, &self.request, &reservation, options, connection) => result,
-            other = self.replacement(&endpoint) => return Ok(self.replace(&endpoint, other)),
+            other = self.replacement(&endpoint, &backlog) => return Ok(self.replace(&endpoint, other)),
         };
         match result {
             Ok(response) if response.parsed.misdirected => {
--- a/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler/replacement.rs
@@ -4,6 +4,7 @@
 
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_core::routing::{EndpointInfo, RouteKind};
+use nutmeggrade_platform::Backlog;
 use nutmeggrade_policy::dispatch::{DispatchRequest, Health};
 use tokio::time::sleep;
 
@@ -38,11 +39,15 @@
     ///
     /// An endpoint that is silent may be sound and about to answer. What was sent to it is therefore
     /// given up only for another endpoint, and never for a search that may find none.
-    pub(super) async fn replacement(&self, silent: &EndpointInfo) -> ReadyEndpoint {
+    pub(super) async fn replacement(
+        &self,
+        silent: &EndpointInfo,
+        backlog: &Backlog,
+    ) -> ReadyEndpoint {
         if !self.attempt.may_send_again() {
             return std::future::pending().await;
         }
-        self.until_silent(&silent.id).await;
+        self.until_silent(&silent.id, backlog).await;
         self.log_silence(&silent.id);
         if reach::check(&self.node, silent).await == Reach::Reached {
             self.node.update_health(&silent.id, Health::record_failure);
@@ -51,28 +56,31 @@
         search.is_canary = false;
         search.avoid.insert(silent.id.clone());
         loop {
-            if let Some(ready) = self.find_ready(&silent.id, &mut search).await {
+            if let Some(ready) = self.find_ready(&silent.id, backlog, &mut search).await {
                 return ready;
             }
             sleep(SEARCH_INTERVAL).await;
         }
     }
 
-    /// Waits until an endpoint has been silent towards the request for too long: an engine that runs a
-    /// resumable request as soon as it counts as stalled.
-    async fn until_silent(&self, endpoint: &EndpointId) {
+    /// Waits until an endpoint that has read the request has been silent towards it for too long: an engine
+    /// that runs a resumable request as soon as it counts as stalled.
+    async fn until_silent(&self, endpoint: &EndpointId, backlog: &Backlog) {
         if self.request.route.kind == RouteKind::Idempotent {
-            return sleep(self.request.resend_delay(self.node.now())).await;
+            return backlog.silence(self.request.resend_delay(self.node.now())).await;
         }
-        sleep(self.request.silence_limits().first).await;
-        while !self.is_silent(endpoint) {
+        backlog.silence(self.request.silence_limits().first).await;
+        while !self.is_silent(endpoint, backlog) {
             sleep(STALL_CHECK_INTERVAL).await;
         }
     }
 
     /// Returns whether an endpoint that was silent towards the request still is, as far as other requests
     /// tell: an engine that sends to others has the request in its queue.
-    fn is_silent(&self, endpoint: &EndpointId) -> bool {
+    fn is_silent(&self, endpoint: &EndpointId, backlog: &Backlog) -> bool {
+        if backlog.exists() {
+            return false;
+        }
         if self.request.route.kind == RouteKind::Idempotent {
             return true;
         }
@@ -83,8 +91,8 @@
     }
 
     /// Returns whether the request may leave a silent endpoint now, if there is another one for it.
-    fn may_leave(&self, silent: &EndpointId) -> bool {
-        self.is_silent(silent)
+    fn may_leave(&self, silent: &EndpointId, backlog: &Backlog) -> bool {
+        self.is_silent(silent, backlog)
             && !self.node.is_cut_off(&self.request.service)
             && shutdown::check_request(&self.node, &self.request).is_ok()
             && self.node.allows_resend(&self.request.service)
@@ -95,9 +103,10 @@
     async fn find_ready(
         &self,
         silent: &EndpointId,
+        backlog: &Backlog,
         search: &mut DispatchRequest,
     ) -> Option<ReadyEndpoint> {
-        if !self.may_leave(silent) {
+        if !self.may_leave(silent, backlog) {
             return None;
         }
         let request = &self.request;
@@ -118,7 +127,7 @@
             }
         };
         // The search may have taken seconds.
-        if !self.may_leave(silent) {
+        if !self.may_leave(silent, backlog) {
             return None;
         }
         let now = self.node.now();
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::PROMPT_HEADERS;
-use super::site::Site;
+use super::site::{Site, metric};
 use crate::support::{run, until};
 
 /// A pause in reading for which a window stays closed longer than a peer may be silent.
@@ -124,6 +124,41 @@
     generation: "draft";
 }}
 
+/// Sends a large body to one of two endpoints that read nothing of it for 5 s, and checks that the first one
+/// answers it.
+fn endpoint_that_reads_is_not_given_up(route: &str) {
+    run(async {
+        let plan = RoutingPlan { target_ms: 500, ..plan() };
+        let site = Site::start(&plan).await?;
+        let first = site.add_endpoint(service(route), "e-1", Behaviour::Answer).await?;
+        let second = site.add_endpoint(service(route), "e-2", Behaviour::Answer).await?;
+        for endpoint in [&first, &second] {
+            endpoint.read_late(Duration::from_secs(5));
+        }
+        let mut client = RawClient::connect(site.client()).await?;
+        let headers = "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,80\r\n\
+             X-Nutmeggrade-Deadline-Ms: 9000\r\n";
+        let body = "x".repeat(LARGE_BYTES);
+        let sent_at = Instant::now();
+        client.send(&request_with_body(route, "a1", "key-1", headers, &body)).await?;
+        assert_eq!(client.answer().await?.status, 200);
+        // A second endpoint would begin to read after a third of the deadline, and answer 5 s later.
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < Duration::from_secs(7), "{elapsed:?}");
+        assert_eq!(first.runs("a1") + second.runs("a1"), 1);
+        let sends = metric(site.instance.addresses().metrics, "sends_total{end=\"silent\"}").await;
+        assert_eq!(sends.unwrap_or_default(), 0);
+        Ok(())
+    });
+}
+
+// Guards against endpoints that are taken for silent while they read a body slowly: it is sent once more, to
+// another one.
+cases! {endpoint_that_reads_is_not_given_up {
+    call: "read";
+    generation: "sort";
+}}
+
 // Guards against requests that wait until their deadline for an endpoint that is gone.
 #[test]
 fn vanished_endpoint_is_noticed() {
