--- a/crates/nutmeggrade-platform/src/call.rs
+++ b/crates/nutmeggrade-platform/src/call.rs
@@ -12,7 +12,7 @@
 use hyper::body::Body;
 use tokio::time::timeout;
 
-use crate::{Exchange, ResponseBody, TransferError, connect_bounded};
+use crate::{CallTimeouts, Exchange, ResponseBody, TransferError, connect_bounded};
 
 /// Longest time for a body that keeps coming.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
@@ -22,6 +22,8 @@
 pub enum CallError {
     /// The request was not sent, so it did not run.
     NotSent(anyhow::Error),
+    /// The request was sent, and the server was silent for too long.
+    Silent,
     /// The request was passed to the transport; whether it ran is unknown.
     Unknown(anyhow::Error),
 }
@@ -44,6 +46,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(e) => write!(f, "not sent: {e:#}"),
+            Self::Silent => f.write_str("no answer"),
             Self::Unknown(e) => write!(f, "answer lost: {e:#}"),
         }
     }
@@ -62,7 +65,8 @@
     request: Request<Full<Bytes>>,
     connect_timeout: Duration,
 ) -> Result<Response<ResponseBody>, CallError> {
-    call_if(address, request, connect_timeout, || Ok(())).await
+    let timeouts = CallTimeouts { connect: connect_timeout, silence: Duration::MAX };
+    call_if(address, request, timeouts, || Ok(())).await
 }
 
 /// Sends a request like [`call`], but first calls `may_send` once the connection is established,
@@ -74,10 +78,10 @@
 pub async fn call_if(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    connect_timeout: Duration,
+    timeouts: CallTimeouts,
     may_send: impl FnOnce() -> anyhow::Result<()>,
 ) -> Result<Response<ResponseBody>, CallError> {
-    let stream = match timeout(connect_timeout, connect_bounded(address)).await {
+    let stream = match timeout(timeouts.connect, connect_bounded(address)).await {
         Ok(Ok(s)) => s,
         Ok(Err(e)) => {
             return Err(CallError::NotSent(
@@ -92,9 +96,12 @@
     let (exchange, task) = Exchange::new(stream).await.map_err(|e| CallError::NotSent(e.into()))?;
     tokio::spawn(task);
     may_send().map_err(CallError::NotSent)?;
-    exchange
-        .send(request)
-        .await
+    let backlog = exchange.backlog();
+    let response = tokio::select! {
+        response = exchange.send(request) => response,
+        () = backlog.silence(timeouts.silence) => return Err(CallError::Silent),
+    };
+    response
         .map_err(|e| CallError::Unknown(anyhow::Error::new(e).context(format!("call {address}"))))
 }
 
--- a/crates/nutmeggrade/src/engine_client.rs
+++ b/crates/nutmeggrade/src/engine_client.rs
@@ -16,7 +16,9 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use nutmeggrade_core::engine::{EngineStatus, GENERATIONS_PATH, GenerateRequest, LOAD_PATH, Token};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{ResponseBody, body_bytes, call, call_if, json_body};
+use nutmeggrade_platform::{
+    CallError, CallTimeouts, ResponseBody, body_bytes, call, call_if, json_body,
+};
 use tokio::time::timeout;
 
 use crate::event_bytes::EventBytes;
@@ -40,6 +42,8 @@
 pub enum StartError {
     /// Certainly not run: the request was not sent, or the engine refused it.
     NotRun(anyhow::Error),
+    /// The engine has read the request and was silent for too long.
+    Silent,
     /// The request was sent, and it is unknown whether it ran.
     Unknown(anyhow::Error),
 }
@@ -102,11 +106,13 @@
         Self { connect_timeout, report_client }
     }
 
-    /// Starts a generation; `may_send` can still refuse immediately before the request is sent.
+    /// Starts a generation at an engine that may be silent for the time `silence` once it has read the
+    /// request; `may_send` can still refuse immediately before the request is sent.
     pub async fn start(
         &self,
         address: SocketAddr,
         request: &GenerateRequest,
+        silence: Duration,
         may_send: impl FnOnce() -> anyhow::Result<()>,
     ) -> Result<Tokens, StartError> {
         let body = json_body(request).map_err(StartError::NotRun)?;
@@ -117,8 +123,10 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(body)
             .map_err(|e| StartError::NotRun(e.into()))?;
-        let response = match call_if(address, request, self.connect_timeout, may_send).await {
+        let timeouts = CallTimeouts { connect: self.connect_timeout, silence };
+        let response = match call_if(address, request, timeouts, may_send).await {
             Ok(response) => response,
+            Err(CallError::Silent) => return Err(StartError::Silent),
             Err(e) if e.not_sent() => return Err(StartError::NotRun(e.into())),
             Err(e) => return Err(StartError::Unknown(e.into())),
         };
--- a/crates/nutmeggrade/src/generation/attempt.rs
+++ b/crates/nutmeggrade/src/generation/attempt.rs
@@ -110,9 +110,10 @@
 ) -> Result<Option<Tokens>, FailedAttempt> {
     let generation = request.generation;
     let mut guard = CancelGuard { node: Arc::clone(node), address, generation, armed: true };
-    let limit = node.settings.stall.min(caller.deadline.since(node.now()));
+    let remaining = caller.deadline.since(node.now());
     let may_send = || Ok(placement.slot.acquire()?);
-    let result = timeout(limit, node.engines.start(address, request, may_send)).await;
+    let start = node.engines.start(address, request, node.settings.stall, may_send);
+    let result = timeout(remaining, start).await;
     guard.armed = !matches!(result, Ok(Ok(_) | Err(StartError::NotRun(_))));
     match result {
         Ok(Ok(tokens)) => Ok(Some(tokens)),
@@ -123,7 +124,9 @@
             guard.armed = false;
             Ok(None)
         }
-        Err(_) => Err(FailedAttempt::new(RunStatus::Unknown, "the engine did not answer")),
+        Ok(Err(StartError::Silent)) | Err(_) => {
+            Err(FailedAttempt::new(RunStatus::Unknown, "the engine did not answer"))
+        }
     }
 }
 
--- a/crates/nutmeggrade/src/service/replica.rs
+++ b/crates/nutmeggrade/src/service/replica.rs
@@ -10,7 +10,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use nutmeggrade_core::prelude::*;
-use nutmeggrade_platform::{Platform, ResponseBody, call_if};
+use nutmeggrade_platform::{CallTimeouts, Platform, ResponseBody, call_if};
 use nutmeggrade_policy::intake::MemoryFull;
 use nutmeggrade_relay::intake::{BodyBuffer, ConnectionMemory};
 use tokio::time::timeout;
@@ -125,7 +125,9 @@
         Ok(request) => request,
         Err(error) => return AttemptResult::NotRun(error.to_string()),
     };
-    let response = match call_if(address, request, connect_timeout, may_send).await {
+    // The deadline bounds the time without a response.
+    let timeouts = CallTimeouts { connect: connect_timeout, silence: Duration::MAX };
+    let response = match call_if(address, request, timeouts, may_send).await {
         Ok(response) => response,
         Err(error) if error.not_sent() => return AttemptResult::NotRun(error.to_string()),
         Err(error) => return AttemptResult::Lost(error.to_string()),
--- a/tests/suite/process/slow_callers.rs
+++ b/tests/suite/process/slow_callers.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmeggrade_fakes::fleet::{Deployment, Plan};
+use anyhow::Context;
+use nutmeggrade_core::prelude::*;
+use nutmeggrade_fakes::fleet::{Deployment, Fleet, Plan};
 use nutmeggrade_fakes::site::Behaviour;
+use nutmeggrade_platform::newest_config;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::faulty_endpoints::{Setup, start_engine_with};
-use crate::support::{fleet, run};
+use crate::support::{fleet, run, until};
 
 const ENTRIES: &[u8] = b"GET /v1/entries HTTP/1.1\r\nhost: a\r\n\r\n";
 /// Number of requests whose responses are more than the kernel holds for a caller.
@@ -19,6 +22,8 @@
 /// What a slow caller reads at a time: 100,000 bytes a second.
 const READ_BYTES: usize = 4_000;
 const READ_INTERVAL: Duration = Duration::from_millis(40);
+/// More than the kernel holds for an engine.
+const LONG_PROMPT_BYTES: usize = 900_000;
 /// Far longer than reading at this speed takes.
 const READ_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -108,3 +113,38 @@
         Ok(())
     });
 }
+
+/// Raises the context of the models far above the prompt.
+async fn allow_long_prompts(fleet: &Fleet) -> anyhow::Result<()> {
+    let mut config = newest_config(&fleet.client()).await?.config.context("no configuration")?;
+    config.version += 1;
+    config.id = ChangeId::new("c-context")?;
+    for preset in config.presets.values_mut() {
+        preset.models.values_mut().for_each(|model| model.context = 1_000_000);
+    }
+    fleet.push_config("node-0", &config).await?;
+    until("the configuration is in force", async || {
+        Ok(fleet.counter("node-0", "nutmeggrade_config_version").await? >= config.version as f64)
+    })
+    .await
+}
+
+// Guards against an engine that is given up as silent while it still reads a long prompt.
+#[test]
+fn engine_that_reads_slowly_is_not_given_up() {
+    run(async {
+        let plan = Plan::default().with_flag("stall", "1500");
+        let setup = start_engine_with(plan, Behaviour::EndlessTokens(100)).await?;
+        allow_long_prompts(&setup.guard.fleet).await?;
+        setup.endpoint.read_late(Duration::from_secs(4));
+        let mut stream = request_stream(&setup, LONG_PROMPT_BYTES).await?;
+        let mut received = Vec::new();
+        while !String::from_utf8_lossy(&received).contains("data:") {
+            let read = timeout(READ_TIMEOUT, stream.read_buf(&mut received)).await??;
+            anyhow::ensure!(read > 0, "closed: {}", String::from_utf8_lossy(&received));
+        }
+        let text = String::from_utf8_lossy(&received).into_owned();
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        Ok(())
+    });
+}
