--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -38,6 +38,7 @@
 mod store;
 mod streams;
 mod supply;
+mod transmissions;
 mod version_records;
 mod versions;
 
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use nutmeggrade_fakes::relay::Link;
 use nutmeggrade_fakes::site::{
     Behaviour, Endpoint, RawClient, RoutingPlan, StreamEnd, request, request_with_body,
 };
 use tokio::time::{Instant, sleep, timeout};
 
 use super::PROMPT_HEADERS;
+use super::cut_off::CutSite;
 use super::site::{Site, metric};
 use crate::support::{run, until};
 
@@ -62,6 +64,26 @@
         Behaviour::Large { bytes: 260_000, is_chunked: true }, Duration::from_millis(2_500);
 }}
 
+// Guards against an instance that serves a peer's client and takes the peer for dead, because its window is
+// closed while that client reads slowly.
+#[test]
+fn slow_client_of_a_cut_off_instance_gets_the_whole_response() {
+    run(async {
+        let site = CutSite::start(1).await?;
+        site.cut_and_wait(Link::Unreachable).await?;
+        for endpoint in &site.endpoints {
+            endpoint.set(Behaviour::Large { bytes: LARGE_BYTES, is_chunked: true });
+        }
+        let address = site.proxied().addresses().client;
+        let mut client = RawClient::connect_with_small_buffer(address).await?;
+        client.send(&request("read", "a1", "key-1", PROMPT_HEADERS)).await?;
+        sleep(PAUSE).await;
+        let answer = client.answer().await?;
+        assert!(answer.status == 200 && answer.is_whole);
+        Ok(())
+    });
+}
+
 /// Begins a stream, waits, makes its client vanish, and checks that its connection is closed in time.
 fn vanished_client_is_noticed(behaviour: Behaviour, wait: Duration, limit: Duration) {
     run(async {
