Count an endpoint that answers no more as silent while it has a body to read

Since the silence of an endpoint counts from when it has read the request, one that vanished with a part of the body in flight counted as reading until it counted as gone, 3 to 4 s after. A call that may be repeated waited that long for another endpoint, where a third of its time was the limit before.

What the peer still has to read counts only while it acknowledges: not once a retransmission went unanswered although its window is open, or two probes of a closed one.

--- a/crates/nutmeggrade-platform/src/backlog.rs
+++ b/crates/nutmeggrade-platform/src/backlog.rs
@@ -9,7 +9,8 @@
 /// Interval between two checks whether a peer has read what it has to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Tells whether a peer still has to read a part of what was written; shared with the connection.
+/// Tells whether a peer that answers still has to read a part of what was written; shared with the
+/// connection.
 #[derive(Debug, Clone, Default)]
 pub struct Backlog(Arc<AtomicBool>);
 
@@ -18,7 +19,8 @@
         self.0.store(exists, Ordering::Relaxed);
     }
 
-    /// Returns whether the peer still has to read a part. What it has read is noticed within a second.
+    /// Returns whether the peer still has to read a part. What it has read, and that it answers no more, is
+    /// noticed within a second.
     pub fn exists(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
--- a/crates/nutmeggrade-platform/src/transmission.rs
+++ b/crates/nutmeggrade-platform/src/transmission.rs
@@ -60,6 +60,14 @@
         self.unsent_bytes > 0 || self.in_flight > 0
     }
 
+    /// Returns whether the peer acknowledges what it gets, as far as known by now.
+    pub const fn is_answered(&self) -> bool {
+        if self.in_flight == 0 {
+            return self.probes < MAX_PROBES;
+        }
+        self.retransmits == 0 || self.window == 0
+    }
+
     /// Returns whether the peer counts as gone, if bytes have been pending for the given time.
     ///
     /// A peer that reads slowly closes its window, and acknowledges the probes that it gets from then
@@ -69,13 +77,12 @@
         if silence < MAX_SILENCE {
             return false;
         }
-        if self.in_flight == 0 {
-            return self.probes >= MAX_PROBES;
-        }
         // A peer without memory drops what is in flight, closes its window, and acknowledges each
         // retransmission. The interval between them grows beyond the time in which a peer is gone.
-        let has_answer_time = self.window > 0 || silence >= self.interval * CLOSED_WINDOW_INTERVALS;
-        self.retransmits > 0 && has_answer_time
+        let is_overdue = self.in_flight > 0
+            && self.retransmits > 0
+            && silence >= self.interval * CLOSED_WINDOW_INTERVALS;
+        !self.is_answered() || is_overdue
     }
 }
 
--- a/crates/nutmeggrade-platform/src/watched_stream.rs
+++ b/crates/nutmeggrade-platform/src/watched_stream.rs
@@ -72,11 +72,11 @@
     /// Starts to watch the bytes that a write has left pending.
     fn note_write(&mut self, is_blocked: bool, cx: &mut Context<'_>) -> io::Result<()> {
         let now = Instant::now();
-        if is_blocked {
-            self.backlog.set(true);
-            self.blocked_since.get_or_insert(now);
-        } else {
+        if !is_blocked {
             self.blocked_since = None;
+        } else if self.blocked_since.is_none() {
+            self.blocked_since = Some(now);
+            self.backlog.set(true);
         }
         if self.timer.is_none() {
             self.pending_since = now;
@@ -103,32 +103,25 @@
         Ok(())
     }
 
-    fn note_pending(&mut self, is_pending: bool) {
-        self.backlog.set(is_pending);
-        if !is_pending {
-            self.timer = None;
-        }
-    }
-
     fn check_peer(&mut self, now: Instant) -> io::Result<()> {
         // Without the kernel's knowledge, only the time for which a write has waited counts.
-        if let Ok(transmission) = Transmission::of(&self.stream) {
-            if transmission.acked_bytes > self.acked_bytes {
-                self.acked_bytes = transmission.acked_bytes;
-                self.acked_at = now;
-            }
-            if transmission.is_peer_gone(now - self.pending_since) {
-                return Err(timed_out("the peer acknowledges nothing"));
-            }
-            if self.blocked_since.is_none() {
-                self.note_pending(transmission.is_pending());
-            }
-        } else if self.blocked_since.is_none() {
-            self.note_pending(false);
+        let transmission = Transmission::of(&self.stream).unwrap_or_default();
+        if transmission.acked_bytes > self.acked_bytes {
+            self.acked_bytes = transmission.acked_bytes;
+            self.acked_at = now;
         }
-        if let (Some(max_stall), Some(blocked_since)) = (self.max_stall, self.blocked_since)
-            && now - blocked_since.max(self.acked_at) >= max_stall
-        {
+        if transmission.is_peer_gone(now - self.pending_since) {
+            return Err(timed_out("the peer acknowledges nothing"));
+        }
+        self.backlog.set(transmission.is_pending() && transmission.is_answered());
+        let Some(blocked_since) = self.blocked_since else {
+            if !transmission.is_pending() {
+                self.timer = None;
+            }
+            return Ok(());
+        };
+        let stalled_since = blocked_since.max(self.acked_at);
+        if self.max_stall.is_some_and(|max_stall| now - stalled_since >= max_stall) {
             return Err(timed_out("the peer reads nothing"));
         }
         Ok(())
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -181,6 +181,33 @@
     generation: "sort";
 }}
 
+/// Sends a body to an endpoint that vanishes, adds another one, and checks that it answers before the first one
+/// counts as gone.
+fn vanished_endpoint_is_left_for_another(body_bytes: usize) {
+    run(async {
+        let plan = RoutingPlan { target_ms: 500, ..plan() };
+        let site = Site::start(&plan).await?;
+        let first = site.add_endpoint("desk", "e-1", Behaviour::Vanish).await?;
+        let mut client = RawClient::connect(site.client()).await?;
+        let headers = "X-Nutmeggrade-Deadline-Ms: 4500\r\n";
+        let body = "x".repeat(body_bytes);
+        let sent_at = Instant::now();
+        client.send(&request_with_body("read", "a1", "key-1", headers, &body)).await?;
+        until("the request is sent", async || Ok(first.open() > 0)).await?;
+        site.add_endpoint("desk", "e-2", Behaviour::Answer).await?;
+        assert_eq!(client.answer().await?.status, 200);
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < Duration::from_secs(3), "{elapsed:?}");
+        Ok(())
+    });
+}
+
+// Guards against endpoints that count as reading a body although they acknowledge nothing.
+cases! {vanished_endpoint_is_left_for_another {
+    small_body: 50_000;
+    large_body: LARGE_BYTES;
+}}
+
 // Guards against requests that wait until their deadline for an endpoint that is gone.
 #[test]
 fn vanished_endpoint_is_noticed() {
--- a/tests/suite/relay/transmissions.rs
+++ b/tests/suite/relay/transmissions.rs
@@ -52,6 +52,20 @@
     nothing_pending: Transmission { unsent_bytes: 0, ..CLOSED }, false;
 }}
 
+/// Checks whether a peer counts as one that acknowledges what it gets.
+fn is_answered(transmission: Transmission, is_answered: bool) {
+    assert_eq!(transmission.is_answered(), is_answered);
+}
+
+// Guards against peers that count as reading while they acknowledge nothing, before they count as gone.
+cases! {is_answered {
+    answered_probes: CLOSED, true;
+    unread_probes: Transmission { probes: 2, ..CLOSED }, false;
+    packets_in_flight: Transmission { retransmits: 0, ..SENT }, true;
+    retransmitted_packets: Transmission { retransmits: 1, ..SENT }, false;
+    packets_beyond_a_closed_window: Transmission { window: 0, ..SENT }, true;
+}}
+
 // Guards against a peer that counts as gone by the time before anything was sent to it.
 #[test]
 fn idle_time_does_not_count() {
