Hold responses that a stop might cut until they are whole

Cause: those responses were passed on as they came; the failure at the end of a stop is for requests without a response.

While the deadline is after the end of the instance, such a response is read up to 4 MiB before it is passed on. At the end its client gets 502 with an unknown outcome. Weighed: accepting these requests by their deadline too. Lookups that take 60 ms would be refused for the whole grace period where only one instance serves, for the sake of responses that are rare there.

relay::stop_streams::repeatable_response_is_not_cut: long_stream and large_without_end failed before (cut); short_stream, large and larger_than_what_is_held passed before and pass.

--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -96,12 +96,13 @@
         if head.headers.contains_key(CODE_HEADER) {
             return self.take_refusal(peer, body).await;
         }
-        let length = answer::read(&head).length;
-        let is_large = length.is_some_and(|l| l > response::MAX_BUFFERED_BYTES as u64);
-        let body = if is_large || is_event_stream(&head) {
+        let is_held = shutdown::holds_response(&self.node, &self.request);
+        let max_bytes = response::buffer_limit(is_held);
+        let is_large = answer::read(&head).length.is_some_and(|l| l > max_bytes as u64);
+        let body = if !is_held && (is_large || is_event_stream(&head)) {
             ReadBody::Large(body)
         } else {
-            match response::read_body(body, &self.request.memory).await {
+            match response::read_body(body, &self.request.memory, max_bytes).await {
                 Ok(body) => body,
                 Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
             }
@@ -154,13 +155,16 @@
         peer: &InstanceId,
         body: UpstreamBody,
     ) -> Result<Forwarded, Failure> {
-        let failure = match response::read_body(body, &self.request.memory).await {
-            Ok(ReadBody::Whole(body)) => {
-                serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
-            }
-            Ok(ReadBody::Large(_)) => Err("the peer's failure is too large".to_owned()),
-            Err(reason) => Err(reason),
-        };
+        let failure =
+            match response::read_body(body, &self.request.memory, response::MAX_BUFFERED_BYTES)
+                .await
+            {
+                Ok(ReadBody::Whole(body)) => {
+                    serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
+                }
+                Ok(ReadBody::Large(_)) => Err("the peer's failure is too large".to_owned()),
+                Err(reason) => Err(reason),
+            };
         let failure = match failure {
             Ok(failure) => failure,
             Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -24,6 +24,9 @@
 /// still be retried elsewhere or reported as failed.
 pub const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Largest body that is read completely because it might be cut otherwise.
+const MAX_HELD_BYTES: usize = 4 << 20;
+
 /// Largest part of a body that needs no account of what is read ahead of it.
 const SMALL_PART_BYTES: usize = 8 << 10;
 
@@ -40,12 +43,17 @@
 pub enum ReadBody {
     /// The complete body.
     Whole(Bytes),
-    /// A body larger than [`MAX_BUFFERED_BYTES`], still to be read from its start.
+    /// A body larger than the limit, still to be read from its start.
     Large(UpstreamBody),
 }
 
-/// Reads a body completely, unless it is larger than [`MAX_BUFFERED_BYTES`] or than the client's
-/// connection may hold.
+/// Returns the size up to which a body is read completely before it is passed on.
+pub const fn buffer_limit(is_held: bool) -> usize {
+    if is_held { MAX_HELD_BYTES } else { MAX_BUFFERED_BYTES }
+}
+
+/// Reads a body completely, unless it is larger than `max_bytes` or than the client's connection may
+/// hold.
 ///
 /// # Errors
 ///
@@ -53,8 +61,9 @@
 pub async fn read_body(
     mut upstream: UpstreamBody,
     memory: &ConnectionMemory,
+    max_bytes: usize,
 ) -> Result<ReadBody, String> {
-    let mut body = BodyBuffer::new(memory, MAX_BUFFERED_BYTES, "response");
+    let mut body = BodyBuffer::new(memory, max_bytes, "response");
     let mut is_small = true;
     while let Some(chunk) = upstream.next().await {
         let chunk = chunk.map_err(|e| e.to_string())?;
--- a/crates/nutmeggrade-relay/src/relay/shutdown.rs
+++ b/crates/nutmeggrade-relay/src/relay/shutdown.rs
@@ -46,6 +46,14 @@
     check(node, &request.route, request.prompt.as_ref(), request.deadline)
 }
 
+/// Returns whether a response that is passed on as it comes may be cut at the end of this instance, although
+/// its client could get a failure. Other kinds of requests are accepted by their deadline.
+pub fn holds_response(node: &Node, request: &ClientRequest) -> bool {
+    let is_accepted_by_estimate = request.route.kind == RouteKind::Idempotent;
+    let time_left = node.time_until_end().filter(|_| is_accepted_by_estimate);
+    time_left.is_some_and(|time_left| request.deadline.since(node.now()) >= time_left)
+}
+
 /// Completes with the refusal of a request that was not sent yet, once it may outlast this instance.
 pub async fn until_too_late(node: &Node, request: &ClientRequest) -> Failure {
     let mut phases = node.phases();
--- a/tests/suite/relay/stop_streams.rs
+++ b/tests/suite/relay/stop_streams.rs
@@ -46,6 +46,36 @@
     taken_up: "sort", "X-Nutmeggrade-Model-Name: m\r\nX-Nutmeggrade-Token-Count: 100,40\r\nLast-Event-Id: 3\r\n";
 }}
 
+/// Asks an instance that stops alone for a response that may be repeated and is large or a stream, with a far
+/// deadline, and checks that it is whole, with this status.
+fn repeatable_response_is_not_cut(behaviour: Behaviour, status: u16) {
+    run(async {
+        let plan = RoutingPlan { target_ms: 100, ..RoutingPlan::default() };
+        let site = Site::start(&plan).await?;
+        let endpoint = site.add_endpoint("desk", "e-1", behaviour).await?;
+        let client = site.client();
+        let stopping = begin_stop(site.instance).await?;
+        let answer = RawClient::ask(client, "read", "a1", "").await?;
+        assert_eq!((answer.status, answer.is_whole), (status, true));
+        assert_eq!(endpoint.runs("a1"), 1);
+        stopping.await?;
+        Ok(())
+    });
+}
+
+const ENDLESS_BODY: &str = "HTTP/1.1 200 OK\r\nX-Nutmeggrade-Attempt-Id: a1\r\n\
+     X-Nutmeggrade-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n";
+
+// Guards against responses that a stopping instance begins to pass on, since such requests usually end in
+// time, and cuts at its end.
+cases! {repeatable_response_is_not_cut {
+    short_stream: SHORT_STREAM, 200;
+    long_stream: Behaviour::Stream { events: 2_000, pause: Duration::from_millis(10) }, 502;
+    large: Behaviour::Large { bytes: 2 << 20, is_chunked: true }, 200;
+    large_without_end: Behaviour::RawStall(ENDLESS_BODY, 300_000), 502;
+    larger_than_what_is_held: Behaviour::Large { bytes: 5 << 20, is_chunked: true }, 200;
+}}
+
 // Guards against streams that an instance accepts and cuts because its only peer, which began to stop
 // before it, serves no new clients.
 #[test]
