--- a/crates/nutmeggrade-fakes/examples/soak.rs
+++ b/crates/nutmeggrade-fakes/examples/soak.rs
@@ -1,5 +1,5 @@
 //! Runs soak tests: `soak [--seeds N] [--first SEED] [--seconds S] [--gap MS] [--lost MS]
-//! [--silent MS] [--releases MS] [--odd MS] [--instances N] [--jobs N] [--acts]`, or one operator action of each kind: `soak --show`.
+//! [--silent MS] [--releases MS] [--odd MS] [--overlaps MS] [--slow] [--instances N] [--jobs N] [--acts]`, or one operator action of each kind: `soak --show`.
 //!
 //! Each seed starts instances as separate processes, injects faults around them and checks the
 //! guarantees. Exits with an error if a guarantee was violated. The first seed is random unless
@@ -40,6 +40,13 @@
     options.optopt("", "silent", "mean time between two silences, in milliseconds; 0: none", "MS");
     options.optopt("", "releases", "mean time between two releases; 0: none", "MS");
     options.optopt("", "odd", "mean time between two entries that can't be used; 0: none", "MS");
+    options.optopt(
+        "",
+        "overlaps",
+        "mean time between two series of stops of all instances, in milliseconds; 0: none",
+        "MS",
+    );
+    options.optflag("", "slow", "let some clients read slowly");
     options.optopt("", "jobs", "soaks that run at the same time", "N");
     options.optflag("", "show", "run a fixed series of changes, without random faults");
     options.optflag("", "acts", "print the actions of passed soaks too");
@@ -57,6 +64,8 @@
     let silent = matches.opt_get_default("silent", 0)?;
     let releases = matches.opt_get_default("releases", 0)?;
     let odd = matches.opt_get_default("odd", 0)?;
+    let overlaps = matches.opt_get_default("overlaps", 0)?;
+    let is_slow = matches.opt_present("slow");
     let jobs = matches.opt_get_default("jobs", 1)?;
     let shows_acts = matches.opt_present("acts");
     let plans = (0..count).map(|n| {
@@ -70,7 +79,9 @@
             .with_lost_changes(lost);
         let plan = if silent > 0 { plan.with_silences(silent) } else { plan };
         let plan = if releases > 0 { plan.with_releases(releases) } else { plan };
-        if odd > 0 { plan.with_odd_entries(odd) } else { plan }
+        let plan = if odd > 0 { plan.with_odd_entries(odd) } else { plan };
+        let plan = if overlaps > 0 { plan.with_overlapping_stops(overlaps) } else { plan };
+        if is_slow { plan.with_slow_clients() } else { plan }
     });
     let runs =
         futures::stream::iter(plans.map(|plan| async move { (plan.seed, run(&plan).await) }));
--- a/crates/nutmeggrade-fakes/src/soak/action.rs
+++ b/crates/nutmeggrade-fakes/src/soak/action.rs
@@ -1,6 +1,7 @@
 //! The faults and operator actions of a soak, and their schedule.
 
 mod odd_entries;
+mod overlapping_stops;
 mod releases;
 mod silences;
 
@@ -16,6 +17,7 @@
 use crate::site::{Behaviour, Fault, StreamEnd};
 
 pub use odd_entries::draw_odd_entries;
+pub use overlapping_stops::draw_overlapping_stops;
 pub use releases::draw_releases;
 pub use silences::draw_silences;
 
--- a/crates/nutmeggrade-fakes/src/soak/checker.rs
+++ b/crates/nutmeggrade-fakes/src/soak/checker.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod notices;
+mod slow_clients;
 mod stops;
 mod versions;
 
@@ -87,6 +88,8 @@
         checker.check_resends();
         checker.check_cold_rates();
         checker.check_notices();
+    } else {
+        checker.check_slow_clients();
     }
     let text = std::fs::read_to_string(log).context("read the log")?;
     let panics = text.lines().filter(|l| l.contains("panicked"));
--- a/crates/nutmeggrade-fakes/src/soak/clients.rs
+++ b/crates/nutmeggrade-fakes/src/soak/clients.rs
@@ -15,8 +15,12 @@
 use super::records::{Outcome, Records, RequestRecord, TakeUp};
 use crate::site::{Answer, RawClient, request};
 
-/// Deadline that clients send with each request.
-pub const DEADLINE: Duration = Duration::from_secs(6);
+/// Deadline that clients send with a request.
+const DEADLINE: Duration = Duration::from_secs(6);
+/// Deadline of a client that reads slowly: the shortest timeout of the routes.
+const SLOW_DEADLINE: Duration = Duration::from_secs(8);
+/// Pause of a client that reads slowly, in milliseconds.
+const READ_PAUSE_MS: std::ops::Range<u64> = 3_500..6_000;
 /// Time past the deadline after which a client counts the request as timed out.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Limit on connecting, and on a directory lookup.
@@ -43,6 +47,9 @@
     addresses: Vec<SocketAddr>,
     addresses_expire: Instant,
     keeps_connections: bool,
+    reads_slowly: bool,
+    /// Deadline of its streams, if not the usual one.
+    stream_deadline: Option<Duration>,
 }
 
 impl Client {
@@ -62,6 +69,8 @@
             addresses: Vec::new(),
             addresses_expire: Instant::now(),
             keeps_connections: false,
+            reads_slowly: false,
+            stream_deadline: None,
         }
     }
 
@@ -72,6 +81,20 @@
         self
     }
 
+    /// Sets whether it pauses before it reads responses, and receives little meanwhile.
+    #[must_use]
+    pub const fn with_slow_reads(mut self, slow: bool) -> Self {
+        self.reads_slowly = slow;
+        self
+    }
+
+    /// Sets a deadline for its streams.
+    #[must_use]
+    pub const fn with_stream_deadline(mut self, deadline: Duration) -> Self {
+        self.stream_deadline = Some(deadline);
+        self
+    }
+
     /// Opens connections and sends up to seven requests on each, or as many as it can, until `stop` is
     /// set.
     pub async fn run(mut self, stop: watch::Receiver<bool>) {
@@ -177,8 +200,15 @@
     ) -> Outcome {
         self.request_count += 1;
         let id = self.last_id();
-        let mut headers = format!("X-Nutmeggrade-Deadline-Ms: {}\r\n", DEADLINE.as_millis());
-        if matches!(route, "draft" | "sort") {
+        let is_stream = matches!(route, "draft" | "sort");
+        let deadline = match self.stream_deadline {
+            Some(deadline) if is_stream => deadline,
+            _ if self.reads_slowly => SLOW_DEADLINE,
+            _ => DEADLINE,
+        };
+        let pause = if self.reads_slowly { self.rng.random_range(READ_PAUSE_MS) } else { 0 };
+        let mut headers = format!("X-Nutmeggrade-Deadline-Ms: {}\r\n", deadline.as_millis());
+        if is_stream {
             headers.push_str(PROMPT_HEADERS);
         }
         if let Some(TakeUp { first, position }) = &take_up {
@@ -189,9 +219,10 @@
             headers.push_str(FORGED_HEADERS);
         }
         let sent = Instant::now();
-        let limit = cancel_after.unwrap_or(DEADLINE + TIMEOUT_MARGIN);
+        let limit = cancel_after.unwrap_or(deadline + TIMEOUT_MARGIN);
         let exchange = async {
             connection.send(&request(route, &id, key, &headers)).await?;
+            sleep(Duration::from_millis(pause)).await;
             connection.answer().await
         };
         let outcome = match timeout(limit, exchange).await {
@@ -206,9 +237,11 @@
             key: key.to_owned(),
             instance,
             sent,
+            deadline,
             ended: Instant::now(),
             outcome: outcome.clone(),
             take_up,
+            is_slow: self.reads_slowly,
         });
         outcome
     }
@@ -229,7 +262,14 @@
         }
         let address = self.addresses[self.rng.random_range(0..self.addresses.len())];
         let instance = self.instances.find(address)?;
-        if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, RawClient::connect(address)).await {
+        let connect = async {
+            if self.reads_slowly {
+                RawClient::connect_with_small_buffer(address).await
+            } else {
+                RawClient::connect(address).await
+            }
+        };
+        if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, connect).await {
             return Some((instance, connection));
         }
         self.addresses.retain(|a| *a != address);
--- a/crates/nutmeggrade-fakes/src/soak/operator.rs
+++ b/crates/nutmeggrade-fakes/src/soak/operator.rs
@@ -25,9 +25,10 @@
 }
 
 impl Operator {
-    /// Writes the first configuration.
-    pub fn start(store: &Store, records: &Records) -> Self {
-        let plan = RoutingPlan { timeout_ms: 8_000, has_late: true, ..RoutingPlan::default() };
+    /// Writes the first configuration, whose routes have this timeout.
+    pub fn start(store: &Store, records: &Records, timeout: Duration) -> Self {
+        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let plan = RoutingPlan { timeout_ms, has_late: true, ..RoutingPlan::default() };
         let operator = Self {
             store: store.clone(),
             plan: Mutex::new(plan.clone()),
--- a/crates/nutmeggrade-fakes/src/soak/plan.rs
+++ b/crates/nutmeggrade-fakes/src/soak/plan.rs
@@ -23,6 +23,8 @@
     pub gap_ms: u64,
     /// Time that instances have from SIGTERM to their exit.
     pub grace: Duration,
+    /// Timeout of the routes.
+    pub timeout: Duration,
     /// Whether endpoints limit their rates and ask for pauses.
     pub has_notices: bool,
     /// Whether engines end streams early, also in ways that look like their end.
@@ -37,6 +39,10 @@
     pub releases_ms: Option<u64>,
     /// Mean time between two entries that can't be used, in milliseconds.
     pub odd_entries_ms: Option<u64>,
+    /// Mean time between two series of stops in which no instance serves for a while, in milliseconds.
+    pub overlaps_ms: Option<u64>,
+    /// One client in this many reads slowly; `None` if none does.
+    pub slow_interval: Option<usize>,
     /// Whether guarantees with a time limit are checked. On an overloaded machine, processes are
     /// scheduled too late for these checks to be meaningful.
     pub is_timed: bool,
@@ -54,12 +60,15 @@
             clients: 16,
             gap_ms: 350,
             grace: Duration::from_secs(4),
+            timeout: Duration::from_secs(8),
             has_notices: false,
             ends_streams: false,
             lost_changes_ms: None,
             silences_ms: None,
             releases_ms: None,
             odd_entries_ms: None,
+            overlaps_ms: None,
+            slow_interval: None,
             is_timed: true,
         }
     }
@@ -132,6 +141,23 @@
         self
     }
 
+    /// Stops all instances one shortly after the other while engines preempt what they run, with this mean
+    /// time between two such series. Streams have a deadline after the end of the instances.
+    #[must_use]
+    pub const fn with_overlapping_stops(mut self, mean_gap_ms: u64) -> Self {
+        self.overlaps_ms = Some(mean_gap_ms);
+        self.grace = Duration::from_secs(12);
+        self.timeout = Duration::from_secs(20);
+        self
+    }
+
+    /// Lets one client in four read slowly.
+    #[must_use]
+    pub const fn with_slow_clients(mut self) -> Self {
+        self.slow_interval = Some(4);
+        self
+    }
+
     /// Disables the checks of guarantees with a time limit.
     #[must_use]
     pub const fn without_time_limits(mut self) -> Self {
--- a/crates/nutmeggrade-fakes/src/soak/records.rs
+++ b/crates/nutmeggrade-fakes/src/soak/records.rs
@@ -4,7 +4,6 @@
 
 use tokio::time::{Duration, Instant};
 
-use super::clients::DEADLINE;
 use crate::site::Answer;
 
 /// Time before the deadline from which an instance may answer that it has passed.
@@ -53,18 +52,22 @@
     pub instance: usize,
     /// When the client sent it.
     pub sent: Instant,
+    /// Time that the client has.
+    pub deadline: Duration,
     /// When the exchange ended.
     pub ended: Instant,
     /// Its outcome.
     pub outcome: Outcome,
     /// The stream that it takes up.
     pub take_up: Option<TakeUp>,
+    /// Whether the client read the response slowly.
+    pub is_slow: bool,
 }
 
 impl RequestRecord {
     /// Returns whether it took all the time that its client has.
     pub fn has_expired(&self) -> bool {
-        self.ended - self.sent + DEADLINE_MARGIN >= DEADLINE
+        self.ended - self.sent + DEADLINE_MARGIN >= self.deadline
     }
 }
 
--- a/crates/nutmeggrade-fakes/src/soak/runner.rs
+++ b/crates/nutmeggrade-fakes/src/soak/runner.rs
@@ -56,6 +56,9 @@
     if let Some(mean_gap_ms) = plan.odd_entries_ms {
         actions.extend(action::draw_odd_entries(plan, mean_gap_ms));
     }
+    if let Some(mean_gap_ms) = plan.overlaps_ms {
+        actions.extend(action::draw_overlapping_stops(plan, mean_gap_ms));
+    }
     actions.sort_by_key(|(at, _)| *at);
     run_actions(plan, &actions).await
 }
@@ -77,15 +80,21 @@
 async fn run_actions(plan: &Plan, actions: &[(Duration, Action)]) -> anyhow::Result<Verdict> {
     let store = Store::new();
     let records = Arc::new(Records::new());
-    let operator = Operator::start(&store, &records);
+    let operator = Operator::start(&store, &records, plan.timeout);
     let endpoints = SoakEndpoints::start(&store, plan.engines, plan.services).await?;
     let instances = Arc::new(Instances::start(&store, plan).await?);
     let soak = Soak { store, endpoints, operator, instances, records };
     let (stop, stopped) = watch::channel(false);
     let clients = (0..plan.clients).map(|n| {
         let keeps_connections = plan.silences_ms.is_some() && n % 2 == 1;
+        let reads_slowly = plan.slow_interval.is_some_and(|interval| n % interval == interval - 1);
         let client = Client::new(n, plan.seed, &soak.instances, &soak.records)
-            .with_kept_connections(keeps_connections);
+            .with_kept_connections(keeps_connections)
+            .with_slow_reads(reads_slowly);
+        let client = match plan.overlaps_ms {
+            Some(_) => client.with_stream_deadline(plan.timeout),
+            None => client,
+        };
         tokio::spawn(client.run(stopped.clone()))
     });
     let clients: Vec<_> = clients.collect();
