--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -11,6 +11,7 @@
 use super::PROMPT_HEADERS;
 use super::cut_off::CutSite;
 use super::site::{Site, metric};
+use super::stop::begin_stop;
 use crate::support::{run, until};
 
 /// A pause in reading for which a window stays closed longer than a peer may be silent.
@@ -112,6 +113,24 @@
     while_it_read_nothing: LONG_STREAM, Duration::from_secs(1), LATE_NOTICE_TIME;
 }}
 
+// Guards against connections of clients that are gone between two requests: an idle one ends after 15 s.
+#[test]
+fn vanished_idle_client_is_noticed() {
+    run(async {
+        let site = Site::start(&plan()).await?;
+        site.add_endpoint("desk", "e-1", Behaviour::Answer).await?;
+        let mut client = RawClient::connect(site.client()).await?;
+        client.send(&request("read", "a1", "key-1", "")).await?;
+        assert_eq!(client.answer().await?.status, 200);
+        client.vanish()?;
+        let vanished_at = Instant::now();
+        site.until_metric("connections", 0).await?;
+        let elapsed = vanished_at.elapsed();
+        assert!(elapsed < NOTICE_TIME, "{elapsed:?}");
+        Ok(())
+    });
+}
+
 /// Sends a large body to an endpoint with this behaviour; returns the status and the time that it took.
 async fn upload(
     route: &str,
@@ -219,6 +238,21 @@
     });
 }
 
+// Guards against clients that never read and hold an instance beyond its grace period of 4 s.
+#[test]
+fn unread_response_does_not_hold_up_a_stop() {
+    run(async {
+        let site = Site::start(&plan()).await?;
+        let engine = site.add_endpoint("writers", "e-1", LONG_STREAM).await?;
+        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
+        until("it runs", async || Ok(engine.runs("a1") == 1)).await?;
+        let stopping = begin_stop(site.instance).await?;
+        timeout(Duration::from_secs(5), stopping).await??;
+        Ok(())
+    });
+}
+
 // Guards against responses that nobody reads and that occupy their connection after the deadline.
 #[test]
 fn unread_response_is_given_up_after_its_deadline() {
