Read slowly in tests through a buffer that window probes can fill

Cause, in the test's client: its receive buffer was 2 KB. Small segments, as events make them, let the kernel scale its window down to 960 bytes, less than half of the largest one, so that the sender's kernel sends nothing but window probes: 960 bytes in 0.2 s, however fast the client reads. A response of some 300 KB in the send queue takes a minute then. Seen in /proc/net/tcp in runs that failed: timer 4 (window probe) on the instance's side, the queue 960 bytes shorter for each. The instance does as it should.

The buffer is 16 KB in these tests, so that the segment of a probe is large enough for the window to grow again. The soak's clients keep 2 KB: its responses are small, and a client's timeout is no finding there.

--- a/crates/nutmeggrade-fakes/src/site/raw_client.rs
+++ b/crates/nutmeggrade-fakes/src/site/raw_client.rs
@@ -14,9 +14,6 @@
 /// Timeout of every read, far longer than any response takes on a busy machine.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Receive buffer of a client that reads slowly.
-const SMALL_BUFFER_BYTES: u32 = 2 << 10;
-
 /// A client's connection.
 #[derive(Debug)]
 pub struct RawClient {
@@ -29,10 +26,10 @@
         Ok(Self { stream: TcpStream::connect(address).await.context("connect")? })
     }
 
-    /// Opens a connection on which little is received before it is read.
-    pub async fn connect_with_small_buffer(address: SocketAddr) -> anyhow::Result<Self> {
+    /// Opens a connection whose receive buffer holds about this many bytes that the client hasn't read.
+    pub async fn connect_with_buffer(address: SocketAddr, bytes: u32) -> anyhow::Result<Self> {
         let socket = TcpSocket::new_v4()?;
-        socket.set_recv_buffer_size(SMALL_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(bytes)?;
         Ok(Self { stream: socket.connect(address).await.context("connect")? })
     }
 
--- a/crates/nutmeggrade-fakes/src/soak/clients.rs
+++ b/crates/nutmeggrade-fakes/src/soak/clients.rs
@@ -19,6 +19,8 @@
 const DEADLINE: Duration = Duration::from_secs(6);
 /// Deadline of a client that reads slowly: the shortest timeout of the routes.
 const SLOW_DEADLINE: Duration = Duration::from_secs(8);
+/// Receive buffer of a client that reads slowly; many responses don't fit into it.
+const SLOW_BUFFER_BYTES: u32 = 2 << 10;
 /// Pause of a client that reads slowly, in milliseconds.
 const READ_PAUSE_MS: std::ops::Range<u64> = 3_500..6_000;
 /// Time past the deadline after which a client counts the request as timed out.
@@ -264,7 +266,7 @@
         let instance = self.instances.find(address)?;
         let connect = async {
             if self.reads_slowly {
-                RawClient::connect_with_small_buffer(address).await
+                RawClient::connect_with_buffer(address, SLOW_BUFFER_BYTES).await
             } else {
                 RawClient::connect(address).await
             }
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -20,6 +20,9 @@
 const NOTICE_TIME: Duration = Duration::from_secs(6);
 /// As above if the peer read nothing for a second before: it is asked at growing intervals.
 const LATE_NOTICE_TIME: Duration = Duration::from_secs(12);
+/// Receive buffer of a slow client. Into much smaller ones the kernel sends only what fits a window probe,
+/// five times a second, however fast the client reads.
+const BUFFER_BYTES: u32 = 16 << 10;
 /// Many times what the kernel holds for a client.
 const LARGE_BYTES: usize = 3 << 20;
 const LONG_STREAM: Behaviour =
@@ -44,7 +47,7 @@
     run(async {
         let site = Site::start(plan).await?;
         let endpoint = site.add_endpoint(service(route), "e-1", behaviour).await?;
-        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        let mut client = RawClient::connect_with_buffer(site.client(), BUFFER_BYTES).await?;
         client.send(&request(route, "a1", "key-1", PROMPT_HEADERS)).await?;
         until("it runs", async || Ok(endpoint.runs("a1") == 1)).await?;
         sleep(pause).await;
@@ -76,7 +79,7 @@
             endpoint.set(Behaviour::Large { bytes: LARGE_BYTES, is_chunked: true });
         }
         let address = site.proxied().addresses().client;
-        let mut client = RawClient::connect_with_small_buffer(address).await?;
+        let mut client = RawClient::connect_with_buffer(address, BUFFER_BYTES).await?;
         client.send(&request("read", "a1", "key-1", PROMPT_HEADERS)).await?;
         sleep(PAUSE).await;
         let answer = client.answer().await?;
@@ -91,7 +94,7 @@
         let site = Site::start(&plan()).await?;
         let engine = site.add_endpoint("writers", "e-1", behaviour).await?;
         engine.hold_ends(true);
-        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        let mut client = RawClient::connect_with_buffer(site.client(), BUFFER_BYTES).await?;
         client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
         until("it runs", async || Ok(engine.runs("a1") == 1)).await?;
         sleep(wait).await;
@@ -244,7 +247,7 @@
     run(async {
         let site = Site::start(&plan()).await?;
         let engine = site.add_endpoint("writers", "e-1", LONG_STREAM).await?;
-        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        let mut client = RawClient::connect_with_buffer(site.client(), BUFFER_BYTES).await?;
         client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
         until("it runs", async || Ok(engine.runs("a1") == 1)).await?;
         let stopping = begin_stop(site.instance).await?;
@@ -260,7 +263,7 @@
         let plan = RoutingPlan { timeout_ms: 2_000, idle_ms: 1_000, ..plan() };
         let site = Site::start(&plan).await?;
         site.add_endpoint("writers", "e-1", LONG_STREAM).await?;
-        let mut client = RawClient::connect_with_small_buffer(site.client()).await?;
+        let mut client = RawClient::connect_with_buffer(site.client(), BUFFER_BYTES).await?;
         client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
         site.until_metric("connections", 1).await?;
         timeout(NOTICE_TIME, site.until_metric("connections", 0)).await??;
