--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod holding;
 mod reporting;
+mod responses;
 mod silence;
 mod streaming;
 
@@ -14,13 +15,12 @@
 
 use anyhow::Context;
 use nutmeggrade_core::engine::LOAD_PATH;
-use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use self::holding::is_hold_call;
+use self::responses::{send, send_json, until_closed};
 use self::streaming::reset;
 use super::behaviour::Behaviour;
 use super::generation::Generations;
@@ -32,7 +32,6 @@
 
 /// Size from which a body is large.
 const LARGE_BODY_BYTES: usize = 10_000;
-const SIGNATURE_HEADER: &str = "X-Nutmeggrade-Server-Signature";
 
 #[derive(Debug)]
 struct State {
@@ -377,40 +376,4 @@
             }
         }
     }
-
-    fn response(&self, status: u16, id: &str, headers: &str, body: &str) -> String {
-        let notices = self.notices().headers(id);
-        format!(
-            "HTTP/1.1 {status} -\r\nX-Nutmeggrade-Attempt-Id: {id}\r\n{SIGNATURE_HEADER}: by.{}\r\n\
-             {notices}{headers}\r\n{body}",
-            self.id
-        )
-    }
-
-    /// Sends a response without a body or an attempt id.
-    async fn send_empty(
-        &self,
-        stream: &mut TcpStream,
-        status: u16,
-        headers: &str,
-    ) -> anyhow::Result<()> {
-        send(stream, &format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: 0\r\n\r\n")).await
-    }
-}
-
-/// Waits until the instance closes the connection.
-async fn until_closed(stream: &mut TcpStream) -> anyhow::Result<()> {
-    let mut byte = [0];
-    drop(stream.read(&mut byte).await);
-    anyhow::bail!("closed by the instance")
-}
-
-async fn send(stream: &mut TcpStream, text: &str) -> anyhow::Result<()> {
-    stream.write_all(text.as_bytes()).await.context("send")
-}
-
-async fn send_json(stream: &mut TcpStream, status: u16, body: &Value) -> anyhow::Result<()> {
-    let body = body.to_string();
-    let head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n", body.len());
-    send(stream, &(head + &body)).await
 }
