Open the connection of a resumed copy in one place

resume_copy connected and sent in two branches of a match; open() does both, so that a stop that comes meanwhile ends either in the same way. The comment of time_needed is shorter. No change of behaviour; relay tests pass.

--- a/crates/nutmeggrade-relay/src/relay/resume.rs
+++ b/crates/nutmeggrade-relay/src/relay/resume.rs
@@ -22,11 +22,7 @@
     let resume = ResumeFrom { address: generation.source, handle: generation.handle };
     let position = stream.splitter.position();
     let options = SendOptions { position, resume: Some(resume), ..SendOptions::default() };
-    let upstream = match connect(stream, &generation.reservation.endpoint).await {
-        Some(connection) => send(stream, &generation.reservation, options, connection).await,
-        None => None,
-    };
-    let Some(upstream) = upstream else {
+    let Some(upstream) = open(stream, &generation.reservation, options).await else {
         stream.node.metrics.moves.with_label_values(&["lost"]).inc();
         return None;
     };
@@ -80,6 +76,15 @@
     Some((upstream, reservation))
 }
 
+async fn open(
+    stream: &EventStream,
+    reservation: &Reservation,
+    options: SendOptions,
+) -> Option<UpstreamBody> {
+    let connection = connect(stream, &reservation.endpoint).await?;
+    send(stream, reservation, options, connection).await
+}
+
 async fn connect(stream: &EventStream, endpoint: &EndpointInfo) -> Option<OpenConnection> {
     open_connection(endpoint.address)
         .await
--- a/crates/nutmeggrade-relay/src/relay/shutdown.rs
+++ b/crates/nutmeggrade-relay/src/relay/shutdown.rs
@@ -87,10 +87,9 @@
 
 /// Returns the time that this instance must have left to accept a request.
 ///
-/// It is the time until the request's deadline, since nothing else bounds how long an endpoint may take:
-/// a stream would be cut, and a request that may run once could not be repeated. Only one that may be
-/// repeated and has a single response goes by the usual time if no other instance can take it, as it
-/// gets a failure at the end.
+/// It is the time until the deadline, since nothing else bounds how long an endpoint may take. Only a
+/// repeatable request that is no stream goes by the usual time if no other instance can take it, as it gets
+/// a failure at the end.
 fn time_needed(node: &Node, route: &Route, prompt: Option<&Prompt>, deadline: Moment) -> Duration {
     let longest = deadline.since(node.now());
     if route.kind != RouteKind::Idempotent || has_serving_peers(node) {
