Decide once how much of a response is read

Whether a response is held, passed on or read stood in handle_response and in forward, in the same words. read_response decides for both, and read_body has its two arguments again. No change of behaviour; relay tests pass.

--- a/crates/nutmeggrade-relay/src/relay/forwarding.rs
+++ b/crates/nutmeggrade-relay/src/relay/forwarding.rs
@@ -13,7 +13,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::timeout;
 
-use super::exchange::{OpenConnection, is_event_stream, open_connection};
+use super::exchange::{OpenConnection, open_connection};
 use super::final_response::FinalResponse;
 use super::handler::RequestHandler;
 use super::response::{self, ReadBody};
@@ -96,16 +96,11 @@
         if head.headers.contains_key(CODE_HEADER) {
             return self.take_refusal(peer, body).await;
         }
-        let is_held = shutdown::holds_response(&self.node, &self.request);
-        let max_bytes = response::buffer_limit(is_held);
-        let is_large = answer::read(&head).length.is_some_and(|l| l > max_bytes as u64);
-        let body = if !is_held && (is_large || is_event_stream(&head)) {
-            ReadBody::Large(body)
-        } else {
-            match response::read_body(body, &self.request.memory, max_bytes).await {
-                Ok(body) => body,
-                Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
-            }
+        let length = answer::read(&head).length;
+        let body = response::read_response(&self.node, &self.request, &head, length, body).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
         };
         self.log_forwarded(peer, "answered");
         self.attempt.begin_response();
@@ -155,16 +150,13 @@
         peer: &InstanceId,
         body: UpstreamBody,
     ) -> Result<Forwarded, Failure> {
-        let failure =
-            match response::read_body(body, &self.request.memory, response::MAX_BUFFERED_BYTES)
-                .await
-            {
-                Ok(ReadBody::Whole(body)) => {
-                    serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
-                }
-                Ok(ReadBody::Large(_)) => Err("the peer's failure is too large".to_owned()),
-                Err(reason) => Err(reason),
-            };
+        let failure = match response::read_body(body, &self.request.memory).await {
+            Ok(ReadBody::Whole(body)) => {
+                serde_json::from_slice::<Failure>(&body).map_err(|e| e.to_string())
+            }
+            Ok(ReadBody::Large(_)) => Err("the peer's failure is too large".to_owned()),
+            Err(reason) => Err(reason),
+        };
         let failure = match failure {
             Ok(failure) => failure,
             Err(reason) => return Err(self.lose_forwarded(peer, &reason)),
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -278,17 +278,13 @@
         response: EndpointResponse,
         reservation: Reservation,
     ) -> Result<SendStep, Failure> {
-        let is_held = shutdown::holds_response(&self.node, &self.request);
-        let max_bytes = response::buffer_limit(is_held);
-        let is_large = response.parsed.length.is_some_and(|l| l > max_bytes as u64);
-        let elapsed = self.node.now().since(response.sent_at);
-        if !is_held && (is_large || response.is_event_stream()) {
-            return Ok(self.leave_open(response, reservation, elapsed));
-        }
         let endpoint = reservation.endpoint.id.clone();
         let EndpointResponse { head, parsed, body, sent_at } = response;
         let begun_at = self.node.now();
-        let body = match response::read_body(body, &self.request.memory, max_bytes).await {
+        let elapsed = begun_at.since(sent_at);
+        let body =
+            response::read_response(&self.node, &self.request, &head, parsed.length, body).await;
+        let body = match body {
             Ok(ReadBody::Whole(body)) => body,
             Ok(ReadBody::Large(body)) => {
                 let response = EndpointResponse { head, parsed, body, sent_at };
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -10,9 +10,12 @@
 use nutmeggrade_platform::READ_AHEAD_BYTES;
 use nutmeggrade_wire::answer;
 
+use super::client_request::ClientRequest;
+use super::exchange::is_event_stream;
 use super::forwarding::PeerResponse;
 use super::handler::RequestHandler;
 use super::open_response::OpenResponse;
+use super::shutdown;
 use super::transfer_end::TransferEnd;
 use super::upstream::UpstreamBody;
 use crate::answer_body::AnswerBody;
@@ -22,7 +25,7 @@
 
 /// Largest body that is read completely before it is forwarded. If it breaks off, the request can
 /// still be retried elsewhere or reported as failed.
-pub const MAX_BUFFERED_BYTES: usize = 256 << 10;
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// Largest body that is read completely because it might be cut otherwise.
 const MAX_HELD_BYTES: usize = 4 << 20;
@@ -43,25 +46,50 @@
 pub enum ReadBody {
     /// The complete body.
     Whole(Bytes),
-    /// A body larger than the limit, still to be read from its start.
+    /// A body that is passed on as it is received, still to be read from its start.
     Large(UpstreamBody),
 }
 
-/// Returns the size up to which a body is read completely before it is passed on.
-pub const fn buffer_limit(is_held: bool) -> usize {
-    if is_held { MAX_HELD_BYTES } else { MAX_BUFFERED_BYTES }
+/// Reads the body of a response to a client's request, unless it is passed on as it is received: that of an
+/// event stream or of a stated length over [`MAX_BUFFERED_BYTES`], if the end of this instance can't cut it.
+///
+/// # Errors
+///
+/// Fails with the reason if the body breaks off.
+pub async fn read_response(
+    node: &Node,
+    request: &ClientRequest,
+    head: &Parts,
+    length: Option<u64>,
+    body: UpstreamBody,
+) -> Result<ReadBody, String> {
+    if shutdown::holds_response(node, request) {
+        return read_up_to(MAX_HELD_BYTES, body, &request.memory).await;
+    }
+    let is_large = length.is_some_and(|l| l > MAX_BUFFERED_BYTES as u64);
+    if is_large || is_event_stream(head) {
+        return Ok(ReadBody::Large(body));
+    }
+    read_body(body, &request.memory).await
 }
 
-/// Reads a body completely, unless it is larger than `max_bytes` or than the client's connection may
-/// hold.
+/// Reads a body completely, unless it is larger than [`MAX_BUFFERED_BYTES`] or than the client's
+/// connection may hold.
 ///
 /// # Errors
 ///
 /// Fails with the reason if the body breaks off.
 pub async fn read_body(
-    mut upstream: UpstreamBody,
+    upstream: UpstreamBody,
     memory: &ConnectionMemory,
+) -> Result<ReadBody, String> {
+    read_up_to(MAX_BUFFERED_BYTES, upstream, memory).await
+}
+
+async fn read_up_to(
     max_bytes: usize,
+    mut upstream: UpstreamBody,
+    memory: &ConnectionMemory,
 ) -> Result<ReadBody, String> {
     let mut body = BodyBuffer::new(memory, max_bytes, "response");
     let mut is_small = true;
