--- a/tests/suite/process/cuts.rs
+++ b/tests/suite/process/cuts.rs
@@ -1,5 +1,6 @@
 //! Processes that die or freeze, and links that stall or break, on the complete request path.
 
+use anyhow::Context;
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use nutmeggrade_core::prelude::*;
@@ -88,13 +89,16 @@
         caller.read_stream(caller.entry(1), TASK, LONG_PROMPT, &mut received, None).await?;
         guard.fleet.process("node-0")?.signal(Signal::SIGCONT)?;
         assert_complete(&received);
+        let mut last = String::new();
         let is_served = async || {
             let mut received = StreamOutput::default();
             let result =
                 caller.read_stream(caller.entry(0), TASK, LONG_PROMPT, &mut received, None).await;
+            last = format!("{result:?} {received:?}");
             Ok(result.is_ok() && received.is_whole())
         };
-        until("it serves again", is_served).await
+        let served = until("it serves again", is_served).await;
+        served.with_context(|| last)
     });
 }
 
