Look at the endpoint when the end of an answer is only a closed connection

Cause: the kernel closes the connections of a killed process in order. Only event streams asked after such an end whether the endpoint still accepts connections; any other body counted as whole.

The same question is asked for every body that nothing but its connection ends, before an answer that was read whole is passed on and before the last chunk of a larger one. A truncated one is a failed send (another endpoint, or 502), or ends without its last chunk. A response that has no body by its status or method counts as declared. It costs one connection for each such answer.

--- a/crates/nutmeggrade-fakes/src/site/behaviour.rs
+++ b/crates/nutmeggrade-fakes/src/site/behaviour.rs
@@ -32,6 +32,9 @@
         /// Whether it comes in chunks.
         is_chunked: bool,
     },
+    /// Sends this many bytes of a response without a length, crashes once ends aren't held, and closes the
+    /// connection in order.
+    CrashWithin(usize),
     /// Sends part of a response without a length and resets the connection.
     CloseDelimitedReset,
     /// Executes the request and sends the response twice.
--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -309,11 +309,7 @@
                 send(stream, &self.response(500, id, "Content-Length: 4\r\n", "oops")).await
             }
             Behaviour::Close | Behaviour::CloseAll | Behaviour::Vanish => anyhow::bail!("closed"),
-            Behaviour::Crash => {
-                self.crashed.send_replace(true);
-                self.listens.subscribe().wait_for(|listens| !listens).await?;
-                anyhow::bail!("crashed")
-            }
+            Behaviour::Crash => self.crash().await,
             Behaviour::Truncate => {
                 let response = response();
                 send(stream, &response[..response.len() - 3]).await?;
@@ -344,6 +340,12 @@
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
                 anyhow::bail!("closed to end the response")
             }
+            Behaviour::CrashWithin(bytes) => {
+                let body = "x".repeat(bytes);
+                send(stream, &self.response(200, id, "Connection: close\r\n", &body)).await?;
+                self.holds_ends.subscribe().wait_for(|holds| !holds).await?;
+                self.crash().await
+            }
             Behaviour::CloseDelimitedReset => {
                 send(stream, &self.response(200, id, "Connection: close\r\n", &body[..4])).await?;
                 reset(stream)
--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -91,11 +91,7 @@
             StreamEnd::LastChunk | StreamEnd::Length => writer.finish().await,
             StreamEnd::Closed => anyhow::bail!("closed"),
             StreamEnd::Reset => reset(writer.connection()),
-            StreamEnd::Crashed => {
-                self.crashed.send_replace(true);
-                self.listens.subscribe().wait_for(|listens| !listens).await?;
-                anyhow::bail!("crashed")
-            }
+            StreamEnd::Crashed => self.crash().await,
         }
     }
 
--- a/crates/nutmeggrade-relay/src/relay/crash.rs
+++ b/crates/nutmeggrade-relay/src/relay/crash.rs
@@ -83,6 +83,12 @@
         && reach::check(node, endpoint).await == Reach::Reached
 }
 
+/// Returns whether a body that ended with its connection may have been cut off by a crash of its endpoint.
+/// It may not if its end was declared.
+pub async fn may_have_cut(node: &Arc<Node>, endpoint: &EndpointInfo, framing: BodyFraming) -> bool {
+    !framing.is_declared() && refuses_connections(node, endpoint).await
+}
+
 /// Returns a hash of a request's workspace, path, prompt and body.
 pub fn fingerprint(
     workspace: Option<&WorkspaceId>,
--- a/crates/nutmeggrade-relay/src/relay/handler.rs
+++ b/crates/nutmeggrade-relay/src/relay/handler.rs
@@ -16,6 +16,7 @@
 use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_policy::dispatch::{DispatchRequest, Health};
 use nutmeggrade_state::attempt::Attempt;
+use nutmeggrade_state::body_end::Truncation;
 
 use self::ready_endpoint::ReadyEndpoint;
 use super::client_request::ClientRequest;
@@ -282,8 +283,14 @@
         let EndpointResponse { head, parsed, body, sent_at } = response;
         let begun_at = self.node.now();
         let elapsed = begun_at.since(sent_at);
-        let body =
+        let framing = body.framing();
+        let mut body =
             response::read_response(&self.node, &self.request, &head, parsed.length, body).await;
+        if matches!(body, Ok(ReadBody::Whole(_)))
+            && crash::may_have_cut(&self.node, &reservation.endpoint, framing).await
+        {
+            body = Err(Truncation::EndpointGone.as_str().to_owned());
+        }
         let body = match body {
             Ok(ReadBody::Whole(body)) => body,
             Ok(ReadBody::Large(body)) => {
--- a/crates/nutmeggrade-relay/src/relay/response.rs
+++ b/crates/nutmeggrade-relay/src/relay/response.rs
@@ -7,10 +7,12 @@
 use http::response::Parts;
 use nutmeggrade_core::failure::CODE_HEADER;
 use nutmeggrade_core::prelude::*;
+use nutmeggrade_core::routing::EndpointInfo;
 use nutmeggrade_platform::READ_AHEAD_BYTES;
 use nutmeggrade_wire::answer;
 
 use super::client_request::ClientRequest;
+use super::crash;
 use super::exchange::is_event_stream;
 use super::forwarding::PeerResponse;
 use super::handler::RequestHandler;
@@ -125,7 +127,8 @@
     let node = Arc::clone(node);
     let framing = response.body.framing().as_str();
     tokio::spawn(async move {
-        let end = forward_until(&node, response.body, &sender, request.deadline).await;
+        let endpoint = Some(&reservation.endpoint);
+        let end = forward_until(&node, response.body, endpoint, &sender, request.deadline).await;
         if end == TransferEnd::Completed {
             node.note_completed(&request.suspects);
         }
@@ -148,7 +151,7 @@
     let RequestHandler { request, open: entry, .. } = handler;
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        let end = forward_until(&node, body, &sender, request.deadline).await;
+        let end = forward_until(&node, body, None, &sender, request.deadline).await;
         tracing::info!(event = "answer_ended", request = %request.id, endpoint = "-", %peer,
             end = end.as_str());
         drop(entry);
@@ -156,26 +159,38 @@
     from_endpoint(head, AnswerBody::Chunks(receiver))
 }
 
+/// Forwards a body until its deadline; `endpoint` is its source, unless that is a peer.
 async fn forward_until(
-    node: &Node,
+    node: &Arc<Node>,
     body: UpstreamBody,
+    endpoint: Option<&EndpointInfo>,
     sender: &AnswerSender,
     deadline: Moment,
 ) -> TransferEnd {
     tokio::select! {
-        end = forward_body(body, sender) => end,
+        end = forward_body(node, body, endpoint, sender) => end,
         () = sender.closed() => TransferEnd::ClientGone,
         () = node.clock.until(deadline) => TransferEnd::DeadlinePassed,
     }
 }
 
-async fn forward_body(mut upstream: UpstreamBody, sender: &AnswerSender) -> TransferEnd {
+async fn forward_body(
+    node: &Arc<Node>,
+    mut upstream: UpstreamBody,
+    endpoint: Option<&EndpointInfo>,
+    sender: &AnswerSender,
+) -> TransferEnd {
     while let Some(chunk) = upstream.next().await {
         let Ok(chunk) = chunk else { return TransferEnd::UpstreamBroken };
         if sender.send(chunk).await.is_err() {
             return TransferEnd::ClientGone;
         }
     }
+    if let Some(endpoint) = endpoint
+        && crash::may_have_cut(node, endpoint, upstream.framing()).await
+    {
+        return TransferEnd::UpstreamBroken;
+    }
     sender.finish().await;
     TransferEnd::Completed
 }
--- a/crates/nutmeggrade-relay/src/relay/upstream.rs
+++ b/crates/nutmeggrade-relay/src/relay/upstream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use nutmeggrade_core::prelude::*;
 use nutmeggrade_platform::ResponseBody;
 use nutmeggrade_wire::answer;
@@ -33,7 +34,9 @@
 impl UpstreamBody {
     /// Wraps the body of a response with these headers, and the task that drives its connection.
     pub fn new(body: ResponseBody, headers: &HeaderMap, connection: AbortOnDrop<()>) -> Self {
-        let framing = answer::read_framing(headers);
+        // A response may have no body by its status or method.
+        let framing =
+            if body.is_end_stream() { BodyFraming::Length } else { answer::read_framing(headers) };
         Self { body, framing, unread: VecDeque::new(), _connection: connection }
     }
 
--- a/tests/suite/relay.rs
+++ b/tests/suite/relay.rs
@@ -9,6 +9,7 @@
 mod crashers;
 mod crashing_parts;
 mod cut_off;
+mod cut_responses;
 mod endless_responses;
 mod endpoints;
 mod final_status;
