Begin tests once the instance watches the endpoints

Cause, in the tests: an instance lists the endpoints as it starts and watches them only 2 s later, once it knows which instances read for all. Mostly the first endpoint of a test joins after that listing, so that the test runs with the watch. If the listing is late, the endpoint is in it, the test begins 30 ms after the start, and what happens next is noticed 2 s later, when the stream is over.

Tests of a site and of a pair of instances wait for the first watch.

--- a/crates/nutmeggrade-fakes/src/site/store.rs
+++ b/crates/nutmeggrade-fakes/src/site/store.rs
@@ -66,6 +66,8 @@
     /// Revision up to which the change history was dropped.
     dropped_revision: u64,
     call_count: u64,
+    /// By kind of object: how often a watch was begun.
+    watch_counts: BTreeMap<String, u64>,
     raw_texts: RawTexts,
     /// Fixed response to listings that may be stale.
     stale_snapshot: Option<Snapshot>,
@@ -173,6 +175,11 @@
         self.state().call_count
     }
 
+    /// Returns the number of watches of a kind that were begun.
+    pub fn watches(&self, kind: &str) -> u64 {
+        self.state().watch_counts.get(kind).copied().unwrap_or_default()
+    }
+
     /// Returns the specification of an object, or null.
     pub fn content(&self, kind: &str, name: &str) -> Value {
         let key = (kind.to_owned(), name.to_owned());
@@ -295,6 +302,7 @@
         wait: Duration,
         store_listener: &StoreListener,
     ) -> (u16, Value) {
+        *self.state().watch_counts.entry(kind.to_owned()).or_default() += 1;
         let mut changed = self.changed.subscribe();
         let next_changes = async {
             loop {
--- a/tests/suite/relay/members.rs
+++ b/tests/suite/relay/members.rs
@@ -7,7 +7,7 @@
 };
 use nutmeggrade_relay::{Instance, LogBuffer};
 
-use super::site::{get, metric, settings, start_instance};
+use super::site::{get, metric, settings, start_instance, until_watched};
 use crate::support::until;
 
 async fn listed_instances(instance: &Instance) -> anyhow::Result<usize> {
@@ -67,7 +67,9 @@
         (store.open_listener().await?, store.open_listener().await?);
     let first = start_instance("i-1", &first_listener, "").await?;
     let other = start_member(&first, 2, &other_listener).await?;
+    until_listed(&first, 2).await?;
     until_listed(&other, 2).await?;
+    until_watched(&store).await?;
     Ok(Pair { store, first, first_listener, other, other_listener })
 }
 
--- a/tests/suite/relay/site.rs
+++ b/tests/suite/relay/site.rs
@@ -29,6 +29,7 @@
         let instance = start_instance("i-1", &store_listener, "").await?;
         let site = Self { store, store_listener, generations: Generations::default(), instance };
         site.until_metric("config_version", plan.version).await?;
+        until_watched(&site.store).await?;
         Ok(site)
     }
 
@@ -40,6 +41,7 @@
         let instance = start_rolling_instance("i-1", &store_listener, 1).await?;
         let site = Self { store, store_listener, generations: Generations::default(), instance };
         site.until_metric("config_version", plan.version).await?;
+        until_watched(&site.store).await?;
         Ok(site)
     }
 
@@ -108,6 +110,11 @@
     Ok(client)
 }
 
+/// Waits until an instance watches the endpoints: it notices no change of them in its first two seconds.
+pub async fn until_watched(store: &Store) -> anyhow::Result<()> {
+    until("the endpoints are watched", async || Ok(store.watches("servers") > 0)).await
+}
+
 /// Starts an incarnation of an instance that observes rollouts.
 pub async fn start_rolling_instance(
     name: &str,
