Close a killed fake endpoint's listener before its streams

relay::fleet::engine_that_died_under_a_stream_is_told_to_peers failed once beside builds: "timed out: the peer is notified that the endpoint is gone".

Cause, in the fake endpoint: kill() reset its streams at once, while another task closed its listener. If that came later, the instance that looked at the endpoint found it accepting connections and answering its report, and rightly told nobody. A process that dies closes all of its sockets in the same moment.

The streams wait until the listener is closed, as those of the other crashes do.

--- a/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/streaming.rs
@@ -25,7 +25,8 @@
         let mut writer = self.start_stream(stream, id, is_chunked).await?;
         let label = self.event_label(id);
         let mut stopped = self.generations.start(self.advertised_address(), id, events);
-        let mut crashed = self.crashed.subscribe();
+        // A crash closes the listener and the streams in the same moment.
+        let mut listens = self.listens.subscribe();
         for event in position + 1..=events {
             let next_event = async {
                 sleep(pause).await;
@@ -33,7 +34,7 @@
             };
             tokio::select! {
                 () = next_event => {}
-                _ = crashed.wait_for(|c| *c) => return reset(writer.connection()),
+                _ = listens.wait_for(|listens| !listens) => return reset(writer.connection()),
                 _ = stopped.wait_for(|s| *s) => {
                     self.generations.remove(self.advertised_address(), id);
                     anyhow::ensure!(self.state().finishes_at_stop, "stopped");
