--- a/crates/nutmeggrade-fakes/src/site/endpoint.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint.rs
@@ -211,7 +211,7 @@
                     .send_empty(&mut stream, 400, "X-Nutmeggrade-Not-Executed: 1\r\n")
                     .await;
             }
-            if request.content_length() > LARGE_BODY_BYTES {
+            if request.content_length().is_some_and(|length| length > LARGE_BODY_BYTES) {
                 if behaviour == Behaviour::Vanish {
                     vanish(&stream)?;
                     return std::future::pending().await;
--- a/crates/nutmeggrade-fakes/src/site/endpoint/crashing.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/crashing.rs
@@ -14,6 +14,19 @@
         self.crashed.send_replace(true);
     }
 
+    /// Crashes, and waits until it accepts no more connections.
+    pub(super) async fn stop_listening(&self) -> anyhow::Result<()> {
+        self.kill();
+        self.listens.subscribe().wait_for(|listens| !listens).await?;
+        Ok(())
+    }
+
+    /// Crashes, and ends the open connection in order.
+    pub(super) async fn crash(&self) -> anyhow::Result<()> {
+        self.stop_listening().await?;
+        anyhow::bail!("crashed")
+    }
+
     /// Returns whether it has crashed.
     pub fn is_dead(&self) -> bool {
         *self.crashed.borrow()
@@ -41,8 +54,7 @@
     ) -> anyhow::Result<()> {
         let writer = self.start_stream(stream, id, true).await?;
         sleep(delay).await;
-        self.crashed.send_replace(true);
-        self.listens.subscribe().wait_for(|listens| !listens).await?;
+        self.stop_listening().await?;
         reset(writer.connection())
     }
 }
--- a/crates/nutmeggrade-fakes/src/site/endpoint/holding.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/holding.rs
@@ -62,8 +62,7 @@
             HoldBehaviour::Grant | HoldBehaviour::Crash => {
                 let lease = self.holds().grant();
                 if behaviour == HoldBehaviour::Crash {
-                    self.crashed.send_replace(true);
-                    self.listens.subscribe().wait_for(|listens| !listens).await?;
+                    self.stop_listening().await?;
                 }
                 let body = json!({ "retention": lease }).to_string();
                 let head =
--- a/crates/nutmeggrade-fakes/src/site/endpoint/responses.rs
+++ b/crates/nutmeggrade-fakes/src/site/endpoint/responses.rs
@@ -28,13 +28,6 @@
     ) -> anyhow::Result<()> {
         send(stream, &format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: 0\r\n\r\n")).await
     }
-
-    /// Crashes: accepts no more connections, and ends the open one in order.
-    pub(super) async fn crash(&self) -> anyhow::Result<()> {
-        self.crashed.send_replace(true);
-        self.listens.subscribe().wait_for(|listens| !listens).await?;
-        anyhow::bail!("crashed")
-    }
 }
 
 /// Waits until the instance closes the connection.
--- a/crates/nutmeggrade-fakes/src/site/message.rs
+++ b/crates/nutmeggrade-fakes/src/site/message.rs
@@ -63,14 +63,14 @@
         (words.next().unwrap_or_default(), words.next().unwrap_or_default())
     }
 
-    /// Returns the length of the body that the head states, or 0.
-    pub fn content_length(&self) -> usize {
-        self.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0)
+    /// Returns the length of the body that the head states.
+    pub fn content_length(&self) -> Option<usize> {
+        self.header("content-length").and_then(|l| l.parse().ok())
     }
 
     /// Reads the body that the head announces; returns whether it was complete.
     pub async fn read_body<R: AsyncRead + Unpin>(&mut self, stream: &mut R) -> bool {
-        if let Some(length) = self.header("content-length").and_then(|l| l.parse().ok()) {
+        if let Some(length) = self.content_length() {
             self.body = vec![0; length];
             return stream.read_exact(&mut self.body).await.is_ok();
         }
--- a/tests/suite/relay/slow_peers.rs
+++ b/tests/suite/relay/slow_peers.rs
@@ -88,6 +88,14 @@
     });
 }
 
+/// Makes a client vanish, and returns the time until its connection is closed.
+async fn vanish(site: &Site, client: &RawClient) -> anyhow::Result<Duration> {
+    client.vanish()?;
+    let vanished_at = Instant::now();
+    site.until_metric("connections", 0).await?;
+    Ok(vanished_at.elapsed())
+}
+
 /// Begins a stream, waits, makes its client vanish, and checks that its connection is closed in time.
 fn vanished_client_is_noticed(behaviour: Behaviour, wait: Duration, limit: Duration) {
     run(async {
@@ -98,10 +106,7 @@
         client.send(&request("draft", "a1", "key-1", PROMPT_HEADERS)).await?;
         until("it runs", async || Ok(engine.runs("a1") == 1)).await?;
         sleep(wait).await;
-        client.vanish()?;
-        let vanished_at = Instant::now();
-        site.until_metric("connections", 0).await?;
-        let elapsed = vanished_at.elapsed();
+        let elapsed = vanish(&site, &client).await?;
         assert!(elapsed < limit, "{elapsed:?}");
         Ok(())
     });
@@ -125,10 +130,7 @@
         let mut client = RawClient::connect(site.client()).await?;
         client.send(&request("read", "a1", "key-1", "")).await?;
         assert_eq!(client.answer().await?.status, 200);
-        client.vanish()?;
-        let vanished_at = Instant::now();
-        site.until_metric("connections", 0).await?;
-        let elapsed = vanished_at.elapsed();
+        let elapsed = vanish(&site, &client).await?;
         assert!(elapsed < NOTICE_TIME, "{elapsed:?}");
         Ok(())
     });
--- a/tests/suite/relay/stop.rs
+++ b/tests/suite/relay/stop.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use nutmeggrade_fakes::site::{Behaviour, Entry, RawClient, RoutingPlan, StreamEnd, request};
+use nutmeggrade_fakes::site::{
+    Behaviour, Endpoint, Entry, RawClient, RoutingPlan, StreamEnd, request,
+};
 use nutmeggrade_relay::Instance;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpSocket, TcpStream};
@@ -99,6 +101,29 @@
     });
 }
 
+/// Sends requests until one waits for room at the only endpoint; returns their ids and clients, that one last.
+pub async fn send_until_one_waits(
+    site: &Site,
+    endpoint: &Endpoint,
+    route: &str,
+    headers: &str,
+) -> anyhow::Result<Vec<(String, RawClient)>> {
+    let addresses = site.instance.addresses();
+    let mut clients = Vec::new();
+    while metric(addresses.metrics, "waiting").await? == 0 {
+        let id = format!("a{}", clients.len());
+        let mut client = RawClient::connect(addresses.client).await?;
+        client.send(&request(route, &id, "key-1", headers)).await?;
+        until("the request is placed or waits", async || {
+            let waiting = metric(addresses.metrics, "waiting").await?;
+            Ok(waiting > 0 || endpoint.runs(&id) == 1)
+        })
+        .await?;
+        clients.push((id, client));
+    }
+    Ok(clients)
+}
+
 // A request waits for room when the stop begins. It would be sent as soon as there is room, though
 // its answer could be cut at the end of the grace period.
 #[test]
@@ -107,19 +132,7 @@
         let site = Site::start(&RoutingPlan::default()).await?;
         let slow = Behaviour::Slow(Duration::from_millis(1_500));
         let endpoint = site.add_endpoint("desk", "e-1", slow).await?;
-        let addresses = site.instance.addresses();
-        let mut clients = Vec::new();
-        while metric(addresses.metrics, "waiting").await? == 0 {
-            let id = format!("a{}", clients.len());
-            let mut client = RawClient::connect(addresses.client).await?;
-            client.send(&request("once", &id, "key-1", "")).await?;
-            until("the request is placed or waits", async || {
-                let waiting = metric(addresses.metrics, "waiting").await?;
-                Ok(waiting > 0 || endpoint.runs(&id) == 1)
-            })
-            .await?;
-            clients.push((id, client));
-        }
+        let mut clients = send_until_one_waits(&site, &endpoint, "once", "").await?;
         let (id, mut waiting) = clients.pop().expect("a request waits");
         let stopping = begin_stop(site.instance).await?;
         let answer = waiting.answer().await?;
--- a/tests/suite/relay/stop_streams.rs
+++ b/tests/suite/relay/stop_streams.rs
@@ -7,7 +7,7 @@
 use super::PROMPT_HEADERS;
 use super::members::{Pair, start_pair, until_all_have};
 use super::site::{Site, metric};
-use super::stop::begin_stop;
+use super::stop::{begin_stop, send_until_one_waits};
 use crate::support::{run, until};
 
 const SHORT_STREAM: Behaviour = Behaviour::Stream { events: 9, pause: Duration::from_millis(10) };
@@ -108,19 +108,7 @@
         let site = Site::start(&plan).await?;
         let engine = site.add_endpoint("writers", "e-1", OPEN_STREAM).await?;
         engine.hold_ends(true);
-        let addresses = site.instance.addresses();
-        let mut clients = Vec::new();
-        while metric(addresses.metrics, "waiting").await? == 0 {
-            let id = format!("a{}", clients.len());
-            let mut client = RawClient::connect(addresses.client).await?;
-            client.send(&request(route, &id, "key-1", PROMPT_HEADERS)).await?;
-            until("the request is placed or waits", async || {
-                let waiting = metric(addresses.metrics, "waiting").await?;
-                Ok(waiting > 0 || engine.runs(&id) == 1)
-            })
-            .await?;
-            clients.push((id, client));
-        }
+        let mut clients = send_until_one_waits(&site, &engine, route, PROMPT_HEADERS).await?;
         let (id, mut waiting) = clients.pop().expect("a request waits");
         let stopping = begin_stop(site.instance).await?;
         engine.hold_ends(false);
